--- /dev/null
+++ b/cmd/lentilyard/main.go
@@ -0,0 +1,4 @@
+// Command lentilyard is the entry VM daemon and the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,162 @@
+// Package logging writes one key=value line for each event.
+//
+// Callers encode events with zerolog into a bounded queue. One goroutine
+// formats and writes them, so that a slow sink never stalls traffic. When the
+// queue is more than half full, lines at debug level and decision lines are
+// dropped; when it is full, every line is. Drops are counted.
+package logging
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// DecisionLevel marks the lines written for each routing or placement decision.
+const DecisionLevel = zerolog.DebugLevel
+
+const defaultQueueLines = 8192
+
+var droppedLines = metrics.NewCounter("lentilyard_log_lines_dropped_total")
+
+// Sink is a zerolog writer with a bounded queue.
+type Sink struct {
+	queue   chan []byte
+	out     io.Writer
+	dropped atomic.Uint64
+	buffers sync.Pool
+	closing sync.Once
+	mu      sync.RWMutex // excludes Close during a write
+	closed  bool
+	done    chan struct{}
+}
+
+// NewSink starts the goroutine that writes to out. queueLines <= 0 selects the default of 8192.
+func NewSink(out io.Writer, queueLines int) *Sink {
+	if queueLines <= 0 {
+		queueLines = defaultQueueLines
+	}
+	s := &Sink{queue: make(chan []byte, queueLines), out: out, done: make(chan struct{})}
+	s.buffers.New = func() any { return new(bytes.Buffer) }
+	go s.run()
+	return s
+}
+
+// New returns a logger on the sink. Level is a zerolog level name; an unknown one selects info.
+// Decision lines are logged at info level by Decision unless decisions is false.
+func New(s *Sink, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(s).Level(parsed).With().Timestamp().Logger()
+}
+
+// Write implements io.Writer.
+func (s *Sink) Write(line []byte) (int, error) {
+	return s.WriteLevel(zerolog.InfoLevel, line)
+}
+
+// WriteLevel implements zerolog.LevelWriter. It never blocks.
+func (s *Sink) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed || (level <= zerolog.DebugLevel || isDecision(line)) && len(s.queue) > cap(s.queue)/2 {
+		s.drop()
+		return len(line), nil
+	}
+	copied := append([]byte(nil), line...)
+	select {
+	case s.queue <- copied:
+	default:
+		s.drop()
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped so far.
+func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
+
+// Close writes the queued lines and stops the goroutine.
+func (s *Sink) Close() error {
+	s.closing.Do(func() {
+		s.mu.Lock()
+		s.closed = true
+		s.mu.Unlock()
+		close(s.queue)
+		<-s.done
+	})
+	return nil
+}
+
+func (s *Sink) drop() {
+	s.dropped.Add(1)
+	droppedLines.Inc()
+}
+
+var decisionMark = []byte(`"decision":`)
+
+func isDecision(line []byte) bool { return bytes.Contains(line, decisionMark) }
+
+func (s *Sink) run() {
+	defer close(s.done)
+	for line := range s.queue {
+		buffer := s.buffers.Get().(*bytes.Buffer)
+		buffer.Reset()
+		if err := writeKeyValue(buffer, line); err != nil {
+			buffer.Reset()
+			buffer.Write(line)
+		}
+		// A failed write is not reported: the log is the place where it would be.
+		_, _ = s.out.Write(buffer.Bytes())
+		s.buffers.Put(buffer)
+	}
+}
+
+// writeKeyValue converts one JSON object to a line of key=value pairs in the same order.
+func writeKeyValue(out *bytes.Buffer, line []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.UseNumber()
+	if _, err := decoder.Token(); err != nil {
+		return fmt.Errorf("read log line: %w", err)
+	}
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return fmt.Errorf("read log key: %w", err)
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return fmt.Errorf("read log value: %w", err)
+		}
+		if out.Len() > 0 {
+			out.WriteByte(' ')
+		}
+		fmt.Fprintf(out, "%s=%s", key, formatValue(value))
+	}
+	out.WriteByte('\n')
+	return nil
+}
+
+func formatValue(raw json.RawMessage) string {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		compact := string(raw)
+		if strings.ContainsAny(compact, " \"=") {
+			return strconv.Quote(compact)
+		}
+		return compact
+	}
+	if text == "" || strings.ContainsAny(text, " \"=\n\t") {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,44 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against log lines that are not one line of key=value pairs.
+func TestLinesAreKeyValuePairs(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	sink := NewSink(&out, 0)
+	logger := New(sink, "info")
+	logger.Info().Str("target", "executor 1").Int("slots", 8).Bool("ok", true).Msg("routed")
+	is.NoErr(sink.Close())
+	line := out.String()
+	is.Equal(strings.Count(line, "\n"), 1)
+	is.True(strings.Contains(line, `target="executor 1" slots=8 ok=true`))
+	is.True(strings.HasSuffix(line, "message=routed\n"))
+}
+
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against a slow sink stalling traffic, and against uncounted drops.
+func TestSlowSinkDropsAndCounts(t *testing.T) {
+	is := is.New(t)
+	writer := blockedWriter{release: make(chan struct{})}
+	sink := NewSink(writer, 4)
+	logger := New(sink, "info")
+	for range 100 {
+		logger.Info().Msg("event")
+	}
+	is.True(sink.Dropped() >= 94) // 4 queued, at most 2 in the writer
+	close(writer.release)
+	is.NoErr(sink.Close())
+}
