--- /dev/null
+++ b/cmd/lentilyard/options.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/client"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// clientOptions are the flags of all client commands.
+type clientOptions struct {
+	address   string
+	token     string
+	tokenFile string
+	output    string
+}
+
+func addGlobalFlags(app *kingpin.Application) *clientOptions {
+	o := new(clientOptions)
+	app.Flag("address", "Address of an entry VM.").Envar("LENTILYARD_ADDRESS").Default("127.0.0.1:7400").StringVar(&o.address)
+	app.Flag("token", "Bearer token.").Envar("LENTILYARD_TOKEN").StringVar(&o.token)
+	app.Flag("token-file", "File that holds the bearer token.").Envar("LENTILYARD_TOKEN_FILE").StringVar(&o.tokenFile)
+	app.Flag("output", "Output format: text or json.").Short('o').Default(outputText).EnumVar(&o.output, outputText, outputJSON)
+	return o
+}
+
+func (o *clientOptions) client() (*client.Client, error) {
+	token, err := readToken(o.token, o.tokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return client.New(o.address, token)
+}
+
+func readToken(token, file string) (string, error) {
+	if file == "" {
+		return token, nil
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("read token file: %w", err)
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
+// print writes m as JSON, or calls text with a writer of aligned columns.
+func (o *clientOptions) print(m proto.Message, text func(row func(cells ...any))) error {
+	if o.output == outputJSON {
+		encoded, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(m)
+		if err != nil {
+			return fmt.Errorf("encode output: %w", err)
+		}
+		fmt.Println(string(encoded))
+		return nil
+	}
+	columns := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	text(func(cells ...any) {
+		for i, cell := range cells {
+			if i > 0 {
+				fmt.Fprint(columns, "\t")
+			}
+			fmt.Fprint(columns, cell)
+		}
+		fmt.Fprintln(columns)
+	})
+	return columns.Flush()
+}
