--- /dev/null
+++ b/internal/api/codec.go
@@ -0,0 +1,82 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+)
+
+// maxJSONBytes bounds the body of an API call. A release note with 1,000 contracts takes about 400 KB.
+const maxJSONBytes = 4 << 20
+
+var errNoRoute = &errs.Error{Code: "no-route", Status: http.StatusNotFound, Outcome: errs.OutcomeNotRun,
+	Remedy: "see the API page for the resources and methods"}
+
+// authenticate returns the identity of the bearer token if it has one of the roles.
+func (a *API) authenticate(r *http.Request, roles ...string) (Identity, error) {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || token == "" {
+		return Identity{}, errs.ErrUnauthenticated
+	}
+	identity, known := a.auth.Authenticate(token)
+	if !known {
+		return Identity{}, errs.ErrUnauthenticated
+	}
+	if !slices.Contains(roles, identity.Role) {
+		return Identity{}, errs.ErrForbidden.With("role %s may not use %s %s", identity.Role, r.Method, r.URL.Path)
+	}
+	return identity, nil
+}
+
+// readMessage decodes a JSON body strictly: unknown fields are refused.
+func readMessage(r *http.Request, into proto.Message) error {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return errs.ErrTooLarge.With("the body exceeds %d bytes", tooLarge.Limit)
+		}
+		return errs.ErrInvalid.With("read body: %w", err)
+	}
+	if err := protojson.Unmarshal(body, into); err != nil {
+		return errs.ErrInvalid.With("decode JSON body: %w", err)
+	}
+	return nil
+}
+
+func writeMessage(w http.ResponseWriter, m proto.Message) {
+	encoded, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		writeError(w, errs.ErrInternal.With("encode answer: %w", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone; it sees a cut answer.
+	_, _ = w.Write(encoded)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	typed := errs.From(err)
+	encoded, encodeErr := protojson.Marshal(typed.Proto())
+	if encodeErr != nil {
+		http.Error(w, typed.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if typed.Outcome != errs.OutcomeNone {
+		w.Header().Set("Lentilyard-Outcome", string(typed.Outcome))
+	}
+	status := typed.Status
+	if status < http.StatusBadRequest {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,146 @@
+// Package cluster carries operations of the HTTP API to the entry VM that
+// decides them: the leader of the config group or of a domain group.
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/alitto/pond/v2"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/contract"
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/leader"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/replica"
+	"github.com/lentilyard/lentilyard/internal/routing"
+)
+
+// ConfigGroup is the name of the group that holds contracts and notes.
+const ConfigGroup = "config"
+
+// maxFanOut bounds the calls to other entry VMs that run at once for one process.
+const maxFanOut = 64
+
+// DomainGroup returns the name of the group of a failure domain.
+func DomainGroup(failureDomain string) string { return "domain/" + failureDomain }
+
+// Transport is the part of the peer transport that the cluster uses.
+type Transport interface {
+	Call(ctx context.Context, to, method string, req, resp proto.Message) error
+	HandleCall(method string, f func(ctx context.Context, from string, req []byte) (proto.Message, error))
+	Reachable(id string) bool
+}
+
+// Group is a replicated group hosted by this process.
+type Group interface {
+	Propose(ctx context.Context, entry []byte) (any, error)
+	ReadBarrier(ctx context.Context) error
+	Status() replica.Status
+}
+
+// Domain is a domain group hosted by this process.
+type Domain struct {
+	Group  Group
+	State  *domain.State
+	Leader *leader.Leader
+}
+
+// Config holds what the cluster needs from the rest of the process.
+type Config struct {
+	VM        string
+	Domain    string
+	Version   string
+	Settings  *pb.Settings
+	Transport Transport
+	Table     *routing.Table
+	Config    Group
+	Contracts *contract.State
+	// Domains are the domain groups hosted here, by failure domain.
+	Domains map[string]Domain
+	Ready   func() bool
+	Logger  zerolog.Logger
+}
+
+// Cluster implements api.Cluster.
+type Cluster struct {
+	Config
+	pool  pond.Pool
+	hosts map[string][]string // group name to the entry VMs that host it
+
+	mu      sync.Mutex
+	leaders map[string]string // last known leader of groups that are not hosted here
+}
+
+// New registers the calls that other entry VMs make and returns the cluster.
+func New(config Config) *Cluster {
+	c := &Cluster{
+		Config:  config,
+		pool:    pond.NewPool(maxFanOut),
+		hosts:   make(map[string][]string),
+		leaders: make(map[string]string),
+	}
+	for _, vm := range config.Settings.EntryVms {
+		c.hosts[ConfigGroup] = append(c.hosts[ConfigGroup], vm.Id)
+	}
+	for _, failureDomain := range config.Settings.FailureDomains {
+		c.hosts[DomainGroup(failureDomain.Name)] = HostsOf(config.Settings, failureDomain)
+	}
+	c.addCalls()
+	return c
+}
+
+// HostsOf returns the entry VMs that hold the log of a domain group: those of the domain and its other voters.
+func HostsOf(settings *pb.Settings, failureDomain *pb.FailureDomain) []string {
+	var hosts []string
+	for _, vm := range settings.EntryVms {
+		if vm.FailureDomain == failureDomain.Name || slices.Contains(failureDomain.Voters, vm.Id) {
+			hosts = append(hosts, vm.Id)
+		}
+	}
+	return hosts
+}
+
+// Close ends the calls in progress to other entry VMs.
+func (c *Cluster) Close() { c.pool.StopAndWait() }
+
+func (c *Cluster) domainNames() []string {
+	var names []string
+	for _, failureDomain := range c.Settings.FailureDomains {
+		names = append(names, failureDomain.Name)
+	}
+	return names
+}
+
+func (c *Cluster) vmIDs() []string {
+	var ids []string
+	for _, vm := range c.Settings.EntryVms {
+		ids = append(ids, vm.Id)
+	}
+	return ids
+}
+
+// gathered is the answer of one entry VM or one group.
+type gathered[T proto.Message] struct {
+	name   string
+	answer T
+	err    error
+}
+
+// gather runs call for each name at once and returns the answers in the order of names.
+func gather[T proto.Message](pool pond.Pool, names []string, call func(name string) (T, error)) []gathered[T] {
+	results := make([]gathered[T], len(names))
+	group := pool.NewGroup()
+	for i, name := range names {
+		group.Submit(func() {
+			answer, err := call(name)
+			results[i] = gathered[T]{name: name, answer: answer, err: err}
+		})
+	}
+	// The tasks return no errors; each result carries its own.
+	_ = group.Wait()
+	return results
+}
--- /dev/null
+++ b/internal/cluster/tasks.go
@@ -0,0 +1,146 @@
+package cluster
+
+import (
+	"context"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/gateway"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// domainOfTask returns the home failure domain in a task id "domain/key".
+func domainOfTask(id string) string {
+	failureDomain, _, _ := strings.Cut(id, "/")
+	return failureDomain
+}
+
+// SubmitTask submits a task to its home domain.
+func (c *Cluster) SubmitTask(ctx context.Context, spec *pb.TaskSpec) (*pb.Task, error) {
+	if err := c.checkTaskContract(spec); err != nil {
+		return nil, err
+	}
+	home := spec.FailureDomain
+	if home == "" {
+		home = gateway.OwnerDomain(c.domainNames(), spec.Member, spec.IdempotencyKey)
+	}
+	if err := c.checkDomain(home); err != nil {
+		return nil, err
+	}
+	task := new(pb.Task)
+	request := &pb.SubmitRequest{FailureDomain: home, Spec: spec}
+	return task, c.callLeader(ctx, DomainGroup(home), methodSubmit, request, task, true)
+}
+
+// checkTaskContract refuses a task that its contract does not cover.
+func (c *Cluster) checkTaskContract(spec *pb.TaskSpec) error {
+	contract, found := c.Contracts.View().Contract(spec.Contract)
+	if !found || contract.Written.Member != spec.Member {
+		return errs.ErrForbidden.With("member %q has no contract %q", spec.Member, spec.Contract)
+	}
+	if spec.Class == pb.TaskClass_TASK_CLASS_URGENT && !contract.Written.GetTerms().GetUrgent() {
+		return errs.ErrForbidden.With("contract %q does not allow urgent tasks", spec.Contract)
+	}
+	return nil
+}
+
+func (c *Cluster) checkDomain(name string) error {
+	for _, known := range c.domainNames() {
+		if known == name {
+			return nil
+		}
+	}
+	return errs.ErrNotFound.With("failure domain %q is not in the settings", name)
+}
+
+// Task returns a task as its home domain's leader knows it.
+func (c *Cluster) Task(ctx context.Context, id string) (*pb.Task, error) {
+	return c.taskCall(ctx, methodTask, id, "", true)
+}
+
+// CancelTask cancels a task.
+func (c *Cluster) CancelTask(ctx context.Context, id, reason string) (*pb.Task, error) {
+	return c.taskCall(ctx, methodCancel, id, reason, true)
+}
+
+// EvictTask ends the current attempt of a task. It is not repeated after an
+// unknown outcome, since the repeat could end the next attempt.
+func (c *Cluster) EvictTask(ctx context.Context, id, reason string) (*pb.Task, error) {
+	return c.taskCall(ctx, methodEvict, id, reason, false)
+}
+
+func (c *Cluster) taskCall(ctx context.Context, method, id, reason string, again repeatable) (*pb.Task, error) {
+	home := domainOfTask(id)
+	if err := c.checkDomain(home); err != nil {
+		return nil, err
+	}
+	task := new(pb.Task)
+	return task, c.callLeader(ctx, DomainGroup(home), method, &pb.TaskRequest{Id: id, Reason: reason}, task, again)
+}
+
+// Tasks lists the tasks of all domains that can be reached.
+func (c *Cluster) Tasks(ctx context.Context, query *pb.TaskQuery) (*pb.TaskList, error) {
+	list := new(pb.TaskList)
+	answers := gather(c.pool, c.domainNames(), func(name string) (*pb.TaskList, error) {
+		ofDomain := proto.Clone(query).(*pb.TaskQuery)
+		ofDomain.FailureDomain = name
+		answer := new(pb.TaskList)
+		return answer, c.callLeader(ctx, DomainGroup(name), methodTasks, ofDomain, answer, true)
+	})
+	for _, result := range answers {
+		if result.err != nil {
+			list.UnreachableDomains = append(list.UnreachableDomains, result.name)
+			continue
+		}
+		list.Tasks = append(list.Tasks, result.answer.Tasks...)
+	}
+	return list, nil
+}
+
+func (c *Cluster) onTasks(_ context.Context, query *pb.TaskQuery) (proto.Message, error) {
+	hosted, err := c.leading(query.FailureDomain)
+	if err != nil {
+		return nil, err
+	}
+	list := new(pb.TaskList)
+	for _, task := range hosted.State.View().Tasks(func(t *pb.Task) bool { return matches(t, query) }) {
+		list.Tasks = append(list.Tasks, task)
+	}
+	return list, nil
+}
+
+func matches(task *pb.Task, query *pb.TaskQuery) bool {
+	if query.Member != "" && task.GetSpec().GetMember() != query.Member {
+		return false
+	}
+	return query.State == pb.TaskState_TASK_STATE_UNSPECIFIED || task.State == query.State
+}
+
+// RegisterWorker registers a worker with the leader of its failure domain.
+func (c *Cluster) RegisterWorker(ctx context.Context, request *pb.RegisterWorkerRequest) (*pb.RegisterWorkerAnswer, error) {
+	failureDomain := request.GetWorker().GetFailureDomain()
+	if err := c.checkDomain(failureDomain); err != nil {
+		return nil, err
+	}
+	answer := new(pb.RegisterWorkerAnswer)
+	registration := &pb.WorkerRegistration{FailureDomain: failureDomain, Request: request}
+	return answer, c.callLeader(ctx, DomainGroup(failureDomain), methodRegister, registration, answer, true)
+}
+
+// Heartbeat passes the heartbeat of a worker to the leader of this entry VM's failure domain.
+func (c *Cluster) Heartbeat(ctx context.Context, heartbeat *pb.WorkerHeartbeat) (*pb.WorkerHeartbeatAnswer, error) {
+	answer := new(pb.WorkerHeartbeatAnswer)
+	report := &pb.WorkerReport{FailureDomain: c.Domain, Heartbeat: heartbeat}
+	return answer, c.callLeader(ctx, DomainGroup(c.Domain), methodHeartbeat, report, answer, true)
+}
+
+// Announce passes an executor's announcement to the routing table.
+func (c *Cluster) Announce(announcement *pb.Announcement) (*pb.AnnouncementAnswer, error) {
+	if announcement.FailureDomain != c.Domain {
+		return nil, errs.ErrInvalid.With("executor %q of failure domain %q announced to entry VM %s of %q",
+			announcement.Id, announcement.FailureDomain, c.VM, c.Domain)
+	}
+	return c.Table.Announce(announcement)
+}
