--- /dev/null
+++ b/internal/placement/queue.go
@@ -0,0 +1,178 @@
+package placement
+
+import (
+	"container/heap"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// queue holds the queued tasks. Tasks that are interchangeable for placement share a bucket, so one failed decision
+// covers all of them. A flow holds the buckets of one member in one class.
+type queue struct {
+	flows [numClasses]map[string]*flow
+	size  int
+}
+
+const (
+	numClasses = 3
+	chargeUnit = 1e-9
+)
+
+// flow is the queue of one member in one class.
+type flow struct {
+	member string
+	// charge is the share of the domain that the member's placed tasks of the class take, divided by contract weight,
+	// in units of chargeUnit. It is an integer so that undoing a plan restores it exactly.
+	charge  int64
+	buckets bucketHeap
+	byShape map[shape]*bucket
+}
+
+// shape identifies tasks that are interchangeable for placement. Each gang has its own shape.
+type shape struct {
+	contract *contract
+	kind     kindID
+	size     vector
+	gang     string
+}
+
+func shapeOf(t *task) shape {
+	if t.gang != "" {
+		return shape{contract: t.contract, gang: t.gang}
+	}
+	return shape{contract: t.contract, kind: t.kind, size: t.size}
+}
+
+// bucket is a list of queued tasks of one shape, oldest first.
+type bucket struct {
+	flow       *flow
+	shape      shape
+	head, tail *task
+	count      int
+	position   int // in flow.buckets
+}
+
+func newQueue() *queue {
+	q := &queue{}
+	for i := range q.flows {
+		q.flows[i] = map[string]*flow{}
+	}
+	return q
+}
+
+// classRank orders classes: urgent 0, service 1, batch 2.
+func classRank(c pb.TaskClass) int { return int(c) - 1 }
+
+// flow returns the flow of t's member and class.
+func (q *queue) flow(t *task) *flow {
+	flows := q.flows[classRank(t.class)]
+	f := flows[t.member]
+	if f == nil {
+		f = &flow{member: t.member, byShape: map[shape]*bucket{}}
+		flows[t.member] = f
+	}
+	return f
+}
+
+func (q *queue) add(t *task) {
+	f := q.flow(t)
+	s := shapeOf(t)
+	b := f.byShape[s]
+	if b == nil {
+		b = &bucket{flow: f, shape: s}
+		f.byShape[s] = b
+	}
+	b.insert(t)
+	q.size++
+	if b.count == 1 {
+		heap.Push(&f.buckets, b)
+	} else if b.head == t {
+		heap.Fix(&f.buckets, b.position)
+	}
+}
+
+func (q *queue) remove(t *task) {
+	b := t.bucket
+	wasHead := b.head == t
+	b.unlink(t)
+	q.size--
+	if b.count == 0 {
+		heap.Remove(&b.flow.buckets, b.position)
+		delete(b.flow.byShape, b.shape)
+	} else if wasHead {
+		heap.Fix(&b.flow.buckets, b.position)
+	}
+}
+
+// insertSteps bounds the search for the place of a task that returns to the queue.
+const insertSteps = 64
+
+// insert adds t in order of submission. Evicted tasks return near the head, new tasks at the tail.
+func (b *bucket) insert(t *task) {
+	t.bucket = b
+	b.count++
+	if b.tail == nil || !t.before(b.tail) {
+		b.link(t, b.tail, nil)
+		return
+	}
+	next := b.head
+	for i := 0; i < insertSteps && next.before(t); i++ {
+		next = next.next
+	}
+	b.link(t, next.prev, next)
+}
+
+func (b *bucket) link(t, prev, next *task) {
+	t.prev, t.next = prev, next
+	if prev == nil {
+		b.head = t
+	} else {
+		prev.next = t
+	}
+	if next == nil {
+		b.tail = t
+	} else {
+		next.prev = t
+	}
+}
+
+func (b *bucket) unlink(t *task) {
+	if t.prev == nil {
+		b.head = t.next
+	} else {
+		t.prev.next = t.next
+	}
+	if t.next == nil {
+		b.tail = t.prev
+	} else {
+		t.next.prev = t.prev
+	}
+	t.prev, t.next, t.bucket = nil, nil, nil
+	b.count--
+}
+
+// bucketHeap orders buckets by their oldest task.
+type bucketHeap []*bucket
+
+func (h bucketHeap) Len() int           { return len(h) }
+func (h bucketHeap) Less(i, j int) bool { return h[i].head.before(h[j].head) }
+func (h bucketHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *bucketHeap) Push(x any) {
+	b := x.(*bucket)
+	b.position = len(*h)
+	*h = append(*h, b)
+}
+
+// Pop implements heap.Interface.
+func (h *bucketHeap) Pop() any {
+	old := *h
+	b := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return b
+}
--- /dev/null
+++ b/internal/placement/vector.go
@@ -0,0 +1,57 @@
+package placement
+
+import "github.com/lentilyard/lentilyard/internal/pb"
+
+// vector is an amount of each resource in base units: millicores, bytes, devices.
+type vector struct {
+	cores, memory, accelerators int64
+}
+
+func toVector(r *pb.Resources) vector {
+	return vector{r.GetMillicores(), r.GetMemoryBytes(), r.GetAccelerators()}
+}
+
+func (v vector) plus(o vector) vector {
+	return vector{v.cores + o.cores, v.memory + o.memory, v.accelerators + o.accelerators}
+}
+
+func (v vector) minus(o vector) vector {
+	return vector{v.cores - o.cores, v.memory - o.memory, v.accelerators - o.accelerators}
+}
+
+func (v vector) max(o vector) vector {
+	return vector{max(v.cores, o.cores), max(v.memory, o.memory), max(v.accelerators, o.accelerators)}
+}
+
+// fits reports whether v is at most o in every resource.
+func (v vector) fits(o vector) bool {
+	return v.cores <= o.cores && v.memory <= o.memory && v.accelerators <= o.accelerators
+}
+
+// share returns the largest share of total that v takes in any resource.
+func (v vector) share(total vector) float64 {
+	s := ratio(v.cores, total.cores)
+	s = max(s, ratio(v.memory, total.memory))
+	return max(s, ratio(v.accelerators, total.accelerators))
+}
+
+// scaled returns v x parts / total, rounded down. A total of 0 leaves v unchanged.
+func (v vector) scaled(parts, total uint32) vector {
+	if total == 0 {
+		return v
+	}
+	return vector{scale(v.cores, parts, total), scale(v.memory, parts, total), scale(v.accelerators, parts, total)}
+}
+
+// scale divides before it multiplies, so that large byte counts do not overflow.
+func scale(x int64, parts, total uint32) int64 {
+	p, t := int64(parts), int64(total)
+	return x/t*p + x%t*p/t
+}
+
+func ratio(x, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(x) / float64(total)
+}
