Add executor table, HTTP path of requests and executor stand-in

ForwardHead gains weight, urgent, recorded and forwarded_for_load, so that the receiver neither looks the contract up again nor keeps a second record.

--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+func (c *call) forwardHead(now time.Time) *pb.ForwardHead {
+	head := &pb.ForwardHead{Method: c.method, Service: c.service, Path: c.path, Member: c.member, Contract: c.contract}
+	head.Idempotent = c.idempotent
+	head.IdempotencyKey = c.key
+	head.DeadlineMs = max(c.deadline.Sub(now).Milliseconds(), 1)
+	head.RequestId = c.id
+	head.Hops = c.hops + 1
+	head.ContentLength = c.contentLength
+	head.Weight = c.weight
+	head.Urgent = c.urgent
+	head.ForwardedForLoad = c.loadForwarded
+	for name, values := range c.header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &pb.Header{Name: name, Value: value})
+		}
+	}
+	return head
+}
+
+// forward sends the call to another entry VM and passes its answer on.
+func (g *Gateway) forward(ctx context.Context, c *call, vm string, head *pb.ForwardHead, body *replayBody, out *answerer, commit *commit) error {
+	view, whole := body.view()
+	if !whole {
+		return ErrExecutorUnreachable.With("the body was used up by an earlier attempt")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, answerBody, err := g.config.Forwarder.Forward(ctx, vm, head, view)
+	if err != nil {
+		return forwardError(ctx, vm, err)
+	}
+	defer answerBody.Close()
+	if answer.Error != nil {
+		return errs.FromProto(int(answer.Status), answer.Error)
+	}
+	g.config.Logger.Info().Str("decision", "forward").Str("request", c.id).Str("vm", vm).Str("target", answer.Target).Msg("request forwarded")
+	return relay(ctx, answer, answerBody, out, commit)
+}
+
+func forwardError(ctx context.Context, vm string, err error) error {
+	var typed *errs.Error
+	switch {
+	case errors.As(err, &typed):
+		// The caller's body failed after a part of it may have been sent.
+		copied := *typed
+		copied.Outcome = errs.OutcomeUnknown
+		return &copied
+	case errors.Is(err, ErrNotSent):
+		return ErrExecutorUnreachable.With("entry VM %s could not be reached: %w", vm, err)
+	case ctx.Err() != nil:
+		return contextError(ctx.Err(), errs.OutcomeUnknown)
+	}
+	return ErrExecutorFailed.With("entry VM %s gave no answer: %w", vm, err)
+}
+
+// forwardToOwner sends the call to an entry VM of the domain that owns its key.
+func (g *Gateway) forwardToOwner(ctx context.Context, c *call, owner string, body *replayBody, out *answerer) error {
+	if c.hops >= maxHops {
+		return ErrTooManyHops
+	}
+	if g.config.Forwarder == nil {
+		return ErrOwnerUnreachable
+	}
+	for _, vm := range g.config.PeersOf(owner) {
+		err := g.forward(ctx, c, vm, c.forwardHead(g.config.Now()), body, out, nil)
+		if !errors.Is(err, ErrNotSent) {
+			return err
+		}
+		if _, whole := body.view(); !whole {
+			break
+		}
+	}
+	return ErrOwnerUnreachable.With("not run by this attempt: failure domain %s, which owns the key, cannot be reached", owner)
+}
+
+// ServeForwarded serves a request that another entry VM forwarded. A refusal is an AnswerHead with an
+// Error. If it returns an error, the answer is cut and the stream must be reset.
+func (g *Gateway) ServeForwarded(ctx context.Context, from string, head *pb.ForwardHead, body io.Reader, answer func(*pb.AnswerHead) (io.Writer, error)) error {
+	out := &answerer{begin: answer}
+	c, err := g.forwardedCall(head, body)
+	if err == nil {
+		err = g.serve(ctx, c, out)
+	}
+	if err == nil || out.started {
+		return err
+	}
+	typed := errs.From(err)
+	g.config.Logger.Debug().Str("request", head.RequestId).Str("from", from).Err(typed).Msg("forwarded request refused")
+	_, err = out.start(&pb.AnswerHead{Status: uint32(typed.Status), Error: typed.Proto(), ContentLength: 0})
+	return err
+}
+
+func (g *Gateway) forwardedCall(head *pb.ForwardHead, body io.Reader) (*call, error) {
+	if head.Hops > maxHops {
+		return nil, ErrTooManyHops
+	}
+	c := &call{id: head.RequestId, member: head.Member, contract: head.Contract, service: head.Service}
+	c.method = head.Method
+	c.path = head.Path
+	c.idempotent = head.Idempotent
+	c.key = head.IdempotencyKey
+	c.weight = max(head.Weight, 1)
+	c.urgent = head.Urgent
+	c.hops = head.Hops
+	c.loadForwarded = head.ForwardedForLoad
+	c.recorded = head.Recorded
+	c.contentLength = head.ContentLength
+	c.body = body
+	left := min(time.Duration(head.DeadlineMs)*time.Millisecond, g.config.Limits.Deadline)
+	c.deadline = g.config.Now().Add(left)
+	c.header = make(http.Header, len(head.Headers))
+	for _, h := range head.Headers {
+		c.header.Add(h.Name, h.Value)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/gateway/parse.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// Headers of requests and answers.
+const (
+	headerDeadline   = "Lentilyard-Deadline-Ms"
+	headerIdempotent = "Lentilyard-Idempotent"
+	headerContract   = "Lentilyard-Contract"
+	headerKey        = "Idempotency-Key"
+	headerRequestID  = "Lentilyard-Request-Id"
+	headerMember     = "Lentilyard-Member"
+	headerHolder     = "Lentilyard-Holder"
+	headerTarget     = "Lentilyard-Target"
+	headerOutcome    = "Lentilyard-Outcome"
+	headerReplayed   = "Lentilyard-Replayed"
+	reservedPrefix   = "Lentilyard-"
+
+	servicePrefix = "/v1/services/"
+)
+
+// call is one request on its way through this entry VM.
+type call struct {
+	id, member, contract, service string
+	method, path                  string
+	header                        http.Header
+	body                          io.Reader
+	contentLength                 int64
+	idempotent                    bool
+	key                           string
+	deadline                      time.Time
+	weight                        uint32
+	urgent                        bool
+	hops                          uint32
+	loadForwarded                 bool
+	recorded                      bool
+}
+
+// parse reads the request line and headers of a caller's request.
+func (g *Gateway) parse(r *http.Request, member string) (*call, error) {
+	c := &call{member: member, method: r.Method, contentLength: r.ContentLength, body: r.Body}
+	var err error
+	if c.service, c.path, err = splitPath(r.URL); err != nil {
+		return nil, err
+	}
+	if c.idempotent, err = isIdempotent(r); err != nil {
+		return nil, err
+	}
+	limit, err := parseDeadline(r.Header, g.config.Limits.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	if r.ContentLength > g.config.Limits.MaxBodyBytes {
+		return nil, errs.ErrTooLarge.With("the body has %d bytes, the limit is %d", r.ContentLength, g.config.Limits.MaxBodyBytes)
+	}
+	c.id = rand.Text()
+	c.deadline = g.config.Now().Add(limit)
+	c.contract = r.Header.Get(headerContract)
+	c.key = r.Header.Get(headerKey)
+	c.header = forExecutor(r.Header)
+	return c, nil
+}
+
+func splitPath(u *url.URL) (service, path string, err error) {
+	rest, ok := strings.CutPrefix(u.EscapedPath(), servicePrefix)
+	if !ok {
+		return "", "", errs.ErrNotFound.With("the path does not begin with %s", servicePrefix)
+	}
+	service, path, _ = strings.Cut(rest, "/")
+	if service, err = url.PathUnescape(service); err != nil || service == "" {
+		return "", "", errs.ErrInvalid.With("the path names no service")
+	}
+	path = "/" + path
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return service, path, nil
+}
+
+func isIdempotent(r *http.Request) (bool, error) {
+	switch value := r.Header.Get(headerIdempotent); value {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	case "":
+	default:
+		return false, errs.ErrInvalid.With("%s must be true or false, is %.20q", headerIdempotent, value)
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		return true, nil
+	}
+	return false, nil
+}
+
+// parseDeadline returns the time that the caller allows, at most longest.
+func parseDeadline(h http.Header, longest time.Duration) (time.Duration, error) {
+	value := h.Get(headerDeadline)
+	if value == "" {
+		return longest, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, errs.ErrInvalid.With("%s must be a whole number of milliseconds above 0, is %.20q", headerDeadline, value)
+	}
+	if ms > longest.Milliseconds() {
+		return longest, nil
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// applyContract takes weight, class and the longest deadline from the contract.
+func (c *call) applyContract(contract *pb.ResolvedContract, now time.Time) {
+	terms := contract.GetWritten().GetTerms()
+	c.contract = contract.GetWritten().GetName()
+	c.weight = max(terms.GetWeight(), 1)
+	c.urgent = terms.GetUrgent()
+	if ms := contract.GetResolved().GetDeadlineMs(); ms > 0 {
+		if limit := now.Add(time.Duration(ms) * time.Millisecond); limit.Before(c.deadline) {
+			c.deadline = limit
+		}
+	}
+}
+
+// hopByHop lists the headers that end at each connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// withoutHopByHop returns a copy of h without hop-by-hop and reserved headers.
+func withoutHopByHop(h http.Header) http.Header {
+	clean := make(http.Header, len(h))
+	for name, values := range h {
+		if !strings.HasPrefix(http.CanonicalHeaderKey(name), reservedPrefix) {
+			clean[name] = values
+		}
+	}
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			clean.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(clean, name)
+	}
+	return clean
+}
+
+// forExecutor returns the caller's headers that an executor may see. The bearer token is for the
+// entry VM only.
+func forExecutor(h http.Header) http.Header {
+	clean := withoutHopByHop(h)
+	delete(clean, "Authorization")
+	delete(clean, "Expect")
+	delete(clean, "Content-Length")
+	delete(clean, "Host")
+	return clean
+}
--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+const (
+	announceTimeout = time.Second
+	announcePath    = "/v1/targets/announce"
+	// driftPercent is added to the lease before the executor turns to another entry VM.
+	driftPercent     = 10
+	defaultLease     = 2 * time.Second
+	maxAnswerBytes   = 1 << 20
+	drainedPollEvery = 10 * time.Millisecond
+)
+
+// session is the executor's side of its lease.
+type session struct {
+	vms     []string
+	current int
+	nonce   string
+	lease   time.Duration
+	// sent is when the last announcement that may have arrived was sent.
+	sent time.Time
+}
+
+// Run announces the executor until ctx ends, then drains and stops. It returns an error if requests
+// were still in flight after the drain timeout.
+func (e *Executor) Run(ctx context.Context) error {
+	if e.listener == nil {
+		if err := e.Listen(); err != nil {
+			return err
+		}
+	}
+	s := &session{vms: normalize(e.options.EntryVMs), lease: defaultLease}
+	if len(s.vms) == 0 {
+		return fmt.Errorf("executor %s has no entry VM to announce to", e.options.ID)
+	}
+	for ctx.Err() == nil {
+		e.pause(ctx, e.announce(ctx, s))
+	}
+	return e.drain(s)
+}
+
+// pause waits for d, or until ctx or the executor ends.
+func (e *Executor) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-e.stopped:
+	}
+}
+
+// announce sends one announcement and returns the time until the next.
+func (e *Executor) announce(ctx context.Context, s *session) time.Duration {
+	before := time.Now()
+	answer, err := e.post(ctx, s)
+	if err != nil {
+		e.options.Logger.Warn().Str("executor", e.options.ID).Str("vm", s.vms[s.current]).Err(err).Msg("announcement failed")
+		if s.nonce != "" || s.sent.IsZero() {
+			s.sent = before
+		}
+		s.current = (s.current + 1) % len(s.vms)
+		s.nonce = ""
+		return max(s.lease*(100+driftPercent)/100-time.Since(s.sent), 0)
+	}
+	s.sent = before
+	return e.accept(s, answer)
+}
+
+func (e *Executor) accept(s *session, answer *pb.AnnouncementAnswer) time.Duration {
+	if answer.Drain {
+		e.beginDrain()
+	}
+	if answer.LeaseMs > 0 {
+		s.lease = time.Duration(answer.LeaseMs) * time.Millisecond
+	}
+	s.nonce = answer.Nonce
+	e.setHolder(answer.Holder)
+	s.learn(normalize(answer.EntryVms))
+	if answer.MoveTo != "" {
+		// The entry VM has given up the lease, so nothing needs to be waited for.
+		s.moveTo(normalize([]string{answer.MoveTo})[0])
+		e.mu.Lock()
+		e.stats.Moves++
+		e.mu.Unlock()
+		return 0
+	}
+	return time.Duration(answer.IntervalMs) * time.Millisecond
+}
+
+// learn takes over the list of entry VMs and stays with the current one.
+func (s *session) learn(vms []string) {
+	if len(vms) == 0 {
+		return
+	}
+	current := s.vms[s.current]
+	s.vms = vms
+	s.current = indexOf(&s.vms, current)
+}
+
+func (s *session) moveTo(vm string) {
+	s.current = indexOf(&s.vms, vm)
+	s.nonce = ""
+}
+
+// indexOf returns the index of vm and appends it if it is missing.
+func indexOf(vms *[]string, vm string) int {
+	for i, other := range *vms {
+		if other == vm {
+			return i
+		}
+	}
+	*vms = append(*vms, vm)
+	return len(*vms) - 1
+}
+
+func (e *Executor) setHolder(holder string) {
+	e.mu.Lock()
+	changed := e.holder != holder
+	e.holder = holder
+	e.mu.Unlock()
+	if changed {
+		e.closeIdle()
+	}
+}
+
+func normalize(vms []string) []string {
+	list := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		if !strings.Contains(vm, "://") {
+			vm = "http://" + vm
+		}
+		list = append(list, strings.TrimSuffix(vm, "/"))
+	}
+	return list
+}
+
+func (e *Executor) announcement(s *session) *pb.Announcement {
+	a := &pb.Announcement{Id: e.options.ID, FailureDomain: e.options.Domain, Rack: e.options.Rack, Service: e.options.Service}
+	a.Address = e.Address()
+	a.Slots = e.options.Slots
+	a.Connections = e.options.Connections
+	a.Nonce = s.nonce
+	a.Draining = e.draining.Load()
+	a.Instance = e.instance
+	a.InFlight = e.unawaited(s.nonce == "")
+	return a
+}
+
+func (e *Executor) post(ctx context.Context, s *session) (*pb.AnnouncementAnswer, error) {
+	body, err := protojson.Marshal(e.announcement(s))
+	if err != nil {
+		return nil, fmt.Errorf("encode announcement: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.vms[s.current]+announcePath, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("announce: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+e.options.Token)
+	resp, err := e.options.Client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("announce: %w", err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp)
+}
+
+func readAnswer(resp *http.Response) (*pb.AnnouncementAnswer, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read answer to announcement: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("announcement refused with status %d: %.200s", resp.StatusCode, data)
+	}
+	answer := &pb.AnnouncementAnswer{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, answer); err != nil {
+		return nil, fmt.Errorf("decode answer to announcement: %w", err)
+	}
+	return answer, nil
+}
+
+func (e *Executor) beginDrain() {
+	if e.draining.Swap(true) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.DrainBegan = time.Now()
+}
+
+// drain announces that the executor leaves, waits for requests in flight and closes the port. If the
+// entry VM does not answer, its lease has to end first.
+func (e *Executor) drain(s *session) error {
+	e.beginDrain()
+	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainTimeout)
+	defer cancel()
+	if _, err := e.post(ctx, s); err != nil && s.nonce != "" {
+		e.pause(ctx, s.lease-time.Since(s.sent))
+	}
+	for e.InFlight() > 0 && ctx.Err() == nil && !e.isStopped() {
+		e.pause(ctx, drainedPollEvery)
+	}
+	if err := e.server.Shutdown(ctx); err != nil {
+		_ = e.server.Close()
+		return fmt.Errorf("executor %s had %d requests in flight after %v: %w", e.options.ID, e.InFlight(), e.options.DrainTimeout, err)
+	}
+	return nil
+}
+
+func (e *Executor) isStopped() bool {
+	select {
+	case <-e.stopped:
+		return true
+	default:
+		return false
+	}
+}
