--- /dev/null
+++ b/internal/server/background.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/cluster"
+	"github.com/lentilyard/lentilyard/internal/contract"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/replica"
+)
+
+const (
+	// loadChannel carries load reports between entry VMs.
+	loadChannel = "load"
+	// contractPoll is the longest delay from an applied note to its effect on placement.
+	contractPoll = 50 * time.Millisecond
+	// witnessCheck is how often a witness that leads offers leadership to the domain's own VMs.
+	witnessCheck = 5 * time.Second
+)
+
+func (s *Server) startBackground(ctx context.Context) {
+	for _, d := range s.domains {
+		s.goBackground(func() {
+			if err := d.leader.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+				s.reportFatal(err)
+			}
+		})
+	}
+	s.goBackground(func() { s.reportLoad(ctx) })
+	s.goBackground(func() { s.followContracts(ctx) })
+	s.goBackground(func() { s.offerLeadership(ctx) })
+}
+
+func (s *Server) goBackground(f func()) {
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		f()
+	}()
+}
+
+// reportLoad tells the other entry VMs how much work this one can take.
+func (s *Server) reportLoad(ctx context.Context) {
+	s.every(ctx, s.settings.Timing.LoadReportInterval.AsDuration(), func() {
+		report := s.table.Load()
+		encoded, err := proto.Marshal(report)
+		if err != nil {
+			s.log.Error().Str("event", "load-report-failed").Err(err).Send()
+			return
+		}
+		for _, vm := range s.allVMs() {
+			if vm != s.settings.Id {
+				s.transport.Send(vm, loadChannel, encoded)
+			}
+		}
+	})
+}
+
+func (s *Server) onLoadReport(_ string, payload []byte) {
+	report := new(pb.LoadReport)
+	if err := proto.Unmarshal(payload, report); err != nil {
+		s.log.Warn().Str("event", "load-report-invalid").Err(err).Send()
+		return
+	}
+	s.table.ObservePeer(report)
+}
+
+// followContracts tells the leaders of hosted domains about applied notes.
+func (s *Server) followContracts(ctx context.Context) {
+	var last *contract.View
+	s.every(ctx, contractPoll, func() {
+		view := s.contracts.View()
+		if view == last {
+			return
+		}
+		last = view
+		for name, d := range s.domains {
+			domainParts, totalParts := contract.Parts(view, name, s.domainNames())
+			d.leader.ContractsChanged(view.Contracts(), domainParts, totalParts)
+		}
+		s.log.Info().Str("event", "contracts-applied").Uint64("note", view.LastNote()).Send()
+	})
+}
+
+// offerLeadership hands a domain group led by a witness to a VM of the domain,
+// which is closer to the domain's workers and stays with them in a partition.
+func (s *Server) offerLeadership(ctx context.Context) {
+	s.every(ctx, witnessCheck, func() {
+		for name, d := range s.domains {
+			if name == s.ownDomain() || d.group.Status().Role != replica.RoleLeader {
+				continue
+			}
+			bounded, cancel := context.WithTimeout(ctx, witnessCheck)
+			err := d.group.TransferLeadership(bounded)
+			cancel()
+			s.log.Info().Str("event", "witness-offers-leadership").Str("group", cluster.DomainGroup(name)).AnErr("error", err).Send()
+		}
+	})
+}
+
+// every calls f at once and then at each interval until ctx ends.
+func (s *Server) every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) domainNames() []string {
+	var names []string
+	for _, failureDomain := range s.settings.FailureDomains {
+		names = append(names, failureDomain.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,251 @@
+// Package server assembles an entry VM from its settings: replicated groups,
+// routing, gateway, HTTP API and the transport to other entry VMs.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/api"
+	"github.com/lentilyard/lentilyard/internal/cluster"
+	"github.com/lentilyard/lentilyard/internal/contract"
+	"github.com/lentilyard/lentilyard/internal/credentials"
+	"github.com/lentilyard/lentilyard/internal/gateway"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/peer"
+	"github.com/lentilyard/lentilyard/internal/replica"
+	"github.com/lentilyard/lentilyard/internal/routing"
+)
+
+// HTTP timeouts that release connections of half-open clients.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Options select what the settings do not state.
+type Options struct {
+	Settings *pb.Settings
+	Version  string
+	Logger   zerolog.Logger
+	// Credentials of the peer transport. Nil: read from the files of the settings.
+	Credentials *credentials.Store
+}
+
+// Server is one entry VM.
+type Server struct {
+	settings  *pb.Settings
+	log       zerolog.Logger
+	instance  string
+	transport *peer.Transport
+	host      *replica.Host
+	config    *replica.Group
+	contracts *contract.State
+	domains   map[string]*domainGroup
+	table     *routing.Table
+	gateway   *gateway.Gateway
+	cluster   *cluster.Cluster
+	http      *http.Server
+	listener  net.Listener
+
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+	draining   atomic.Bool
+	fatal      chan error
+}
+
+// New prepares an entry VM. It binds the listeners and opens the data folder.
+// Call Run to serve, or Close to give both back.
+func New(options Options) (*Server, error) {
+	s := &Server{
+		settings: options.Settings,
+		log:      options.Logger.With().Str("vm", options.Settings.Id).Logger(),
+		instance: uuid.NewString(),
+		domains:  make(map[string]*domainGroup),
+		fatal:    make(chan error, 1),
+	}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	if err := s.build(options); err != nil {
+		s.closeParts()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) build(options Options) error {
+	if err := s.openTransport(options.Credentials); err != nil {
+		return err
+	}
+	if err := s.openGroups(); err != nil {
+		return err
+	}
+	s.table = routing.NewTable(s.tableConfig())
+	s.cluster = cluster.New(cluster.Config{
+		VM:        s.settings.Id,
+		Domain:    s.ownDomain(),
+		Version:   options.Version,
+		Instance:  s.instance,
+		Settings:  s.settings,
+		Transport: s.transport,
+		Table:     s.table,
+		Config:    s.config,
+		Contracts: s.contracts,
+		Domains:   s.clusterDomains(),
+		Ready:     s.Ready,
+		Logger:    s.log,
+	})
+	s.gateway = gateway.New(s.gatewayConfig())
+	s.serveForwards()
+	return s.buildHTTP()
+}
+
+func (s *Server) listen() error {
+	listener, err := net.Listen("tcp", s.settings.Listen.Http)
+	if err != nil {
+		return listenError("listen.http", s.settings.Listen.Http, err)
+	}
+	s.listener = listener
+	return nil
+}
+
+func (s *Server) buildHTTP() error {
+	tokens := credentials.NewTokens(s.settings.Tokens)
+	handler := api.New(api.Config{
+		Cluster:      s.cluster,
+		Auth:         tokenAuthenticator{tokens},
+		Services:     s.gateway,
+		WithIdentity: withGatewayIdentity,
+		Logger:       s.log,
+	})
+	s.http = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          httpErrorLog(s.log),
+	}
+	if files := s.settings.HttpTls; files.GetCertFile() != "" {
+		config, err := credentials.ServerTLS(files.CertFile, files.KeyFile)
+		if err != nil {
+			return err
+		}
+		s.http.TLSConfig = config
+	}
+	return nil
+}
+
+// Address returns the address on which the HTTP API listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Ready reports whether this entry VM should get traffic: it is not shutting
+// down, and it holds the state of its groups.
+func (s *Server) Ready() bool {
+	if s.draining.Load() || !s.config.Status().Serving {
+		return false
+	}
+	own, found := s.domains[s.ownDomain()]
+	return found && own.group.Status().Serving
+}
+
+// Run serves until ctx ends, then shuts down gracefully: readiness first, then
+// requests in flight, then leadership, then the process.
+func (s *Server) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	if err := s.host.Start(); err != nil {
+		s.closeParts()
+		return fmt.Errorf("start replicated groups: %w", err)
+	}
+	s.startBackground(background)
+	served := make(chan error, 1)
+	go func() { served <- s.serveHTTP() }()
+	s.log.Info().Str("event", "started").Str("http", s.Address()).Str("peer", s.settings.Listen.Peer).
+		Str("failure_domain", s.ownDomain()).Str("instance", s.instance).Msg("entry VM started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+	case err = <-s.fatal:
+		s.log.Error().Str("event", "fatal").Err(err).Msg("entry VM stops")
+	}
+	s.shutdown(err == nil)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) serveHTTP() error {
+	if s.http.TLSConfig != nil {
+		return s.http.ServeTLS(s.listener, "", "")
+	}
+	return s.http.Serve(s.listener)
+}
+
+func (s *Server) shutdown(graceful bool) {
+	s.draining.Store(true)
+	if graceful {
+		s.drain()
+	}
+	s.closeParts()
+	s.log.Info().Str("event", "stopped").Bool("graceful", graceful).Msg("entry VM stopped")
+}
+
+// drain lets the balancer and executors notice, then waits for requests in flight and hands over leadership.
+func (s *Server) drain() {
+	timeout, cancel := context.WithTimeout(context.Background(), s.settings.Timing.DrainTimeout.AsDuration())
+	defer cancel()
+	s.log.Info().Str("event", "draining").Dur("timeout", s.settings.Timing.DrainTimeout.AsDuration()).Msg("graceful shutdown")
+	s.table.Drain()
+	s.handOverExecutors(timeout)
+	if err := s.table.Wait(timeout); err != nil {
+		s.log.Warn().Str("event", "drain-timeout").Err(err).Msg("requests still in flight")
+	}
+	if err := s.http.Shutdown(timeout); err != nil {
+		s.log.Warn().Str("event", "drain-timeout").Err(err).Msg("connections still open")
+	}
+	s.transferLeaderships(timeout)
+}
+
+// handOverExecutors waits until executors had time to learn that they must move.
+func (s *Server) handOverExecutors(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(2 * s.settings.Timing.AnnounceInterval.AsDuration()):
+	}
+}
+
+// Close gives up everything at once, as after a failure.
+func (s *Server) Close() { s.closeParts() }
+
+func (s *Server) closeParts() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	if s.http != nil {
+		_ = s.http.Close()
+	}
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.background.Wait()
+	if s.cluster != nil {
+		s.cluster.Close()
+	}
+	if s.host != nil {
+		_ = s.host.Close()
+	}
+	if s.transport != nil {
+		_ = s.transport.Close()
+	}
+}
