--- /dev/null
+++ b/internal/domain/task.go
@@ -0,0 +1,296 @@
+package domain
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"slices"
+	"unique"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"google.golang.org/protobuf/proto"
+)
+
+// maxFailedOn bounds the list of workers on which a task failed.
+const maxFailedOn = 8
+
+// cloneTask copies the fields of a task and shares the immutable messages in it.
+func cloneTask(t *pb.Task) *pb.Task {
+	return &pb.Task{
+		Id: t.Id, Spec: t.Spec, State: t.State, Attempt: t.Attempt, Worker: t.Worker, WorkerEpoch: t.WorkerEpoch,
+		Checkpoint: t.Checkpoint, Evictions: t.Evictions, Failures: t.Failures, SubmittedUnixMs: t.SubmittedUnixMs,
+		StartedUnixMs: t.StartedUnixMs, EndedUnixMs: t.EndedUnixMs, Reason: t.Reason, CancelRequested: t.CancelRequested,
+		FailedOn: t.FailedOn, PlacedTerm: t.PlacedTerm, PlacedIndex: t.PlacedIndex, FenceTerm: t.FenceTerm,
+		FenceIndex: t.FenceIndex, SpecDigest: t.SpecDigest,
+	}
+}
+
+// Ended reports whether a task in this state never runs again.
+func Ended(state pb.TaskState) bool {
+	switch state {
+	case pb.TaskState_TASK_STATE_FINISHED, pb.TaskState_TASK_STATE_FAILED, pb.TaskState_TASK_STATE_CANCELLED:
+		return true
+	default:
+		return false
+	}
+}
+
+// Assigned reports whether a task in this state occupies its worker.
+func Assigned(state pb.TaskState) bool {
+	switch state {
+	case pb.TaskState_TASK_STATE_STARTING, pb.TaskState_TASK_STATE_RUNNING, pb.TaskState_TASK_STATE_EVICTING:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *State) storeTask(t *pb.Task) {
+	s.tasks[t.Id] = t
+	s.change.Tasks = append(s.change.Tasks, t)
+}
+
+// SpecDigest returns the SHA-256 of the deterministic encoding of a spec.
+func SpecDigest(spec *pb.TaskSpec) ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(spec)
+	if err != nil {
+		return nil, errs.ErrInvalid.With("the task cannot be encoded: %w", err)
+	}
+	sum := sha256.Sum256(encoded)
+	return sum[:], nil
+}
+
+// TaskID returns the id of the task with this idempotency key in a domain.
+func TaskID(domainName, key string) string { return domainName + "/" + key }
+
+func (s *State) submitTask(c *pb.SubmitTask) Result {
+	spec := c.GetSpec()
+	digest, err := SpecDigest(spec)
+	if err != nil {
+		return Result{Err: errs.From(err)}
+	}
+	if old := s.tasks[c.GetId()]; old != nil {
+		return resubmitted(old, digest)
+	}
+	if err := s.checkSubmit(c); err != nil {
+		return Result{Err: errs.From(err)}
+	}
+	internSpec(spec)
+	s.active++
+	t := &pb.Task{Id: c.GetId(), Spec: spec, State: pb.TaskState_TASK_STATE_QUEUED, SubmittedUnixMs: s.unixMs, SpecDigest: digest}
+	s.storeTask(t)
+	return Result{Task: t, Created: true}
+}
+
+func resubmitted(old *pb.Task, digest []byte) Result {
+	if !bytes.Equal(old.GetSpecDigest(), digest) {
+		return Result{Err: ErrKeyReused.With("task %s was submitted with another spec", old.GetId())}
+	}
+	return Result{Task: old}
+}
+
+func (s *State) checkSubmit(c *pb.SubmitTask) error {
+	key := c.GetSpec().GetIdempotencyKey()
+	if c.GetId() != TaskID(s.name, key) {
+		return errs.ErrInvalid.With("task id %q does not belong to key %q in domain %s", c.GetId(), key, s.name)
+	}
+	u, err := parseKey(key)
+	if err != nil {
+		return err
+	}
+	if err := checkKeyAge(u, s.unixMs); err != nil {
+		return err
+	}
+	if r := fromPB(c.GetSpec().GetResources()); min(r.millicores, r.memoryBytes, r.accelerators) < 0 {
+		return errs.ErrInvalid.With("the resources of a task cannot be negative")
+	}
+	if s.active >= s.limits.MaxTasks {
+		return ErrTooManyTasks.With("domain %s has %d tasks that have not ended", s.name, s.active)
+	}
+	return nil
+}
+
+// internSpec shares the strings that many specs have in common.
+func internSpec(spec *pb.TaskSpec) {
+	for _, f := range []*string{&spec.Member, &spec.Contract, &spec.Kind, &spec.FailureDomain, &spec.Gang} {
+		*f = unique.Make(*f).Value()
+	}
+}
+
+func (s *State) cancelTask(c *pb.CancelTask) Result {
+	t := s.tasks[c.GetId()]
+	if t == nil {
+		return Result{Err: errs.ErrNotFound.With("task %q does not exist", c.GetId())}
+	}
+	if Ended(t.GetState()) || t.GetCancelRequested() {
+		return Result{Task: t}
+	}
+	next := cloneTask(t)
+	next.CancelRequested = true
+	next.Reason = c.GetReason()
+	if Assigned(t.GetState()) {
+		s.stop(next)
+	} else {
+		s.end(next, pb.TaskState_TASK_STATE_CANCELLED)
+	}
+	s.storeTask(next)
+	return Result{Task: next}
+}
+
+// stop makes the worker end the current attempt after a checkpoint.
+func (s *State) stop(t *pb.Task) {
+	t.State = pb.TaskState_TASK_STATE_EVICTING
+	t.FenceTerm, t.FenceIndex = s.term, s.index
+}
+
+// end moves a task to a final state. The payload is dropped to bound memory.
+func (s *State) end(t *pb.Task, state pb.TaskState) {
+	t.State = state
+	t.EndedUnixMs = s.unixMs
+	s.active--
+	if len(t.GetSpec().GetPayload()) > 0 {
+		spec := proto.CloneOf(t.Spec)
+		spec.Payload = nil
+		t.Spec = spec
+	}
+}
+
+func (s *State) evictTasks(c *pb.EvictTasks) Result {
+	batch := make([]Result, 0, len(c.GetEvictions()))
+	for _, e := range c.GetEvictions() {
+		batch = append(batch, s.evict(e))
+	}
+	return Result{Batch: batch}
+}
+
+func (s *State) evict(e *pb.Eviction) Result {
+	t := s.tasks[e.GetTask()]
+	if t == nil {
+		return Result{Err: errs.ErrNotFound.With("task %q does not exist", e.GetTask())}
+	}
+	if t.GetAttempt() != e.GetAttempt() || !Assigned(t.GetState()) {
+		return Result{Err: ErrPlacement.With("attempt %d of task %s is not running", e.GetAttempt(), e.GetTask())}
+	}
+	if t.GetState() == pb.TaskState_TASK_STATE_EVICTING {
+		return Result{Task: t}
+	}
+	next := cloneTask(t)
+	next.Evictions++
+	next.Reason = e.GetReason()
+	s.stop(next)
+	s.storeTask(next)
+	return Result{Task: next}
+}
+
+func (s *State) markUnschedulable(c *pb.MarkUnschedulable) Result {
+	t := s.tasks[c.GetTask()]
+	if t == nil {
+		return Result{Err: errs.ErrNotFound.With("task %q does not exist", c.GetTask())}
+	}
+	if Assigned(t.GetState()) || Ended(t.GetState()) {
+		return Result{Err: ErrPlacement.With("task %s is not queued", c.GetTask())}
+	}
+	next := cloneTask(t)
+	next.State = pb.TaskState_TASK_STATE_UNSCHEDULABLE
+	next.Reason = c.GetReason()
+	s.storeTask(next)
+	return Result{Task: next}
+}
+
+var errNotQueued = errors.New("not queued")
+
+func (s *State) placeTasks(c *pb.PlaceTasks) Result {
+	batch := make([]Result, 0, len(c.GetPlacements()))
+	for _, p := range c.GetPlacements() {
+		batch = append(batch, s.place(p))
+	}
+	return Result{Batch: batch}
+}
+
+// place checks a placement against the current state, because the plan was made over an older snapshot.
+func (s *State) place(p *pb.Placement) Result {
+	t := s.tasks[p.GetTask()]
+	if t == nil {
+		return Result{Err: errs.ErrNotFound.With("task %q does not exist", p.GetTask())}
+	}
+	if err := checkPlaceable(t, p); err != nil {
+		return Result{Err: ErrPlacement.With("task %s: %w", p.GetTask(), err)}
+	}
+	w, refused := s.checkWorker(p, fromPB(t.GetSpec().GetResources()))
+	if refused != nil {
+		return Result{Err: refused}
+	}
+	next := cloneTask(t)
+	next.State = pb.TaskState_TASK_STATE_STARTING
+	next.Attempt = p.GetAttempt()
+	next.Worker, next.WorkerEpoch = w.pb.GetId(), w.pb.GetEpoch()
+	next.PlacedTerm, next.PlacedIndex = s.term, s.index
+	next.FenceTerm, next.FenceIndex = s.term, s.index
+	next.Reason = ""
+	w.tasks[t.Id] = next.Attempt
+	w.used = w.used.plus(fromPB(t.GetSpec().GetResources()))
+	s.storeTask(next)
+	return Result{Task: next, Worker: w.pb}
+}
+
+func checkPlaceable(t *pb.Task, p *pb.Placement) error {
+	state := t.GetState()
+	if state != pb.TaskState_TASK_STATE_QUEUED && state != pb.TaskState_TASK_STATE_UNSCHEDULABLE {
+		return errNotQueued
+	}
+	if p.GetAttempt() != t.GetAttempt()+1 {
+		return errors.New("the attempt is not the next one")
+	}
+	return nil
+}
+
+func (s *State) checkWorker(p *pb.Placement, size resources) (*worker, *errs.Error) {
+	w, err := s.current(p.GetWorker(), p.GetWorkerEpoch())
+	if err != nil {
+		return nil, err
+	}
+	if w.pb.GetState() != pb.WorkerState_WORKER_STATE_READY {
+		return nil, ErrPlacement.With("worker %s is %s", p.GetWorker(), w.pb.GetState())
+	}
+	if !size.within(w.free()) {
+		return nil, ErrPlacement.With("worker %s has no room for task %s", p.GetWorker(), p.GetTask())
+	}
+	return w, nil
+}
+
+// closeAttempt frees the current attempt of a task, which is known to be gone, and queues the task again.
+func (s *State) closeAttempt(w *worker, t *pb.Task, reason string) {
+	next := cloneTask(t)
+	s.leave(w, next)
+	next.Reason = reason
+	s.requeue(next)
+	s.storeTask(next)
+}
+
+// leave frees the capacity of the current attempt.
+func (s *State) leave(w *worker, t *pb.Task) {
+	delete(w.tasks, t.Id)
+	w.used = w.used.minus(fromPB(t.GetSpec().GetResources()))
+	t.Worker, t.WorkerEpoch = "", 0
+	t.FenceTerm, t.FenceIndex = s.term, s.index
+}
+
+func (s *State) requeue(t *pb.Task) {
+	if t.GetCancelRequested() {
+		s.end(t, pb.TaskState_TASK_STATE_CANCELLED)
+		return
+	}
+	t.State = pb.TaskState_TASK_STATE_QUEUED
+}
+
+func appendFailedOn(t *pb.Task, workerID string) {
+	if slices.Contains(t.FailedOn, workerID) {
+		return
+	}
+	kept := t.FailedOn
+	if len(kept) >= maxFailedOn {
+		kept = kept[1:]
+	}
+	t.FailedOn = append(slices.Clone(kept), workerID)
+}
--- /dev/null
+++ b/internal/leader/commands.go
@@ -0,0 +1,77 @@
+package leader
+
+import (
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// commands compares what a worker runs with the state and returns what it should do.
+func (l *Leader) commands(heartbeat *pb.WorkerHeartbeat) []*pb.WorkerCommand {
+	running := make(map[string]uint32, len(heartbeat.GetRunning()))
+	var commands []*pb.WorkerCommand
+	for _, ref := range heartbeat.GetRunning() {
+		running[ref.GetTask()] = max(running[ref.GetTask()], ref.GetAttempt())
+		if c := l.stopClosed(heartbeat.GetWorker(), ref); c != nil {
+			commands = append(commands, c)
+		}
+	}
+	for _, t := range l.view.Assigned(heartbeat.GetWorker()) {
+		if c := assignedCommand(t, running[t.GetId()] == t.GetAttempt()); c != nil {
+			commands = append(commands, c)
+		}
+	}
+	return append(commands, l.throttles(heartbeat)...)
+}
+
+// stopClosed returns the command that ends an attempt which the state has closed, or nil.
+func (l *Leader) stopClosed(workerID string, ref *pb.AttemptRef) *pb.WorkerCommand {
+	t := l.view.Task(ref.GetTask())
+	if t.GetWorker() == workerID && t.GetAttempt() == ref.GetAttempt() && domain.Assigned(t.GetState()) {
+		return nil
+	}
+	c := &pb.WorkerCommand{Op: pb.WorkerOp_WORKER_OP_STOP, Task: ref.GetTask(), Attempt: ref.GetAttempt(),
+		Term: t.GetFenceTerm(), Index: t.GetFenceIndex()}
+	if t == nil {
+		c.Term, c.Index = l.view.Applied()
+	}
+	return c
+}
+
+// assignedCommand returns the start of an attempt that does not run yet or the end of one that is evicted, or nil.
+func assignedCommand(t *pb.Task, runs bool) *pb.WorkerCommand {
+	c := &pb.WorkerCommand{Task: t.GetId(), Attempt: t.GetAttempt(), Term: t.GetFenceTerm(), Index: t.GetFenceIndex()}
+	switch t.GetState() {
+	case pb.TaskState_TASK_STATE_EVICTING:
+		c.Op = pb.WorkerOp_WORKER_OP_CHECKPOINT_AND_STOP
+	case pb.TaskState_TASK_STATE_STARTING:
+		if runs {
+			return nil
+		}
+		c.Op = pb.WorkerOp_WORKER_OP_START
+		c.Spec = t.GetSpec()
+		c.Resume = t.GetCheckpoint()
+	default:
+		return nil
+	}
+	return c
+}
+
+func (l *Leader) throttles(heartbeat *pb.WorkerHeartbeat) []*pb.WorkerCommand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sessions[heartbeat.GetWorker()]
+	if s == nil || len(s.throttles) == 0 {
+		return nil
+	}
+	var commands []*pb.WorkerCommand
+	for id, throttle := range s.throttles {
+		t := l.view.Task(id)
+		if t.GetState() != pb.TaskState_TASK_STATE_RUNNING || t.GetAttempt() != throttle.Attempt {
+			delete(s.throttles, id)
+			continue
+		}
+		commands = append(commands, &pb.WorkerCommand{Op: pb.WorkerOp_WORKER_OP_THROTTLE, Task: id, Attempt: throttle.Attempt,
+			Term: t.GetFenceTerm(), Index: t.GetFenceIndex(), Share: throttle.Share})
+	}
+	return commands
+}
--- /dev/null
+++ b/internal/leader/session.go
@@ -0,0 +1,95 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// session is what the leader keeps of one worker in memory.
+type session struct {
+	epoch    uint64
+	answered time.Time // when the last heartbeat was answered
+	// losing is set before the loss of the worker is proposed. From then on no lease is renewed in this epoch.
+	losing bool
+	// sent holds the fences of commands that were answered, so that a long poll ends early only for new ones.
+	sent      map[string]fence
+	throttles map[string]Throttle
+}
+
+type fence struct {
+	op          pb.WorkerOp
+	attempt     uint32
+	term, index uint64
+	share       float64
+}
+
+// sessionOf returns the session of a worker in its current epoch, with the lease clock started at the election.
+// The caller holds l.mu.
+func (l *Leader) sessionOf(w *pb.Worker) *session {
+	s := l.sessions[w.GetId()]
+	if s == nil || s.epoch < w.GetEpoch() {
+		s = &session{epoch: w.GetEpoch(), answered: l.electedAt, sent: map[string]fence{}, throttles: map[string]Throttle{}}
+		l.sessions[w.GetId()] = s
+	}
+	return s
+}
+
+// leaseWait is the time after which a silent worker has certainly stopped its attempts.
+func (l *Leader) leaseWait() time.Duration {
+	return l.config.AttemptLease + l.config.AttemptLease*leaseDriftPercent/100 + leaseSlack
+}
+
+func (l *Leader) runClocks(ctx context.Context) {
+	l.every(ctx, clockInterval, func() { l.loseSilent(ctx) })
+}
+
+// loseSilent proposes the loss of every worker that has been silent for longer than leaseWait.
+func (l *Leader) loseSilent(ctx context.Context) {
+	var waiting sync.WaitGroup
+	for _, w := range l.silent(time.Now()) {
+		waiting.Go(func() { l.lose(ctx, w) })
+	}
+	waiting.Wait()
+}
+
+func (l *Leader) lose(ctx context.Context, w *pb.Worker) {
+	l.config.Logger.Warn().Str("domain", l.config.Domain).Str("worker", w.GetId()).Uint64("epoch", w.GetEpoch()).Msg("worker lost")
+	_, err := l.proposer.propose(ctx, &pb.DomainCommand{Command: &pb.DomainCommand_WorkerLost{
+		WorkerLost: &pb.WorkerLost{Worker: w.GetId(), Epoch: w.GetEpoch()}}})
+	l.logFailure("lose worker", err)
+}
+
+// silent returns the workers whose lease clock has run out and stops renewing their leases.
+func (l *Leader) silent(now time.Time) []*pb.Worker {
+	workers := l.view.Workers()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leading {
+		return nil
+	}
+	var lost []*pb.Worker
+	for _, w := range workers {
+		if w.GetState() == pb.WorkerState_WORKER_STATE_LOST {
+			continue
+		}
+		s := l.sessionOf(w)
+		if s.epoch == w.GetEpoch() && now.Sub(s.answered) > l.leaseWait() {
+			s.losing = true
+			lost = append(lost, w)
+		}
+	}
+	return lost
+}
+
+// startSession starts the lease clock of a worker that has just registered.
+func (l *Leader) startSession(w *pb.Worker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.sessionOf(w)
+	if s.epoch == w.GetEpoch() {
+		s.answered = time.Now()
+	}
+}
