--- a/cmd/lentilyard/options.go
+++ b/cmd/lentilyard/options.go
@@ -76,3 +76,15 @@
 	})
 	return columns.Flush()
 }
+
+// withScheme turns IP:port addresses into base URLs.
+func withScheme(addresses []string) []string {
+	urls := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		if !strings.Contains(address, "://") {
+			address = "http://" + address
+		}
+		urls = append(urls, address)
+	}
+	return urls
+}
--- /dev/null
+++ b/cmd/lentilyard/serve.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/dev"
+	"github.com/lentilyard/lentilyard/internal/logging"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/server"
+	"github.com/lentilyard/lentilyard/internal/settings"
+)
+
+func addServe(app *kingpin.Application) {
+	command := app.Command("serve", "Run an entry VM.")
+	file := command.Flag("settings", "Settings file in YAML.").Short('s').String()
+	devMode := command.Flag("dev", "Run one entry VM with stand-in executors and workers in this process, without settings.").Bool()
+	command.Action(func(*kingpin.ParseContext) error {
+		switch {
+		case *devMode:
+			return withLogger(&pb.LogSettings{}, func(logger zerolog.Logger) error {
+				return dev.Run(commandContext, version, logger, os.Stdout)
+			})
+		case *file == "":
+			return errors.New("serve needs --settings FILE or --dev")
+		}
+		return serve(commandContext, *file)
+	})
+}
+
+func serve(ctx context.Context, file string) error {
+	loaded, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	return withLogger(loaded.Log, func(logger zerolog.Logger) error {
+		entryVM, err := server.New(server.Options{Settings: loaded, Version: version, Logger: logger})
+		if err != nil {
+			return err
+		}
+		return entryVM.Run(ctx)
+	})
+}
+
+// withLogger runs f with a logger on standard error and writes all queued lines before it returns.
+func withLogger(s *pb.LogSettings, f func(zerolog.Logger) error) error {
+	sink := logging.NewSink(os.Stderr, 0)
+	defer sink.Close()
+	return f(logging.New(sink, s.GetLevel()))
+}
+
+func addSettings(app *kingpin.Application) {
+	parent := app.Command("settings", "Check settings.")
+	command := parent.Command("check", "Check a settings file.")
+	file := command.Arg("file", "Settings file in YAML.").Required().String()
+	listen := command.Flag("listen", "Also check that the addresses are free.").Bool()
+	command.Action(func(*kingpin.ParseContext) error {
+		loaded, err := settings.Load(*file)
+		if err != nil {
+			return err
+		}
+		if *listen {
+			if err := settings.CheckListen(loaded); err != nil {
+				return err
+			}
+		}
+		fmt.Printf("%s: settings of entry VM %s are valid\n", *file, loaded.Id)
+		return nil
+	})
+}
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -90,8 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
-	task, found := hosted.State.View().Task(req.Id)
-	if !found {
+	task := hosted.State.View().Task(req.Id)
+	if task == nil {
 		return nil, errs.ErrNotFound.With("task %q does not exist", req.Id)
 	}
 	return task, nil
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -51,9 +51,11 @@
 
 // Config holds what the cluster needs from the rest of the process.
 type Config struct {
-	VM        string
-	Domain    string
-	Version   string
+	VM      string
+	Domain  string
+	Version string
+	// Instance is a value unique to this process.
+	Instance  string
 	Settings  *pb.Settings
 	Transport Transport
 	Table     *routing.Table
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -102,15 +102,15 @@
 		}
 		view := hosted.State.View()
 		for _, worker := range view.Workers() {
-			list.Targets = append(list.Targets, workerStatus(worker, c.VM))
+			list.Targets = append(list.Targets, workerStatus(worker, view.Used(worker.Id), c.VM))
 		}
 	}
 	return list, nil
 }
 
-func workerStatus(worker *pb.Worker, holder string) *pb.TargetStatus {
+func workerStatus(worker *pb.Worker, used *pb.Resources, holder string) *pb.TargetStatus {
 	return &pb.TargetStatus{Id: worker.Id, Type: "worker", FailureDomain: worker.FailureDomain, Rack: worker.Rack,
-		State: workerStateText(worker.State), Holder: holder, Capacity: worker.Capacity}
+		State: workerStateText(worker.State), Holder: holder, Capacity: worker.Capacity, Used: used}
 }
 
 func workerStateText(state pb.WorkerState) string {
--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/gateway"
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -104,18 +105,11 @@
 	if err != nil {
 		return nil, err
 	}
-	list := new(pb.TaskList)
-	for _, task := range hosted.State.View().Tasks(func(t *pb.Task) bool { return matches(t, query) }) {
-		list.Tasks = append(list.Tasks, task)
-	}
-	return list, nil
-}
-
-func matches(task *pb.Task, query *pb.TaskQuery) bool {
-	if query.Member != "" && task.GetSpec().GetMember() != query.Member {
-		return false
+	filter := domain.Filter{Member: query.Member}
+	if query.State != pb.TaskState_TASK_STATE_UNSPECIFIED {
+		filter.States = []pb.TaskState{query.State}
 	}
-	return query.State == pb.TaskState_TASK_STATE_UNSPECIFIED || task.State == query.State
+	return &pb.TaskList{Tasks: hosted.State.View().Tasks(filter)}, nil
 }
 
 // RegisterWorker registers a worker with the leader of its failure domain.
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,123 @@
+// Package dev runs an entry VM with stand-in targets in one process, for a first look without any set-up.
+package dev
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lentilyard/lentilyard/internal/credentials"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/server"
+	"github.com/lentilyard/lentilyard/internal/settings"
+	"github.com/lentilyard/lentilyard/internal/standin"
+)
+
+const (
+	executors      = 3
+	workers        = 3
+	workerCores    = 32
+	workerMemory   = 125_000_000_000
+	service        = "kit-orders"
+	member         = "hanbit"
+	operatorToken  = "dev-operator"
+	callerToken    = "dev-caller"
+	executorToken  = "dev-target"
+	workerToken    = "dev-worker"
+	millicoresCore = 1000
+)
+
+// Settings returns the settings of the embedded entry VM with the tokens of this package.
+func Settings(dataFolder string) *pb.Settings {
+	s := settings.Defaults()
+	s.DataFolder = dataFolder
+	s.Tokens = []*pb.Token{
+		token("operator", operatorToken, "operator", ""),
+		token("caller", callerToken, "caller", member),
+		token("executors", executorToken, "target", ""),
+		token("workers", workerToken, "worker", ""),
+	}
+	return s
+}
+
+func token(name, secret, role, ofMember string) *pb.Token {
+	digest := sha256.Sum256([]byte(secret))
+	return &pb.Token{Name: name, Sha256: hex.EncodeToString(digest[:]), Role: role, Member: ofMember}
+}
+
+// Run serves until ctx ends. Its state lives in a temporary folder that is removed at the end.
+func Run(ctx context.Context, version string, logger zerolog.Logger, out io.Writer) error {
+	folder, err := os.MkdirTemp("", "lentilyard-dev-")
+	if err != nil {
+		return fmt.Errorf("create data folder: %w", err)
+	}
+	defer os.RemoveAll(folder)
+	s := Settings(folder)
+	store, err := credentials.Ephemeral(s.Id)
+	if err != nil {
+		return err
+	}
+	entryVM, err := server.New(server.Options{Settings: s, Version: version, Logger: logger, Credentials: store})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "entry VM on http://%s, tokens %s (operator) and %s (caller of member %s); stop with Ctrl-C\n",
+		entryVM.Address(), operatorToken, callerToken, member)
+	return runAll(ctx, entryVM, s.EntryVms[0].FailureDomain, logger)
+}
+
+// runAll runs the entry VM and its targets. The targets stop first, so that their drains find the entry VM.
+func runAll(ctx context.Context, entryVM *server.Server, failureDomain string, logger zerolog.Logger) error {
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	served := make(chan error, 1)
+	go func() { served <- entryVM.Run(serving) }()
+	targets, targetCtx := errgroup.WithContext(ctx)
+	for i := range executors {
+		targets.Go(func() error { return executor(i, failureDomain, entryVM.Address(), logger).Run(targetCtx) })
+	}
+	for i := range workers {
+		targets.Go(func() error { return worker(i, failureDomain, entryVM.Address(), logger).Run(targetCtx) })
+	}
+	err := targets.Wait()
+	stopServing()
+	if serveErr := <-served; serveErr != nil {
+		return serveErr
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func executor(i int, failureDomain, address string, logger zerolog.Logger) *standin.Executor {
+	return standin.NewExecutor(standin.ExecutorOptions{
+		ID:       fmt.Sprintf("executor-%d", i+1),
+		Domain:   failureDomain,
+		Rack:     "rack-1",
+		Service:  service,
+		EntryVMs: []string{address},
+		Token:    executorToken,
+		Logger:   logger,
+	})
+}
+
+func worker(i int, failureDomain, address string, logger zerolog.Logger) *standin.Worker {
+	return standin.NewWorker(standin.WorkerOptions{
+		ID:            fmt.Sprintf("worker-%d", i+1),
+		FailureDomain: failureDomain,
+		Rack:          "rack-1",
+		Capacity:      &pb.Resources{Millicores: workerCores * millicoresCore, MemoryBytes: workerMemory},
+		Guards:        true,
+		EntryVMs:      []string{"http://" + address},
+		Token:         workerToken,
+		Logger:        logger,
+	})
+}
--- a/internal/leader/planner.go
+++ b/internal/leader/planner.go
@@ -7,6 +7,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement"
 )
 
 // Planner decides what runs where. Only the leader calls it, from one goroutine.
@@ -25,30 +26,15 @@
 	Plan(now time.Time, max int) Plan
 }
 
-// Plan is what a planner proposes.
-type Plan struct {
-	Placements    []*pb.Placement
-	Evictions     []*pb.Eviction
-	Throttles     []Throttle
-	Unschedulable []*pb.MarkUnschedulable
-	WorkerStates  []*pb.SetWorkerState
-	// Decisions has one entry for each log line.
-	Decisions []Decision
-}
-
-// Throttle limits a running attempt to a share of its declared cores, 0 to 1.
-type Throttle struct {
-	Task    string
-	Attempt uint32
-	Share   float64
-}
-
-// Decision explains one placement or refusal.
-type Decision struct {
-	Task, Worker, Reason string
-	// Considered is the number of workers that were examined.
-	Considered int
-}
+// The planner's types are those of package placement.
+type (
+	// Plan is what a planner proposes.
+	Plan = placement.Plan
+	// Throttle limits a running attempt to a share of its declared cores.
+	Throttle = placement.Throttle
+	// Decision explains one placement or refusal.
+	Decision = placement.Decision
+)
 
 // FirstFit is a minimal planner: the first ready worker with room takes the first queued task.
 // It serves as a baseline and knows neither contracts nor measured usage.
--- /dev/null
+++ b/internal/server/adapters.go
@@ -0,0 +1,158 @@
+package server
+
+import (
+	"context"
+	"errors"
+	stdlog "log"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/api"
+	"github.com/lentilyard/lentilyard/internal/contract"
+	"github.com/lentilyard/lentilyard/internal/credentials"
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/gateway"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/peer"
+	"github.com/lentilyard/lentilyard/internal/routing"
+	"github.com/lentilyard/lentilyard/internal/settings"
+)
+
+func listenError(key, address string, err error) error {
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return settings.ListenError(key, address, err)
+	}
+	return err
+}
+
+// tokenAuthenticator finds the holder of a token among the settings' tokens.
+type tokenAuthenticator struct {
+	tokens *credentials.Tokens
+}
+
+// Authenticate implements api.Authenticator.
+func (a tokenAuthenticator) Authenticate(token string) (api.Identity, bool) {
+	holder, found := a.tokens.Lookup(token)
+	if !found {
+		return api.Identity{}, false
+	}
+	return api.Identity{Name: holder.Name, Member: holder.Member, Role: holder.Role}, true
+}
+
+func withGatewayIdentity(ctx context.Context, identity api.Identity) context.Context {
+	return gateway.WithIdentity(ctx, gateway.Identity{Name: identity.Name, Member: identity.Member, Role: identity.Role})
+}
+
+// httpErrorLog keeps net/http's own messages in the log at debug level; most tell of clients that went away.
+func httpErrorLog(logger zerolog.Logger) *stdlog.Logger {
+	return stdlog.New(logger.Level(zerolog.DebugLevel).With().Str("event", "http").Logger(), "", 0)
+}
+
+func (s *Server) openTransport(store *credentials.Store) error {
+	if store == nil {
+		files := s.settings.PeerTls
+		loaded, err := credentials.Load(files.GetCaFile(), files.GetCertFile(), files.GetKeyFile())
+		if err != nil {
+			return err
+		}
+		store = loaded
+	}
+	peers := make(map[string]string)
+	for _, vm := range s.settings.EntryVms {
+		peers[vm.Id] = vm.PeerAddress
+	}
+	transport, err := peer.New(peer.Config{
+		ID:          s.settings.Id,
+		Listen:      s.settings.Listen.Peer,
+		Peers:       peers,
+		Credentials: store,
+		Logger:      s.log,
+	})
+	if err != nil {
+		return listenError("listen.peer", s.settings.Listen.Peer, err)
+	}
+	s.transport = transport
+	transport.Handle(loadChannel, s.onLoadReport)
+	return nil
+}
+
+func (s *Server) tableConfig() routing.Config {
+	timing := s.settings.Timing
+	return routing.Config{
+		VM:                 s.settings.Id,
+		Domain:             s.ownDomain(),
+		Lease:              timing.AnnounceLease.AsDuration(),
+		Interval:           timing.AnnounceInterval.AsDuration(),
+		MaxQueue:           int(s.settings.Limits.MaxQueue),
+		RetryBudgetPercent: int(s.settings.Limits.RetryBudgetPercent),
+		Logger:             s.log,
+		Siblings:           func() []string { return s.httpAddresses(s.ownDomain()) },
+		Drained:            s.drained,
+	}
+}
+
+// drained reports whether an operator drains an executor of this domain.
+func (s *Server) drained(id string) bool {
+	own, found := s.domains[s.ownDomain()]
+	return found && own.state.View().Drained(id)
+}
+
+func (s *Server) gatewayConfig() gateway.Config {
+	return gateway.Config{
+		VM:        s.settings.Id,
+		Instance:  s.instance,
+		Domain:    s.ownDomain(),
+		Domains:   s.domainNames(),
+		Table:     s.table,
+		Forwarder: streamForwarder{s.transport},
+		Records:   s.cluster,
+		Contracts: contractLookup{s.contracts},
+		PeersOf:   s.reachablePeersOf,
+		Limits: gateway.Limits{
+			MaxBodyBytes: s.settings.Limits.MaxBodyBytes,
+			Deadline:     s.settings.Limits.DefaultDeadline.AsDuration(),
+		},
+		Logger: s.log,
+	}
+}
+
+// reachablePeersOf lists the other entry VMs of a domain, reachable ones first.
+func (s *Server) reachablePeersOf(failureDomain string) []string {
+	var reachable, rest []string
+	for _, vm := range s.settings.EntryVms {
+		switch {
+		case vm.FailureDomain != failureDomain || vm.Id == s.settings.Id:
+		case s.transport.Reachable(vm.Id):
+			reachable = append(reachable, vm.Id)
+		default:
+			rest = append(rest, vm.Id)
+		}
+	}
+	return append(reachable, rest...)
+}
+
+// contractLookup finds the contract of a request in the applied state.
+type contractLookup struct {
+	state *contract.State
+}
+
+// Lookup implements gateway.Contracts.
+func (l contractLookup) Lookup(member, name, service string) (*pb.ResolvedContract, error) {
+	view := l.state.View()
+	if name == "" {
+		found := view.ForService(member, service)
+		if len(found) == 1 {
+			return found[0], nil
+		}
+		if len(found) > 1 {
+			return nil, errs.ErrInvalid.With("member %q has %d contracts for service %q; name one in Lentilyard-Contract", member, len(found), service)
+		}
+		return nil, errs.ErrForbidden.With("member %q has no contract for service %q", member, service)
+	}
+	resolved, found := view.Contract(name)
+	if !found || resolved.Written.Member != member || resolved.Written.GetTerms().GetService() != service {
+		return nil, errs.ErrForbidden.With("member %q has no contract %q for service %q", member, name, service)
+	}
+	return resolved, nil
+}
