--- /dev/null
+++ b/internal/contract/bench_test.go
@@ -0,0 +1,90 @@
+package contract
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// filled returns a state with the given number of contracts, set by notes of up to 1000.
+func filled(b *testing.B, contracts int) *State {
+	b.Helper()
+	s := New()
+	for set := 0; set < contracts; {
+		note := &pb.ReleaseNote{Number: s.View().LastNote() + 1, Author: "K"}
+		for ; set < contracts && len(note.Add) < 1000; set++ {
+			c := contractOf(fmt.Sprintf("contract-%06d", set), "40 core")
+			c.Limits.Memory, c.Terms.Service = "160 GiB", fmt.Sprintf("service-%d", set%50)
+			note.Add = append(note.Add, c)
+		}
+		if _, err := submit(b, s, note); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return s
+}
+
+// BenchmarkApply measures a note that changes one contract, by the number of contracts in force.
+func BenchmarkApply(b *testing.B) {
+	for _, contracts := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("contracts=%d", contracts), func(b *testing.B) {
+			s := filled(b, contracts)
+			entries := make([][]byte, b.N)
+			for i := range entries {
+				entries[i] = changeEntry(b, s.View(), uint64(i))
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i, entry := range entries {
+				if _, ok := s.Apply(uint64(i), 1, entry).(*pb.AcceptedNote); !ok {
+					b.Fatal("refused")
+				}
+			}
+		})
+	}
+}
+
+func changeEntry(b *testing.B, v *View, offset uint64) []byte {
+	note := &pb.ReleaseNote{Number: v.LastNote() + 1 + offset, Author: "K", Change: []*pb.Contract{contractOf("contract-000001", "41 core")}}
+	resolved := []*pb.ResolvedContract{{Written: note.Change[0], Resolved: &pb.ResolvedLimits{Millicores: 41000}, Note: note.Number}}
+	apply := &pb.ApplyNote{Note: note, Resolved: resolved, Digest: Digest(note), AcceptedUnixMs: time.Now().UnixMilli()}
+	entry, err := proto.Marshal(&pb.ConfigCommand{Command: &pb.ConfigCommand_ApplyNote{ApplyNote: apply}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return entry
+}
+
+// BenchmarkSnapshot measures encoding and size of the whole state, by the number of contracts.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, contracts := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("contracts=%d", contracts), func(b *testing.B) {
+			s := filled(b, contracts)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				data, err := s.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "snapshot-bytes")
+			}
+		})
+	}
+}
+
+// BenchmarkCheck measures the check of a note that changes one contract.
+func BenchmarkCheck(b *testing.B) {
+	s, table := filled(b, 10_000), testTable(b)
+	note := &pb.ReleaseNote{Number: s.View().LastNote() + 1, Author: "K", Change: []*pb.Contract{contractOf("contract-000001", "41 core")}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := Check(s.View(), note, table); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/contract/check.go
@@ -0,0 +1,273 @@
+package contract
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/units"
+)
+
+// Digest returns the SHA-256 of the deterministic encoding of the note.
+func Digest(note *pb.ReleaseNote) []byte {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(note)
+	if err != nil {
+		return nil // strings that are not UTF-8; checkNote refuses such a note
+	}
+	sum := sha256.Sum256(encoded)
+	return sum[:]
+}
+
+// Check says what the note would do. It changes nothing. The resolved contracts are those that the note adds and
+// changes, in its order. Every error is an *errs.Error of this package or of package units.
+func Check(view *View, note *pb.ReleaseNote, table *units.Table) (*pb.NoteCheck, []*pb.ResolvedContract, error) {
+	if err := checkNote(view, note); err != nil {
+		return nil, nil, err
+	}
+	check := &pb.NoteCheck{Number: note.GetNumber()}
+	var resolved []*pb.ResolvedContract
+	for _, c := range written(note) {
+		r, err := resolve(c, note.GetNumber(), table)
+		if err != nil {
+			return nil, nil, err
+		}
+		resolved = append(resolved, r)
+		check.Effects = append(check.Effects, effect(view, c.GetName(), r))
+	}
+	for _, name := range note.GetWithdraw() {
+		check.Effects = append(check.Effects, effect(view, name, nil))
+	}
+	return check, resolved, nil
+}
+
+// NewCommand checks the note and returns the entry that carries it out.
+func NewCommand(view *View, note *pb.ReleaseNote, table *units.Table, acceptedBy string, now time.Time) (*pb.ConfigCommand, error) {
+	_, resolved, err := Check(view, note, table)
+	if err != nil {
+		return nil, err
+	}
+	apply := &pb.ApplyNote{Note: note, Resolved: resolved, Digest: Digest(note), AcceptedUnixMs: now.UnixMilli(), AcceptedBy: acceptedBy}
+	return &pb.ConfigCommand{Command: &pb.ConfigCommand_ApplyNote{ApplyNote: apply}}, nil
+}
+
+// Accepted returns the first answer to a note that is sent again, nil if its number is not yet accepted,
+// or ErrNumberTaken if the number belongs to another note.
+func Accepted(view *View, note *pb.ReleaseNote) (*pb.AcceptedNote, error) {
+	if note.GetNumber() == 0 || note.GetNumber() > view.LastNote() {
+		return nil, nil
+	}
+	accepted := view.Note(note.GetNumber())
+	if accepted == nil {
+		return nil, ErrNumberTaken.With("note %d was accepted long ago and its text is no longer kept; the next number is %d", note.GetNumber(), view.LastNote()+1)
+	}
+	if !bytes.Equal(accepted.GetDigest(), Digest(note)) {
+		return nil, ErrNumberTaken.With("note %d is already accepted: %s; the next number is %d", note.GetNumber(), summary(accepted), view.LastNote()+1)
+	}
+	return accepted, nil
+}
+
+// summary describes an accepted note in one line.
+func summary(a *pb.AcceptedNote) string {
+	n := a.GetNote()
+	names := func(list []*pb.Contract) string {
+		var names []string
+		for _, c := range list {
+			names = append(names, c.GetName())
+		}
+		return shorten(names)
+	}
+	at := time.UnixMilli(a.GetAcceptedUnixMs()).UTC().Format(time.RFC3339)
+	return fmt.Sprintf("author %q, accepted %s by %s, digest %x, add [%s], change [%s], withdraw [%s]",
+		n.GetAuthor(), at, a.GetAcceptedBy(), a.GetDigest(), names(n.GetAdd()), names(n.GetChange()), shorten(n.GetWithdraw()))
+}
+
+func shorten(names []string) string {
+	const longest = 8
+	if len(names) <= longest {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:longest], ", "), len(names)-longest)
+}
+
+func written(note *pb.ReleaseNote) []*pb.Contract {
+	return slices.Concat(note.GetAdd(), note.GetChange())
+}
+
+// checkNote checks all that does not depend on units, so that Apply can repeat it.
+func checkNote(view *View, note *pb.ReleaseNote) error {
+	accepted, err := Accepted(view, note)
+	if err != nil {
+		return err
+	}
+	if accepted != nil {
+		return ErrAccepted.With("note %d is already accepted: %s", note.GetNumber(), summary(accepted))
+	}
+	if next := view.LastNote() + 1; note.GetNumber() != next {
+		return ErrGap.With("note %d does not follow the last accepted note; the next number is %d", note.GetNumber(), next)
+	}
+	if !isName(note.GetAuthor(), true) {
+		return ErrNote.With("note %d: author %q is empty, longer than %d bytes or not printable", note.GetNumber(), note.GetAuthor(), maxNameBytes)
+	}
+	if len(note.GetAdd())+len(note.GetChange())+len(note.GetWithdraw()) == 0 {
+		return ErrEmpty.With("note %d lists no contract", note.GetNumber())
+	}
+	return checkContracts(view, note)
+}
+
+func checkContracts(view *View, note *pb.ReleaseNote) error {
+	seen := map[string]bool{}
+	once := func(name string) error {
+		if seen[name] {
+			return ErrTwice.With("note %d names contract %q twice", note.GetNumber(), name)
+		}
+		seen[name] = true
+		return nil
+	}
+	for _, c := range note.GetAdd() {
+		if err := firstError(once(c.GetName()), checkContract(c), absent(view, c.GetName())); err != nil {
+			return err
+		}
+	}
+	for _, c := range note.GetChange() {
+		if err := firstError(once(c.GetName()), checkContract(c), present(view, "change", c.GetName())); err != nil {
+			return err
+		}
+	}
+	for _, name := range note.GetWithdraw() {
+		if err := firstError(once(name), present(view, "withdraw", name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func firstError(list ...error) error {
+	for _, err := range list {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func absent(view *View, name string) error {
+	if existing := view.Contract(name); existing != nil {
+		return ErrExists.With("add: contract %q exists since note %d", name, existing.GetNote())
+	}
+	return nil
+}
+
+func present(view *View, action, name string) error {
+	if view.Contract(name) == nil {
+		return ErrMissing.With("%s: contract %q does not exist", action, name)
+	}
+	return nil
+}
+
+// maxNameBytes bounds the names of contracts, members, teams and authors.
+const maxNameBytes = 128
+
+// isName reports whether s is printable and short. Names other than an author's hold no blanks, since a caller
+// sends them in a header.
+func isName(s string, blanks bool) bool {
+	if s == "" || len(s) > maxNameBytes || !utf8.ValidString(s) {
+		return false
+	}
+	return strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) || !blanks && r == ' ' }) < 0
+}
+
+func checkContract(c *pb.Contract) error {
+	if !isName(c.GetName(), false) {
+		return ErrContract.With("contract name %q is empty, longer than %d bytes, or contains blanks or unprintable characters", c.GetName(), maxNameBytes)
+	}
+	if team := c.GetTeam(); team != "" && !isName(team, false) {
+		return ErrContract.With("contract %q: team %q is longer than %d bytes, or contains blanks or unprintable characters", c.GetName(), team, maxNameBytes)
+	}
+	if service := c.GetTerms().GetService(); service != "" && !isName(service, false) {
+		return ErrContract.With("contract %q: terms.service %q is longer than %d bytes, or contains blanks or unprintable characters", c.GetName(), service, maxNameBytes)
+	}
+	if !isName(c.GetMember(), false) {
+		return ErrContract.With("contract %q: member %q is empty, longer than %d bytes, or contains blanks or unprintable characters", c.GetName(), c.GetMember(), maxNameBytes)
+	}
+	return checkShares(c)
+}
+
+func checkShares(c *pb.Contract) error {
+	if len(c.GetShares()) > maxShares {
+		return ErrContract.With("contract %q lists %d shares, more than %d", c.GetName(), len(c.GetShares()), maxShares)
+	}
+	seen := map[string]bool{}
+	for _, s := range c.GetShares() {
+		if s.GetParts() == 0 || s.GetParts() > maxParts {
+			return ErrContract.With("contract %q: shares: %q has %d parts; parts are 1 to %d", c.GetName(), s.GetFailureDomain(), s.GetParts(), maxParts)
+		}
+		if s.GetFailureDomain() == "" || seen[s.GetFailureDomain()] {
+			return ErrContract.With("contract %q: shares: failure domain %q is empty or listed twice", c.GetName(), s.GetFailureDomain())
+		}
+		seen[s.GetFailureDomain()] = true
+	}
+	return nil
+}
+
+// CheckDomains refuses shares in failure domains that are not in the settings. The replicated state does not know the
+// domains, so the entry VM that accepts the note checks this beside Check.
+func CheckDomains(note *pb.ReleaseNote, domains []string) error {
+	for _, c := range written(note) {
+		for _, s := range c.GetShares() {
+			if !slices.Contains(domains, s.GetFailureDomain()) {
+				return ErrDomain.With("contract %q: shares: failure domain %q does not exist", c.GetName(), s.GetFailureDomain())
+			}
+		}
+	}
+	return nil
+}
+
+// resolve converts the quantities of a contract to base units.
+func resolve(c *pb.Contract, note uint64, table *units.Table) (*pb.ResolvedContract, error) {
+	limits := &pb.ResolvedLimits{}
+	fields := []struct {
+		name, quantity string
+		dimension      units.Dimension
+		into           *int64
+	}{
+		{"limits.cores", c.GetLimits().GetCores(), units.Processor, &limits.Millicores},
+		{"limits.memory", c.GetLimits().GetMemory(), units.Memory, &limits.MemoryBytes},
+		{"limits.accelerators", c.GetLimits().GetAccelerators(), units.Accelerator, &limits.Accelerators},
+		{"limits.tasks", c.GetLimits().GetTasks(), units.Count, &limits.Tasks},
+		{"limits.requestRate", c.GetLimits().GetRequestRate(), units.Rate, &limits.RequestRate},
+		{"terms.deadline", c.GetTerms().GetDeadline(), units.Time, &limits.DeadlineMs},
+	}
+	for _, f := range fields {
+		if f.quantity == "" {
+			continue
+		}
+		value, err := table.Resolve(f.quantity, f.dimension)
+		if err != nil {
+			typed := errs.From(err)
+			return nil, typed.With("contract %q, field %s: %s", c.GetName(), f.name, typed.Message)
+		}
+		*f.into = value
+	}
+	return &pb.ResolvedContract{Written: c, Resolved: limits, Note: note}, nil
+}
+
+func effect(view *View, name string, after *pb.ResolvedContract) *pb.NoteEffect {
+	before := view.Contract(name)
+	action := "change"
+	switch {
+	case before == nil:
+		action = "add"
+	case after == nil:
+		action = "withdraw"
+	}
+	return &pb.NoteEffect{Contract: name, Action: action, Before: before, After: after}
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -47,13 +47,7 @@
 }
 
 // parse returns the root node, or nil after reporting a problem.
-func parse(r *report, data []byte) (root ast.Node) {
-	defer func() {
-		if failure := recover(); failure != nil { // goccy/go-yaml 1.19.2 panics on some malformed files
-			r.add(0, "check the file with a YAML linter", "the YAML parser failed: %v", failure)
-			root = nil
-		}
-	}()
+func parse(r *report, data []byte) ast.Node {
 	tokens := lexer.Tokenize(string(data))
 	if !checkTokens(r, tokens) {
 		return nil
