--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -21,6 +21,7 @@
 	methodDrain     = "domain.drain"
 	methodIntent    = "domain.intent"
 	methodOutcome   = "domain.outcome"
+	methodPreview   = "domain.preview"
 	methodCheckNote = "config.check"
 	methodApplyNote = "config.apply"
 	methodTargets   = "vm.targets"
@@ -35,7 +36,7 @@
 
 // on registers f for calls whose request is a T.
 func on[T any, P message[T]](c *Cluster, method string, f func(ctx context.Context, req P) (proto.Message, error)) {
-	c.Transport.HandleCall(method, func(ctx context.Context, _ string, encoded []byte) (proto.Message, error) {
+	c.transport.HandleCall(method, func(ctx context.Context, _ string, encoded []byte) (proto.Message, error) {
 		req := P(new(T))
 		if err := proto.Unmarshal(encoded, req); err != nil {
 			return nil, errs.ErrInvalid.With("decode call %s: %w", method, err)
@@ -50,11 +51,11 @@
 
 // leading returns the domain group if this entry VM leads it.
 func (c *Cluster) leading(failureDomain string) (Domain, error) {
-	hosted, found := c.Domains[failureDomain]
+	hosted, found := c.domains[failureDomain]
 	if !found {
 		return Domain{}, errNotLeader.With("")
 	}
-	if status := hosted.Group.Status(); status.Leader != c.VM {
+	if status := hosted.Group.Status(); status.Leader != c.vm {
 		return Domain{}, errNotLeader.With("%s", status.Leader)
 	}
 	return hosted, nil
@@ -71,6 +72,7 @@
 	on(c, methodDrain, c.onDrain)
 	on(c, methodIntent, c.onIntent)
 	on(c, methodOutcome, c.onOutcome)
+	on(c, methodPreview, c.onPreview)
 	on(c, methodCheckNote, c.onCheckNote)
 	on(c, methodApplyNote, c.onApplyNote)
 	on(c, methodTargets, c.onTargets)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -69,7 +69,19 @@
 
 // Cluster implements api.Cluster.
 type Cluster struct {
-	Config
+	settings  *pb.Settings
+	vm        string
+	domain    string
+	version   string
+	instance  string
+	transport Transport
+	table     *routing.Table
+	config    Group
+	contracts *contract.State
+	domains   map[string]Domain
+	ready     func() bool
+	log       zerolog.Logger
+
 	pool  pond.Pool
 	hosts map[string][]string // group name to the entry VMs that host it
 
@@ -80,10 +92,21 @@
 // New registers the calls that other entry VMs make and returns the cluster.
 func New(config Config) *Cluster {
 	c := &Cluster{
-		Config:  config,
-		pool:    pond.NewPool(maxFanOut),
-		hosts:   make(map[string][]string),
-		leaders: make(map[string]string),
+		settings:  config.Settings,
+		vm:        config.VM,
+		domain:    config.Domain,
+		version:   config.Version,
+		instance:  config.Instance,
+		transport: config.Transport,
+		table:     config.Table,
+		config:    config.Config,
+		contracts: config.Contracts,
+		domains:   config.Domains,
+		ready:     config.Ready,
+		log:       config.Logger,
+		pool:      pond.NewPool(maxFanOut),
+		hosts:     make(map[string][]string),
+		leaders:   make(map[string]string),
 	}
 	for _, vm := range config.Settings.EntryVms {
 		c.hosts[ConfigGroup] = append(c.hosts[ConfigGroup], vm.Id)
@@ -111,7 +134,7 @@
 
 func (c *Cluster) domainNames() []string {
 	var names []string
-	for _, failureDomain := range c.Settings.FailureDomains {
+	for _, failureDomain := range c.settings.FailureDomains {
 		names = append(names, failureDomain.Name)
 	}
 	return names
@@ -119,7 +142,7 @@
 
 func (c *Cluster) vmIDs() []string {
 	var ids []string
-	for _, vm := range c.Settings.EntryVms {
+	for _, vm := range c.settings.EntryVms {
 		ids = append(ids, vm.Id)
 	}
 	return ids
--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -78,7 +78,7 @@
 }
 
 func (c *Cluster) callOnce(ctx context.Context, to, method string, req, resp proto.Message) error {
-	err := c.Transport.Call(ctx, to, method, req, resp)
+	err := c.transport.Call(ctx, to, method, req, resp)
 	switch {
 	case err == nil:
 		return nil
@@ -140,9 +140,9 @@
 // hosted returns the group if this process holds its log, else nil.
 func (c *Cluster) hosted(group string) Group {
 	if group == ConfigGroup {
-		return c.Config.Config
+		return c.config
 	}
-	for name, hosted := range c.Domains {
+	for name, hosted := range c.domains {
 		if DomainGroup(name) == group {
 			return hosted.Group
 		}
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -13,10 +13,10 @@
 // Begin commits the intent to send a non-idempotent request in the domain
 // group of this entry VM. It returns the record and whether this call created it.
 func (c *Cluster) Begin(ctx context.Context, record *pb.RequestRecord) (*pb.RequestRecord, bool, error) {
-	request := &pb.IntentRequest{FailureDomain: c.Domain, Record: record}
+	request := &pb.IntentRequest{FailureDomain: c.domain, Record: record}
 	answer := new(pb.IntentAnswer)
 	// Not repeated: a repeat after an unknown outcome would find the intent of the first call.
-	if err := c.callLeader(ctx, DomainGroup(c.Domain), methodIntent, request, answer, false); err != nil {
+	if err := c.callLeader(ctx, DomainGroup(c.domain), methodIntent, request, answer, false); err != nil {
 		return nil, false, err
 	}
 	return answer.Record, answer.Created, nil
@@ -24,8 +24,8 @@
 
 // Finish commits the outcome of a non-idempotent request.
 func (c *Cluster) Finish(ctx context.Context, outcome *pb.CommitOutcome) error {
-	request := &pb.OutcomeRequest{FailureDomain: c.Domain, Outcome: outcome}
-	return c.callLeader(ctx, DomainGroup(c.Domain), methodOutcome, request, new(pb.Empty), true)
+	request := &pb.OutcomeRequest{FailureDomain: c.domain, Outcome: outcome}
+	return c.callLeader(ctx, DomainGroup(c.domain), methodOutcome, request, new(pb.Empty), true)
 }
 
 func (c *Cluster) onIntent(ctx context.Context, req *pb.IntentRequest) (proto.Message, error) {
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -33,21 +33,21 @@
 		bounded, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		answer := new(pb.VMStatus)
-		return answer, c.Transport.Call(bounded, id, methodStatus, &pb.Empty{}, answer)
+		return answer, c.transport.Call(bounded, id, methodStatus, &pb.Empty{}, answer)
 	})
 }
 
 func (c *Cluster) onStatus(context.Context, *pb.Empty) (proto.Message, error) {
 	status := &pb.VMStatus{
-		Id:            c.VM,
-		FailureDomain: c.Domain,
-		Version:       c.Version,
-		Ready:         c.Ready(),
-		AppliedNote:   c.Contracts.View().LastNote(),
-		Groups:        []*pb.GroupStatus{groupStatus(ConfigGroup, c.Config.Config.Status())},
+		Id:            c.vm,
+		FailureDomain: c.domain,
+		Version:       c.version,
+		Ready:         c.ready(),
+		AppliedNote:   c.contracts.View().LastNote(),
+		Groups:        []*pb.GroupStatus{groupStatus(ConfigGroup, c.config.Status())},
 	}
 	for _, name := range c.domainNames() {
-		if hosted, found := c.Domains[name]; found {
+		if hosted, found := c.domains[name]; found {
 			status.Groups = append(status.Groups, groupStatus(DomainGroup(name), hosted.Group.Status()))
 		}
 	}
@@ -74,10 +74,10 @@
 		bounded, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		answer := new(pb.TargetList)
-		return answer, c.Transport.Call(bounded, id, methodTargets, &pb.Empty{}, answer)
+		return answer, c.transport.Call(bounded, id, methodTargets, &pb.Empty{}, answer)
 	})
 	for i, result := range answers {
-		failureDomain := c.Settings.EntryVms[i].FailureDomain
+		failureDomain := c.settings.EntryVms[i].FailureDomain
 		if result.err != nil {
 			continue
 		}
@@ -94,7 +94,7 @@
 
 // onTargets lists the executors of this entry VM and the workers of the domains that it leads.
 func (c *Cluster) onTargets(context.Context, *pb.Empty) (proto.Message, error) {
-	list := &pb.TargetList{Targets: c.Table.Targets()}
+	list := &pb.TargetList{Targets: c.table.Targets()}
 	for _, name := range c.domainNames() {
 		hosted, err := c.leading(name)
 		if err != nil {
@@ -102,7 +102,7 @@
 		}
 		view := hosted.State.View()
 		for _, worker := range view.Workers() {
-			list.Targets = append(list.Targets, workerStatus(worker, view.Used(worker.Id), c.VM))
+			list.Targets = append(list.Targets, workerStatus(worker, view.Used(worker.Id), c.vm))
 		}
 	}
 	return list, nil
--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -37,8 +37,8 @@
 
 // checkTaskContract refuses a task that its contract does not cover.
 func (c *Cluster) checkTaskContract(spec *pb.TaskSpec) error {
-	contract, found := c.Contracts.View().Contract(spec.Contract)
-	if !found || contract.Written.Member != spec.Member {
+	contract := c.contracts.View().Contract(spec.Contract)
+	if contract == nil || contract.Written.Member != spec.Member {
 		return errs.ErrForbidden.With("member %q has no contract %q", spec.Member, spec.Contract)
 	}
 	if spec.Class == pb.TaskClass_TASK_CLASS_URGENT && !contract.Written.GetTerms().GetUrgent() {
@@ -126,15 +126,15 @@
 // Heartbeat passes the heartbeat of a worker to the leader of this entry VM's failure domain.
 func (c *Cluster) Heartbeat(ctx context.Context, heartbeat *pb.WorkerHeartbeat) (*pb.WorkerHeartbeatAnswer, error) {
 	answer := new(pb.WorkerHeartbeatAnswer)
-	report := &pb.WorkerReport{FailureDomain: c.Domain, Heartbeat: heartbeat}
-	return answer, c.callLeader(ctx, DomainGroup(c.Domain), methodHeartbeat, report, answer, true)
+	report := &pb.WorkerReport{FailureDomain: c.domain, Heartbeat: heartbeat}
+	return answer, c.callLeader(ctx, DomainGroup(c.domain), methodHeartbeat, report, answer, true)
 }
 
 // Announce passes an executor's announcement to the routing table.
 func (c *Cluster) Announce(announcement *pb.Announcement) (*pb.AnnouncementAnswer, error) {
-	if announcement.FailureDomain != c.Domain {
+	if announcement.FailureDomain != c.domain {
 		return nil, errs.ErrInvalid.With("executor %q of failure domain %q announced to entry VM %s of %q",
-			announcement.Id, announcement.FailureDomain, c.VM, c.Domain)
+			announcement.Id, announcement.FailureDomain, c.vm, c.domain)
 	}
-	return c.Table.Announce(announcement)
+	return c.table.Announce(announcement)
 }
--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -150,8 +150,8 @@
 		}
 		return nil, errs.ErrForbidden.With("member %q has no contract for service %q", member, service)
 	}
-	resolved, found := view.Contract(name)
-	if !found || resolved.Written.Member != member || resolved.Written.GetTerms().GetService() != service {
+	resolved := view.Contract(name)
+	if resolved == nil || resolved.Written.Member != member || resolved.Written.GetTerms().GetService() != service {
 		return nil, errs.ErrForbidden.With("member %q has no contract %q for service %q", member, name, service)
 	}
 	return resolved, nil
--- a/internal/server/background.go
+++ b/internal/server/background.go
@@ -79,7 +79,7 @@
 		}
 		last = view
 		for name, d := range s.domains {
-			domainParts, totalParts := contract.Parts(view, name, s.domainNames())
+			domainParts, totalParts := s.contractParts(view, name)
 			d.leader.ContractsChanged(view.Contracts(), domainParts, totalParts)
 		}
 		s.log.Info().Str("event", "contracts-applied").Uint64("note", view.LastNote()).Send()
@@ -123,3 +123,13 @@
 	}
 	return names
 }
+
+// contractParts returns the parts of each contract's limits in a domain and in all domains.
+func (s *Server) contractParts(view *contract.View, failureDomain string) (ofDomain, ofAll map[string]uint32) {
+	ofDomain, ofAll = make(map[string]uint32), make(map[string]uint32)
+	for _, resolved := range view.Contracts() {
+		name := resolved.Written.Name
+		ofDomain[name], ofAll[name] = contract.Parts(resolved.Written, failureDomain, s.domainNames())
+	}
+	return ofDomain, ofAll
+}
--- a/internal/standin/transport.go
+++ b/internal/standin/transport.go
@@ -20,8 +20,8 @@
 	Heartbeat(ctx context.Context, address string, heartbeat *pb.WorkerHeartbeat) (*pb.WorkerHeartbeatAnswer, error)
 }
 
-// maxAnswerBytes bounds the answer of an entry VM.
-const maxAnswerBytes = 16 << 20
+// maxAnswerBodyBytes bounds the answer of an entry VM.
+const maxAnswerBodyBytes = 16 << 20
 
 var errRefused = errors.New("refused by the entry VM")
 
@@ -55,7 +55,7 @@
 		return fmt.Errorf("post to %s: %w", url, err)
 	}
 	defer func() { _ = response.RawBody().Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.RawBody(), maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.RawBody(), maxAnswerBodyBytes))
 	if err != nil {
 		return fmt.Errorf("read answer of %s: %w", url, err)
 	}
