--- a/cmd/lentilyard/main.go
+++ b/cmd/lentilyard/main.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lentilyard/lentilyard/internal/client"
+	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
 )
 
@@ -54,6 +56,10 @@
 		fmt.Println("lentilyard", version)
 		return nil
 	})
+	app.Command("key", "Print a new idempotency key.").Action(func(*kingpin.ParseContext) error {
+		fmt.Println(domain.NewKey(time.Now()))
+		return nil
+	})
 	commandContext = ctx
 	app.Terminate(func(status int) { os.Exit(status) })
 	if _, err := app.Parse(args); err != nil {
--- a/cmd/lentilyard/options.go
+++ b/cmd/lentilyard/options.go
@@ -28,7 +28,7 @@
 
 func addGlobalFlags(app *kingpin.Application) *clientOptions {
 	o := new(clientOptions)
-	app.Flag("address", "Address of an entry VM.").Envar("LENTILYARD_ADDRESS").Default("127.0.0.1:7400").StringVar(&o.address)
+	app.Flag("address", "Address of an entry VM.").Envar("LENTILYARD_ADDRESS").Default("127.0.0.1:7080").StringVar(&o.address)
 	app.Flag("token", "Bearer token.").Envar("LENTILYARD_TOKEN").StringVar(&o.token)
 	app.Flag("token-file", "File that holds the bearer token.").Envar("LENTILYARD_TOKEN_FILE").StringVar(&o.tokenFile)
 	app.Flag("output", "Output format: text or json.").Short('o').Default(outputText).EnumVar(&o.output, outputText, outputJSON)
--- a/cmd/lentilyard/task.go
+++ b/cmd/lentilyard/task.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/google/uuid"
 
 	"github.com/lentilyard/lentilyard/internal/client"
+	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -50,8 +50,8 @@
 		spec.Resources.MemoryBytes = int64(*memory)
 		spec.ExpectedRunMs = expected.Milliseconds()
 		spec.Payload = []byte(*payload)
-		if err := fillKey(spec); err != nil {
-			return err
+		if spec.IdempotencyKey == "" {
+			spec.IdempotencyKey = domain.NewKey(time.Now())
 		}
 		c, err := o.client()
 		if err != nil {
@@ -68,18 +68,6 @@
 	})
 }
 
-func fillKey(spec *pb.TaskSpec) error {
-	if spec.IdempotencyKey != "" {
-		return nil
-	}
-	key, err := uuid.NewV7()
-	if err != nil {
-		return fmt.Errorf("create idempotency key: %w", err)
-	}
-	spec.IdempotencyKey = key.String()
-	return nil
-}
-
 func addTaskShow(parent *kingpin.CmdClause, o *clientOptions) {
 	command := parent.Command("show", "Show one task.")
 	id := command.Arg("id", "Id of the task.").Required().String()
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -29,7 +29,7 @@
 	http *resty.Client
 }
 
-// New returns a client for an address such as "127.0.0.1:7400" or "https://127.0.0.1:7400".
+// New returns a client for an address such as "127.0.0.1:7080" or "https://127.0.0.1:7080".
 func New(address, token string) (*Client, error) {
 	if address == "" {
 		return nil, errors.New("address of the entry VM is empty")
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,7 +26,7 @@
 const maxFanOut = 64
 
 // DomainGroup returns the name of the group of a failure domain.
-func DomainGroup(failureDomain string) string { return "domain/" + failureDomain }
+func DomainGroup(failureDomain string) string { return "domain." + failureDomain }
 
 // Transport is the part of the peer transport that the cluster uses.
 type Transport interface {
--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -152,7 +152,7 @@
 
 // fromReplica converts the errors of a group to typed errors for the wire.
 func fromReplica(err error) error {
-	var notLeader *replica.ErrNotLeader
+	var notLeader replica.ErrNotLeader
 	switch {
 	case err == nil:
 		return nil
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -55,17 +56,22 @@
 }
 
 func groupStatus(name string, s replica.Status) *pb.GroupStatus {
-	status := &pb.GroupStatus{Name: name, Role: s.Role.String(), Leader: s.Leader, Term: s.Term,
+	status := &pb.GroupStatus{Name: name, Role: string(s.Role), Leader: s.Leader, Term: s.Term,
 		CommitIndex: s.Commit, AppliedIndex: s.Applied}
 	for _, voter := range s.Voters {
-		status.Voters = append(status.Voters, voter.String())
+		status.Voters = append(status.Voters, memberText(voter))
 	}
 	for _, learner := range s.Learners {
-		status.Learners = append(status.Learners, learner.String())
+		status.Learners = append(status.Learners, memberText(learner))
 	}
 	return status
 }
 
+// memberText shows the VM and the start of its incarnation, which tells two lives of a VM apart.
+func memberText(member replica.Member) string {
+	return fmt.Sprintf("%s@%04x", member.VM, member.Incarnation>>48)
+}
+
 // Targets lists the executors that announce to each entry VM and the workers of each domain.
 func (c *Cluster) Targets(ctx context.Context) (*pb.TargetList, error) {
 	list := new(pb.TargetList)
