Add write-ahead log, consensus state machine and replica host

Voters are counted by VM. While an incarnation is being replaced, the VM counts only when both of its voting incarnations agree. Every two consecutive memberships still have intersecting quorums, and the replacement needs no more live VMs than the membership before it. Ruled out: counting incarnations, since four voters need three of them alive and a second loss during the replacement would stop the group for good.

A boot counter alone does not show that a disk was restored from an image taken during the latest boot, nor a second start with the same counter. Messages therefore carry a random value of the process, and a boot check also compares the sender's term and last entry with what the peer recorded.

--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,129 @@
+package raft
+
+import (
+	"fmt"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// entryLog holds the entries after a base entry that is compacted or part of a snapshot.
+type entryLog struct {
+	baseIndex, baseTerm uint64
+	entries             []*pb.RaftEntry
+	// handed is the last index given to the caller to persist.
+	handed uint64
+	// stable is the last index known to be persisted.
+	stable  uint64
+	commit  uint64
+	applied uint64
+}
+
+func newEntryLog(snapshot *pb.RaftSnapshot, entries []*pb.RaftEntry, commit uint64) (*entryLog, error) {
+	l := &entryLog{baseIndex: snapshot.GetIndex(), baseTerm: snapshot.GetTerm()}
+	for _, e := range entries {
+		if e.GetIndex() <= l.baseIndex {
+			continue
+		}
+		if e.GetIndex() > l.last()+1 {
+			return nil, fmt.Errorf("log has a gap: entry %d follows entry %d", e.GetIndex(), l.last())
+		}
+		l.entries = append(l.entries[:e.GetIndex()-l.baseIndex-1], e)
+	}
+	l.handed = l.last()
+	l.stable = l.last()
+	l.commit = max(l.baseIndex, min(commit, l.last()))
+	l.applied = l.baseIndex
+	return l, nil
+}
+
+func (l *entryLog) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 { return l.term(l.last()) }
+
+// term returns the term of the entry at index, or 0 if the log does not hold it.
+func (l *entryLog) term(index uint64) uint64 {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm
+	case index < l.baseIndex || index > l.last():
+		return 0
+	}
+	return l.entries[index-l.baseIndex-1].GetTerm()
+}
+
+// holds reports whether the log holds the entry with this index and term.
+func (l *entryLog) holds(index, term uint64) bool {
+	if index < l.baseIndex || index > l.last() {
+		return false
+	}
+	return l.term(index) == term
+}
+
+// from returns entries starting at index, up to maxBytes but at least one.
+func (l *entryLog) from(index uint64, maxBytes int) []*pb.RaftEntry {
+	if index <= l.baseIndex || index > l.last() {
+		return nil
+	}
+	rest := l.entries[index-l.baseIndex-1:]
+	size := 0
+	for i, e := range rest {
+		size += len(e.GetData())
+		if i > 0 && size > maxBytes {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// slice returns the entries in (after, upTo].
+func (l *entryLog) slice(after, upTo uint64) []*pb.RaftEntry {
+	if after >= upTo {
+		return nil
+	}
+	return l.entries[after-l.baseIndex : upTo-l.baseIndex : upTo-l.baseIndex]
+}
+
+func (l *entryLog) append(entries ...*pb.RaftEntry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate removes the entries after index.
+func (l *entryLog) truncate(index uint64) {
+	keep := index - l.baseIndex
+	// The copy leaves slices that were handed out unchanged by later appends.
+	l.entries = append([]*pb.RaftEntry(nil), l.entries[:keep]...)
+	l.handed = min(l.handed, index)
+	l.stable = min(l.stable, index)
+}
+
+// reset replaces the log with a snapshot.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{baseIndex: index, baseTerm: term, handed: index, stable: index, commit: index, applied: index}
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.baseIndex {
+		return
+	}
+	term := l.term(index)
+	l.entries = append([]*pb.RaftEntry(nil), l.entries[index-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = index, term
+}
+
+// upToDate reports whether a log that ends with (term, index) is at least as complete as this one.
+func (l *entryLog) upToDate(term, index uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.last()
+}
+
+// conflictHint returns the highest index at or below index whose term is not above term.
+func (l *entryLog) conflictHint(index, term uint64) (uint64, uint64) {
+	index = min(index, l.last())
+	for index > l.baseIndex && l.term(index) > term {
+		index--
+	}
+	return index, l.term(index)
+}
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,239 @@
+package raft
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// membership is a parsed RaftMembership and the index of its log entry.
+type membership struct {
+	index   uint64
+	source  *pb.RaftMembership
+	members map[ID]bool // value: voter
+	// seats holds the voting incarnations of each voter VM.
+	seats map[string][]ID
+	order []ID
+}
+
+func parseMembership(index uint64, p *pb.RaftMembership) *membership {
+	m := &membership{index: index, source: p, members: map[ID]bool{}, seats: map[string][]ID{}}
+	for _, member := range p.GetMembers() {
+		id := idOf(member.GetId())
+		m.members[id] = member.GetVoter()
+		m.order = append(m.order, id)
+		if member.GetVoter() {
+			m.seats[id.VM] = append(m.seats[id.VM], id)
+		}
+	}
+	return m
+}
+
+func (m *membership) isVoter(id ID) bool { return m.members[id] }
+
+func (m *membership) isMember(id ID) bool {
+	_, ok := m.members[id]
+	return ok
+}
+
+// quorum reports whether a majority of the voter VMs agrees.
+func (m *membership) quorum(agrees func(ID) bool) bool {
+	agreed := 0
+	for _, incarnations := range m.seats {
+		if !slices.ContainsFunc(incarnations, func(id ID) bool { return !agrees(id) }) {
+			agreed++
+		}
+	}
+	return 2*agreed > len(m.seats)
+}
+
+// quorumIndex returns the highest index that a majority of the voter VMs holds.
+func (m *membership) quorumIndex(match func(ID) uint64) uint64 {
+	indexes := make([]uint64, 0, len(m.seats))
+	for _, incarnations := range m.seats {
+		lowest := match(incarnations[0])
+		for _, id := range incarnations[1:] {
+			lowest = min(lowest, match(id))
+		}
+		indexes = append(indexes, lowest)
+	}
+	if len(indexes) == 0 {
+		return 0
+	}
+	slices.Sort(indexes)
+	return indexes[(len(indexes)-1)/2]
+}
+
+func (m *membership) list(voters bool) []ID {
+	var ids []ID
+	for _, id := range m.order {
+		if m.members[id] == voters {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// with returns a copy in which id has the given role and the ids in drop are absent.
+func (m *membership) with(id ID, voter bool, drop ...ID) *pb.RaftMembership {
+	changed := &pb.RaftMembership{GroupId: m.source.GetGroupId()}
+	for _, member := range m.source.GetMembers() {
+		other := idOf(member.GetId())
+		if other != id && !slices.Contains(drop, other) {
+			changed.Members = append(changed.Members, proto.CloneOf(member))
+		}
+	}
+	if !id.IsZero() {
+		changed.Members = append(changed.Members, &pb.RaftMember{Id: id.proto(), Voter: voter})
+	}
+	return changed
+}
+
+func (n *Node) current() *membership { return n.memberships[len(n.memberships)-1] }
+
+// committedMembership returns the newest membership at or below index.
+func (n *Node) membershipAt(index uint64) *membership {
+	for i := len(n.memberships) - 1; i > 0; i-- {
+		if n.memberships[i].index <= index {
+			return n.memberships[i]
+		}
+	}
+	return n.memberships[0]
+}
+
+// noteMembership takes an appended membership into use.
+func (n *Node) noteMembership(e *pb.RaftEntry) {
+	if e.GetType() != pb.RaftEntryType_RAFT_ENTRY_TYPE_MEMBERSHIP {
+		return
+	}
+	n.memberships = append(n.memberships, parseMembership(e.GetIndex(), e.GetMembership()))
+	n.membershipChanged()
+}
+
+// dropMembershipsAfter undoes memberships whose entries were removed from the log.
+func (n *Node) dropMembershipsAfter(index uint64) {
+	kept := n.memberships
+	for len(kept) > 1 && kept[len(kept)-1].index > index {
+		kept = kept[:len(kept)-1]
+	}
+	if len(kept) != len(n.memberships) {
+		n.memberships = kept
+		n.membershipChanged()
+	}
+}
+
+// forgetMembershipsBefore drops memberships that were replaced at or before index.
+func (n *Node) forgetMembershipsBefore(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[1].index <= index {
+		n.memberships = n.memberships[1:]
+	}
+}
+
+func (n *Node) membershipChanged() {
+	m := n.current()
+	if n.role == Leader {
+		for id := range m.members {
+			if n.progress[id] == nil {
+				n.progress[id] = newProgress(n.log.last()+1, n.now)
+			}
+		}
+		for id := range n.progress {
+			if !m.isMember(id) {
+				delete(n.progress, id)
+			}
+		}
+		return
+	}
+	if !m.isVoter(n.self) && (n.role == PreCandidate || n.role == Candidate) {
+		n.becomeFollower(n.term, ID{})
+	}
+	if n.role == Learner && m.isVoter(n.self) {
+		n.role = Follower
+	}
+	if n.role == Follower && !m.isVoter(n.self) {
+		n.role = Learner
+	}
+}
+
+// changeMembership carries out the next pending change, one at a time: first
+// the removal of a replaced incarnation, then a promotion, then a join.
+func (n *Node) changeMembership() {
+	m := n.current()
+	if n.role != Leader || n.transferee != (ID{}) || m.index > n.log.commit || n.log.commit < n.termStart {
+		return
+	}
+	if old, ok := n.replacedVoter(m); ok {
+		n.proposeMembership(m.with(ID{}, false, old))
+		return
+	}
+	if learner, ok := n.promotable(m); ok {
+		n.proposeMembership(m.with(learner, true))
+		return
+	}
+	n.admitJoiner(m)
+}
+
+func (n *Node) proposeMembership(p *pb.RaftMembership) {
+	n.appendOwn(&pb.RaftEntry{Type: pb.RaftEntryType_RAFT_ENTRY_TYPE_MEMBERSHIP, Membership: p})
+}
+
+// replacedVoter returns a voter whose VM has a voter that was promoted later.
+func (n *Node) replacedVoter(m *membership) (ID, bool) {
+	for _, id := range m.list(true) {
+		if incarnations := m.seats[id.VM]; len(incarnations) > 1 {
+			return incarnations[0], true
+		}
+	}
+	return ID{}, false
+}
+
+// promotable returns a learner that is to become a voter and holds all committed entries.
+func (n *Node) promotable(m *membership) (ID, bool) {
+	for _, id := range m.list(false) {
+		pr := n.progress[id]
+		if !n.wantsVoter(m, id.VM) || pr == nil || n.now-pr.lastHeard > n.cfg.ElectionTicks {
+			continue
+		}
+		if pr.match >= n.log.commit || n.cfg.faults.skipPromotionCheck {
+			return id, true
+		}
+	}
+	return ID{}, false
+}
+
+// wantsVoter reports whether a VM is an initial voter or has another incarnation that votes.
+func (n *Node) wantsVoter(m *membership, vm string) bool {
+	return slices.Contains(n.cfg.Voters, vm) || len(m.seats[vm]) > 0
+}
+
+// admitJoiner adds the first waiting incarnation as learner. It replaces
+// learners that are earlier incarnations of the same VM.
+func (n *Node) admitJoiner(m *membership) {
+	for len(n.joiners) > 0 {
+		id := n.joiners[0]
+		n.joiners = n.joiners[1:]
+		if m.isMember(id) {
+			continue
+		}
+		var drop []ID
+		for _, other := range m.list(false) {
+			if other.VM == id.VM {
+				drop = append(drop, other)
+			}
+		}
+		n.proposeMembership(m.with(id, false, drop...))
+		return
+	}
+}
+
+// stepJoin queues an incarnation that wants to become a member.
+func (n *Node) stepJoin(from ID) {
+	known := slices.Contains(n.cfg.Voters, from.VM) || slices.Contains(n.cfg.Learners, from.VM)
+	if n.role != Leader || !known || n.current().isMember(from) || slices.Contains(n.joiners, from) {
+		return
+	}
+	n.joiners = append(n.joiners, from)
+	n.changeMembership()
+}
--- /dev/null
+++ b/internal/raft/types.go
@@ -0,0 +1,164 @@
+// Package raft is a consensus state machine without I/O, clocks or goroutines.
+//
+// The caller feeds it messages, ticks and proposals, and collects the results
+// with Ready: state to persist, messages to send, and committed entries to
+// apply. Given the same inputs and the same random source it behaves the same.
+//
+// A member is one incarnation of a VM. The voters of a membership are counted
+// by VM: a quorum is a majority of the voter VMs, and a VM with two voting
+// incarnations counts only when both agree. That keeps every quorum of
+// consecutive memberships intersecting while an incarnation is replaced, and a
+// replacement needs no more live VMs than the membership before it.
+package raft
+
+import (
+	"fmt"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// ID names one incarnation of a VM.
+type ID struct {
+	VM          string
+	Incarnation uint64
+}
+
+// IsZero reports whether the ID names nothing.
+func (id ID) IsZero() bool { return id == ID{} }
+
+// String returns "vm/incarnation" with the incarnation in hexadecimal.
+func (id ID) String() string { return fmt.Sprintf("%s/%x", id.VM, id.Incarnation) }
+
+func (id ID) proto() *pb.RaftMemberID {
+	return &pb.RaftMemberID{Vm: id.VM, Incarnation: id.Incarnation}
+}
+
+func idOf(p *pb.RaftMemberID) ID {
+	return ID{VM: p.GetVm(), Incarnation: p.GetIncarnation()}
+}
+
+// Role of a node.
+type Role uint8
+
+// Roles. Learner is also the role of a node that is not a member.
+const (
+	Learner Role = iota
+	Follower
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the lower-case name of the role.
+func (r Role) String() string {
+	return [...]string{"learner", "follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Config of a node.
+type Config struct {
+	Self ID
+	// Boot is the boot counter of this start, from 1.
+	Boot uint64
+	// Start is a random value of this process, not 0.
+	Start uint64
+	// Restarted is true if the state was read from a disk that an earlier
+	// process wrote. A restarted voter first has its boot counter confirmed.
+	Restarted bool
+	// Voters and Learners are the VM ids of the initial members.
+	Voters, Learners []string
+	// ElectionTicks is the shortest election timeout; the longest is twice that.
+	ElectionTicks, HeartbeatTicks int
+	// Random returns a number in [0, n). n is at least 1.
+	Random func(n uint64) uint64
+	// Recovered state; zero for a new node.
+	HardState *pb.RaftHardState
+	Snapshot  *pb.RaftSnapshot
+	Entries   []*pb.RaftEntry
+
+	faults faults
+}
+
+// faults leave out one protection each. Only tests of the history checkers set them.
+type faults struct {
+	skipBootCheck      bool
+	skipPromotionCheck bool
+}
+
+// Limits of messages and queues.
+const (
+	// maxAppendBytes bounds the entries of one append message, unless a single entry is larger.
+	maxAppendBytes = 1 << 20
+	// maxInFlight is the number of append messages to one follower without an answer.
+	maxInFlight = 64
+	// snapshotChunkBytes bounds the snapshot data in one message.
+	snapshotChunkBytes = 256 << 10
+	// maxUncommittedBytes bounds the proposals that a leader holds without a commit.
+	maxUncommittedBytes = 64 << 20
+	// learnerHeartbeatRatio is the number of heartbeats to voters for each one
+	// to learners. Learners take part in no quorum, so a slower rate suffices;
+	// it must stay below the election timeout, after which they report no leader.
+	learnerHeartbeatRatio = 4
+)
+
+// Ready is the work that the caller must do, in this order: persist Snapshot,
+// HardState and Entries with one sync; then send AfterSync (a message to the
+// node itself goes to Step) and call Persisted. Messages may be sent at once.
+// Committed entries may be applied at once.
+type Ready struct {
+	// Snapshot to restore, if not nil: it replaces state machine and log.
+	Snapshot *pb.RaftSnapshot
+	// HardState to persist, if not nil.
+	HardState *pb.RaftHardState
+	// Entries to persist. They replace entries of the same and higher indexes.
+	Entries   []*pb.RaftEntry
+	Messages  []*pb.RaftMessage
+	AfterSync []*pb.RaftMessage
+	Committed []*pb.RaftEntry
+	// Reads are confirmed once everything up to their index is applied.
+	Reads []Read
+	// SnapshotWanted asks for a call of ProvideSnapshot with the state machine's current state.
+	SnapshotWanted bool
+	// Write identifies this batch for Persisted; 0 if there is nothing to persist.
+	Write uint64
+}
+
+// MustSync reports whether there is something to persist.
+func (r *Ready) MustSync() bool { return r.Write != 0 }
+
+// Read is the outcome of ReadIndex.
+type Read struct {
+	Token uint64
+	// Index that must be applied before the read is served.
+	Index uint64
+	// OK is false if leadership was lost before it could be confirmed.
+	OK bool
+}
+
+// Status is a copy of a node's observable state.
+type Status struct {
+	Role     Role
+	Leader   ID
+	Term     uint64
+	Commit   uint64
+	Applied  uint64
+	Last     uint64
+	Voters   []ID
+	Learners []ID
+	// Confirmed is false while a restarted voter waits for confirmation of its boot counter.
+	Confirmed bool
+	// StaleDisk is true once another voter reported a later boot or term of this incarnation.
+	StaleDisk bool
+	// CaughtUp is true once everything that a leader had committed is applied.
+	CaughtUp bool
+	// OtherGroup is true once a message of another group id has arrived.
+	OtherGroup bool
+	// Fault is set once the node has seen that an invariant does not hold. It then does nothing more.
+	Fault error
+}
+
+// Errors of proposals.
+var (
+	ErrNotLeader = fmt.Errorf("this node is not the leader")
+	ErrBusy      = fmt.Errorf("the leader has too many uncommitted proposals or is transferring its leadership")
+	ErrTransfer  = fmt.Errorf("leadership cannot be transferred: no other voter holds the state")
+)
--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,246 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/wal"
+)
+
+// network connects the hosts of a test. Messages are delivered in order and without delay.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]map[string]func(string, []byte)
+	cut      map[string]bool // VMs without connection
+	messages atomic.Int64
+	bytes    atomic.Int64
+}
+
+func newNetwork() *network {
+	return &network{handlers: map[string]map[string]func(string, []byte){}, cut: map[string]bool{}}
+}
+
+func (n *network) isolate(vm string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[vm] = cut
+}
+
+// endpoint is the Messenger of one process. A later endpoint of the same VM replaces it.
+type endpoint struct {
+	network *network
+	vm      string
+}
+
+func (n *network) endpoint(vm string) *endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[vm] = map[string]func(string, []byte){}
+	return &endpoint{network: n, vm: vm}
+}
+
+func (e *endpoint) Handle(channel string, f func(string, []byte)) {
+	e.network.mu.Lock()
+	defer e.network.mu.Unlock()
+	e.network.handlers[e.vm][channel] = f
+}
+
+func (e *endpoint) Send(to, channel string, payload []byte) {
+	n := e.network
+	n.mu.Lock()
+	f := n.handlers[to][channel]
+	blocked := n.cut[to] || n.cut[e.vm]
+	n.mu.Unlock()
+	if f == nil || blocked {
+		return
+	}
+	n.messages.Add(1)
+	n.bytes.Add(int64(len(payload)))
+	f(e.vm, payload)
+}
+
+// listMachine records the entries that were applied.
+type listMachine struct {
+	mu      sync.Mutex
+	entries []string
+}
+
+func (m *listMachine) Apply(index, _ uint64, entry []byte) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries = append(m.entries, string(entry))
+	return len(m.entries)
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(m.entries)
+	return b.Bytes(), err
+}
+
+func (m *listMachine) Restore(snapshot []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries = nil
+	return gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&m.entries)
+}
+
+func (m *listMachine) list() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.entries...)
+}
+
+// node is one running process of a cluster.
+type node struct {
+	host    *Host
+	group   *Group
+	machine *listMachine
+	fatal   chan error
+}
+
+// cluster runs the VMs of one group.
+type cluster struct {
+	t        testing.TB
+	network  *network
+	voters   []string
+	learners []string
+	folders  map[string]string // VMs with a disk
+	openFS   map[string]func(string) (wal.FS, error)
+	every    uint64
+	nodes    map[string]*node
+}
+
+// newCluster starts VMs; those listed in disks keep their state on disk.
+func newCluster(t testing.TB, voters, learners, disks []string) *cluster {
+	c := &cluster{
+		t: t, network: newNetwork(), voters: voters, learners: learners,
+		folders: map[string]string{}, openFS: map[string]func(string) (wal.FS, error){}, nodes: map[string]*node{},
+	}
+	root := t.TempDir()
+	for _, vm := range disks {
+		c.folders[vm] = filepath.Join(root, vm)
+	}
+	t.Cleanup(func() {
+		for vm := range c.nodes {
+			c.stop(vm)
+		}
+	})
+	return c
+}
+
+func (c *cluster) startAll() {
+	for _, vm := range append(append([]string(nil), c.voters...), c.learners...) {
+		c.start(vm)
+	}
+}
+
+func (c *cluster) start(vm string) *node {
+	c.t.Helper()
+	n := &node{machine: &listMachine{}, fatal: make(chan error, 1)}
+	host, err := NewHost(HostConfig{
+		ID: vm, DataFolder: c.folders[vm], Messenger: c.network.endpoint(vm), Logger: zerolog.Nop(),
+		SnapshotEvery: c.every, OnFatal: func(err error) { n.fatal <- err }, openFS: c.openFS[vm],
+	})
+	if err != nil {
+		c.t.Fatalf("start %s: %v", vm, err)
+	}
+	n.host = host
+	n.group, err = host.AddGroup(GroupConfig{Name: "g", Voters: c.voters, Learners: c.learners, Machine: n.machine})
+	if err != nil {
+		c.t.Fatalf("add group on %s: %v", vm, err)
+	}
+	if err := host.Start(); err != nil {
+		c.t.Fatalf("start %s: %v", vm, err)
+	}
+	c.nodes[vm] = n
+	return n
+}
+
+// stop ends a process. Nothing is written at the end, so it equals a crash that loses no synced data.
+func (c *cluster) stop(vm string) {
+	c.t.Helper()
+	n := c.nodes[vm]
+	delete(c.nodes, vm)
+	if n == nil {
+		return
+	}
+	if err := n.host.Close(); err != nil && !errors.Is(err, wal.ErrFailed) {
+		c.t.Errorf("close %s: %v", vm, err)
+	}
+}
+
+func (c *cluster) leader() string {
+	for vm, n := range c.nodes {
+		if n.group.Status().Role == RoleLeader && !c.network.cut[vm] {
+			return vm
+		}
+	}
+	return ""
+}
+
+// propose commits an entry through whichever VM leads. It retries only when the entry was certainly not committed.
+func (c *cluster) propose(entry string) {
+	c.t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	for time.Now().Before(limit) {
+		vm := c.leader()
+		if vm == "" {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		_, err := c.nodes[vm].group.Propose(ctx, []byte(entry))
+		cancel()
+		switch {
+		case err == nil:
+			return
+		case errors.Is(err, ErrOutcomeUnknown):
+			c.t.Fatalf("propose %q on %s: %v", entry, vm, err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.t.Fatalf("propose %q: no leader accepted it within 20 s", entry)
+}
+
+// eventually waits for a condition and fails the test with its description.
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	limit := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(limit) {
+			c.t.Fatalf("not within 20 s: %s\n%s", what, c.describe())
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (c *cluster) describe() string {
+	var b bytes.Buffer
+	for vm, n := range c.nodes {
+		fmt.Fprintf(&b, "%s: %+v\n", vm, n.group.Status())
+	}
+	return b.String()
+}
+
+// settled reports whether every running VM has applied the same number of entries and all voters are current.
+func (c *cluster) settled(entries int) bool {
+	for _, n := range c.nodes {
+		if len(n.machine.list()) != entries || !n.group.Status().Serving {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,323 @@
+package replica
+
+import (
+	"fmt"
+	"regexp"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/raft"
+)
+
+// maxQueuedMessages bounds the received messages that wait for the control
+// goroutine. Raft repeats what is lost.
+const maxQueuedMessages = 4096
+
+// keepFraction of SnapshotEvery is the number of applied entries kept in
+// memory, so that a member slightly behind needs no snapshot.
+const keepFraction = 4
+
+var groupName = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
+
+// Group is this VM's member of a replicated group.
+type Group struct {
+	host    *Host
+	cfg     GroupConfig
+	channel string
+	queued  atomic.Int64
+	status  atomic.Pointer[Status]
+
+	watchMu  sync.Mutex
+	watchers []func(Status)
+
+	// The fields below belong to the control goroutine.
+	node         *raft.Node
+	storage      storage
+	identity     *pb.RaftIdentity
+	initial      []byte // state of the machine before the first entry
+	recovered    bool   // the machine's state was recovered from disk
+	writing      bool
+	snapshotting bool
+	restarting   bool
+	otherGroup   bool // reported already
+	snapshotAt   uint64
+	waiters      map[uint64][]*waiter
+	reads        map[uint64]*waiter
+	confirmed    []confirmedRead
+	nextRead     uint64
+	idleTicks    int // ticks since this VM was last the leader
+}
+
+func newGroup(h *Host, cfg GroupConfig) (*Group, error) {
+	if !groupName.MatchString(cfg.Name) || cfg.Machine == nil || len(cfg.Voters) == 0 {
+		return nil, fmt.Errorf("a group needs a name of lower-case letters and digits, a state machine and at least one voter")
+	}
+	g := &Group{
+		host: h, cfg: cfg, channel: "raft/" + cfg.Name,
+		waiters: map[uint64][]*waiter{}, reads: map[uint64]*waiter{},
+	}
+	initial, err := cfg.Machine.Snapshot()
+	if err != nil {
+		return nil, fmt.Errorf("snapshot of the initial state: %w", err)
+	}
+	g.initial = initial
+	state, err := g.open()
+	if err != nil {
+		return nil, err
+	}
+	if err := g.startNode(state); err != nil {
+		_ = g.storage.close()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Group) open() (*recoveredState, error) {
+	if g.host.cfg.DataFolder == "" {
+		g.storage = memoryStorage{}
+		return &recoveredState{identity: newIdentity()}, nil
+	}
+	fs, err := g.host.cfg.openFS(g.host.groupFolder(g.cfg.Name))
+	if err != nil {
+		return nil, err
+	}
+	disk, state, err := openDisk(fs)
+	if err != nil {
+		return nil, err
+	}
+	g.storage = disk
+	if state.snapshot != nil {
+		if err := g.cfg.Machine.Restore(state.snapshot.GetData()); err != nil {
+			return nil, fmt.Errorf("restore snapshot %d: %w", state.snapshot.GetIndex(), err)
+		}
+	}
+	return state, nil
+}
+
+func (g *Group) startNode(state *recoveredState) error {
+	node, err := raft.New(raft.Config{
+		Self:           raft.ID{VM: g.host.cfg.ID, Incarnation: state.identity.GetIncarnation()},
+		Boot:           state.identity.GetBoot(),
+		Start:          randomNonZero(),
+		Restarted:      state.restarted,
+		Voters:         g.cfg.Voters,
+		Learners:       g.cfg.Learners,
+		ElectionTicks:  int(g.host.cfg.Election / g.host.tick),
+		HeartbeatTicks: ticksPerHeartbeat,
+		Random:         func(n uint64) uint64 { return randomNonZero() % n },
+		HardState:      state.hardState,
+		Snapshot:       state.snapshot,
+		Entries:        state.entries,
+	})
+	if err != nil {
+		return err
+	}
+	g.node = node
+	g.identity = state.identity
+	g.recovered = node.Status().Commit > 0
+	g.snapshotAt = state.snapshot.GetIndex()
+	g.publish()
+	return nil
+}
+
+// receive is called by the messenger.
+func (g *Group) receive(from string, payload []byte) {
+	m := &pb.RaftMessage{}
+	if err := proto.Unmarshal(payload, m); err != nil || m.GetFrom().GetVm() != from {
+		messagesRefused.Inc()
+		return
+	}
+	if g.queued.Add(1) > maxQueuedMessages {
+		g.queued.Add(-1)
+		messagesDropped.Inc()
+		return
+	}
+	if !g.host.post(func() { g.queued.Add(-1); g.node.Step(m) }) {
+		g.queued.Add(-1)
+	}
+}
+
+func (g *Group) tickOnce() {
+	g.node.Tick()
+	g.idleTicks++
+	if g.node.Status().Role == raft.Leader {
+		g.idleTicks = 0
+	}
+	g.expireWaiters()
+}
+
+// advance carries out everything that the raft node has to be done.
+func (g *Group) advance() {
+	for g.host.fatal == nil && !g.restarting {
+		r := g.node.Ready(!g.writing)
+		if !g.handle(r) {
+			break
+		}
+	}
+	g.checkNode()
+	g.maybeSnapshot()
+	g.publish()
+}
+
+// handle carries out one Ready. It returns true if that may have caused more work.
+func (g *Group) handle(r raft.Ready) bool {
+	if r.Snapshot != nil {
+		g.restore(r.Snapshot)
+	}
+	g.send(r.Messages)
+	for _, e := range r.Committed {
+		g.apply(e)
+	}
+	g.finishReads(r.Reads)
+	if r.SnapshotWanted {
+		g.provideSnapshot()
+	}
+	if !r.MustSync() {
+		g.send(r.AfterSync)
+		return len(r.Committed) > 0 || r.SnapshotWanted
+	}
+	g.writing = true
+	g.storage.write(r, func(err error) { g.report(func() { g.written(r, err) }) })
+	return !g.writing
+}
+
+// report runs f on the control goroutine: at once for storage in memory, which
+// calls back from within the call, else through the mailbox.
+func (g *Group) report(f func()) {
+	if _, inMemory := g.storage.(memoryStorage); inMemory {
+		f()
+		return
+	}
+	g.host.box.put(f)
+}
+
+// written handles the end of a write: only now may anything that relies on it be sent.
+func (g *Group) written(r raft.Ready, err error) {
+	g.writing = false
+	if err != nil {
+		g.host.fail(fmt.Errorf("group %q: write log: %w", g.cfg.Name, err))
+		return
+	}
+	g.send(r.AfterSync)
+	g.node.Persisted(r.Write)
+}
+
+func (g *Group) send(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		payload, err := proto.Marshal(m)
+		if err != nil {
+			g.host.fail(fmt.Errorf("group %q: encode message: %w", g.cfg.Name, err))
+			return
+		}
+		g.host.cfg.Messenger.Send(m.GetTo().GetVm(), g.channel, payload)
+	}
+}
+
+func (g *Group) apply(e *pb.RaftEntry) {
+	var result any
+	if e.GetType() == pb.RaftEntryType_RAFT_ENTRY_TYPE_COMMAND {
+		result = g.cfg.Machine.Apply(e.GetIndex(), e.GetTerm(), e.GetData())
+	}
+	g.resolve(e, result)
+}
+
+// restore installs a snapshot of the leader.
+func (g *Group) restore(s *pb.RaftSnapshot) {
+	if err := g.cfg.Machine.Restore(s.GetData()); err != nil {
+		g.host.fail(fmt.Errorf("group %q: restore snapshot %d: %w", g.cfg.Name, s.GetIndex(), err))
+		return
+	}
+	g.snapshotAt = s.GetIndex()
+	g.abandonWaiters(s.GetIndex())
+	g.host.cfg.Logger.Info().Str("group", g.cfg.Name).Uint64("index", s.GetIndex()).Int("bytes", len(s.GetData())).Msg("snapshot installed")
+}
+
+func (g *Group) provideSnapshot() {
+	data, err := g.cfg.Machine.Snapshot()
+	if err != nil {
+		g.host.fail(fmt.Errorf("group %q: snapshot: %w", g.cfg.Name, err))
+		return
+	}
+	g.node.ProvideSnapshot(data)
+}
+
+// maybeSnapshot begins a snapshot once enough entries were applied since the last one.
+func (g *Group) maybeSnapshot() {
+	every := g.host.cfg.SnapshotEvery
+	meta := g.node.SnapshotMeta()
+	if g.host.fatal != nil || g.restarting || g.snapshotting || meta.GetIndex() < g.snapshotAt+every {
+		return
+	}
+	g.snapshotAt = meta.GetIndex()
+	compactTo := meta.GetIndex() - every/keepFraction
+	if _, inMemory := g.storage.(memoryStorage); inMemory {
+		g.node.Compact(compactTo)
+		return
+	}
+	data, err := g.cfg.Machine.Snapshot()
+	if err != nil {
+		g.host.fail(fmt.Errorf("group %q: snapshot: %w", g.cfg.Name, err))
+		return
+	}
+	meta.Data = data
+	g.snapshotting = true
+	g.storage.saveSnapshot(meta, func(err error) {
+		g.report(func() { g.snapshotSaved(compactTo, err) })
+	})
+}
+
+func (g *Group) snapshotSaved(compactTo uint64, err error) {
+	g.snapshotting = false
+	if err != nil {
+		g.host.fail(fmt.Errorf("group %q: save snapshot: %w", g.cfg.Name, err))
+		return
+	}
+	if !g.restarting {
+		g.node.Compact(compactTo)
+	}
+}
+
+// checkNode reacts to conditions that the raft node cannot handle itself.
+func (g *Group) checkNode() {
+	status := g.node.Status()
+	switch {
+	case status.Fault != nil:
+		g.host.fail(fmt.Errorf("group %q: %w", g.cfg.Name, status.Fault))
+	case status.StaleDisk && !g.restarting && !g.writing && !g.snapshotting:
+		g.discard()
+	case status.OtherGroup && !g.otherGroup:
+		g.otherGroup = true
+		g.host.cfg.Logger.Error().Str("group", g.cfg.Name).
+			Msg("another VM belongs to a separately bootstrapped group of this name; empty the data folder of the VMs whose state is to be given up")
+	}
+}
+
+// discard gives up state that is older than what this member had acknowledged,
+// and rejoins under a new incarnation.
+func (g *Group) discard() {
+	g.host.cfg.Logger.Warn().Str("group", g.cfg.Name).Str("incarnation", g.node.Self().String()).
+		Msg("the data folder holds an older state than this VM had before; it is discarded and the VM rejoins as learner")
+	g.restarting = true
+	g.abandonWaiters(^uint64(0))
+	identity := newIdentity()
+	g.storage.restart(identity, func(err error) {
+		g.report(func() { g.discarded(identity, err) })
+	})
+}
+
+func (g *Group) discarded(identity *pb.RaftIdentity, err error) {
+	if err == nil {
+		err = g.cfg.Machine.Restore(g.initial)
+	}
+	if err == nil {
+		err = g.startNode(&recoveredState{identity: identity})
+	}
+	if err != nil {
+		g.host.fail(fmt.Errorf("group %q: discard old state: %w", g.cfg.Name, err))
+		return
+	}
+	g.restarting = false
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/raft"
+)
+
+// Status returns the latest published status.
+func (g *Group) Status() Status { return *g.status.Load() }
+
+// OnRoleChange calls f whenever role, leader, term or Serving change. f is
+// called from the control goroutine and must not block.
+func (g *Group) OnRoleChange(f func(Status)) {
+	g.watchMu.Lock()
+	defer g.watchMu.Unlock()
+	g.watchers = append(g.watchers, f)
+}
+
+// publish makes the current status visible to other goroutines.
+func (g *Group) publish() {
+	s := g.node.Status()
+	previous := g.status.Load()
+	next := &Status{
+		Group: g.cfg.Name, Role: roleOf(s.Role), Leader: s.Leader.VM, Term: s.Term, Commit: s.Commit, Applied: s.Applied,
+		Self:   Member{VM: g.host.cfg.ID, Incarnation: g.identity.GetIncarnation()},
+		Voters: members(s.Voters), Learners: members(s.Learners),
+		Serving: !g.restarting && s.Applied > 0 && (s.CaughtUp || g.recovered),
+	}
+	g.status.Store(next)
+	if previous == nil || !roleChanged(previous, next) {
+		return
+	}
+	g.watchMu.Lock()
+	watchers := slices.Clone(g.watchers)
+	g.watchMu.Unlock()
+	for _, f := range watchers {
+		f(*next)
+	}
+	g.host.cfg.Logger.Info().Str("group", g.cfg.Name).Str("role", string(next.Role)).Str("leader", next.Leader).
+		Uint64("term", next.Term).Uint64("commit", next.Commit).Bool("serving", next.Serving).Msg("group role changed")
+}
+
+func roleChanged(a, b *Status) bool {
+	return a.Role != b.Role || a.Leader != b.Leader || a.Term != b.Term || a.Serving != b.Serving
+}
+
+func roleOf(r raft.Role) Role {
+	switch r {
+	case raft.Leader:
+		return RoleLeader
+	case raft.Follower:
+		return RoleFollower
+	case raft.PreCandidate, raft.Candidate:
+		return RoleCandidate
+	}
+	return RoleLearner
+}
+
+func members(ids []raft.ID) []Member {
+	list := make([]Member, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, Member{VM: id.VM, Incarnation: id.Incarnation})
+	}
+	return list
+}
+
+// ErrTransferFailed means that no other voter took over within an election timeout.
+var ErrTransferFailed = errors.New("no other voter took the leadership over; retry once the voters are connected")
+
+// awaitTransfer waits until this VM is no longer the leader.
+func (g *Group) awaitTransfer(ctx context.Context) error {
+	// The raft node abandons the transfer after one election timeout.
+	limit := time.NewTimer(2 * g.host.cfg.Election)
+	defer limit.Stop()
+	poll := time.NewTicker(g.host.tick)
+	defer poll.Stop()
+	for g.Status().Role == RoleLeader {
+		select {
+		case <-poll.C:
+		case <-limit.C:
+			return ErrTransferFailed
+		case <-ctx.Done():
+			return fmt.Errorf("transfer leadership: %w", ctx.Err())
+		case <-g.host.done:
+			return ErrStopped
+		}
+	}
+	return nil
+}
