--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -16,6 +16,9 @@
 
 func nowUnixMs() int64 { return time.Now().UnixMilli() }
 
+// Ready reports whether this entry VM should get traffic.
+func (c *Cluster) Ready() bool { return c.ready() }
+
 // Status returns the state of all entry VMs that answer.
 func (c *Cluster) Status(ctx context.Context) (*pb.StatusList, error) {
 	list := new(pb.StatusList)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -59,12 +61,11 @@
 		return fmt.Errorf("create data folder: %w", err)
 	}
 	defer os.RemoveAll(folder)
-	s := Settings(folder)
-	store, err := credentials.Ephemeral(s.Id)
-	if err != nil {
+	s := Settings(filepath.Join(folder, "data"))
+	if err := issueKeys(s, folder); err != nil {
 		return err
 	}
-	entryVM, err := server.New(server.Options{Settings: s, Version: version, Logger: logger, Credentials: store})
+	entryVM, err := server.New(server.Options{Settings: s, Version: version, Logger: logger})
 	if err != nil {
 		return err
 	}
@@ -73,6 +74,29 @@
 	return runAll(ctx, entryVM, s.EntryVms[0].FailureDomain, logger)
 }
 
+// issueKeys makes an authority and a certificate in the folder and names them in the settings.
+func issueKeys(s *pb.Settings, folder string) error {
+	now := time.Now()
+	authority, err := credentials.NewAuthority("lentilyard dev", credentials.AuthorityValidity, now)
+	if err != nil {
+		return err
+	}
+	certificate, key, err := authority.Issue(s.Id, credentials.CertificateValidity, now)
+	if err != nil {
+		return err
+	}
+	files := &pb.PeerTLS{
+		CaFile:   filepath.Join(folder, "ca.pem"),
+		CertFile: filepath.Join(folder, "vm.pem"),
+		KeyFile:  filepath.Join(folder, "vm-key.pem"),
+	}
+	s.PeerTls = files
+	if err := authority.Save(files.CaFile, filepath.Join(folder, "ca-key.pem")); err != nil {
+		return err
+	}
+	return credentials.WritePair(files.CertFile, certificate, files.KeyFile, key)
+}
+
 // runAll runs the entry VM and its targets. The targets stop first, so that their drains find the entry VM.
 func runAll(ctx context.Context, entryVM *server.Server, failureDomain string, logger zerolog.Logger) error {
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -33,8 +33,8 @@
 
 // Authenticate implements api.Authenticator.
 func (a tokenAuthenticator) Authenticate(token string) (api.Identity, bool) {
-	holder, found := a.tokens.Lookup(token)
-	if !found {
+	holder := a.tokens.Lookup(token)
+	if holder == nil {
 		return api.Identity{}, false
 	}
 	return api.Identity{Name: holder.Name, Member: holder.Member, Role: holder.Role}, true
@@ -49,14 +49,11 @@
 	return stdlog.New(logger.Level(zerolog.DebugLevel).With().Str("event", "http").Logger(), "", 0)
 }
 
-func (s *Server) openTransport(store *credentials.Store) error {
-	if store == nil {
-		files := s.settings.PeerTls
-		loaded, err := credentials.Load(files.GetCaFile(), files.GetCertFile(), files.GetKeyFile())
-		if err != nil {
-			return err
-		}
-		store = loaded
+func (s *Server) openTransport() error {
+	files := s.settings.PeerTls
+	store, err := credentials.Open(s.settings.Id, files.GetCaFile(), files.GetCertFile(), files.GetKeyFile())
+	if err != nil {
+		return err
 	}
 	peers := make(map[string]string)
 	for _, vm := range s.settings.EntryVms {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -37,8 +38,6 @@
 	Settings *pb.Settings
 	Version  string
 	Logger   zerolog.Logger
-	// Credentials of the peer transport. Nil: read from the files of the settings.
-	Credentials *credentials.Store
 }
 
 // Server is one entry VM.
@@ -84,7 +83,7 @@
 }
 
 func (s *Server) build(options Options) error {
-	if err := s.openTransport(options.Credentials); err != nil {
+	if err := s.openTransport(); err != nil {
 		return err
 	}
 	if err := s.openGroups(); err != nil {
@@ -120,7 +119,10 @@
 }
 
 func (s *Server) buildHTTP() error {
-	tokens := credentials.NewTokens(s.settings.Tokens)
+	tokens, err := credentials.NewTokens(s.settings.Tokens)
+	if err != nil {
+		return err
+	}
 	handler := api.New(api.Config{
 		Cluster:      s.cluster,
 		Auth:         tokenAuthenticator{tokens},
@@ -135,11 +137,11 @@
 		ErrorLog:          httpErrorLog(s.log),
 	}
 	if files := s.settings.HttpTls; files.GetCertFile() != "" {
-		config, err := credentials.ServerTLS(files.CertFile, files.KeyFile)
+		pair, err := credentials.OpenPair(files.CertFile, files.KeyFile)
 		if err != nil {
 			return err
 		}
-		s.http.TLSConfig = config
+		s.http.TLSConfig = &tls.Config{GetCertificate: pair.GetCertificate, MinVersion: tls.VersionTLS13}
 	}
 	return nil
 }
