Add system tests with separate processes; register load reports after the table exists

Cause: a load report that arrived while an entry VM was starting reached a nil routing table and crashed the process (TestLeaderKilledNextCommitWithinASecond, vm-c1). The handler is now registered after the table is built.

A cut-off domain refused notes as owner-unreachable although its own entry VM had answered that it does not lead. It now refuses them as no-quorum.

--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -33,10 +33,9 @@
 // group's hosts. A call that is not repeatable is made again only after a
 // definite failure.
 func (c *Cluster) callLeader(ctx context.Context, group, method string, req, resp proto.Message, again repeatable) error {
-	search, cancel := context.WithTimeout(ctx, leaderWait)
+	bounded, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
-	unknown := false
-	var last error
+	var search searchResult
 	for {
 		for _, host := range c.candidates(group) {
 			err := c.callHost(ctx, group, host, method, req, resp)
@@ -47,17 +46,14 @@
 			if !isSearchError(err) {
 				return err
 			}
-			last = err
-			if errs.From(err).Outcome == errs.OutcomeUnknown {
-				unknown = true
-				if !again {
-					return err
-				}
+			search.note(err)
+			if search.unknown && !bool(again) {
+				return err
 			}
 		}
 		select {
-		case <-search.Done():
-			return searchFailed(group, unknown, last)
+		case <-bounded.Done():
+			return search.failure(group)
 		case <-time.After(leaderRetry):
 		}
 	}
@@ -96,14 +92,27 @@
 		errors.Is(err, errs.ErrDraining)
 }
 
-func searchFailed(group string, unknown bool, last error) error {
+// searchResult sums up why no host of a group carried out a call.
+type searchResult struct {
+	unknown bool // some host may have carried it out
+	reached bool // some host answered that it does not lead
+	last    error
+}
+
+func (r *searchResult) note(err error) {
+	r.last = err
+	r.unknown = r.unknown || errs.From(err).Outcome == errs.OutcomeUnknown
+	r.reached = r.reached || errors.Is(err, errNotLeader)
+}
+
+func (r *searchResult) failure(group string) error {
 	switch {
-	case unknown:
-		return errs.ErrOutcomeUnknown.With("group %s did not answer: %w", group, last)
-	case errors.Is(last, errNotLeader):
-		return errs.ErrNoQuorum.With("group %s has no leader", group)
+	case r.unknown:
+		return errs.ErrOutcomeUnknown.With("group %s did not answer: %w", group, r.last)
+	case r.reached:
+		return errs.ErrNoQuorum.With("group %s has no leader that this entry VM can reach", group)
 	default:
-		return errUnreachable.With("no host of group %s can be reached: %w", group, last)
+		return errUnreachable.With("no host of group %s can be reached: %w", group, r.last)
 	}
 }
 
--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -70,7 +70,6 @@
 		return listenError("listen.peer", s.settings.Listen.Peer, err)
 	}
 	s.transport = transport
-	transport.Handle(loadChannel, s.onLoadReport)
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -90,6 +90,8 @@
 		return err
 	}
 	s.table = routing.NewTable(s.tableConfig())
+	// Load reports may arrive as soon as the transport is open, so the table must exist first.
+	s.transport.Handle(loadChannel, s.onLoadReport)
 	s.cluster = cluster.New(cluster.Config{
 		VM:        s.settings.Id,
 		Domain:    s.ownDomain(),
--- /dev/null
+++ b/internal/systemtest/failure_test.go
@@ -0,0 +1,228 @@
+package systemtest
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// leaderOf returns the entry VM that leads a group, asked of via.
+func (d *deployment) leaderOf(via *vm, group string, limit time.Duration) *vm {
+	d.t.Helper()
+	var leader string
+	eventually(d.t, limit, "group "+group+" has a leader", func() bool {
+		ctx, cancel := background()
+		defer cancel()
+		list, err := d.operator(via).Status(ctx)
+		if err != nil {
+			return false
+		}
+		for _, v := range list.Vms {
+			for _, g := range v.Groups {
+				if g.Name == group && g.Role == "leader" {
+					leader = v.Id
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return d.vm(leader)
+}
+
+// other returns an entry VM of the domain that is not v.
+func (d *deployment) other(v *vm) *vm {
+	for _, candidate := range d.vms {
+		if candidate != v && candidate.domain == v.domain {
+			return candidate
+		}
+	}
+	d.t.Fatalf("entry VM %s is alone in its domain", v.id)
+	return nil
+}
+
+// Guards against lost tasks and a long stop when the leader of a domain group is killed.
+func TestLeaderKilledNextCommitWithinASecond(t *testing.T) {
+	is := is.New(t)
+	d := twoVMDomains(t)
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	leader := d.leaderOf(d.vm("vm-b1"), "domain.a", 5*time.Second)
+	before := d.submit(leader, batchTask("before", "", "a"))
+	leader.process.kill()
+	begin := time.Now()
+	survivor := d.vm("vm-b1")
+	after := d.submit(survivor, batchTask("after", "", "a"))
+	took := time.Since(begin)
+	t.Logf("next commit %v after the death of the leader", took)
+	is.True(took < time.Second)
+	for _, task := range []*pb.Task{before, after} {
+		ctx, cancel := background()
+		_, err := d.operator(survivor).Task(ctx, task.Id)
+		cancel()
+		is.NoErr(err) // an acknowledged task survives the death of the leader
+	}
+}
+
+// Guards against a partitioned domain that stops, takes notes alone, or does not catch up.
+func TestPartitionedDomainServesAndCatchesUp(t *testing.T) {
+	is := is.New(t)
+	d := twoVMDomains(t)
+	d.useRelays()
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, serviceContract(), batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	d.startExecutor("executor-a", "a")
+	d.startWorker("worker-a", "a")
+	inside := d.vm("vm-a1")
+	eventually(t, 5*time.Second, "a request inside the domain", func() bool {
+		return request(inside, http.MethodGet, "/", "", nil).status == http.StatusOK
+	})
+
+	d.setCut("a", true)
+	time.Sleep(1500 * time.Millisecond) // idle timeout of the links and an election
+	got := request(inside, http.MethodGet, "/", "", nil)
+	is.Equal(got.status, http.StatusOK) // idempotent requests go on
+	task := d.submit(inside, batchTask("cut-off", `{"run_ms": 100}`, "a"))
+	d.waitTask(inside, task.Id, pb.TaskState_TASK_STATE_FINISHED, 10*time.Second)
+	ctx, cancel := background()
+	_, err := d.operator(inside).ApplyNote(ctx, note(2, &pb.Contract{Name: "x", Member: "hanbit", Limits: &pb.ContractLimits{Cores: "1 core"}}))
+	cancel()
+	is.True(errors.Is(err, errs.ErrNoQuorum)) // a minority takes no notes
+	is.Equal(errs.From(err).Outcome, errs.OutcomeNotRun)
+
+	outside := d.vm("vm-b1")
+	d.applyNote(outside, note(2, &pb.Contract{Name: "y", Member: "hanbit", Limits: &pb.ContractLimits{Cores: "1 core"}}))
+	d.setCut("a", false)
+	t.Logf("note in force everywhere %v after the partition healed", d.waitNoteEverywhere(2, 5*time.Second))
+}
+
+// Guards against a second accepted note under one number, and against two first answers.
+func TestOperatorsRaceWithEqualNumbers(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	contract := func(name string) *pb.Contract {
+		return &pb.Contract{Name: name, Member: "hanbit", Limits: &pb.ContractLimits{Cores: "1 core"}}
+	}
+	const rounds = 20
+	for number := uint64(1); number <= rounds; number++ {
+		var wait sync.WaitGroup
+		accepted := make([]bool, len(d.vms))
+		for i, v := range d.vms {
+			wait.Go(func() {
+				ctx, cancel := background()
+				defer cancel()
+				n := note(number, contract(v.id+"-"+time.Now().Format("150405.000000000")))
+				_, err := d.operator(v).ApplyNote(ctx, n)
+				accepted[i] = err == nil
+				if err == nil { // resent after a lost answer
+					_, again := d.operator(d.vms[(i+1)%len(d.vms)]).ApplyNote(ctx, n)
+					accepted[i] = again == nil
+				}
+			})
+		}
+		wait.Wait()
+		count := 0
+		for _, a := range accepted {
+			if a {
+				count++
+			}
+		}
+		is.Equal(count, 1) // exactly one note wins each number
+	}
+}
+
+// Guards against loss when a VM is replaced with an empty disk and another one is lost right after.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	is := is.New(t)
+	d := twoVMDomains(t)
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	var ids []string
+	for range 50 {
+		ids = append(ids, d.submit(d.vm("vm-c1"), batchTask("kept", "", "a")).Id)
+	}
+	lost := d.vm("vm-a1")
+	lost.process.kill()
+	d.must(os.RemoveAll(d.dataFolder(lost)))
+	for range 50 {
+		ids = append(ids, d.submit(d.vm("vm-c1"), batchTask("kept", "", "a")).Id)
+	}
+	d.startVM(lost)
+	d.waitReady(lost, 10*time.Second)
+	d.vm("vm-a2").process.kill()
+	for _, id := range ids {
+		d.waitTask(d.vm("vm-c1"), id, pb.TaskState_TASK_STATE_QUEUED, 10*time.Second)
+	}
+	is.Equal(len(ids), 100)
+	d.submit(d.vm("vm-c1"), batchTask("after", "", "a"))
+}
+
+// Guards against state lost when every process dies at once, and against a configuration that reverts.
+func TestAllProcessesKilledAndRestarted(t *testing.T) {
+	d := twoVMDomains(t)
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, batchContract()))
+	task := d.submit(d.vm("vm-b2"), batchTask("kept", "", "a"))
+	for _, v := range d.vms {
+		v.process.signal(syscall.SIGKILL)
+	}
+	for _, v := range d.vms {
+		<-v.process.done
+	}
+	for _, v := range d.vms {
+		d.startVM(v)
+	}
+	for _, v := range d.vms {
+		d.waitReady(v, 15*time.Second)
+	}
+	d.waitNoteEverywhere(1, 5*time.Second)
+	d.waitTask(d.vm("vm-c2"), task.Id, pb.TaskState_TASK_STATE_QUEUED, 10*time.Second)
+}
+
+// Guards against a frozen leader that acts on old state when it resumes.
+func TestFrozenLeaderResumes(t *testing.T) {
+	is := is.New(t)
+	d := twoVMDomains(t)
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, serviceContract(), batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	d.startWorker("worker-a1", "a")
+	d.startExecutor("executor-a1", "a")
+	leader := d.leaderOf(d.vm("vm-b1"), "domain.a", 5*time.Second)
+	for round := range 3 {
+		leader.process.signal(syscall.SIGSTOP)
+		key := domain.NewKey(time.Now())
+		via := d.other(leader)
+		var first answer
+		eventually(t, 10*time.Second, "a non-idempotent request while the leader is frozen", func() bool {
+			first = request(via, http.MethodPost, "/orders", key, []byte("felt"))
+			return first.status == http.StatusOK
+		})
+		task := d.submit(via, batchTask("frozen", `{"run_ms": 300}`, "a"))
+		leader.process.signal(syscall.SIGCONT)
+		repeat := request(leader, http.MethodPost, "/orders", key, []byte("felt"))
+		if repeat.status == http.StatusOK {
+			is.Equal(repeat.body, first.body) // the resumed VM gives the first answer or refuses
+		} else {
+			is.True(repeat.outcome != "executed")
+		}
+		finished := d.waitTask(via, task.Id, pb.TaskState_TASK_STATE_FINISHED, 30*time.Second)
+		is.Equal(finished.Attempt, uint32(1)) // round without a second attempt
+		t.Logf("round %d: task finished on %s", round, finished.Worker)
+		leader = d.leaderOf(d.vm("vm-b1"), "domain.a", 5*time.Second)
+	}
+}
