--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"unique"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/proto"
@@ -10,185 +12,180 @@
 
 const digestBytes = 32
 
-// recordKey identifies a request record. Members are numbered to keep the key small.
+// recordKey identifies a request record. The member name is stored once.
 type recordKey struct {
-	member uint32
+	member unique.Handle[string]
 	key    uuid
 }
 
-// record is the compact form of pb.RequestRecord.
+// hash depends only on the text of the key, so that replicas agree.
+func (k recordKey) hash() uint64 {
+	return xxhash.Sum64String(k.member.Value()) ^ xxhash.Sum64(k.key[:])
+}
+
+func newRecordKey(member, key string) (recordKey, error) {
+	u, err := parseKey(key)
+	return recordKey{unique.Make(member), u}, err
+}
+
+// record is the compact, immutable form of pb.RequestRecord.
 type record struct {
 	digest [digestBytes]byte
-	sender uint32 // index into records.senders
+	sender unique.Handle[sender]
 	stage  pb.RequestRecord_Stage
 	answer []byte // encoded pb.StoredAnswer
 }
 
 type sender struct{ vm, instance string }
 
-// records holds the request records of the domain.
-type records struct {
-	byKey       map[recordKey]record
-	members     map[string]uint32
-	memberNames []string
-	perMember   map[uint32]int
-	senders     []sender
-	senderIndex map[sender]uint32
+// recordUse counts what the limits of request records refer to.
+type recordUse struct {
+	perMember   map[unique.Handle[string]]int
+	intents     map[recordKey]struct{}
 	answerBytes int64
+	byAge       expiry[recordKey]
 }
 
-func newRecords() records {
-	return records{byKey: map[recordKey]record{}, members: map[string]uint32{}, perMember: map[uint32]int{},
-		senderIndex: map[sender]uint32{}}
+func newRecordUse() recordUse {
+	return recordUse{perMember: map[unique.Handle[string]]int{}, intents: map[recordKey]struct{}{}}
 }
 
-// find returns the key of a record that may or may not exist. Unknown members have none.
-func (r *records) find(member, key string) (recordKey, bool) {
-	number, ok := r.members[member]
-	if !ok {
-		return recordKey{}, false
+func (r *record) proto(k recordKey) *pb.RequestRecord {
+	p := r.head(k)
+	if r.answer != nil {
+		p.Answer = &pb.StoredAnswer{}
+		_ = proto.Unmarshal(r.answer, p.Answer) // encoded by this package
 	}
-	u, err := parseKey(key)
-	return recordKey{number, u}, err == nil
+	return p
 }
 
-func (r *records) member(name string) uint32 {
-	number, ok := r.members[name]
-	if !ok {
-		number = uint32(len(r.memberNames))
-		r.members[name] = number
-		r.memberNames = append(r.memberNames, name)
-	}
-	return number
+// head returns the record without its answer.
+func (r *record) head(k recordKey) *pb.RequestRecord {
+	from := r.sender.Value()
+	return &pb.RequestRecord{Member: k.member.Value(), Key: k.key.String(), Digest: bytes.Clone(r.digest[:]),
+		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs()}
 }
 
-func (r *records) senderNumber(s sender) uint32 {
-	number, ok := r.senderIndex[s]
-	if !ok {
-		number = uint32(len(r.senders))
-		r.senderIndex[s] = number
-		r.senders = append(r.senders, s)
+func (s *State) putRecord(k recordKey, r *record) {
+	old := s.records.value(k)
+	if old == nil {
+		s.recordUse.perMember[k.member]++
+		s.recordUse.byAge.add(k.key.unixMs(), k)
+	} else {
+		s.recordUse.answerBytes -= int64(len(old.answer))
 	}
-	return number
-}
-
-func (r *records) proto(k recordKey, v record) *pb.RequestRecord {
-	from := r.senders[v.sender]
-	p := &pb.RequestRecord{Member: r.memberNames[k.member], Key: k.key.String(), Digest: bytes.Clone(v.digest[:]),
-		Stage: v.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs()}
-	if v.answer != nil {
-		p.Answer = &pb.StoredAnswer{}
-		_ = proto.Unmarshal(v.answer, p.Answer) // encoded by this package
+	s.recordUse.answerBytes += int64(len(r.answer))
+	if r.stage == pb.RequestRecord_STAGE_INTENT {
+		s.recordUse.intents[k] = struct{}{}
+	} else {
+		delete(s.recordUse.intents, k)
 	}
-	return p
+	s.records.set(s.edit, k, r)
 }
 
-func (r *records) put(k recordKey, v record) {
-	old, exists := r.byKey[k]
-	if !exists {
-		r.perMember[k.member]++
+func (s *State) removeRecord(k recordKey) {
+	old := s.records.value(k)
+	if old == nil {
+		return
 	}
-	r.answerBytes += int64(len(v.answer) - len(old.answer))
-	r.byKey[k] = v
-}
-
-func (r *records) remove(k recordKey) {
-	r.answerBytes -= int64(len(r.byKey[k].answer))
-	r.perMember[k.member]--
-	delete(r.byKey, k)
+	s.recordUse.answerBytes -= int64(len(old.answer))
+	if s.recordUse.perMember[k.member]--; s.recordUse.perMember[k.member] == 0 {
+		delete(s.recordUse.perMember, k.member)
+	}
+	delete(s.recordUse.intents, k)
+	s.records.remove(s.edit, k)
 }
 
-func (r *records) expire(beforeUnixMs int64) {
-	for k := range r.byKey {
-		if k.key.unixMs() < beforeUnixMs {
-			r.remove(k)
-		}
+// expireRecords drops the records whose keys were issued in the minutes before the given time.
+func (s *State) expireRecords(beforeUnixMs int64) {
+	for _, k := range s.recordUse.byAge.takeBefore(beforeUnixMs) {
+		s.removeRecord(k)
 	}
 }
 
 // commitIntent creates the record of a request before it is sent. Only the command that creates it may send.
 func (s *State) commitIntent(c *pb.CommitIntent) Result {
 	asked := c.GetRecord()
-	u, err := parseKey(asked.GetKey())
+	k, err := newRecordKey(asked.GetMember(), asked.GetKey())
 	if err != nil {
 		return Result{Err: errs.From(err)}
 	}
 	if len(asked.GetDigest()) != digestBytes || asked.GetMember() == "" || asked.GetSender() == "" {
 		return Result{Err: errs.ErrInvalid.With("an intent names its member, its sender and a digest of %d bytes", digestBytes)}
 	}
-	if k, ok := s.records.find(asked.GetMember(), asked.GetKey()); ok {
-		if old, exists := s.records.byKey[k]; exists {
-			return s.repeated(k, old, asked)
-		}
+	if old := s.records.value(k); old != nil {
+		return repeated(k, old, asked)
 	}
-	if err := checkKeyAge(u, s.unixMs); err != nil {
+	if err := s.checkIntent(k); err != nil {
 		return Result{Err: errs.From(err)}
 	}
-	return s.newIntent(u, asked)
+	r := &record{stage: pb.RequestRecord_STAGE_INTENT, sender: unique.Make(sender{asked.GetSender(), asked.GetSenderInstance()})}
+	copy(r.digest[:], asked.GetDigest())
+	s.putRecord(k, r)
+	return Result{Record: r.proto(k), Created: true}
 }
 
-func (s *State) repeated(k recordKey, old record, asked *pb.RequestRecord) Result {
+func repeated(k recordKey, old *record, asked *pb.RequestRecord) Result {
 	if !bytes.Equal(old.digest[:], asked.GetDigest()) {
 		return Result{Err: ErrKeyReused.With("key %s of member %s was used for another request", asked.GetKey(), asked.GetMember())}
 	}
-	return Result{Record: s.records.proto(k, old)}
+	return Result{Record: old.proto(k)}
 }
 
-func (s *State) newIntent(u uuid, asked *pb.RequestRecord) Result {
-	if len(s.records.byKey) >= s.limits.MaxRecords {
-		return Result{Err: ErrTooManyRecords.With("domain %s holds %d request records", s.name, s.limits.MaxRecords)}
+func (s *State) checkIntent(k recordKey) error {
+	if err := checkKeyAge(k.key, s.unixMs); err != nil {
+		return err
+	}
+	if s.records.size >= s.limits.MaxRecords {
+		return ErrTooManyRecords.With("domain %s holds %d request records", s.name, s.limits.MaxRecords)
 	}
-	k := recordKey{s.records.member(asked.GetMember()), u}
-	if s.records.perMember[k.member] >= s.limits.MaxRecordsPerMember {
-		return Result{Err: ErrTooManyRecords.With("member %s has %d request records", asked.GetMember(), s.limits.MaxRecordsPerMember)}
+	if s.recordUse.perMember[k.member] >= s.limits.MaxRecordsPerMember {
+		return ErrTooManyRecords.With("member %s has %d request records", k.member.Value(), s.limits.MaxRecordsPerMember)
 	}
-	v := record{stage: pb.RequestRecord_STAGE_INTENT,
-		sender: s.records.senderNumber(sender{asked.GetSender(), asked.GetSenderInstance()})}
-	copy(v.digest[:], asked.GetDigest())
-	s.records.put(k, v)
-	return Result{Record: s.records.proto(k, v), Created: true}
+	return nil
 }
 
 // commitOutcome ends an intent. The sender may also correct an outcome that was taken to be unknown.
 func (s *State) commitOutcome(c *pb.CommitOutcome) Result {
-	k, ok := s.records.find(c.GetMember(), c.GetKey())
-	if !ok {
-		return Result{Err: errs.ErrNotFound.With("key %s of member %s has no record", c.GetKey(), c.GetMember())}
+	k, err := newRecordKey(c.GetMember(), c.GetKey())
+	if err != nil {
+		return Result{Err: errs.From(err)}
 	}
-	v, exists := s.records.byKey[k]
-	if !exists {
+	r := s.records.value(k)
+	if r == nil {
 		return Result{Err: errs.ErrNotFound.With("key %s of member %s has no record", c.GetKey(), c.GetMember())}
 	}
-	if s.records.senders[v.sender] != (sender{c.GetSender(), c.GetSenderInstance()}) {
-		return Result{Err: ErrNotSender.With("key %s was sent by %s", c.GetKey(), s.records.senders[v.sender].vm)}
+	if from := r.sender.Value(); from != (sender{c.GetSender(), c.GetSenderInstance()}) {
+		return Result{Err: ErrNotSender.With("key %s was sent by %s", c.GetKey(), from.vm)}
 	}
-	if v.stage == pb.RequestRecord_STAGE_EXECUTED {
-		return Result{Record: s.records.proto(k, v)}
+	if r.stage == pb.RequestRecord_STAGE_EXECUTED {
+		return Result{Record: r.proto(k)}
 	}
-	return s.setOutcome(k, v, c)
+	return s.setOutcome(k, r, c)
 }
 
-func (s *State) setOutcome(k recordKey, v record, c *pb.CommitOutcome) Result {
+func (s *State) setOutcome(k recordKey, old *record, c *pb.CommitOutcome) Result {
+	r := *old
 	switch c.GetResult() {
 	case pb.CommitOutcome_RESULT_NOT_RUN:
-		s.records.remove(k)
+		s.removeRecord(k)
 		return Result{}
 	case pb.CommitOutcome_RESULT_EXECUTED:
-		v.stage = pb.RequestRecord_STAGE_EXECUTED
-		v.answer = s.storedAnswer(c.GetAnswer())
+		r.stage = pb.RequestRecord_STAGE_EXECUTED
+		r.answer = s.storedAnswer(c.GetAnswer())
 	case pb.CommitOutcome_RESULT_UNKNOWN:
-		v.stage = pb.RequestRecord_STAGE_UNKNOWN
+		r.stage = pb.RequestRecord_STAGE_UNKNOWN
 	default:
 		return Result{Err: errs.ErrInvalid.With("outcome of key %s has no result", c.GetKey())}
 	}
-	s.records.put(k, v)
-	return Result{Record: s.records.proto(k, v)}
+	s.putRecord(k, &r)
+	return Result{Record: r.proto(k)}
 }
 
 // storedAnswer encodes an answer and drops its body once the stored answers together exceed their limit.
 func (s *State) storedAnswer(a *pb.StoredAnswer) []byte {
 	encoded := encodeAnswer(a)
-	if s.records.answerBytes+int64(len(encoded)) <= s.limits.MaxAnswerBytes {
+	if s.recordUse.answerBytes+int64(len(encoded)) <= s.limits.MaxAnswerBytes {
 		return encoded
 	}
 	return encodeAnswer(&pb.StoredAnswer{Status: a.GetStatus(), Target: a.GetTarget(), BodyDropped: true})
@@ -204,13 +201,15 @@
 
 // senderGone turns the intents of dead instances of an entry VM into unknown outcomes.
 func (s *State) senderGone(c *pb.SenderGone) Result {
-	for k, v := range s.records.byKey {
-		from := s.records.senders[v.sender]
-		if v.stage != pb.RequestRecord_STAGE_INTENT || from.vm != c.GetSender() || from.instance == c.GetLiveInstance() {
+	for k := range s.recordUse.intents {
+		old := s.records.value(k)
+		from := old.sender.Value()
+		if from.vm != c.GetSender() || from.instance == c.GetLiveInstance() {
 			continue
 		}
-		v.stage = pb.RequestRecord_STAGE_UNKNOWN
-		s.records.byKey[k] = v
+		r := *old
+		r.stage = pb.RequestRecord_STAGE_UNKNOWN
+		s.putRecord(k, &r)
 	}
 	return Result{}
 }
--- a/internal/domain/report.go
+++ b/internal/domain/report.go
@@ -14,6 +14,7 @@
 	if w.pb.GetState() == pb.WorkerState_WORKER_STATE_LOST {
 		return Result{Err: ErrStaleEpoch.With("worker %s was lost", c.GetWorker())}
 	}
+	w = s.edited(w)
 	for _, r := range c.GetReports() {
 		s.report(w, r)
 	}
@@ -21,11 +22,11 @@
 }
 
 func (s *State) report(w *worker, r *pb.AttemptReport) {
-	key := attemptKey{r.GetTask(), r.GetAttempt()}
-	if Gone(r.GetEvent()) {
-		s.releaseHeld(w, key)
+	if Gone(r.GetEvent()) && find(w.held, r.GetTask(), r.GetAttempt()) >= 0 {
+		w.release(r.GetTask(), r.GetAttempt())
+		s.change.Workers = append(s.change.Workers, w.pb)
 	}
-	t := s.tasks[r.GetTask()]
+	t := s.tasks.value(r.GetTask())
 	if t == nil || t.GetAttempt() != r.GetAttempt() || Ended(t.GetState()) {
 		return
 	}
@@ -33,7 +34,7 @@
 		s.reportAfterClose(t, r)
 		return
 	}
-	if w.tasks[t.Id] != r.GetAttempt() {
+	if find(w.assigned, t.Id, r.GetAttempt()) < 0 {
 		return // assigned to another worker
 	}
 	next := cloneTask(t)
@@ -42,14 +43,6 @@
 	s.storeTask(next)
 }
 
-func (s *State) releaseHeld(w *worker, key attemptKey) {
-	if _, ok := w.held[key]; !ok {
-		return
-	}
-	w.release(key)
-	s.change.Workers = append(s.change.Workers, w.pb)
-}
-
 // Gone reports whether the event tells that the attempt no longer occupies the worker.
 func Gone(event pb.AttemptEvent) bool {
 	switch event {
@@ -131,19 +124,21 @@
 
 // expire drops old request records, ended tasks and lost workers.
 func (s *State) expire(c *pb.ExpireRecords) Result {
-	s.records.expire(c.GetRecordsBeforeUnixMs())
+	s.expireRecords(c.GetRecordsBeforeUnixMs())
 	before := c.GetTasksBeforeUnixMs()
-	for id, t := range s.tasks {
-		if Ended(t.GetState()) && t.GetEndedUnixMs() < before {
-			delete(s.tasks, id)
-			s.change.RemovedTasks = append(s.change.RemovedTasks, id)
-		}
+	for _, id := range s.ended.takeBefore(before) {
+		s.tasks.remove(s.edit, id)
+		s.change.RemovedTasks = append(s.change.RemovedTasks, id)
 	}
-	for id, w := range s.workers {
+	var lost []string
+	for id, w := range s.workers.all {
 		if w.pb.GetState() == pb.WorkerState_WORKER_STATE_LOST && w.pb.GetStateUnixMs() < before {
-			delete(s.workers, id)
-			s.change.RemovedWorkers = append(s.change.RemovedWorkers, id)
+			lost = append(lost, id)
 		}
 	}
+	for _, id := range lost {
+		s.workers.remove(s.edit, id)
+	}
+	s.change.RemovedWorkers = append(s.change.RemovedWorkers, lost...)
 	return Result{}
 }
--- a/internal/domain/snapshot.go
+++ b/internal/domain/snapshot.go
@@ -1,145 +1,240 @@
 package domain
 
 import (
-	"bytes"
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
+	"unique"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
-// Snapshot encodes the whole state. Equal states have equal snapshots.
+// Field numbers of pb.DomainSnapshot and of the answer in pb.RequestRecord.
+const (
+	fieldTasks        = 1
+	fieldWorkers      = 2
+	fieldRecords      = 3
+	fieldDrained      = 4
+	fieldUnixMs       = 5
+	fieldHeld         = 6
+	fieldIndex        = 7
+	fieldTerm         = 8
+	fieldRecordAnswer = 7
+)
+
+// snapshotWriter appends one message after the other, so that encoding needs no second copy of the state.
+type snapshotWriter struct {
+	buffer  []byte
+	scratch []byte
+	err     error
+}
+
+func (w *snapshotWriter) message(field protowire.Number, m proto.Message, rest ...byte) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(w.scratch[:0], m)
+	if err != nil {
+		w.err = err
+		return
+	}
+	w.scratch = append(encoded, rest...)
+	w.bytes(field, w.scratch)
+}
+
+func (w *snapshotWriter) bytes(field protowire.Number, value []byte) {
+	w.buffer = protowire.AppendTag(w.buffer, field, protowire.BytesType)
+	w.buffer = protowire.AppendBytes(w.buffer, value)
+}
+
+func (w *snapshotWriter) number(field protowire.Number, value uint64) {
+	w.buffer = protowire.AppendTag(w.buffer, field, protowire.VarintType)
+	w.buffer = protowire.AppendVarint(w.buffer, value)
+}
+
+// Snapshot encodes the whole state as a pb.DomainSnapshot. Equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
-	p := &pb.DomainSnapshot{UnixMs: s.unixMs, Index: s.index, Term: s.term}
-	for _, id := range slices.Sorted(maps.Keys(s.tasks)) {
-		p.Tasks = append(p.Tasks, s.tasks[id])
+	w := &snapshotWriter{}
+	w.number(fieldUnixMs, uint64(s.unixMs))
+	w.number(fieldIndex, s.index)
+	w.number(fieldTerm, s.term)
+	for _, one := range s.workers.all {
+		w.worker(one)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		p.Workers = append(p.Workers, s.workers[id].pb)
-		p.Held = append(p.Held, s.workers[id].heldProto()...)
+	for _, t := range s.tasks.all {
+		w.message(fieldTasks, t)
 	}
-	p.Records = s.records.snapshot()
-	p.DrainedTargets = slices.Sorted(maps.Keys(s.drained))
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
-	if err != nil {
-		return nil, fmt.Errorf("encode snapshot of domain %s: %w", s.name, err)
+	for id := range s.drained.all {
+		w.bytes(fieldDrained, []byte(id))
+	}
+	for k, r := range s.records.all {
+		w.message(fieldRecords, r.head(k), r.answerField()...)
 	}
-	return encoded, nil
+	if w.err != nil {
+		return nil, fmt.Errorf("encode snapshot of domain %s: %w", s.name, w.err)
+	}
+	return w.buffer, nil
 }
 
-func (w *worker) heldProto() []*pb.HeldAttempt {
-	var held []*pb.HeldAttempt
-	for k, r := range w.held {
-		held = append(held, &pb.HeldAttempt{Worker: w.pb.GetId(), Task: k.task, Attempt: k.attempt, Resources: r.proto()})
+func (w *snapshotWriter) worker(one *worker) {
+	w.message(fieldWorkers, one.pb)
+	for _, o := range one.held {
+		w.message(fieldHeld, &pb.HeldAttempt{Worker: one.pb.GetId(), Task: o.task, Attempt: o.attempt, Resources: o.size.proto()})
 	}
-	slices.SortFunc(held, compareHeld)
-	return held
 }
 
-func (r *records) snapshot() []*pb.RequestRecord {
-	all := make([]*pb.RequestRecord, 0, len(r.byKey))
-	for _, k := range slices.SortedFunc(maps.Keys(r.byKey), r.compare) {
-		all = append(all, r.proto(k, r.byKey[k]))
+func (r *record) answerField() []byte {
+	if r.answer == nil {
+		return nil
 	}
-	return all
+	return protowire.AppendBytes(protowire.AppendTag(nil, fieldRecordAnswer, protowire.BytesType), r.answer)
 }
 
 // Restore replaces the state by a snapshot and reports the difference to subscribers.
 func (s *State) Restore(snapshot []byte) error {
-	p := &pb.DomainSnapshot{}
-	if err := proto.Unmarshal(snapshot, p); err != nil {
+	former := s.content
+	s.clear()
+	if err := s.load(snapshot); err != nil {
 		return fmt.Errorf("decode snapshot of domain %s: %w", s.name, err)
 	}
-	s.mu.Lock()
-	oldTasks, oldWorkers := s.tasks, s.workers
-	s.clear()
-	err := s.load(p)
-	s.addRemoved(oldTasks, oldWorkers)
-	change := s.change
-	s.change = Change{}
-	s.mu.Unlock()
-	s.notify(change)
-	return err
-}
-
-func (s *State) load(p *pb.DomainSnapshot) error {
-	s.unixMs, s.index, s.term = p.GetUnixMs(), p.GetIndex(), p.GetTerm()
-	for _, w := range p.GetWorkers() {
-		loaded := &worker{tasks: map[string]uint32{}}
-		s.workers[w.GetId()] = loaded
-		s.storeWorker(loaded, w)
-	}
-	for _, h := range p.GetHeld() {
-		if w := s.workers[h.GetWorker()]; w != nil {
-			w.hold(attemptKey{h.GetTask(), h.GetAttempt()}, fromPB(h.GetResources()))
+	s.addRemoved(former)
+	s.publish()
+	s.notify()
+	return nil
+}
+
+// load reads the fields in the order in which Snapshot writes them: workers come before tasks and held attempts.
+func (s *State) load(snapshot []byte) error {
+	for len(snapshot) > 0 {
+		field, kind, n := protowire.ConsumeTag(snapshot)
+		if n < 0 {
+			return protowire.ParseError(n)
 		}
-	}
-	for _, t := range p.GetTasks() {
-		if err := s.loadTask(t); err != nil {
-			return err
+		snapshot = snapshot[n:]
+		n = protowire.ConsumeFieldValue(field, kind, snapshot)
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		if err := s.loadField(field, kind, snapshot[:n]); err != nil {
+			return fmt.Errorf("field %d: %w", field, err)
 		}
+		snapshot = snapshot[n:]
 	}
-	for _, id := range p.GetDrainedTargets() {
-		s.drained[id] = struct{}{}
+	return nil
+}
+
+func (s *State) loadField(field protowire.Number, kind protowire.Type, raw []byte) error {
+	switch kind {
+	case protowire.VarintType:
+		value, _ := protowire.ConsumeVarint(raw)
+		s.loadNumber(field, value)
+		return nil
+	case protowire.BytesType:
+		value, _ := protowire.ConsumeBytes(raw)
+		return s.loadMessage(field, value)
+	default:
+		return nil
 	}
-	return s.loadRecords(p.GetRecords())
 }
 
-func (s *State) loadTask(t *pb.Task) error {
+func (s *State) loadNumber(field protowire.Number, value uint64) {
+	switch field {
+	case fieldUnixMs:
+		s.unixMs = int64(value)
+	case fieldIndex:
+		s.index = value
+	case fieldTerm:
+		s.term = value
+	}
+}
+
+func (s *State) loadMessage(field protowire.Number, raw []byte) error {
+	switch field {
+	case fieldTasks:
+		return s.loadTask(raw)
+	case fieldWorkers:
+		return s.loadWorker(raw)
+	case fieldRecords:
+		return s.loadRecord(raw)
+	case fieldHeld:
+		return s.loadHeld(raw)
+	case fieldDrained:
+		s.drained.set(s.edit, string(raw), struct{}{})
+	}
+	return nil
+}
+
+func (s *State) loadWorker(raw []byte) error {
+	p := &pb.Worker{}
+	if err := proto.Unmarshal(raw, p); err != nil {
+		return err
+	}
+	w := &worker{edit: s.edit}
+	s.workers.set(s.edit, p.GetId(), w)
+	s.storeWorker(w, p)
+	return nil
+}
+
+func (s *State) loadHeld(raw []byte) error {
+	h := &pb.HeldAttempt{}
+	if err := proto.Unmarshal(raw, h); err != nil {
+		return err
+	}
+	w := s.workers.value(h.GetWorker())
+	if w == nil {
+		return fmt.Errorf("attempt %d of task %s is held on unknown worker %s", h.GetAttempt(), h.GetTask(), h.GetWorker())
+	}
+	w.hold(occupant{h.GetTask(), h.GetAttempt(), fromPB(h.GetResources())})
+	return nil
+}
+
+func (s *State) loadTask(raw []byte) error {
+	t := &pb.Task{}
+	if err := proto.Unmarshal(raw, t); err != nil {
+		return err
+	}
 	internSpec(t.GetSpec())
 	s.storeTask(t)
-	if !Ended(t.GetState()) {
-		s.active++
+	if Ended(t.GetState()) {
+		s.ended.add(t.GetEndedUnixMs(), t.GetId())
+		return nil
 	}
+	s.countActive(t.GetSpec(), 1)
 	if !Assigned(t.GetState()) {
 		return nil
 	}
-	w := s.workers[t.GetWorker()]
+	w := s.workers.value(t.GetWorker())
 	if w == nil {
-		return fmt.Errorf("snapshot of domain %s: task %s is on unknown worker %s", s.name, t.GetId(), t.GetWorker())
+		return fmt.Errorf("task %s is on unknown worker %s", t.GetId(), t.GetWorker())
 	}
-	w.tasks[t.GetId()] = t.GetAttempt()
-	w.used = w.used.plus(fromPB(t.GetSpec().GetResources()))
+	w.assign(occupant{t.GetId(), t.GetAttempt(), fromPB(t.GetSpec().GetResources())})
 	return nil
 }
 
-func (s *State) loadRecords(all []*pb.RequestRecord) error {
-	for _, p := range all {
-		u, err := parseKey(p.GetKey())
-		if err != nil {
-			return fmt.Errorf("snapshot of domain %s: %w", s.name, err)
-		}
-		v := record{stage: p.GetStage(), sender: s.records.senderNumber(sender{p.GetSender(), p.GetSenderInstance()})}
-		copy(v.digest[:], p.GetDigest())
-		if p.GetAnswer() != nil {
-			v.answer = encodeAnswer(p.GetAnswer())
-		}
-		s.records.put(recordKey{s.records.member(p.GetMember()), u}, v)
+func (s *State) loadRecord(raw []byte) error {
+	p := &pb.RequestRecord{}
+	if err := proto.Unmarshal(raw, p); err != nil {
+		return err
 	}
+	k, err := newRecordKey(p.GetMember(), p.GetKey())
+	if err != nil {
+		return err
+	}
+	r := &record{stage: p.GetStage(), sender: unique.Make(sender{p.GetSender(), p.GetSenderInstance()})}
+	copy(r.digest[:], p.GetDigest())
+	if p.GetAnswer() != nil {
+		r.answer = encodeAnswer(p.GetAnswer())
+	}
+	s.putRecord(k, r)
 	return nil
 }
 
-func (s *State) addRemoved(oldTasks map[string]*pb.Task, oldWorkers map[string]*worker) {
-	for id := range oldTasks {
-		if _, ok := s.tasks[id]; !ok {
+func (s *State) addRemoved(former content) {
+	for id := range former.tasks.all {
+		if _, ok := s.tasks.get(id); !ok {
 			s.change.RemovedTasks = append(s.change.RemovedTasks, id)
 		}
 	}
-	for id := range oldWorkers {
-		if _, ok := s.workers[id]; !ok {
+	for id := range former.workers.all {
+		if _, ok := s.workers.get(id); !ok {
 			s.change.RemovedWorkers = append(s.change.RemovedWorkers, id)
 		}
 	}
 }
-
-func compareHeld(a, b *pb.HeldAttempt) int {
-	return cmp.Or(cmp.Compare(a.GetTask(), b.GetTask()), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
-}
-
-// compare orders keys by member name, because the numbers of members differ between replicas.
-func (r *records) compare(a, b recordKey) int {
-	return cmp.Or(cmp.Compare(r.memberNames[a.member], r.memberNames[b.member]), bytes.Compare(a.key[:], b.key[:]))
-}
--- a/internal/domain/state.go
+++ b/internal/domain/state.go
@@ -3,8 +3,9 @@
 package domain
 
 import (
-	"sync"
+	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/proto"
@@ -66,22 +67,30 @@
 	return len(c.Tasks)+len(c.RemovedTasks)+len(c.Workers)+len(c.RemovedWorkers) == 0
 }
 
-// State is the state of one domain group.
+// content is everything that the state holds and readers may see. A copy is a snapshot.
+type content struct {
+	tasks   tree[string, *pb.Task]
+	workers tree[string, *worker]
+	records tree[recordKey, *record]
+	drained tree[string, struct{}]
+	index   uint64
+	term    uint64
+	unixMs  int64
+}
+
+// State is the state of one domain group. One goroutine applies entries.
 type State struct {
+	content
 	name   string
 	limits Limits
-
-	mu      sync.RWMutex // guards the maps against readers of View
-	tasks   map[string]*pb.Task
-	workers map[string]*worker
-	records records
-	drained map[string]struct{}
-
-	active int // tasks that have not ended
-	unixMs int64
-	index  uint64
-	term   uint64
-
+	// edit is the number of the current change; nodes and workers made in it may be changed in place.
+	edit uint64
+	// active is the number of tasks that have not ended.
+	active      int
+	perContract map[string]int64
+	ended       expiry[string]
+	recordUse   recordUse
+	published   atomic.Pointer[View]
 	change      Change
 	subscribers []func(Change)
 }
@@ -90,17 +99,32 @@
 func New(domainName string, limits Limits) *State {
 	s := &State{name: domainName, limits: limits.withDefaults()}
 	s.clear()
+	s.publish()
 	return s
 }
 
 func (s *State) clear() {
-	s.tasks = map[string]*pb.Task{}
-	s.workers = map[string]*worker{}
-	s.records = newRecords()
-	s.drained = map[string]struct{}{}
+	s.content = content{
+		tasks:   tree[string, *pb.Task]{hash: xxhash.Sum64String},
+		workers: tree[string, *worker]{hash: xxhash.Sum64String},
+		records: tree[recordKey, *record]{hash: recordKey.hash},
+		drained: tree[string, struct{}]{hash: xxhash.Sum64String},
+	}
 	s.active = 0
+	s.perContract = map[string]int64{}
+	s.ended = expiry[string]{}
+	s.recordUse = newRecordUse()
 }
 
+// publish makes the current content visible to readers and starts a new edit.
+func (s *State) publish() {
+	s.published.Store(&View{s.content})
+	s.edit++
+}
+
+// View returns the latest applied state. It does not change afterwards and may be read from any goroutine.
+func (s *State) View() *View { return s.published.Load() }
+
 // Subscribe registers f, which is called on the control goroutine after each entry that changed tasks or workers.
 // It must be called before the first entry is applied.
 func (s *State) Subscribe(f func(change Change)) {
@@ -113,17 +137,16 @@
 	if err := proto.Unmarshal(entry, command); err != nil {
 		return Result{Err: errs.ErrInvalid.With("entry %d cannot be decoded: %w", index, err)}
 	}
-	s.mu.Lock()
 	s.index, s.term = index, term
 	result := s.execute(command)
-	change := s.change
-	s.change = Change{}
-	s.mu.Unlock()
-	s.notify(change)
+	s.publish()
+	s.notify()
 	return result
 }
 
-func (s *State) notify(change Change) {
+func (s *State) notify() {
+	change := s.change
+	s.change = Change{}
 	if change.empty() {
 		return
 	}
--- a/internal/domain/task.go
+++ b/internal/domain/task.go
@@ -47,7 +47,7 @@
 }
 
 func (s *State) storeTask(t *pb.Task) {
-	s.tasks[t.Id] = t
+	s.tasks.set(s.edit, t.Id, t)
 	s.change.Tasks = append(s.change.Tasks, t)
 }
 
@@ -70,19 +70,27 @@
 	if err != nil {
 		return Result{Err: errs.From(err)}
 	}
-	if old := s.tasks[c.GetId()]; old != nil {
+	if old := s.tasks.value(c.GetId()); old != nil {
 		return resubmitted(old, digest)
 	}
 	if err := s.checkSubmit(c); err != nil {
 		return Result{Err: errs.From(err)}
 	}
 	internSpec(spec)
-	s.active++
+	s.countActive(spec, 1)
 	t := &pb.Task{Id: c.GetId(), Spec: spec, State: pb.TaskState_TASK_STATE_QUEUED, SubmittedUnixMs: s.unixMs, SpecDigest: digest}
 	s.storeTask(t)
 	return Result{Task: t, Created: true}
 }
 
+func (s *State) countActive(spec *pb.TaskSpec, n int) {
+	s.active += n
+	s.perContract[spec.GetContract()] += int64(n)
+	if s.perContract[spec.GetContract()] == 0 {
+		delete(s.perContract, spec.GetContract())
+	}
+}
+
 func resubmitted(old *pb.Task, digest []byte) Result {
 	if !bytes.Equal(old.GetSpecDigest(), digest) {
 		return Result{Err: ErrKeyReused.With("task %s was submitted with another spec", old.GetId())}
@@ -108,6 +116,10 @@
 	if s.active >= s.limits.MaxTasks {
 		return ErrTooManyTasks.With("domain %s has %d tasks that have not ended", s.name, s.active)
 	}
+	contract := c.GetSpec().GetContract()
+	if active := s.perContract[contract]; c.MaxContractTasks != nil && active >= c.GetMaxContractTasks() {
+		return ErrTooManyTasks.With("contract %s has %d of %d tasks in domain %s", contract, active, c.GetMaxContractTasks(), s.name)
+	}
 	return nil
 }
 
@@ -119,7 +131,7 @@
 }
 
 func (s *State) cancelTask(c *pb.CancelTask) Result {
-	t := s.tasks[c.GetId()]
+	t := s.tasks.value(c.GetId())
 	if t == nil {
 		return Result{Err: errs.ErrNotFound.With("task %q does not exist", c.GetId())}
 	}
@@ -148,7 +160,8 @@
 func (s *State) end(t *pb.Task, state pb.TaskState) {
 	t.State = state
 	t.EndedUnixMs = s.unixMs
-	s.active--
+	s.countActive(t.GetSpec(), -1)
+	s.ended.add(s.unixMs, t.Id)
 	if len(t.GetSpec().GetPayload()) > 0 {
 		spec := proto.CloneOf(t.Spec)
 		spec.Payload = nil
@@ -165,7 +178,7 @@
 }
 
 func (s *State) evict(e *pb.Eviction) Result {
-	t := s.tasks[e.GetTask()]
+	t := s.tasks.value(e.GetTask())
 	if t == nil {
 		return Result{Err: errs.ErrNotFound.With("task %q does not exist", e.GetTask())}
 	}
@@ -184,7 +197,7 @@
 }
 
 func (s *State) markUnschedulable(c *pb.MarkUnschedulable) Result {
-	t := s.tasks[c.GetTask()]
+	t := s.tasks.value(c.GetTask())
 	if t == nil {
 		return Result{Err: errs.ErrNotFound.With("task %q does not exist", c.GetTask())}
 	}
@@ -200,17 +213,67 @@
 
 var errNotQueued = errors.New("not queued")
 
+// placeTasks carries out each placement that fits. The placements of a gang are carried out together or not at all.
 func (s *State) placeTasks(c *pb.PlaceTasks) Result {
-	batch := make([]Result, 0, len(c.GetPlacements()))
-	for _, p := range c.GetPlacements() {
-		batch = append(batch, s.place(p))
+	batch := make([]Result, len(c.GetPlacements()))
+	gangs := map[string][]int{}
+	var order []string
+	for i, p := range c.GetPlacements() {
+		gang := gangOf(s.tasks.value(p.GetTask()))
+		if gang == "" {
+			batch[i] = s.place(p)
+			continue
+		}
+		if gangs[gang] == nil {
+			order = append(order, gang)
+		}
+		gangs[gang] = append(gangs[gang], i)
+	}
+	for _, gang := range order {
+		s.placeGang(c.GetPlacements(), gangs[gang], batch)
 	}
 	return Result{Batch: batch}
 }
 
+func gangOf(t *pb.Task) string {
+	if t.GetSpec().GetGang() == "" {
+		return ""
+	}
+	return t.GetSpec().GetMember() + "/" + t.GetSpec().GetGang()
+}
+
+// placeGang places the members of a gang in turn and takes them back if one does not fit.
+func (s *State) placeGang(placements []*pb.Placement, members []int, batch []Result) {
+	var before []*pb.Task
+	for _, i := range members {
+		former := s.tasks.value(placements[i].GetTask())
+		batch[i] = s.place(placements[i])
+		if batch[i].Err != nil {
+			s.takeBack(before)
+			refuseGang(members, batch, batch[i].Err)
+			return
+		}
+		before = append(before, former)
+	}
+}
+
+func refuseGang(members []int, batch []Result, cause *errs.Error) {
+	for _, i := range members {
+		batch[i] = Result{Err: ErrPlacement.With("another task of the gang cannot be placed: %w", cause)}
+	}
+}
+
+func (s *State) takeBack(before []*pb.Task) {
+	for _, t := range before {
+		placed := s.tasks.value(t.GetId())
+		s.edited(s.workers.value(placed.GetWorker())).unassign(placed.GetId(), placed.GetAttempt())
+		s.storeTask(t)
+	}
+}
+
 // place checks a placement against the current state, because the plan was made over an older snapshot.
 func (s *State) place(p *pb.Placement) Result {
-	t := s.tasks[p.GetTask()]
+	t := s.tasks.value(p.GetTask())
 	if t == nil {
 		return Result{Err: errs.ErrNotFound.With("task %q does not exist", p.GetTask())}
 	}
@@ -228,8 +291,7 @@
 	next.PlacedTerm, next.PlacedIndex = s.term, s.index
 	next.FenceTerm, next.FenceIndex = s.term, s.index
 	next.Reason = ""
-	w.tasks[t.Id] = next.Attempt
-	w.used = w.used.plus(fromPB(t.GetSpec().GetResources()))
+	s.edited(w).assign(occupant{t.Id, next.Attempt, fromPB(t.GetSpec().GetResources())})
 	s.storeTask(next)
 	return Result{Task: next, Worker: w.pb}
 }
@@ -260,6 +322,7 @@
 }
 
 // closeAttempt frees the current attempt of a task, which is known to be gone, and queues the task again.
+// The worker belongs to the current edit.
 func (s *State) closeAttempt(w *worker, t *pb.Task, reason string) {
 	next := cloneTask(t)
 	s.leave(w, next)
@@ -270,8 +333,7 @@
 
 // leave frees the capacity of the current attempt.
 func (s *State) leave(w *worker, t *pb.Task) {
-	delete(w.tasks, t.Id)
-	w.used = w.used.minus(fromPB(t.GetSpec().GetResources()))
+	w.unassign(t.Id, t.Attempt)
 	t.Worker, t.WorkerEpoch = "", 0
 	t.FenceTerm, t.FenceIndex = s.term, s.index
 }
--- a/internal/domain/view.go
+++ b/internal/domain/view.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// View reads the state from any goroutine. The returned messages are immutable.
-type View struct{ s *State }
+// View is the state after one entry. It is immutable, and so are the messages that it returns.
+type View struct{ content }
 
 // Filter selects tasks. Empty fields select all.
 type Filter struct {
@@ -27,55 +26,49 @@
 		(len(f.States) == 0 || slices.Contains(f.States, t.GetState()))
 }
 
-// View returns a reader of the latest applied state.
-func (s *State) View() *View { return &View{s} }
-
 // Applied returns the term and index of the last applied entry.
-func (v *View) Applied() (term, index uint64) {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	return v.s.term, v.s.index
+func (v *View) Applied() (term, index uint64) { return v.term, v.index }
+
+// Counts returns the number of tasks, workers and request records.
+func (v *View) Counts() (tasks, workers, records int) {
+	return v.tasks.size, v.workers.size, v.records.size
 }
 
 // Task returns the task with this id, or nil.
-func (v *View) Task(id string) *pb.Task {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	return v.s.tasks[id]
-}
+func (v *View) Task(id string) *pb.Task { return v.tasks.value(id) }
 
 // Tasks returns the selected tasks ordered by id.
 func (v *View) Tasks(filter Filter) []*pb.Task {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
 	var selected []*pb.Task
-	for _, t := range v.s.tasks {
+	for _, t := range v.tasks.all {
 		if filter.matches(t) {
 			selected = append(selected, t)
 		}
 	}
-	slices.SortFunc(selected, compareTasks)
+	slices.SortFunc(selected, func(a, b *pb.Task) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return selected
 }
 
-func compareTasks(a, b *pb.Task) int { return cmp.Compare(a.GetId(), b.GetId()) }
+// EachTask calls f for every task in no particular order.
+func (v *View) EachTask(f func(*pb.Task)) {
+	for _, t := range v.tasks.all {
+		f(t)
+	}
+}
 
 // Workers returns all workers ordered by id.
 func (v *View) Workers() []*pb.Worker {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	all := make([]*pb.Worker, 0, len(v.s.workers))
-	for _, id := range slices.Sorted(maps.Keys(v.s.workers)) {
-		all = append(all, v.s.workers[id].pb)
+	all := make([]*pb.Worker, 0, v.workers.size)
+	for _, w := range v.workers.all {
+		all = append(all, w.pb)
 	}
+	slices.SortFunc(all, func(a, b *pb.Worker) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return all
 }
 
 // Worker returns the worker with this id, or nil.
 func (v *View) Worker(id string) *pb.Worker {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	if w := v.s.workers[id]; w != nil {
+	if w := v.workers.value(id); w != nil {
 		return w.pb
 	}
 	return nil
@@ -83,9 +76,7 @@
 
 // Used returns what occupies a worker, closed attempts that it still runs included.
 func (v *View) Used(id string) *pb.Resources {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	if w := v.s.workers[id]; w != nil {
+	if w := v.workers.value(id); w != nil {
 		return w.used.proto()
 	}
 	return &pb.Resources{}
@@ -93,50 +84,44 @@
 
 // Assigned returns the tasks whose current attempt is assigned to a worker.
 func (v *View) Assigned(id string) []*pb.Task {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	w := v.s.workers[id]
+	w := v.workers.value(id)
 	if w == nil {
 		return nil
 	}
-	tasks := make([]*pb.Task, 0, len(w.tasks))
-	for taskID := range w.tasks {
-		tasks = append(tasks, v.s.tasks[taskID])
+	tasks := make([]*pb.Task, 0, len(w.assigned))
+	for _, o := range w.assigned {
+		tasks = append(tasks, v.tasks.value(o.task))
 	}
-	slices.SortFunc(tasks, compareTasks)
 	return tasks
 }
 
-// Held reports whether a closed attempt is recorded as still occupying its worker.
-func (v *View) Held(workerID, task string, attempt uint32) bool {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	w := v.s.workers[workerID]
+// Held returns the closed attempts that still occupy a worker.
+func (v *View) Held(id string) []*pb.AttemptRef {
+	w := v.workers.value(id)
 	if w == nil {
-		return false
+		return nil
 	}
-	_, ok := w.held[attemptKey{task, attempt}]
-	return ok
+	var refs []*pb.AttemptRef
+	for _, o := range w.held {
+		refs = append(refs, &pb.AttemptRef{Task: o.task, Attempt: o.attempt, Resources: o.size.proto()})
+	}
+	return refs
 }
 
 // Drained reports whether an operator drains the target.
 func (v *View) Drained(id string) bool {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	_, ok := v.s.drained[id]
+	_, ok := v.drained.get(id)
 	return ok
 }
 
 // Record returns the request record of a key, or nil.
 func (v *View) Record(member, key string) *pb.RequestRecord {
-	v.s.mu.RLock()
-	defer v.s.mu.RUnlock()
-	k, ok := v.s.records.find(member, key)
-	if !ok {
+	k, err := newRecordKey(member, key)
+	if err != nil {
 		return nil
 	}
-	if r, exists := v.s.records.byKey[k]; exists {
-		return v.s.records.proto(k, r)
+	if r := v.records.value(k); r != nil {
+		return r.proto(k)
 	}
 	return nil
 }
--- a/internal/domain/worker.go
+++ b/internal/domain/worker.go
@@ -1,27 +1,70 @@
 package domain
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// worker is a registered worker with everything that occupies it.
+// worker is a registered worker with everything that occupies it. It is immutable after the edit that made it.
 type worker struct {
-	pb *pb.Worker // immutable
+	edit uint64
+	pb   *pb.Worker
 	// used counts every attempt that is not known to be gone.
 	used resources
-	// tasks whose current attempt is assigned to the worker, with the attempt
-	tasks map[string]uint32
-	// closed attempts that the worker has not reported gone
-	held map[attemptKey]resources
+	// assigned holds the current attempts of tasks; held the closed attempts that are not reported gone.
+	assigned, held []occupant
 }
 
-type attemptKey struct {
+// occupant is an attempt that occupies a worker.
+type occupant struct {
 	task    string
 	attempt uint32
+	size    resources
+}
+
+func (o occupant) is(task string, attempt uint32) bool { return o.task == task && o.attempt == attempt }
+
+func find(list []occupant, task string, attempt uint32) int {
+	return slices.IndexFunc(list, func(o occupant) bool { return o.is(task, attempt) })
+}
+
+func (w *worker) assign(o occupant) {
+	w.assigned = append(w.assigned, o)
+	w.used = w.used.plus(o.size)
+}
+
+func (w *worker) unassign(task string, attempt uint32) {
+	if at := find(w.assigned, task, attempt); at >= 0 {
+		w.used = w.used.minus(w.assigned[at].size)
+		w.assigned = slices.Delete(w.assigned, at, at+1)
+	}
+}
+
+func (w *worker) hold(o occupant) {
+	if find(w.held, o.task, o.attempt) >= 0 {
+		return
+	}
+	w.held = append(w.held, o)
+	w.used = w.used.plus(o.size)
+}
+
+func (w *worker) release(task string, attempt uint32) {
+	if at := find(w.held, task, attempt); at >= 0 {
+		w.used = w.used.minus(w.held[at].size)
+		w.held = slices.Delete(w.held, at, at+1)
+	}
+}
+
+// edited returns a worker that may be changed until the end of the current edit.
+func (s *State) edited(w *worker) *worker {
+	if w.edit == s.edit {
+		return w
+	}
+	copied := &worker{edit: s.edit, pb: w.pb, used: w.used, assigned: slices.Clone(w.assigned), held: slices.Clone(w.held)}
+	s.workers.set(s.edit, w.pb.GetId(), copied)
+	return copied
 }
 
 // resources is pb.Resources without the message overhead.
@@ -49,50 +92,37 @@
 
 func (w *worker) free() resources { return fromPB(w.pb.GetCapacity()).minus(w.used) }
 
-func (w *worker) release(key attemptKey) {
-	if r, ok := w.held[key]; ok {
-		w.used = w.used.minus(r)
-		delete(w.held, key)
-	}
-}
-
-func (w *worker) hold(key attemptKey, r resources) {
-	if _, ok := w.held[key]; ok {
-		return
-	}
-	if w.held == nil {
-		w.held = map[attemptKey]resources{}
-	}
-	w.held[key] = r
-	w.used = w.used.plus(r)
-}
-
 // registerWorker starts a new epoch. A new instance frees all former attempts; the same instance keeps those it knows.
 func (s *State) registerWorker(c *pb.RegisterWorker) Result {
 	asked := c.GetWorker()
 	if asked.GetId() == "" || asked.GetInstance() == "" {
 		return Result{Err: errs.ErrInvalid.With("a worker registers with an id and an instance")}
 	}
-	w := s.workers[asked.GetId()]
+	w := s.workers.value(asked.GetId())
 	if w != nil && w.pb.GetEpoch() != c.GetKnownEpoch() {
 		return Result{Err: ErrStaleEpoch.With("worker %s has epoch %d, not %d", asked.GetId(), w.pb.GetEpoch(), c.GetKnownEpoch()), Worker: w.pb}
 	}
 	if w == nil {
-		w = &worker{tasks: map[string]uint32{}}
-		s.workers[asked.GetId()] = w
+		w = &worker{edit: s.edit, pb: &pb.Worker{Id: asked.GetId(), Instance: asked.GetInstance()}}
+		s.workers.set(s.edit, asked.GetId(), w)
 	}
+	w = s.edited(w)
 	restarted := w.pb.GetInstance() != asked.GetInstance()
 	s.closeUnknown(w, restarted, c.GetKnown())
-	s.storeWorker(w, s.registered(asked))
+	s.storeWorker(w, s.registered(w, asked, restarted))
 	if !restarted {
 		s.keepKnown(w, c.GetKnown())
 	}
 	return Result{Worker: w.pb, Created: true}
 }
 
-func (s *State) registered(asked *pb.Worker) *pb.Worker {
+// registered returns the worker in its new epoch. Only a restart ends a quarantine.
+func (s *State) registered(w *worker, asked *pb.Worker, restarted bool) *pb.Worker {
 	state := pb.WorkerState_WORKER_STATE_READY
-	if _, drained := s.drained[asked.GetId()]; drained {
+	if !restarted && w.pb.GetState() == pb.WorkerState_WORKER_STATE_SET_ASIDE {
+		state = pb.WorkerState_WORKER_STATE_SET_ASIDE
+	}
+	if _, drained := s.drained.get(asked.GetId()); drained {
 		state = pb.WorkerState_WORKER_STATE_DRAINING
 	}
 	return &pb.Worker{Id: asked.GetId(), Epoch: s.index, FailureDomain: asked.GetFailureDomain(), Rack: asked.GetRack(),
@@ -100,22 +130,19 @@
 		StateUnixMs: s.unixMs}
 }
 
-// closeUnknown requeues the attempts that the worker does not know, and all of them if its process restarted.
+// closeUnknown closes the attempts that the worker does not know, and all of them if its process restarted.
 func (s *State) closeUnknown(w *worker, restarted bool, known []*pb.AttemptRef) {
-	keep := map[attemptKey]bool{}
-	if !restarted {
-		for _, k := range known {
-			keep[attemptKey{k.GetTask(), k.GetAttempt()}] = true
-		}
+	unknown := func(o occupant) bool {
+		return restarted || !slices.ContainsFunc(known, func(k *pb.AttemptRef) bool { return o.is(k.GetTask(), k.GetAttempt()) })
 	}
-	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
-		if !keep[attemptKey{id, w.tasks[id]}] {
-			s.closeAttempt(w, s.tasks[id], "the worker registered again without it")
+	for _, o := range slices.Clone(w.assigned) {
+		if unknown(o) {
+			s.closeAttempt(w, s.tasks.value(o.task), "the worker registered again without it")
 		}
 	}
-	for key := range w.held {
-		if !keep[key] {
-			w.release(key)
+	for _, o := range slices.Clone(w.held) {
+		if unknown(o) {
+			w.release(o.task, o.attempt)
 		}
 	}
 }
@@ -123,22 +150,22 @@
 // keepKnown moves assigned attempts to the new epoch and holds the closed ones.
 func (s *State) keepKnown(w *worker, known []*pb.AttemptRef) {
 	for _, k := range known {
-		if w.tasks[k.GetTask()] == k.GetAttempt() {
-			t := cloneTask(s.tasks[k.GetTask()])
-			t.WorkerEpoch = w.pb.GetEpoch()
-			s.storeTask(t)
+		if find(w.assigned, k.GetTask(), k.GetAttempt()) < 0 {
+			s.holdRef(w, k)
 			continue
 		}
-		s.holdRef(w, k)
+		t := cloneTask(s.tasks.value(k.GetTask()))
+		t.WorkerEpoch = w.pb.GetEpoch()
+		s.storeTask(t)
 	}
 }
 
 func (s *State) holdRef(w *worker, ref *pb.AttemptRef) {
 	size := fromPB(ref.GetResources())
-	if t := s.tasks[ref.GetTask()]; t != nil {
+	if t := s.tasks.value(ref.GetTask()); t != nil {
 		size = fromPB(t.GetSpec().GetResources())
 	}
-	w.hold(attemptKey{ref.GetTask(), ref.GetAttempt()}, size)
+	w.hold(occupant{ref.GetTask(), ref.GetAttempt(), size})
 }
 
 func (s *State) storeWorker(w *worker, p *pb.Worker) {
@@ -148,7 +175,7 @@
 
 // current returns the worker if it exists with this epoch.
 func (s *State) current(id string, epoch uint64) (*worker, *errs.Error) {
-	w := s.workers[id]
+	w := s.workers.value(id)
 	if w == nil {
 		return nil, errs.ErrNotFound.With("worker %q is not registered", id)
 	}
@@ -163,14 +190,12 @@
 	if err != nil {
 		return Result{Err: err}
 	}
-	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
-		s.closeAttempt(w, s.tasks[id], "the worker was lost")
-	}
-	for key := range w.held {
-		w.release(key)
+	w = s.edited(w)
+	for _, o := range slices.Clone(w.assigned) {
+		s.closeAttempt(w, s.tasks.value(o.task), "the worker was lost")
 	}
-	s.changeState(w, pb.WorkerState_WORKER_STATE_LOST, "no heartbeat")
-	return Result{Worker: w.pb}
+	w.held, w.used = nil, resources{}
+	return Result{Worker: s.changeState(w, pb.WorkerState_WORKER_STATE_LOST, "no heartbeat")}
 }
 
 func (s *State) holdAttempts(c *pb.HoldAttempts) Result {
@@ -178,8 +203,9 @@
 	if err != nil {
 		return Result{Err: err}
 	}
+	w = s.edited(w)
 	for _, ref := range c.GetAttempts() {
-		if w.tasks[ref.GetTask()] != ref.GetAttempt() {
+		if find(w.assigned, ref.GetTask(), ref.GetAttempt()) < 0 {
 			s.holdRef(w, ref)
 		}
 	}
@@ -187,14 +213,16 @@
 	return Result{Worker: w.pb}
 }
 
-func (s *State) changeState(w *worker, state pb.WorkerState, reason string) {
+func (s *State) changeState(w *worker, state pb.WorkerState, reason string) *pb.Worker {
 	if w.pb.GetState() == state {
-		return
+		return w.pb
 	}
 	old := w.pb
+	w = s.edited(w)
 	s.storeWorker(w, &pb.Worker{Id: old.GetId(), Epoch: old.GetEpoch(), FailureDomain: old.GetFailureDomain(), Rack: old.GetRack(),
 		Capacity: old.GetCapacity(), State: state, Guards: old.GetGuards(), Instance: old.GetInstance(),
 		StateUnixMs: s.unixMs, Reason: reason})
+	return w.pb
 }
 
 // setWorkerState quarantines a ready worker or releases it. Draining and lost workers keep their state.
@@ -206,8 +234,7 @@
 	if !mayQuarantine(w.pb.GetState()) || !mayQuarantine(c.GetState()) {
 		return Result{Err: errs.ErrInvalid.With("worker %s cannot go from %s to %s", c.GetWorker(), w.pb.GetState(), c.GetState())}
 	}
-	s.changeState(w, c.GetState(), c.GetReason())
-	return Result{Worker: w.pb}
+	return Result{Worker: s.changeState(w, c.GetState(), c.GetReason())}
 }
 
 func mayQuarantine(state pb.WorkerState) bool {
@@ -219,24 +246,25 @@
 		return Result{Err: errs.ErrInvalid.With("a drain names its target")}
 	}
 	if c.GetDraining() {
-		s.drained[c.GetTarget()] = struct{}{}
+		s.drained.set(s.edit, c.GetTarget(), struct{}{})
 	} else {
-		delete(s.drained, c.GetTarget())
+		s.drained.remove(s.edit, c.GetTarget())
 	}
-	w := s.workers[c.GetTarget()]
+	w := s.workers.value(c.GetTarget())
 	if w == nil {
 		return Result{}
 	}
-	s.drainWorker(w, c.GetDraining())
-	return Result{Worker: w.pb}
+	return Result{Worker: s.drainWorker(w, c.GetDraining())}
 }
 
-func (s *State) drainWorker(w *worker, draining bool) {
+func (s *State) drainWorker(w *worker, draining bool) *pb.Worker {
 	state := w.pb.GetState()
 	switch {
 	case draining && state != pb.WorkerState_WORKER_STATE_LOST:
-		s.changeState(w, pb.WorkerState_WORKER_STATE_DRAINING, "drained by an operator")
+		return s.changeState(w, pb.WorkerState_WORKER_STATE_DRAINING, "drained by an operator")
 	case !draining && state == pb.WorkerState_WORKER_STATE_DRAINING:
-		s.changeState(w, pb.WorkerState_WORKER_STATE_READY, "")
+		return s.changeState(w, pb.WorkerState_WORKER_STATE_READY, "")
+	default:
+		return w.pb
 	}
 }
--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -7,15 +7,23 @@
 
 // commands compares what a worker runs with the state and returns what it should do.
 func (l *Leader) commands(heartbeat *pb.WorkerHeartbeat) []*pb.WorkerCommand {
+	view := l.view()
+	worker := heartbeat.GetWorker()
 	running := make(map[string]uint32, len(heartbeat.GetRunning()))
 	var commands []*pb.WorkerCommand
 	for _, ref := range heartbeat.GetRunning() {
 		running[ref.GetTask()] = max(running[ref.GetTask()], ref.GetAttempt())
-		if c := l.stopClosed(heartbeat.GetWorker(), ref); c != nil {
-			commands = append(commands, c)
+		if !assignedTo(view.Task(ref.GetTask()), worker, ref.GetAttempt()) {
+			commands = append(commands, stopCommand(view, ref))
+		}
+	}
+	for _, ref := range view.Held(worker) {
+		// The worker reports an attempt that it does not run as gone, which frees the capacity held for it.
+		if running[ref.GetTask()] != ref.GetAttempt() {
+			commands = append(commands, stopCommand(view, ref))
 		}
 	}
-	for _, t := range l.view.Assigned(heartbeat.GetWorker()) {
+	for _, t := range view.Assigned(worker) {
 		if c := assignedCommand(t, running[t.GetId()] == t.GetAttempt()); c != nil {
 			commands = append(commands, c)
 		}
@@ -23,16 +31,17 @@
 	return append(commands, l.throttles(heartbeat)...)
 }
 
-// stopClosed returns the command that ends an attempt which the state has closed, or nil.
-func (l *Leader) stopClosed(workerID string, ref *pb.AttemptRef) *pb.WorkerCommand {
-	t := l.view.Task(ref.GetTask())
-	if t.GetWorker() == workerID && t.GetAttempt() == ref.GetAttempt() && domain.Assigned(t.GetState()) {
-		return nil
-	}
+func assignedTo(t *pb.Task, worker string, attempt uint32) bool {
+	return t.GetWorker() == worker && t.GetAttempt() == attempt && domain.Assigned(t.GetState())
+}
+
+// stopCommand returns the command that ends an attempt which the state has closed.
+func stopCommand(view *domain.View, ref *pb.AttemptRef) *pb.WorkerCommand {
+	t := view.Task(ref.GetTask())
 	c := &pb.WorkerCommand{Op: pb.WorkerOp_WORKER_OP_STOP, Task: ref.GetTask(), Attempt: ref.GetAttempt(),
 		Term: t.GetFenceTerm(), Index: t.GetFenceIndex()}
 	if t == nil {
-		c.Term, c.Index = l.view.Applied()
+		c.Term, c.Index = view.Applied()
 	}
 	return c
 }
@@ -65,7 +74,7 @@
 	}
 	var commands []*pb.WorkerCommand
 	for id, throttle := range s.throttles {
-		t := l.view.Task(id)
+		t := l.view().Task(id)
 		if t.GetState() != pb.TaskState_TASK_STATE_RUNNING || t.GetAttempt() != throttle.Attempt {
 			delete(s.throttles, id)
 			continue
--- a/internal/leader/contracts.go
+++ b/internal/leader/contracts.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"google.golang.org/protobuf/proto"
 )
 
 // unknownContractGrace is how long a contract that this process never saw may be missing before its tasks end.
@@ -80,6 +81,22 @@
 		Accelerators: of(r.GetAccelerators()), Tasks: of(r.GetTasks())}
 }
 
+// limitTasks states how many tasks the contract allows in this domain, once contracts are known here.
+func (c *contracts) limitTasks(submit *pb.SubmitTask) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return nil
+	}
+	name := submit.GetSpec().GetContract()
+	in, ok := c.limits[name]
+	if !ok {
+		return ErrContractUnknown.With("contract %q is not in force", name)
+	}
+	submit.MaxContractTasks = proto.Int64(in.limits.GetTasks())
+	return nil
+}
+
 // withdrawn reports whether a contract is out of force for certain.
 func (c *contracts) withdrawn(name string, now time.Time) bool {
 	if _, ok := c.limits[name]; ok {
@@ -96,6 +113,10 @@
 	return now.Sub(since) > unknownContractGrace
 }
 
+func (l *Leader) runContracts(ctx context.Context) {
+	l.every(ctx, contractInterval, func() { l.enforceContracts(ctx) })
+}
+
 // enforceContracts ends work that the contracts in force do not cover.
 func (l *Leader) enforceContracts(ctx context.Context) {
 	cancels, evictions := l.excess(time.Now())
@@ -120,7 +141,7 @@
 		return nil, nil
 	}
 	running := map[string][]*pb.Task{}
-	for _, t := range l.view.Tasks(domain.Filter{}) {
+	l.view().EachTask(func(t *pb.Task) {
 		name := t.GetSpec().GetContract()
 		switch {
 		case domain.Ended(t.GetState()):
@@ -131,7 +152,7 @@
 		case l.policy.limits[name].limits != nil && t.GetState() != pb.TaskState_TASK_STATE_EVICTING && domain.Assigned(t.GetState()):
 			running[name] = append(running[name], t)
 		}
-	}
+	})
 	for name, tasks := range running {
 		evictions = append(evictions, beyond(l.policy.limits[name].limits, tasks)...)
 	}
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/domain"
@@ -72,7 +73,7 @@
 
 // sessionIsCurrent reports whether the worker is registered in the epoch of the heartbeat and is not being lost.
 func (l *Leader) sessionIsCurrent(heartbeat *pb.WorkerHeartbeat) bool {
-	w := l.view.Worker(heartbeat.GetWorker())
+	w := l.view().Worker(heartbeat.GetWorker())
 	if w == nil || w.GetEpoch() != heartbeat.GetEpoch() || w.GetState() == pb.WorkerState_WORKER_STATE_LOST {
 		return false
 	}
@@ -131,11 +132,12 @@
 }
 
 func (l *Leader) expected(workerID string, ref *pb.AttemptRef) bool {
-	t := l.view.Task(ref.GetTask())
-	if t.GetWorker() == workerID && t.GetAttempt() == ref.GetAttempt() && domain.Assigned(t.GetState()) {
+	if assignedTo(l.view().Task(ref.GetTask()), workerID, ref.GetAttempt()) {
 		return true
 	}
-	return l.view.Held(workerID, ref.GetTask(), ref.GetAttempt())
+	return slices.ContainsFunc(l.view().Held(workerID), func(held *pb.AttemptRef) bool {
+		return held.GetTask() == ref.GetTask() && held.GetAttempt() == ref.GetAttempt()
+	})
 }
 
 // poll holds the answer back until there is a new command, the asked time is over or leadership ends.
@@ -216,7 +218,7 @@
 	for _, c := range commands {
 		s.sent[c.GetTask()] = fenceOf(c)
 	}
-	term, index := l.view.Applied()
+	term, index := l.view().Applied()
 	return &pb.WorkerHeartbeatAnswer{LeaseMs: l.config.AttemptLease.Milliseconds(), Commands: commands,
 		ReportsCommitted: len(heartbeat.GetReports()) > 0, Term: term, Index: index}, nil
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -16,7 +16,11 @@
 
 // Log commits entries of the domain group. replica.Group implements it.
 type Log interface {
+	// Propose returns the result of the state machine, a domain.Result or its encoded form.
 	Propose(ctx context.Context, entry []byte) (any, error)
+	// ReadBarrier returns after a quorum confirmed leadership in a round that began after the call, and after every
+	// entry that was committed before the call is applied here. Without the second part a new leader could send the
+	// start of an attempt that an earlier entry closed.
 	ReadBarrier(ctx context.Context) error
 }
 
@@ -42,18 +46,24 @@
 	// Clocks of leader and worker may differ in rate by this share of the lease.
 	leaseDriftPercent = 5
 	// leaseSlack covers the time between the end of a lease and the end of the process that ran under it.
-	leaseSlack     = time.Second
-	clockInterval  = 250 * time.Millisecond
-	planInterval   = 250 * time.Millisecond
-	expireInterval = time.Minute
-	maxPoll        = time.Second
-	maxPlacements  = 1024
+	leaseSlack    = time.Second
+	clockInterval = 250 * time.Millisecond
+	planInterval  = 250 * time.Millisecond
+	// planGap lets changes gather, so that a busy domain is planned at most 200 times a second.
+	planGap = 5 * time.Millisecond
+	// contractInterval is how often running work is compared with the contracts in force.
+	contractInterval = time.Second
+	expireInterval   = time.Minute
+	maxPoll          = time.Second
+	maxPlacements    = 1024
 )
 
 // Errors of the leader.
 var (
 	ErrNotLeading = &errs.Error{Code: "not-leader", Status: http.StatusServiceUnavailable, Outcome: errs.OutcomeNotRun,
 		Message: "this entry VM does not lead the domain group", Remedy: "send the request to another entry VM of the domain"}
+	ErrContractUnknown = &errs.Error{Code: "contract-unknown", Status: http.StatusNotFound, Outcome: errs.OutcomeNotRun,
+		Message: "the contract is not in force", Remedy: "list the contracts with 'lentilyard contracts' and check the name"}
 	errStopped = &errs.Error{Code: "stopped", Status: http.StatusServiceUnavailable, Outcome: errs.OutcomeNotRun,
 		Message: "this entry VM is stopping", Remedy: "send the request to another entry VM of the domain"}
 	errUnknown = errs.ErrOutcomeUnknown
@@ -62,7 +72,6 @@
 // Leader runs on every voter of a domain group and acts while its replica leads.
 type Leader struct {
 	config   Config
-	view     *domain.View
 	proposer *proposer
 	barriers *barriers
 	planned  *planned
@@ -73,6 +82,8 @@
 	term      uint64
 	electedAt time.Time
 	sessions  map[string]*session
+	// leaseWait is the time after which a silent worker has certainly stopped its attempts.
+	leaseWait time.Duration
 	pollers   map[string]chan struct{}
 }
 
@@ -84,8 +95,8 @@
 	if config.HeartbeatInterval == 0 {
 		config.HeartbeatInterval = defaultHeartbeatInterval
 	}
-	l := &Leader{config: config, view: config.State.View(), proposer: newProposer(config.Log), barriers: newBarriers(config.Log),
-		planned: newPlanned(), sessions: map[string]*session{}, pollers: map[string]chan struct{}{}}
+	l := &Leader{config: config, proposer: newProposer(config.Log), barriers: newBarriers(config.Log),
+		leaseWait: config.AttemptLease + config.AttemptLease*leaseDriftPercent/100 + leaseSlack, planned: newPlanned(), sessions: map[string]*session{}, pollers: map[string]chan struct{}{}}
 	config.State.Subscribe(l.changed)
 	return l
 }
@@ -103,6 +114,9 @@
 	l.planned.signal()
 }
 
+// view returns the latest applied state.
+func (l *Leader) view() *domain.View { return l.config.State.View() }
+
 func (l *Leader) isLeading() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,7 +126,7 @@
 // Run plans, counts leases and expires records until ctx ends.
 func (l *Leader) Run(ctx context.Context) error {
 	var running sync.WaitGroup
-	for _, loop := range []func(context.Context){l.proposer.run, l.barriers.run, l.runPlanner, l.runClocks, l.runExpiry} {
+	for _, loop := range []func(context.Context){l.proposer.run, l.barriers.run, l.runPlanner, l.runClocks, l.runContracts, l.runExpiry} {
 		running.Go(func() { loop(ctx) })
 	}
 	running.Wait()
--- a/internal/leader/operations.go
+++ b/internal/leader/operations.go
@@ -10,8 +10,11 @@
 
 // Submit queues a task. A repeated idempotency key returns the existing task; with another spec it is refused.
 func (l *Leader) Submit(ctx context.Context, spec *pb.TaskSpec) (*pb.Task, error) {
-	id := domain.TaskID(l.config.Domain, spec.GetIdempotencyKey())
-	return l.taskCommand(ctx, &pb.DomainCommand{Command: &pb.DomainCommand_SubmitTask{SubmitTask: &pb.SubmitTask{Id: id, Spec: spec}}})
+	submit := &pb.SubmitTask{Id: domain.TaskID(l.config.Domain, spec.GetIdempotencyKey()), Spec: spec}
+	if err := l.policy.limitTasks(submit); err != nil && l.view().Task(submit.GetId()) == nil {
+		return nil, err
+	}
+	return l.taskCommand(ctx, &pb.DomainCommand{Command: &pb.DomainCommand_SubmitTask{SubmitTask: submit}})
 }
 
 // Cancel ends a task, by checkpoint if it runs. Cancelling an ended task returns it unchanged.
@@ -25,7 +28,7 @@
 
 // Evict ends the current attempt of a task by checkpoint and queues the task again.
 func (l *Leader) Evict(ctx context.Context, id, reason string) (*pb.Task, error) {
-	t := l.view.Task(id)
+	t := l.view().Task(id)
 	if t == nil {
 		return nil, errs.ErrNotFound.With("task %q does not exist", id)
 	}
@@ -74,7 +77,7 @@
 
 func (l *Leader) evictFrom(ctx context.Context, workerID string) error {
 	var evictions []*pb.Eviction
-	for _, t := range l.view.Assigned(workerID) {
+	for _, t := range l.view().Assigned(workerID) {
 		evictions = append(evictions, &pb.Eviction{Task: t.GetId(), Attempt: t.GetAttempt(), Reason: "worker is drained"})
 	}
 	if len(evictions) == 0 {
--- a/internal/leader/planned.go
+++ b/internal/leader/planned.go
@@ -103,12 +103,19 @@
 		}
 		l.planned.feed(l.config.Planner)
 		if l.isLeading() {
-			l.enforceContracts(ctx)
 			l.carryOut(ctx, l.config.Planner.Plan(time.Now(), maxPlacements))
+			pause(ctx, planGap)
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // carryOut proposes a plan as one entry and waits for it, so that the next plan sees its effect.
 func (l *Leader) carryOut(ctx context.Context, plan Plan) {
 	l.logDecisions(plan.Decisions)
@@ -166,7 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, throttle := range throttles {
-		workerID := l.view.Task(throttle.Task).GetWorker()
+		workerID := l.view().Task(throttle.Task).GetWorker()
 		if s := l.sessions[workerID]; s != nil {
 			s.throttles[throttle.Task] = throttle
 			l.wakePoller(workerID)
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -37,11 +37,6 @@
 	return s
 }
 
-// leaseWait is the time after which a silent worker has certainly stopped its attempts.
-func (l *Leader) leaseWait() time.Duration {
-	return l.config.AttemptLease + l.config.AttemptLease*leaseDriftPercent/100 + leaseSlack
-}
-
 func (l *Leader) runClocks(ctx context.Context) {
 	l.every(ctx, clockInterval, func() { l.loseSilent(ctx) })
 }
@@ -64,7 +59,7 @@
 
 // silent returns the workers whose lease clock has run out and stops renewing their leases.
 func (l *Leader) silent(now time.Time) []*pb.Worker {
-	workers := l.view.Workers()
+	workers := l.view().Workers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.leading {
@@ -76,7 +71,7 @@
 			continue
 		}
 		s := l.sessionOf(w)
-		if s.epoch == w.GetEpoch() && now.Sub(s.answered) > l.leaseWait() {
+		if s.epoch == w.GetEpoch() && now.Sub(s.answered) > l.leaseWait {
 			s.losing = true
 			lost = append(lost, w)
 		}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -42,7 +42,7 @@
 }
 
 // workStep is the interval at which progress is counted.
-const workStep = 20 * time.Millisecond
+const workStep = 50 * time.Millisecond
 
 // run is one simulated attempt. Its goroutine owns everything but the channels.
 type run struct {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -38,6 +38,8 @@
 	UsageInterval, UsageLag time.Duration
 	// Speed returns the speed of a kind of work, 0 to 1, beside other kinds on the worker. Default 1.
 	Speed func(kind string, others []string) float64
+	// IgnoreLease makes the worker break its contract: it runs on without renewal. For tests of checkers.
+	IgnoreLease bool
 	// Observe is called for each action and report, for tests.
 	Observe func(event any)
 	Logger  zerolog.Logger
@@ -65,8 +67,7 @@
 	answers chan answered
 	address int
 	// polling and reporting tell that a heartbeat of that sort waits for its answer.
-	polling, reporting bool
-	// reported is the number of reports that the last reporting heartbeat carried.
+	polling, reporting   bool
 	nextPoll, nextReport time.Time
 	usage                usageQueue
 }
@@ -147,13 +148,20 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	w.act(ctx, w.fence.Due())
+	w.act(ctx, w.due())
+}
+
+func (w *Worker) due() []Action {
+	if w.options.IgnoreLease {
+		return nil
+	}
+	return w.fence.Due()
 }
 
 // untilNext returns the time until a lease needs care or a heartbeat is to be sent.
 func (w *Worker) untilNext() time.Duration {
 	wait := w.options.Poll
-	if due, ok := w.fence.NextDue(); ok {
+	if due, ok := w.fence.NextDue(); ok && !w.options.IgnoreLease {
 		wait = min(wait, time.Until(due))
 	}
 	if !w.polling {
@@ -272,7 +280,7 @@
 func (w *Worker) attend(ctx context.Context, done <-chan error) error {
 	for {
 		wait := w.options.Poll
-		if due, ok := w.fence.NextDue(); ok {
+		if due, ok := w.fence.NextDue(); ok && !w.options.IgnoreLease {
 			wait = max(0, min(wait, time.Until(due)))
 		}
 		select {
@@ -284,7 +292,7 @@
 			w.handle(ctx, a)
 		case <-time.After(wait):
 		}
-		w.act(ctx, w.fence.Due())
+		w.act(ctx, w.due())
 	}
 }
 
