placement: learn interference and sizes, evict for urgent tasks, quarantine workers

Adds to the planner: a model of the slow-down between pairs of task kinds fed by late samples and a bounded history of stays, sizes corrected upward from history, evictions for urgent tasks derived from the cache alone (so that a repeated plan repeats and does not add victims), throttles before evictions for slow services, quarantine with growing delay, reservations for tasks that wait too long, reports of tasks that can never run, and eviction of work whose contract or worker is withdrawn.

--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -1,20 +1,37 @@
 package placement
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
 // cache mirrors the workers, tasks and contracts of the domain in a form that makes decisions cheap.
 type cache struct {
+	config  Config
 	workers map[string]*worker
 	slots   []*worker // by index slot; nil for unused slots
-	index   *index
-	tasks   map[string]*task
-	queue   *queue
-	quotas  *quotas
-	kinds   map[kindKey]kindID
-	racks   map[rackKey]int // placed service tasks of a kind in a rack
-	total   vector          // capacity of all known workers
+	// Indexes by worker.free, worker.reach, worker.soon and worker.liveCapacity.
+	free, reach, soon, capacity *index
+	tasks                       map[string]*task
+	queue                       *queue
+	quotas                      *quotas
+	kinds                       map[kindKey]kindID
+	kindInfo                    []*kindInfo
+	racks                       map[rackKey]int // placed service tasks of a kind in a rack
+	total                       vector          // capacity of all known workers
+	ready                       int             // workers that are ready
+	model                       *interference
+	feasibility                 feasibility
+	reserved                    []*worker
+	suffering                   []*task
+	throttled                   []*task
+	draining                    map[*worker]bool
+	aside, suspects             []*worker   // quarantined; with failed starts
+	neighbours                  []neighbour // reused by observe
+	sweep                       int         // slot at which the next sweep begins
 }
 
 type rackKey struct {
@@ -22,52 +39,44 @@
 	rack string
 }
 
-func newCache() *cache {
-	return &cache{
-		workers: map[string]*worker{}, index: newIndex(), tasks: map[string]*task{}, queue: newQueue(),
-		quotas: newQuotas(), kinds: map[kindKey]kindID{}, racks: map[rackKey]int{},
-	}
-}
-
-// worker is what the cache knows of a worker.
-type worker struct {
-	id, rack string
-	epoch    uint64
-	state    pb.WorkerState
-	// known is false if only tasks name the worker so far.
-	known    bool
-	capacity vector
-	// used is the sum over its tasks of the largest of declared, corrected and measured size.
-	used  vector
-	slot  int
-	tasks []*task
-}
+// maxKinds bounds the memory of what is learned of kinds. Further kinds of a member share one entry.
+const maxKinds = 4096
 
-// free returns the capacity that new tasks may take.
-func (w *worker) free() vector {
-	if !w.known || w.state != pb.WorkerState_WORKER_STATE_READY {
-		return nothing
+func newCache(config Config) *cache {
+	return &cache{
+		config: config, workers: map[string]*worker{}, tasks: map[string]*task{}, queue: newQueue(), quotas: newQuotas(),
+		free: newIndex(), reach: newIndex(), soon: newIndex(), capacity: newIndex(),
+		kinds: map[kindKey]kindID{}, racks: map[rackKey]int{}, draining: map[*worker]bool{},
+		model: newInterference(float64(config.HalfLife.Milliseconds())),
 	}
-	return w.capacity.minus(w.used)
 }
 
 func (c *cache) kindOf(member, kind string) kindID {
 	key := kindKey{member, kind}
-	id, ok := c.kinds[key]
-	if !ok {
-		id = kindID(len(c.kinds))
-		c.kinds[key] = id
+	if id, ok := c.kinds[key]; ok {
+		return id
+	}
+	if len(c.kinds) >= maxKinds {
+		key.kind = ""
+		if id, ok := c.kinds[key]; ok {
+			return id
+		}
 	}
+	id := kindID(len(c.kindInfo))
+	c.kinds[key] = id
+	c.kindInfo = append(c.kindInfo, &kindInfo{})
 	return id
 }
 
 // worker returns the worker of that id and adds an unknown one if needed.
 func (c *cache) worker(id string) *worker {
-	w := c.workers[id]
-	if w != nil {
+	if w := c.workers[id]; w != nil {
 		return w
 	}
-	w = &worker{id: id, slot: c.index.add()}
+	w := &worker{id: id, slot: c.free.add()}
+	for _, x := range [...]*index{c.reach, c.soon, c.capacity} {
+		x.add() // the indexes hand out the same slots, since they are always used together
+	}
 	for len(c.slots) <= w.slot {
 		c.slots = append(c.slots, nil)
 	}
@@ -76,16 +85,47 @@
 	return w
 }
 
-func (c *cache) upsertWorker(m *pb.Worker) {
+func (c *cache) upsertWorker(m *pb.Worker, now int64) {
 	w := c.worker(m.GetId())
+	before, wasReady, oldState := w.liveCapacity(), w.ready(), w.state
 	c.total = c.total.minus(w.capacity)
 	c.moveRack(w, m.GetRack())
+	if w.epoch != m.GetEpoch() {
+		w.stray = w.stray[:0]
+	}
 	w.epoch, w.state, w.known = m.GetEpoch(), m.GetState(), true
 	w.capacity = toVector(m.GetCapacity())
 	c.total = c.total.plus(w.capacity)
+	c.countReady(w, wasReady)
+	c.trackState(w, oldState, now)
+	c.feasibility.capacityChanged(c, before, w.liveCapacity(), now)
 	c.refresh(w)
 }
 
+func (c *cache) countReady(w *worker, wasReady bool) {
+	if wasReady {
+		c.ready--
+	}
+	if w.ready() {
+		c.ready++
+	}
+}
+
+// trackState keeps the lists of draining and quarantined workers.
+func (c *cache) trackState(w *worker, old pb.WorkerState, now int64) {
+	if w.state == pb.WorkerState_WORKER_STATE_DRAINING {
+		if !c.draining[w] {
+			w.drainAt = now
+		}
+		c.draining[w] = true
+	} else {
+		delete(c.draining, w)
+	}
+	if old != w.state {
+		c.healthStateChanged(w, old, now)
+	}
+}
+
 func (c *cache) moveRack(w *worker, rack string) {
 	if w.rack == rack {
 		return
@@ -99,76 +139,163 @@
 	}
 }
 
-func (c *cache) removeWorker(id string) {
+func (c *cache) removeWorker(id string, now int64) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
+	before, wasReady := w.liveCapacity(), w.ready()
 	c.total = c.total.minus(w.capacity)
 	w.known, w.capacity = false, vector{}
+	c.countReady(w, wasReady)
+	delete(c.draining, w)
+	c.aside = slices.DeleteFunc(c.aside, func(o *worker) bool { return o == w })
+	c.feasibility.capacityChanged(c, before, nothing, now)
 	c.refresh(w)
 	c.dropIfUnused(w)
 }
 
+// drainingInOrder returns the draining workers by id, so that plans do not depend on map iteration.
+func (c *cache) drainingInOrder() []*worker {
+	return slices.SortedFunc(maps.Keys(c.draining), func(a, b *worker) int { return strings.Compare(a.id, b.id) })
+}
+
 // dropIfUnused forgets a worker that was removed once no task names it.
 func (c *cache) dropIfUnused(w *worker) {
 	if w.known || len(w.tasks) > 0 {
 		return
 	}
+	if i := slices.Index(c.reserved, w); i >= 0 {
+		c.unreserve(i)
+	}
 	delete(c.workers, w.id)
 	c.slots[w.slot] = nil
-	c.index.remove(w.slot)
+	for _, x := range [...]*index{c.free, c.reach, c.soon, c.capacity} {
+		x.remove(w.slot)
+	}
 }
 
-// refresh brings the index up to date with w.
+// refresh brings the indexes up to date with w.
 func (c *cache) refresh(w *worker) {
-	c.index.set(w.slot, w.free())
+	c.free.set(w.slot, w.free())
+	c.reach.set(w.slot, w.reach())
+	c.soon.set(w.slot, w.soon())
+	c.capacity.set(w.slot, w.liveCapacity())
 }
 
-func (c *cache) upsertTask(m *pb.Task) {
+func (c *cache) upsertTask(m *pb.Task, now int64) {
 	t := c.tasks[m.GetId()]
 	if t == nil {
 		t = c.newTask(m)
 		c.tasks[t.id] = t
-	} else if t.state == m.GetState() && t.attempt == m.GetAttempt() {
-		t.update(m)
-		return
+		t.failures, t.failedOn = m.GetFailures(), m.GetFailedOn()
 	}
-	c.detach(t)
-	t.update(m)
+	c.noteOutcome(t, m, now)
+	switch {
+	case t.state == m.GetState() && t.attempt == m.GetAttempt():
+		t.update(m, now)
+	case t.stay != nil && occupies(m.GetState()) && t.attempt == m.GetAttempt() && t.worker.id == m.GetWorker():
+		c.changeState(t, m, now)
+	default:
+		c.detach(t, now)
+		t.update(m, now)
+		c.attach(t, m.GetWorker(), now)
+	}
+}
+
+// changeState moves a placed task between starting, running and evicting.
+func (c *cache) changeState(t *task, m *pb.Task, now int64) {
+	w := t.worker
+	w.bear(t, -1)
+	w.leave(t)
+	if t.state == pb.TaskState_TASK_STATE_EVICTING {
+		t.contract.expectRelease(t, -1)
+	}
+	t.update(m, now)
+	c.noteState(t, now)
+	w.join(t)
+	w.bear(t, 1)
+	c.refresh(w)
+}
+
+// attach queues t or counts it against the worker of that id, by its state.
+func (c *cache) attach(t *task, worker string, now int64) {
 	switch {
 	case t.state == pb.TaskState_TASK_STATE_QUEUED:
-		c.queue.add(t)
+		first := c.queue.add(t)
+		if first || t.gang != "" && t.bucket.count >= int(t.gangSize) {
+			c.feasibility.check(t.bucket)
+		}
 	case occupies(t.state):
-		c.occupy(t, c.worker(m.GetWorker()))
+		w := c.worker(worker)
+		w.dropStray(t.id, t.attempt)
+		c.occupy(t, w)
+		c.noteState(t, now)
+	}
+}
+
+// noteState records when an attempt began to run or to leave.
+func (c *cache) noteState(t *task, now int64) {
+	switch t.state {
+	case pb.TaskState_TASK_STATE_RUNNING:
+		if t.running == 0 {
+			t.running = now
+			if t.started > 0 && t.started < now {
+				t.running = t.started
+			}
+			t.checkpointAt = t.running
+		}
+	case pb.TaskState_TASK_STATE_EVICTING:
+		t.evictedAt = now
+		t.contract.expectRelease(t, 1)
 	}
 }
 
-func (c *cache) removeTask(id string) {
+func (c *cache) removeTask(id string, now int64) {
 	if t := c.tasks[id]; t != nil {
-		c.detach(t)
+		c.detach(t, now)
 		delete(c.tasks, id)
 	}
 }
 
 // detach takes t out of the queue or off its worker.
-func (c *cache) detach(t *task) {
+func (c *cache) detach(t *task, now int64) {
 	if t.bucket != nil {
-		c.queue.remove(t)
+		c.unqueue(t)
 	}
-	if w := t.worker; w != nil {
-		c.vacate(t)
-		c.dropIfUnused(w)
+	if t.stay == nil {
+		return
+	}
+	w := t.worker
+	if t.running > 0 {
+		share := float32(t.throttle.shareNow())
+		w.past.add(residence{t.id, t.attempt, t.kind, share, t.running, now})
+	}
+	if t.state == pb.TaskState_TASK_STATE_EVICTING {
+		t.contract.expectRelease(t, -1)
+	}
+	c.forgetTroubles(t)
+	c.vacate(t)
+	c.dropIfUnused(w)
+}
+
+func (c *cache) unqueue(t *task) {
+	b := t.bucket
+	c.queue.remove(t)
+	if b.count == 0 {
+		c.feasibility.forget(b)
+		c.releaseReservations(b)
 	}
 }
 
 // occupy counts t against w and its quotas.
 func (c *cache) occupy(t *task, w *worker) {
-	t.worker, t.position, t.occupied = w, len(w.tasks), c.demand(t, w)
+	t.stay = &stay{worker: w, position: len(w.tasks), occupied: c.demand(t)}
 	w.tasks = append(w.tasks, t)
-	w.used = w.used.plus(t.occupied)
+	w.bear(t, 1)
+	w.join(t)
 	c.countRack(t, w, 1)
-	t.contract.take(t.size, t.class)
+	t.contract.take(t)
 	t.charge = int64(t.size.share(c.total) / t.contract.weight / chargeUnit)
 	c.queue.flow(t).charge += t.charge
 	c.refresh(w)
@@ -181,11 +308,12 @@
 	w.tasks[t.position], last.position = last, t.position
 	w.tasks[len(w.tasks)-1] = nil
 	w.tasks = w.tasks[:len(w.tasks)-1]
-	w.used = w.used.minus(t.occupied)
+	w.bear(t, -1)
+	w.leave(t)
 	c.countRack(t, w, -1)
-	t.contract.release(t.size, t.class)
+	t.contract.release(t)
 	c.queue.flow(t).charge -= t.charge
-	t.worker, t.occupied, t.charge = nil, vector{}, 0
+	t.stay = nil
 	c.refresh(w)
 }
 
@@ -200,13 +328,12 @@
 	}
 }
 
-// demand is the capacity that t takes on w.
-func (c *cache) demand(t *task, w *worker) vector {
-	return t.size
-}
-
-func (c *cache) setContract(r *pb.ResolvedContract, parts, total uint32) {
-	c.quotas.set(r, parts, total)
+// demand is the capacity that t is expected to take: at least the declared size, more if its kind has used more. The
+// correction is dropped where no worker is large enough for it, so that it never keeps a task from running.
+func (c *cache) demand(t *task) vector {
+	size := c.kindInfo[t.kind].sizes.corrected(t.size)
+	if size != t.size && !c.capacity.holds(size) {
+		return t.size
+	}
+	return size
 }
-
-func (c *cache) removeContract(name string) { c.quotas.remove(name) }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -1,14 +1,31 @@
 package placement
 
-import "github.com/lentilyard/lentilyard/internal/pb"
+import (
+	"slices"
 
-// filter reports whether t may run on w now.
-func (c *cache) filter(t *task, w *worker) bool {
-	return ready(w) && hasRoom(c.demand(t, w), w)
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// filter reports whether t may start on w now, given what it is expected to take.
+func filter(t *task, w *worker, size vector) bool {
+	return w.ready() && size.fits(w.room()) && keptFor(t, w) && admitsProbe(t, w) && !failedHere(t, w)
+}
+
+// keptFor reports whether w is not reserved, or reserved for the tasks of t's bucket.
+func keptFor(t *task, w *worker) bool {
+	return w.reserved == nil || w.reserved == t.bucket
 }
 
-func ready(w *worker) bool {
-	return w.known && w.state == pb.WorkerState_WORKER_STATE_READY
+// admitsProbe reports whether w is in normal use, or t suits as the single probe after a quarantine. A failed probe
+// costs a batch task the least.
+func admitsProbe(t *task, w *worker) bool {
+	if !w.health.probing {
+		return true
+	}
+	return w.starting == 0 && t.class == pb.TaskClass_TASK_CLASS_BATCH && t.gang == ""
 }
 
-func hasRoom(size vector, w *worker) bool { return size.fits(w.free()) }
+// failedHere reports whether a start of t failed on w.
+func failedHere(t *task, w *worker) bool {
+	return len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.id)
+}
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -69,12 +69,26 @@
 	}
 }
 
+// holds reports whether some slot probably has room for size. It is exact if the resources are free on the same slot.
+func (x *index) holds(size vector) bool { return size.fits(x.nodes[1]) }
+
 // find returns the first slot at or after from, wrapping around, with room for size, or -1.
 func (x *index) find(size vector, from int) int {
-	if !size.fits(x.nodes[1]) {
+	return x.search(size, from, visitLimit)
+}
+
+// largest returns the largest amount of each resource over all slots.
+func (x *index) largest() vector { return x.nodes[1] }
+
+// any reports whether some slot has room for size. Unlike find it visits as many nodes as it takes.
+func (x *index) any(size vector) bool {
+	return x.search(size, 0, len(x.nodes)) >= 0
+}
+
+func (x *index) search(size vector, from, visits int) int {
+	if !x.holds(size) {
 		return -1
 	}
-	visits := visitLimit
 	if slot := x.descend(1, 0, x.leaves, from, size, &visits); slot >= 0 {
 		return slot
 	}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -1,9 +1,11 @@
 package placement
 
-// order walks the queued tasks of one class without changing the queue: members by charge, and within a member the
+// order walks the queued tasks of one class without changing the queue: members by charge or age, and within a member the
 // buckets by age.
 type order struct {
 	walks []*walk
+	// byAge orders members by their oldest task instead of by charge.
+	byAge bool
 }
 
 // walk is the position in the queue of one member.
@@ -23,37 +25,48 @@
 	fresh  bool
 }
 
-func newOrder(flows map[string]*flow) *order {
+func newOrder(classes ...map[string]*flow) *order {
 	o := &order{}
-	for _, f := range flows {
-		if len(f.buckets) == 0 {
-			continue
+	for _, flows := range classes {
+		for _, f := range flows {
+			if len(f.buckets) > 0 {
+				o.walks = append(o.walks, newWalk(f))
+			}
 		}
-		w := &walk{flow: f}
-		w.push(cursor{f.buckets[0], f.buckets[0].head, true})
-		o.walks = append(o.walks, w)
 	}
 	return o
 }
 
+func newWalk(f *flow) *walk {
+	w := &walk{flow: f}
+	w.push(cursor{f.buckets[0], f.buckets[0].head, true})
+	return w
+}
+
 // next returns the walk of the member with the smallest charge, or nil when all are done.
 func (o *order) next() *walk {
 	var best *walk
 	for _, w := range o.walks {
-		if len(w.pending) > 0 && (best == nil || w.before(best)) {
+		if len(w.pending) > 0 && (best == nil || o.before(w, best)) {
 			best = w
 		}
 	}
 	return best
 }
 
-func (w *walk) before(o *walk) bool {
-	if w.flow.charge != o.flow.charge {
-		return w.flow.charge < o.flow.charge
+func (o *order) before(a, b *walk) bool {
+	if o.byAge {
+		return a.peek().before(b.peek())
 	}
-	return w.flow.member < o.flow.member
+	if a.flow.charge != b.flow.charge {
+		return a.flow.charge < b.flow.charge
+	}
+	return a.flow.member < b.flow.member
 }
 
+// peek returns the oldest task to try.
+func (w *walk) peek() *task { return w.pending[0].task }
+
 // take removes and returns the oldest task to try. Call keep to go on with its bucket.
 func (w *walk) take() *task {
 	c := w.pop()
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -7,133 +7,237 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// planning is the state of one call to Plan. What it places is counted in the cache until undo.
+// planning is the state of one call to Plan. What it proposes is counted in the cache until undo.
 type planning struct {
 	*Planner
-	now    time.Time
-	rng    *rand.Rand
-	plan   Plan
-	placed []*task
+	now   time.Time
+	nowMs int64
+	max   int
+	rng   *rand.Rand
+	plan  Plan
+	// counted lists tasks that occupy a worker in the cache for the rest of the plan: placed or held.
+	counted   []*task
+	condemned []*task
+	// promised lists urgent tasks that wait for room in their quota.
+	promised []*task
 	// attempts is the number of tasks that may still be tried.
 	attempts int
 }
 
-// Plan proposes at most max placements, or more if the last one completes a gang, and what belongs to them. It leaves the cache as it was.
+type outcome int
+
+const (
+	// blocked tasks cannot start now, and neither can others of their bucket.
+	blocked outcome = iota
+	// waiting tasks start when evictions have ended.
+	waiting
+	// delayed tasks are tried again later.
+	delayed
+	placed
+)
+
+// minAttempts is the number of tasks that a plan tries even if it may place few.
+const minAttempts = 256
+
+// Plan proposes at most max placements, or more if the last one completes a gang, and what belongs to them. Proposals
+// are not counted in the cache: until a proposal is committed and upserted, the next plan may repeat it. Throttles
+// and reservations are remembered, since they are not part of the replicated state.
 func (p *Planner) Plan(now time.Time, max int) Plan {
-	s := &planning{Planner: p, now: now, attempts: 2*max + minAttempts}
+	s := &planning{Planner: p, now: now, nowMs: now.UnixMilli(), max: max, attempts: 2*max + minAttempts}
 	s.rng = rand.New(rand.NewPCG(p.config.Seed, uint64(now.UnixNano())))
-	for rank := range numClasses {
-		s.placeClass(newOrder(p.cache.queue.flows[rank]), max)
-	}
+	p.cache.expireUsage(s.nowMs)
+	s.workerStates()
+	s.checkFeasible()
+	s.enforceLimits()
+	s.drainWorkers()
+	s.relieve()
+	s.releaseThrottles()
+	s.dropReservations()
+	s.placeAll()
 	s.undo()
 	return s.plan
 }
 
-// minAttempts is the number of shapes that a plan tries even if it may place few tasks.
-const minAttempts = 256
+func (s *planning) placeAll() {
+	flows := &s.cache.queue.flows
+	s.placeInOrder(newOrder(flows[0]), s.max)
+	s.placeAged()
+	s.placeInOrder(newOrder(flows[1]), s.max)
+	s.placeInOrder(newOrder(flows[2]), s.max)
+	s.round++
+}
+
+const (
+	// Every agedRounds-th plan first places service and batch tasks that have waited too long, whatever their class
+	// and member.
+	agedRounds = 8
+	// agedShare bounds them to 1/8 of the placements of the plan.
+	agedShare = 8
+)
+
+// placeAged places the tasks that have waited longest, and reserves workers for those that fit nowhere.
+func (s *planning) placeAged() {
+	o := newOrder(s.cache.queue.flows[1], s.cache.queue.flows[2])
+	o.byAge = true
+	limit := len(s.plan.Placements)
+	if s.round%agedRounds == 0 {
+		limit += max(1, s.max/agedShare)
+	}
+	for tries := 0; tries < agedTries; tries++ {
+		walk := o.next()
+		if walk == nil || !s.aged(walk.peek()) {
+			return
+		}
+		t := walk.take()
+		if len(s.plan.Placements) >= limit && t.bucket.reservations == 0 {
+			continue
+		}
+		if s.place(t) == blocked && s.admitted(t) {
+			s.reserveFor(t.bucket)
+		}
+	}
+}
 
-func (s *planning) placeClass(o *order, max int) {
-	for len(s.placed) < max && s.attempts > 0 {
+// agedTries bounds the aged buckets that one plan looks at.
+const agedTries = 32
+
+// admitted reports whether only the lack of room keeps t from starting.
+func (s *planning) admitted(t *task) bool {
+	return t.bucket.infeasible == "" && t.notBefore <= s.nowMs && t.contract.allows(t.size, t.class) &&
+		(t.gang == "" || complete(t.bucket))
+}
+
+func (s *planning) placeInOrder(o *order, max int) {
+	for len(s.plan.Placements) < max && s.attempts > 0 {
 		walk := o.next()
 		if walk == nil {
 			return
 		}
 		s.attempts--
-		if s.place(walk.take()) {
+		if s.place(walk.take()) != blocked {
 			walk.keep()
 		}
 	}
 }
 
 // place finds a worker for t, or workers for its whole gang.
-func (s *planning) place(t *task) bool {
-	if t.gang != "" {
-		return s.placeGang(t.bucket)
+func (s *planning) place(t *task) outcome {
+	switch {
+	case t.stay != nil:
+		return delayed // placed earlier in this plan
+	case t.bucket.infeasible != "":
+		return blocked
+	case t.gang != "":
+		s.placeGang(t.bucket)
+		return blocked // the bucket holds nothing else
 	}
 	return s.placeOne(t)
 }
 
-func (s *planning) placeOne(t *task) bool {
+func (s *planning) placeOne(t *task) outcome {
+	if t.notBefore > s.nowMs {
+		return delayed
+	}
+	if len(t.failedOn) > 0 || t.failures > 0 {
+		if reason := s.cache.startsNowhere(t); reason != "" {
+			s.reportUnschedulable(t, reason)
+			return delayed
+		}
+	}
 	if !t.contract.allows(t.size, t.class) {
-		return false
+		if t.urgent() {
+			return s.makeQuotaRoom(t)
+		}
+		return blocked
+	}
+	if w, considered := s.choose(t); w != nil {
+		s.bind(t, w, considered)
+		return placed
 	}
-	w, considered := s.choose(t)
-	if w == nil {
-		return false
+	if t.urgent() {
+		return s.makeRoom(t)
 	}
-	s.bind(t, w, considered)
-	return true
+	return blocked
 }
 
-// placeGang places all tasks of a gang or none.
-func (s *planning) placeGang(b *bucket) bool {
+// placeGang places all tasks of a gang or none. If some wait for evictions, all of them wait.
+func (s *planning) placeGang(b *bucket) {
 	if !complete(b) {
-		return false
+		return
 	}
-	mark := len(s.placed)
+	before := s.mark()
+	waits := false
 	for t := b.head; t != nil; t = t.next {
-		if !s.placeOne(t) {
-			s.rollback(mark)
-			return false
+		switch s.placeOne(t) {
+		case placed:
+		case waiting:
+			waits = true
+		default:
+			s.rollback(before)
+			return
 		}
 	}
-	return false // the bucket holds nothing else
+	if waits {
+		s.plan.Placements = s.plan.Placements[:before.placements]
+	}
 }
 
 // complete reports whether the whole gang is known. After the first start only the lost members are queued.
 func complete(b *bucket) bool {
-	return b.head.attempt > 0 || b.tail.attempt > 0 || b.count >= b.head.gangSize
-}
-
-// choose returns the best of a few sampled workers that pass the filter, and how many were scored.
-func (s *planning) choose(t *task) (*worker, int) {
-	var best *worker
-	var bestScore float64
-	considered, from := 0, 0
-	stride := max(1, s.cache.index.used/s.config.Candidates)
-	from = s.rng.IntN(max(1, s.cache.index.used))
-	for range s.config.Candidates {
-		slot := s.cache.index.find(t.size, from%s.cache.index.leaves)
-		if slot < 0 {
-			break
-		}
-		w := s.cache.slots[slot]
-		from = max(slot+1, from) + s.rng.IntN(stride)
-		if !s.cache.filter(t, w) {
-			continue
-		}
-		considered++
-		if score := s.score(t, w); best == nil || score < bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best, considered
+	return b.head.attempt > 0 || b.tail.attempt > 0 || b.count >= int(b.head.gangSize)
 }
 
 // bind proposes t on w and counts it in the cache for the rest of the plan.
 func (s *planning) bind(t *task, w *worker, considered int) {
-	s.cache.occupy(t, w)
-	s.placed = append(s.placed, t)
+	s.hold(t, w)
 	s.plan.Placements = append(s.plan.Placements,
 		&pb.Placement{Task: t.id, Attempt: t.attempt + 1, Worker: w.id, WorkerEpoch: w.epoch})
+	s.decide(t.id, w.id, "placed", considered)
+}
+
+// hold counts t on w for the rest of the plan without proposing it.
+func (s *planning) hold(t *task, w *worker) {
+	s.cache.occupy(t, w)
+	s.counted = append(s.counted, t)
+}
+
+func (s *planning) decide(task, worker, reason string, considered int) {
 	s.plan.Decisions = append(s.plan.Decisions,
-		Decision{Task: t.id, Worker: w.id, Reason: "placed", Considered: considered})
+		Decision{Task: task, Worker: worker, Reason: reason, Considered: considered})
 }
 
-// rollback withdraws the placements after the first n.
-func (s *planning) rollback(n int) {
-	for i := len(s.placed) - 1; i >= n; i-- {
-		s.cache.vacate(s.placed[i])
-	}
-	dropped := len(s.placed) - n
-	s.placed = s.placed[:n]
-	s.plan.Placements = s.plan.Placements[:len(s.plan.Placements)-dropped]
-	s.plan.Decisions = s.plan.Decisions[:len(s.plan.Decisions)-dropped]
+// mark is a point in a plan to roll back to.
+type mark struct {
+	counted, condemned, promised, placements, evictions, unschedulable, decisions int
 }
 
-// undo takes all proposals out of the cache.
-func (s *planning) undo() {
-	for i := len(s.placed) - 1; i >= 0; i-- {
-		s.cache.vacate(s.placed[i])
+func (s *planning) mark() mark {
+	return mark{len(s.counted), len(s.condemned), len(s.promised), len(s.plan.Placements), len(s.plan.Evictions),
+		len(s.plan.Unschedulable), len(s.plan.Decisions)}
+}
+
+// rollback withdraws all proposals since m.
+func (s *planning) rollback(m mark) {
+	s.uncount(m)
+	s.plan.Placements = s.plan.Placements[:m.placements]
+	s.plan.Evictions = s.plan.Evictions[:m.evictions]
+	s.plan.Unschedulable = s.plan.Unschedulable[:m.unschedulable]
+	s.plan.Decisions = s.plan.Decisions[:m.decisions]
+}
+
+// uncount takes the proposals since m out of the cache, the last one first.
+func (s *planning) uncount(m mark) {
+	for i := len(s.promised) - 1; i >= m.promised; i-- {
+		s.promised[i].contract.expectRelease(s.promised[i], 1)
+	}
+	for i := len(s.counted) - 1; i >= m.counted; i-- {
+		s.cache.vacate(s.counted[i])
 	}
+	for i := len(s.condemned) - 1; i >= m.condemned; i-- {
+		s.pardon(s.condemned[i])
+	}
+	s.promised, s.counted, s.condemned = s.promised[:m.promised], s.counted[:m.counted], s.condemned[:m.condemned]
 }
+
+// undo takes all proposals out of the cache.
+func (s *planning) undo() { s.uncount(mark{}) }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
@@ -50,6 +52,12 @@
 	head, tail *task
 	count      int
 	position   int // in flow.buckets
+	// infeasible says why its tasks can never run; empty otherwise.
+	infeasible string
+	// listed is set while the bucket waits for a check of feasibility.
+	listed bool
+	// reservations counts the workers reserved for this bucket.
+	reservations int
 }
 
 func newQueue() *queue {
@@ -74,7 +82,8 @@
 	return f
 }
 
-func (q *queue) add(t *task) {
+// add queues t and reports whether it is the first of its bucket.
+func (q *queue) add(t *task) bool {
 	f := q.flow(t)
 	s := shapeOf(t)
 	b := f.byShape[s]
@@ -86,9 +95,12 @@
 	q.size++
 	if b.count == 1 {
 		heap.Push(&f.buckets, b)
-	} else if b.head == t {
+		return true
+	}
+	if b.head == t {
 		heap.Fix(&f.buckets, b.position)
 	}
+	return false
 }
 
 func (q *queue) remove(t *task) {
@@ -104,6 +116,17 @@
 	}
 }
 
+// eachBucket calls f for every bucket, in an order that does not depend on map iteration between members.
+func (q *queue) eachBucket(f func(*bucket)) {
+	for _, flows := range q.flows {
+		for _, member := range slices.Sorted(maps.Keys(flows)) {
+			for _, b := range flows[member].buckets {
+				f(b)
+			}
+		}
+	}
+}
+
 // insertSteps bounds the search for the place of a task that returns to the queue.
 const insertSteps = 64
 
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -1,10 +1,18 @@
 package placement
 
-import "github.com/lentilyard/lentilyard/internal/pb"
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
 
 // account compares what is in use with a limit.
 type account struct {
 	limit, used vector
+	// releasing is the part of used held by tasks that are being evicted.
+	releasing vector
 	// limited is false for an account without a limit of its own.
 	limited bool
 }
@@ -13,12 +21,28 @@
 	return !a.limited || a.used.plus(size).fits(a.limit)
 }
 
+// allowsSoon is like allows once the evictions in progress have ended.
+func (a *account) allowsSoon(size vector) bool {
+	return !a.limited || a.used.minus(a.releasing).plus(size).fits(a.limit)
+}
+
+func (a *account) add(o *account) {
+	a.used = a.used.plus(o.used)
+	a.releasing = a.releasing.plus(o.releasing)
+}
+
+func (a *account) subtract(o *account) {
+	a.used = a.used.minus(o.used)
+	a.releasing = a.releasing.minus(o.releasing)
+}
+
 // contract is the quota of one contract. Its usage also counts for its team and its member.
 type contract struct {
 	name, member, team string
 	account            account
 	// tasks limits the placed batch tasks; 0 sets no limit.
 	tasks, tasksUsed int64
+	placed           []*task
 	weight           float64
 	urgent           bool
 	known, withdrawn bool
@@ -37,22 +61,49 @@
 	return c.account.allows(size) && c.teamAccount.allows(size) && c.memberAccount.allows(size)
 }
 
-func (c *contract) take(size vector, class pb.TaskClass) {
-	for _, a := range [...]*account{&c.account, c.teamAccount, c.memberAccount} {
-		a.used = a.used.plus(size)
+func (c *contract) accounts() [3]*account {
+	return [...]*account{&c.account, c.teamAccount, c.memberAccount}
+}
+
+// expectRelease counts (sign 1) or stops counting (sign -1) t as usage that ends soon.
+func (c *contract) expectRelease(t *task, sign int64) {
+	for _, a := range c.accounts() {
+		a.releasing = a.releasing.plus(t.size.times(sign))
+	}
+}
+
+// allowsSoon reports whether a task of the given size fits once the evictions in progress have ended.
+func (c *contract) allowsSoon(size vector) bool {
+	for _, a := range c.accounts() {
+		if !a.allowsSoon(size) {
+			return false
+		}
+	}
+	return c.known
+}
+
+func (c *contract) take(t *task) {
+	for _, a := range c.accounts() {
+		a.used = a.used.plus(t.size)
 	}
-	if class == pb.TaskClass_TASK_CLASS_BATCH {
+	if t.batch() {
 		c.tasksUsed++
 	}
+	t.inContract = len(c.placed)
+	c.placed = append(c.placed, t)
 }
 
-func (c *contract) release(size vector, class pb.TaskClass) {
-	for _, a := range [...]*account{&c.account, c.teamAccount, c.memberAccount} {
-		a.used = a.used.minus(size)
+func (c *contract) release(t *task) {
+	for _, a := range c.accounts() {
+		a.used = a.used.minus(t.size)
 	}
-	if class == pb.TaskClass_TASK_CLASS_BATCH {
+	if t.batch() {
 		c.tasksUsed--
 	}
+	last := c.placed[len(c.placed)-1]
+	c.placed[t.inContract], last.inContract = last, t.inContract
+	c.placed[len(c.placed)-1] = nil
+	c.placed = c.placed[:len(c.placed)-1]
 }
 
 // quotas holds the accounts of all contracts, teams and members.
@@ -60,10 +111,12 @@
 	contracts map[string]*contract
 	teams     map[[2]string]*account
 	members   map[string]*account
+	// over lists contracts whose limit or that of their member changed; their usage may be above it.
+	over map[*contract]bool
 }
 
 func newQuotas() *quotas {
-	return &quotas{map[string]*contract{}, map[[2]string]*account{}, map[string]*account{}}
+	return &quotas{map[string]*contract{}, map[[2]string]*account{}, map[string]*account{}, map[*contract]bool{}}
 }
 
 // contract returns the contract of that name. One that was never set is returned as not known.
@@ -92,6 +145,7 @@
 	}
 	c.known, c.withdrawn = true, false
 	q.attach(c)
+	q.limitsChanged(c)
 }
 
 func (q *quotas) remove(name string) {
@@ -103,12 +157,27 @@
 	c.known, c.withdrawn = false, true
 	c.account.limit = vector{}
 	q.attach(c)
+	q.limitsChanged(c)
+}
+
+// limitsChanged notes that the usage of c, or of contracts of the same member, may now be above a limit.
+func (q *quotas) limitsChanged(c *contract) {
+	for _, o := range q.contracts {
+		if o.member == c.member && len(o.placed) > 0 {
+			q.over[o] = true
+		}
+	}
+}
+
+// changed returns the contracts that may be above a limit, by name.
+func (q *quotas) changed() []*contract {
+	return slices.SortedFunc(maps.Keys(q.over), func(a, b *contract) int { return strings.Compare(a.name, b.name) })
 }
 
 // detach takes the usage and limit of c out of its team and member.
 func (q *quotas) detach(c *contract) {
-	c.teamAccount.used = c.teamAccount.used.minus(c.account.used)
-	c.memberAccount.used = c.memberAccount.used.minus(c.account.used)
+	c.teamAccount.subtract(&c.account)
+	c.memberAccount.subtract(&c.account)
 	if !c.known {
 		return
 	}
@@ -130,8 +199,8 @@
 		q.members[c.member] = &account{}
 	}
 	c.teamAccount, c.memberAccount = q.teams[team], q.members[c.member]
-	c.teamAccount.used = c.teamAccount.used.plus(c.account.used)
-	c.memberAccount.used = c.memberAccount.used.plus(c.account.used)
+	c.teamAccount.add(&c.account)
+	c.memberAccount.add(&c.account)
 	if !c.known {
 		return
 	}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -1,22 +1,71 @@
 package placement
 
-import "github.com/lentilyard/lentilyard/internal/pb"
+import (
+	"math"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
 
 const (
-	packingWeight = 0.2
-	rackWeight    = 1.0
+	// The terms of the score are slow-downs, where 1 is a task that takes e times as long. The constants below make
+	// the other terms comparable: an empty worker instead of a full one weighs as much as a slow-down by 2%.
+	packingWeight = 0.02
+	rackWeight    = 0.3
+	// Accelerators are kept for tasks that need them unless this costs more than a slow-down by 20%.
+	acceleratorWeight = 0.2
+	suspectWeight     = 0.5
+	// deviations of uncertainty are added to the predicted slow-down of tasks of latency classes.
+	deviations = 0.5
+	maxSlow    = 2.0
 )
 
 // score rates w for t. Lower is better.
-func (p *Planner) score(t *task, w *worker) float64 {
+func (p *Planner) score(t *task, w *worker, nowMs int64) float64 {
 	s := packingWeight * leftover(t, w)
+	if p.config.Strategy == StrategyInterference {
+		s += p.predictedHarm(t, w, nowMs)
+	}
 	if t.class == pb.TaskClass_TASK_CLASS_SERVICE {
 		s += rackWeight * float64(p.cache.racks[rackKey{t.kind, w.rack}])
 	}
-	return s
+	if t.size.accelerators == 0 && w.capacity.accelerators > 0 {
+		s += acceleratorWeight
+	}
+	return s + suspectWeight*float64(len(w.health.failures))
 }
 
 // leftover is the share of w that remains free with t on it, 0 to 1. Small values pack tightly.
 func leftover(t *task, w *worker) float64 {
 	return 1 - w.used.plus(t.size).share(w.capacity)
 }
+
+// predictedHarm is the weighted slow-down of t by its neighbours and of the neighbours by t.
+func (p *Planner) predictedHarm(t *task, w *worker, nowMs int64) float64 {
+	own, others := 0.0, 0.0
+	for i := range w.groups {
+		g := &w.groups[i]
+		n := float64(g.count)
+		own += n * p.slowdown(t.kind, t.class, g.kind, nowMs)
+		others += n * p.weight(g.class) * worsened(g.slow) * p.slowdown(g.kind, g.class, t.kind, nowMs)
+	}
+	return p.weight(t.class)*own + others
+}
+
+// slowdown is the predicted effect of one aggressor task. Latency classes count part of the uncertainty as harm.
+func (p *Planner) slowdown(victim kindID, class pb.TaskClass, aggressor kindID, nowMs int64) float64 {
+	e := p.cache.model.estimate(victim, aggressor, nowMs)
+	if class == pb.TaskClass_TASK_CLASS_BATCH {
+		return e.mean
+	}
+	return e.mean + deviations*e.deviation
+}
+
+// worsened weighs further slow-down of tasks that are slow already, since the tail is made of them.
+func worsened(slow float64) float64 { return math.Exp(min(maxSlow, slow)) }
+
+func (p *Planner) weight(class pb.TaskClass) float64 {
+	if class == pb.TaskClass_TASK_CLASS_BATCH {
+		return p.config.ThroughputWeight
+	}
+	return p.config.TailLatencyWeight
+}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -13,25 +15,48 @@
 	class     pb.TaskClass
 	size      vector
 	gang      string
-	gangSize  int
-	state     pb.TaskState
+	gangSize  int32
 	attempt   uint32
 	evictions uint32
 	failures  uint32
+	state     pb.TaskState
 	submitted int64 // Unix ms
 	started   int64 // Unix ms
+	expected  int64 // declared run time in ms
 	progress  float64
-	expected  int64 // ms
+	failedOn  []string
+	// notBefore delays the next try after a failed start. Unix ms.
+	notBefore int64
+	// evictedAt is when the last eviction began, 0 if never. Unix ms.
+	evictedAt int64
 
 	// Position in the queue while queued.
 	bucket     *bucket
 	prev, next *task
 
-	// What the task occupies while placed.
-	worker   *worker
-	position int // in worker.tasks
-	occupied vector
-	charge   int64 // see flow.charge
+	// What the task holds while placed; nil otherwise.
+	*stay
+}
+
+// stay is what a task holds on a worker during one attempt.
+type stay struct {
+	worker     *worker
+	position   int // in worker.tasks
+	inContract int // in contract.placed
+	occupied   vector
+	charge     int64 // see flow.charge
+	// condemned marks a victim of the current plan.
+	condemned bool
+	// running is when the attempt began to run, 0 before. Unix ms.
+	running int64
+	// checkpointAt is when the last checkpoint was seen. Unix ms.
+	checkpointAt int64
+	measured     vector
+	measuredAt   int64 // Unix ms; 0 without a usable measurement
+	throttle     throttleState
+	// slow is the recent mean of -ln(speed).
+	slow      float64
+	suffering bool
 }
 
 // kindID numbers a kind of work within a member.
@@ -39,6 +64,13 @@
 
 type kindKey struct{ member, kind string }
 
+// kindInfo is what is learned of a kind.
+type kindInfo struct {
+	sizes sizeHistory
+	// Decayed counts of starts that succeeded and failed.
+	startsOK, startsFailed float64
+}
+
 // occupies reports whether a task in state s holds capacity on its worker.
 func occupies(s pb.TaskState) bool {
 	switch s {
@@ -61,17 +93,25 @@
 	return &task{
 		id: m.GetId(), member: s.GetMember(), contract: c.quotas.contract(s.GetContract()),
 		kind: c.kindOf(s.GetMember(), s.GetKind()), class: normalClass(s.GetClass()),
-		size: toVector(s.GetResources()), gang: s.GetGang(), gangSize: int(s.GetGangSize()),
+		size: toVector(s.GetResources()), gang: s.GetGang(), gangSize: int32(s.GetGangSize()),
 		submitted: m.GetSubmittedUnixMs(), expected: s.GetExpectedRunMs(),
 	}
 }
 
 // update copies what changes during the life of a task.
-func (t *task) update(m *pb.Task) {
+func (t *task) update(m *pb.Task, now int64) {
 	t.state, t.attempt = m.GetState(), m.GetAttempt()
 	t.evictions, t.failures = m.GetEvictions(), m.GetFailures()
 	t.started = m.GetStartedUnixMs()
-	t.progress = m.GetCheckpoint().GetProgress()
+	if progress := m.GetCheckpoint().GetProgress(); progress != t.progress {
+		t.progress = progress
+		if t.stay != nil {
+			t.checkpointAt = now
+		}
+	}
+	if len(m.GetFailedOn()) != len(t.failedOn) {
+		t.failedOn = slices.Clone(m.GetFailedOn())
+	}
 }
 
 // before orders tasks by submission. The id breaks ties, so the order does not depend on arrival.
@@ -81,3 +121,12 @@
 	}
 	return t.id < o.id
 }
+
+func (t *task) urgent() bool { return t.class == pb.TaskClass_TASK_CLASS_URGENT }
+
+func (t *task) batch() bool { return t.class == pb.TaskClass_TASK_CLASS_BATCH }
+
+// evicting reports whether t is leaving its worker, by commit or by the current plan.
+func (t *task) evicting() bool {
+	return t.state == pb.TaskState_TASK_STATE_EVICTING || t.condemned
+}
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -1,21 +1,173 @@
 package placement
 
 import (
-	"time"
+	"math"
+	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-func (c *cache) observe(worker string, s *pb.UsageSample, now time.Time) {
+// strayUsage is measured usage of an attempt that the cache does not know to be on the worker, such as one that the
+// leader has closed but that has not stopped.
+type strayUsage struct {
+	task    string
+	attempt uint32
+	size    vector
+	at      int64 // Unix ms
+}
+
+const (
+	// Time constants of the slow-down of a task and of a kind on a worker, as weights of one sample.
+	taskSlowRate  = 0.3
+	groupSlowRate = 0.1
+	// A task that ran this long is judged by its own usage and no longer by that of its kind.
+	ownUsageAfterMs = 10 * 1000
+	maxStray        = 64
+	// Workers examined for outdated measurements in one plan.
+	sweepWorkers = 64
+)
+
+func (c *cache) observe(worker string, s *pb.UsageSample, now int64) {
+	w := c.workers[worker]
+	if w == nil {
+		return
+	}
+	taken := min(s.GetTakenUnixMs(), now)
 	t := c.tasks[s.GetTask()]
-	if t == nil || t.worker == nil || t.worker.id != worker || t.attempt != s.GetAttempt() {
+	if t != nil && t.stay != nil && t.worker == w && t.attempt == s.GetAttempt() {
+		c.measure(t, s, taken, now)
+		c.learnSpeed(t, s, taken, now)
+		return
+	}
+	if past := w.past.at(s.GetTask(), s.GetAttempt(), taken); past != nil {
+		if past.share == 1 {
+			c.learnPair(w, past.kind, s, taken)
+		}
+		return
+	}
+	if now-taken <= c.freshMs() {
+		w.addStray(strayUsage{s.GetTask(), s.GetAttempt(), measuredSize(s), taken})
+		c.refresh(w)
+	}
+}
+
+func (c *cache) freshMs() int64 { return c.config.UsageFreshness.Milliseconds() }
+
+func measuredSize(s *pb.UsageSample) vector {
+	return vector{cores: max(0, s.GetMillicores()), memory: max(0, s.GetMemoryBytes())}
+}
+
+// measure takes over the usage of a placed task. Samples that arrive out of order or too late do not replace it.
+func (c *cache) measure(t *task, s *pb.UsageSample, taken, now int64) {
+	size := measuredSize(s)
+	sizes := &c.kindInfo[t.kind].sizes
+	sizes.memory.add(size.memory, t.size.memory)
+	if t.throttle.shareAt(taken) == 1 {
+		sizes.cores.add(size.cores, t.size.cores)
+	}
+	if taken <= t.measuredAt || now-taken > c.freshMs() {
+		return
+	}
+	size.accelerators = t.size.accelerators
+	t.measured, t.measuredAt = size, taken
+	c.recharge(t, now)
+}
+
+// recharge counts t with the largest of its declared, expected and measured size.
+func (c *cache) recharge(t *task, now int64) {
+	size := t.size
+	if t.measuredAt == 0 || t.running == 0 || now-t.running < ownUsageAfterMs {
+		size = c.demand(t)
+	}
+	size = size.max(t.measured)
+	if size == t.occupied {
 		return
 	}
-	_ = now
-	measured := vector{s.GetMillicores(), s.GetMemoryBytes(), t.size.accelerators}
-	w := t.worker
-	w.used = w.used.minus(t.occupied)
-	t.occupied = c.demand(t, w).max(measured)
-	w.used = w.used.plus(t.occupied)
-	c.refresh(w)
+	t.worker.bear(t, -1)
+	t.occupied = size
+	t.worker.bear(t, 1)
+	c.refresh(t.worker)
+}
+
+// learnSpeed updates the slow-down of t and the effects of what ran beside it when the sample was taken.
+func (c *cache) learnSpeed(t *task, s *pb.UsageSample, taken, now int64) {
+	speed := s.GetSpeed()
+	if !(speed > 0) || t.throttle.shareAt(taken) < 1 || t.running == 0 || taken < t.running {
+		return
+	}
+	c.learnPair(t.worker, t.kind, s, taken)
+	slow := -math.Log(min(1, max(minSpeed, speed)))
+	if now-taken > c.freshMs() {
+		return
+	}
+	t.slow += taskSlowRate * (slow - t.slow)
+	for i := range t.worker.groups {
+		if g := &t.worker.groups[i]; g.kind == t.kind && g.class == t.class {
+			g.slow += groupSlowRate * (slow - g.slow)
+		}
+	}
+	c.updateSuffering(t)
+}
+
+func (c *cache) learnPair(w *worker, victim kindID, s *pb.UsageSample, taken int64) {
+	neighbours, complete := w.neighboursAt(s.GetTask(), s.GetAttempt(), taken, c.neighbours[:0])
+	c.neighbours = neighbours
+	if complete {
+		c.model.learn(victim, neighbours, s.GetSpeed(), taken)
+	}
+}
+
+func (w *worker) addStray(u strayUsage) {
+	for i := range w.stray {
+		old := &w.stray[i]
+		if old.task == u.task && old.attempt == u.attempt {
+			w.used = w.used.minus(old.size).plus(u.size)
+			*old = u
+			return
+		}
+	}
+	if len(w.stray) < maxStray {
+		w.stray = append(w.stray, u)
+		w.used = w.used.plus(u.size)
+	}
+}
+
+// dropStray stops counting the stray usage of an attempt that the cache knows from now on.
+func (w *worker) dropStray(task string, attempt uint32) {
+	w.keepStray(func(u strayUsage) bool { return u.task != task || u.attempt != attempt })
+}
+
+func (w *worker) keepStray(keep func(strayUsage) bool) {
+	w.stray = slices.DeleteFunc(w.stray, func(u strayUsage) bool {
+		if keep(u) {
+			return false
+		}
+		w.used = w.used.minus(u.size)
+		return true
+	})
+}
+
+// expireUsage drops outdated measurements on a few workers; every worker has its turn. Where a report is missing, the
+// declared and expected sizes count again.
+func (c *cache) expireUsage(now int64) {
+	for range min(sweepWorkers, len(c.slots)) {
+		c.sweep = (c.sweep + 1) % len(c.slots)
+		if w := c.slots[c.sweep]; w != nil {
+			c.expireWorker(w, now)
+		}
+	}
+}
+
+func (c *cache) expireWorker(w *worker, now int64) {
+	oldest := now - c.freshMs()
+	for _, t := range w.tasks {
+		if t.measuredAt > 0 && t.measuredAt < oldest {
+			t.measured, t.measuredAt = vector{}, 0
+			c.recharge(t, now)
+		}
+	}
+	if len(w.stray) > 0 {
+		w.keepStray(func(u strayUsage) bool { return u.at >= oldest })
+		c.refresh(w)
+	}
 }
