Check the lease again before sending, settle slots by the executor's report

A slot whose request was abandoned stays reserved until an announcement shows that the executor has ended it; a request whose connection took long to open is not sent if the executor has left meanwhile. A call that was not sent at all is tried on another executor, non-idempotent ones too.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,9 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
+// maxStatus is the highest status that net/http writes.
+const maxStatus = 999
+
 func (c *call) forwardHead(now time.Time) *pb.ForwardHead {
 	head := &pb.ForwardHead{Method: c.method, Service: c.service, Path: c.path, Member: c.member, Contract: c.contract}
 	head.Idempotent = c.idempotent
@@ -43,9 +46,13 @@
 		return forwardError(ctx, vm, err)
 	}
 	defer answerBody.Close()
+	if answer.Status < http.StatusOK || answer.Status > maxStatus {
+		return ErrExecutorFailed.With("entry VM %s answered with status %d", vm, answer.Status)
+	}
 	if answer.Error != nil {
 		return errs.FromProto(int(answer.Status), answer.Error)
 	}
+	forwardsTotal.Inc()
 	g.config.Logger.Info().Str("decision", "forward").Str("request", c.id).Str("vm", vm).Str("target", answer.Target).Msg("request forwarded")
 	return relay(ctx, answer, answerBody, out, commit)
 }
@@ -76,7 +83,7 @@
 	}
 	for _, vm := range g.config.PeersOf(owner) {
 		err := g.forward(ctx, c, vm, c.forwardHead(g.config.Now()), body, out, nil)
-		if !errors.Is(err, ErrNotSent) {
+		if !errors.Is(err, ErrNotSent) && !errors.Is(err, errs.ErrDraining) {
 			return err
 		}
 		if _, whole := body.view(); !whole {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 type Gateway struct {
 	config Config
 	rates  rateLimiter
+	active activeKeys
 }
 
 // New returns a gateway.
@@ -122,5 +123,8 @@
 	if c.SenderGone == nil {
 		c.SenderGone = func(string, string) bool { return false }
 	}
-	return &Gateway{config: c, rates: rateLimiter{buckets: make(map[string]*bucket)}}
+	g := &Gateway{config: c}
+	g.rates.buckets = make(map[string]*bucket)
+	g.active.keys = make(map[memberKey]struct{})
+	return g
 }
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -29,7 +29,12 @@
 // ServeHTTP serves /v1/services/{service}/{path...}. The context must hold the Identity of the caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &answerer{begin: func(head *pb.AnswerHead) (io.Writer, error) { return startHTTP(w, r, head) }}
+	if r.ContentLength != 0 && r.ProtoMajor == 1 {
+		// An executor may answer before it has read the whole body. Not supported by test recorders.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	err := g.serveCaller(r, out)
+	countOutcome(err)
 	if err == nil {
 		return
 	}
@@ -41,6 +46,10 @@
 }
 
 func (g *Gateway) serveCaller(r *http.Request, out *answerer) error {
+	if !r.ProtoAtLeast(1, 1) {
+		// The end of an answer of unknown length could not be told from a broken connection.
+		return errs.ErrInvalid.With("HTTP/1.1 or later is required, got %s", r.Proto)
+	}
 	id, ok := IdentityFrom(r.Context())
 	if !ok {
 		return errs.ErrUnauthenticated
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
@@ -45,6 +46,15 @@
 	if err := g.admit(c); err != nil {
 		return err
 	}
+	if !g.active.add(c.member, c.key) {
+		return ErrInProgress
+	}
+	defer g.active.remove(c.member, c.key)
+	return g.record(ctx, c, body, out, digest, issued)
+}
+
+// record commits the intent and runs the call, or answers from the record that exists.
+func (g *Gateway) record(ctx context.Context, c *call, body *replayBody, out *answerer, digest []byte, issued time.Time) error {
 	record := &pb.RequestRecord{Member: c.member, Key: c.key, Digest: digest, KeyUnixMs: issued.UnixMilli()}
 	record.Stage = pb.RequestRecord_STAGE_INTENT
 	record.Sender = g.config.VM
@@ -56,7 +66,38 @@
 	if !created {
 		return g.replay(existing, digest, out)
 	}
-	return g.runOnce(ctx, c, body, out, &commit{gateway: g, call: c})
+	commit := &commit{gateway: g, call: c}
+	err = g.run(ctx, c, body, out, commit)
+	if !commit.done {
+		commit.failed(ctx, err)
+	}
+	return err
+}
+
+// activeKeys holds the keys of the non-idempotent calls in progress in this process.
+type activeKeys struct {
+	mu   sync.Mutex
+	keys map[memberKey]struct{}
+}
+
+type memberKey struct{ member, key string }
+
+// add returns false if the key is in progress.
+func (a *activeKeys) add(member, key string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	k := memberKey{member, key}
+	if _, ok := a.keys[k]; ok {
+		return false
+	}
+	a.keys[k] = struct{}{}
+	return true
+}
+
+func (a *activeKeys) remove(member, key string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.keys, memberKey{member, key})
 }
 
 // beginError keeps a typed refusal. Since the request was not sent, an intent whose commit is in
@@ -69,15 +110,6 @@
 	return contextError(err, errs.OutcomeNotRun)
 }
 
-// runOnce runs the call without any retry. A nil commit means that another entry VM keeps the record.
-func (g *Gateway) runOnce(ctx context.Context, c *call, body *replayBody, out *answerer, commit *commit) error {
-	_, err := g.attempt(ctx, c, body, out, nil, commit)
-	if commit != nil && !commit.done {
-		commit.failed(ctx, err)
-	}
-	return err
-}
-
 // executed commits the outcome with the answer.
 func (m *commit) executed(ctx context.Context, head *pb.AnswerHead, body []byte, dropped bool) error {
 	m.done = true
@@ -118,7 +150,10 @@
 	case pb.RequestRecord_STAGE_EXECUTED:
 		return replayAnswer(r.Answer, out)
 	case pb.RequestRecord_STAGE_INTENT:
-		if !g.config.SenderGone(r.Sender, r.SenderInstance) {
+		// This process has no other call with the key, so an intent of its own is one whose outcome could
+		// not be committed.
+		own := r.Sender == g.config.VM && r.SenderInstance == g.config.Instance
+		if !own && !g.config.SenderGone(r.Sender, r.SenderInstance) {
 			return ErrInProgress
 		}
 	}
@@ -142,7 +177,7 @@
 // admit refuses a call that the queue would refuse, before an intent is committed for it. Without an
 // own executor a peer may still take it.
 func (g *Gateway) admit(c *call) error {
-	r := routing.Request{Service: c.service, Member: c.member, Weight: c.weight, Urgent: c.urgent, Deadline: c.deadline}
+	r := c.routingRequest()
 	err := g.config.Table.Admit(&r)
 	if errors.Is(err, routing.ErrNoExecutor) {
 		return nil
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -50,6 +50,9 @@
 // parse reads the request line and headers of a caller's request.
 func (g *Gateway) parse(r *http.Request, member string) (*call, error) {
 	c := &call{member: member, method: r.Method, contentLength: r.ContentLength, body: r.Body}
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return nil, errs.ErrInvalid.With("method %s is not supported", r.Method)
+	}
 	var err error
 	if c.service, c.path, err = splitPath(r.URL); err != nil {
 		return nil, err
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,7 +12,7 @@
 // relayBytes is the size of the pieces in which answers are passed on.
 const relayBytes = 32 << 10
 
-var relayBuffers = sync.Pool{New: func() any { return new([2][relayBytes]byte) }}
+var relayBuffers = sync.Pool{New: func() any { return new([relayBytes]byte) }}
 
 // relay passes an answer on. The last piece is held back until commit has recorded the outcome, so
 // that no caller has a whole answer whose outcome is unknown.
@@ -24,9 +24,9 @@
 	if err != nil {
 		return err
 	}
-	buffers := relayBuffers.Get().(*[2][relayBytes]byte)
-	defer relayBuffers.Put(buffers)
-	return copyPieces(w, source, buffers[0][:])
+	buffer := relayBuffers.Get().(*[relayBytes]byte)
+	defer relayBuffers.Put(buffer)
+	return copyPieces(w, source, buffer[:])
 }
 
 func copyPieces(w io.Writer, source io.Reader, buffer []byte) error {
@@ -49,26 +49,33 @@
 // relayCommitted keeps answers up to the stored size until the outcome is committed. Larger ones
 // stream, but for their last piece.
 func relayCommitted(ctx context.Context, head *pb.AnswerHead, source io.Reader, out *answerer, commit *commit) error {
-	buffers := relayBuffers.Get().(*[2][relayBytes]byte)
-	defer relayBuffers.Put(buffers)
-	held, next := buffers[0][:], buffers[1][:]
-	n, err := readFull(source, held)
+	buffer := relayBuffers.Get().(*[relayBytes]byte)
+	defer relayBuffers.Put(buffer)
+	n, err := readFull(source, buffer[:])
 	if err != nil && err != io.EOF {
 		return errCut.With("the answer ended early: %w", err)
 	}
 	if err == io.EOF && n <= maxStoredBytes {
-		return commitThenAnswer(ctx, head, held[:n], out, commit)
+		return commitThenAnswer(ctx, head, buffer[:n], out, commit)
 	}
+	return relayLarge(ctx, head, source, buffer[:], n, out, commit)
+}
+
+// relayLarge streams an answer that is too large to be kept. held has the first n bytes.
+func relayLarge(ctx context.Context, head *pb.AnswerHead, source io.Reader, held []byte, n int, out *answerer, commit *commit) error {
+	second := relayBuffers.Get().(*[relayBytes]byte)
+	defer relayBuffers.Put(second)
+	next := second[:]
 	w, startErr := out.start(head)
 	if startErr != nil {
 		return startErr
 	}
-	for err == nil {
-		var m int
-		m, err = readFull(source, next)
+	for ended := false; !ended; {
+		m, err := readFull(source, next)
 		if err != nil && err != io.EOF {
 			return errCut.With("the answer ended early: %w", err)
 		}
+		ended = err == io.EOF
 		if m == 0 {
 			break
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,7 +19,10 @@
 
 // sentTracker learns from the connection whether any byte of a request was written.
 type sentTracker struct {
-	mu   sync.Mutex
+	// valid reports whether the request may still be sent. Opening a connection takes up to a second,
+	// in which the executor may have left.
+	valid func() bool
+	mu    sync.Mutex
 	conn *routing.CountingConn
 	mark int64
 	sent bool
@@ -38,6 +41,9 @@
 	}
 	s.conn = conn
 	s.mark = conn.Written()
+	if !s.valid() {
+		conn.Unsent(s.mark)
+	}
 }
 
 // unsent reports whether nothing was written, and makes sure that nothing will be.
@@ -49,7 +55,7 @@
 
 // send carries out the call on the executor of the grant and releases the grant.
 func (g *Gateway) send(ctx context.Context, c *call, grant *routing.Grant, body *replayBody, out *answerer, commit *commit) error {
-	outcome := routing.Outcome{Result: routing.NotSent}
+	outcome := routing.Outcome{Result: routing.Unused}
 	defer func() { grant.Release(outcome) }()
 	view, whole := body.view()
 	if !whole {
@@ -57,7 +63,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	tracker := &sentTracker{}
+	tracker := &sentTracker{valid: grant.Valid}
 	req, err := g.executorRequest(ctx, c, grant, view, tracker)
 	if err != nil {
 		return err
@@ -65,6 +71,7 @@
 	started := g.config.Now()
 	resp, err := grant.Transport().RoundTrip(req)
 	if err != nil {
+		outcome.Latency = g.config.Now().Sub(started)
 		outcome.Result, err = g.sendFailure(ctx, err, tracker)
 		return err
 	}
@@ -73,7 +80,7 @@
 	outcome.Latency = g.config.Now().Sub(started)
 	outcome.Result = routing.FailedAfterFirstByte
 	if !framed(resp) {
-		return errCut.With("the answer of %s has neither a length nor chunks", grant.Target())
+		return errCut.With("the answer of %s has neither a length nor chunks, or status %d", grant.Target(), resp.StatusCode)
 	}
 	source := &timedReader{source: resp.Body, now: g.config.Now}
 	err = relay(ctx, answerOf(c, resp, grant.Target()), source, out, commit)
@@ -134,13 +141,13 @@
 	case errors.As(err, &typed):
 		// The caller's body failed: too large, or not what its digest states.
 		if unsent {
-			return routing.NotSent, typed
+			return routing.Unused, typed
 		}
 		copied := *typed
 		copied.Outcome = errs.OutcomeUnknown
 		return routing.Abandoned, &copied
 	case ctx.Err() != nil && unsent:
-		return routing.NotSent, contextError(ctx.Err(), errs.OutcomeNotRun)
+		return routing.Unused, contextError(ctx.Err(), errs.OutcomeNotRun)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return routing.TimedOut, contextError(ctx.Err(), errs.OutcomeUnknown)
 	case ctx.Err() != nil:
@@ -153,6 +160,9 @@
 
 // framed reports whether the end of the answer can be told from a broken connection.
 func framed(resp *http.Response) bool {
+	if resp.StatusCode < http.StatusOK {
+		return false
+	}
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead ||
 		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,24 +14,25 @@
 
 // serve carries out a call. An error after out has started means that the answer is cut.
 func (g *Gateway) serve(ctx context.Context, c *call, out *answerer) error {
+	if err := g.config.Table.Begin(); err != nil {
+		return err
+	}
+	defer g.config.Table.End()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	body := newReplayBody(c.body, g.config.Limits.MaxBodyBytes)
-	switch {
-	case c.idempotent:
-		return g.serveIdempotent(ctx, c, body, out)
-	case c.recorded:
-		return g.runOnce(ctx, c, body, out, nil)
+	if c.idempotent || c.recorded {
+		return g.run(ctx, c, body, out, nil)
 	}
 	return g.serveOnce(ctx, c, body, out)
 }
 
-// serveIdempotent runs a call, and again on another executor if that is safe and the budget allows.
-func (g *Gateway) serveIdempotent(ctx context.Context, c *call, body *replayBody, out *answerer) error {
+// run makes attempts until one succeeds, or another one is not safe or not in the budget.
+func (g *Gateway) run(ctx context.Context, c *call, body *replayBody, out *answerer, commit *commit) error {
 	var avoid []string
 	for {
-		target, err := g.attempt(ctx, c, body, out, avoid, nil)
-		if err == nil || out.started || ctx.Err() != nil || !retryable(err) {
+		target, err := g.attempt(ctx, c, body, out, avoid, commit)
+		if err == nil || out.started || ctx.Err() != nil || !c.retryable(err) {
 			return err
 		}
 		_, whole := body.view()
@@ -41,20 +42,25 @@
 		if target != "" {
 			avoid = append(avoid, target)
 		}
+		retriesTotal.Inc()
 		g.config.Logger.Info().Str("decision", "retry").Str("request", c.id).Str("failed", target).Err(err).Msg("request retried")
 	}
 }
 
-// retryable reports whether a failure may be cured by another executor.
-func retryable(err error) bool {
-	return errors.Is(err, ErrExecutorFailed) || errors.Is(err, ErrExecutorUnreachable) || errors.Is(err, errCut)
+// retryable reports whether a failure may be cured by another executor. A non-idempotent call is
+// tried again only if nothing of it was sent.
+func (c *call) retryable(err error) bool {
+	if errors.Is(err, ErrExecutorUnreachable) {
+		return true
+	}
+	return c.idempotent && (errors.Is(err, ErrExecutorFailed) || errors.Is(err, errCut))
 }
 
 // attempt runs a call on an own executor, or forwards it to a peer with free capacity. It returns the
 // executor that was tried.
 func (g *Gateway) attempt(ctx context.Context, c *call, body *replayBody, out *answerer, avoid []string, commit *commit) (string, error) {
-	r := routing.Request{Service: c.service, Member: c.member, Contract: c.contract, Weight: c.weight, Urgent: c.urgent,
-		Deadline: c.deadline, Avoid: avoid, Idempotent: c.idempotent, ID: c.id}
+	r := c.routingRequest()
+	r.Avoid = avoid
 	if grant := g.config.Table.TryAcquire(&r); grant != nil {
 		return grant.Target(), g.send(ctx, c, grant, body, out, commit)
 	}
@@ -85,10 +91,16 @@
 	if err == nil || out.started || outcomeOf(err) != errs.OutcomeNotRun {
 		return true, err
 	}
+	g.config.Logger.Info().Str("decision", "forward").Str("request", c.id).Str("vm", vm).Err(err).Msg("forwarded request not run")
 	_, whole := body.view()
 	return !whole, err
 }
 
+func (c *call) routingRequest() routing.Request {
+	return routing.Request{Service: c.service, Member: c.member, Contract: c.contract, Weight: c.weight, Urgent: c.urgent,
+		Deadline: c.deadline, Idempotent: c.idempotent, ID: c.id, Begun: true}
+}
+
 func outcomeOf(err error) errs.Outcome { return errs.From(err).Outcome }
 
 func (c *call) answerHead(status int, target string, length int64) *pb.AnswerHead {
--- a/internal/routing/announce.go
+++ b/internal/routing/announce.go
@@ -16,6 +16,7 @@
 	// firstContactInterval asks an executor to echo its first nonce at once, since only an echoed
 	// nonce starts a lease.
 	firstContactInterval = 5 * time.Millisecond
+	expireEvery          = 100 * time.Millisecond
 	// forgetAfter leases without an announcement the executor leaves the table.
 	forgetAfter = 10
 )
@@ -34,6 +35,7 @@
 	now := t.config.Now()
 	e, issued, known := t.session(a, now)
 	e.update(a)
+	e.announced = now
 	e.draining = a.Draining || drained
 	answer := &pb.AnnouncementAnswer{Holder: t.config.VM, EntryVms: siblings, Drain: drained}
 	answer.LeaseMs = t.config.Lease.Milliseconds()
@@ -41,11 +43,12 @@
 	if known {
 		e.renew(issued.Add(t.config.Lease))
 		e.settle(a.InFlight, issued, now, t.config.MaxRequestTime)
-		answer.MoveTo = t.move(e, now)
 	} else {
 		answer.IntervalMs = firstContactInterval.Milliseconds()
 	}
-	t.expire(now)
+	if known || t.draining {
+		answer.MoveTo = t.move(e, now)
+	}
 	t.review(e, now)
 	e.pool.list(e, now)
 	t.dispatch(e.pool, now)
@@ -66,20 +69,29 @@
 		e.released = false
 		return e, issued, false
 	}
-	if e != nil {
-		e.retire()
+	old := e
+	e = newExecutor(a, t.pool(a.Service), t.config.Dial)
+	e.reserve(a.InFlight+old.mayOccupy(a.Instance), now)
+	if old != nil {
+		old.retire()
 	}
-	e = newExecutor(a, t.pool(a.Service))
-	e.reserve(a.InFlight, now)
 	e.pool.executors = append(e.pool.executors, e)
 	t.executors[a.Id] = e
 	t.logExecutor("executor announced", e)
 	return e, issued, false
 }
 
+// mayOccupy returns how many slots requests sent through e may use in the process with the instance.
+func (e *executor) mayOccupy(instance string) uint32 {
+	if e == nil || e.instance != instance {
+		return 0
+	}
+	return e.inFlight + uint32(len(e.unsettled))
+}
+
 func (e *executor) sameProcess(a *pb.Announcement) bool {
 	return e.instance == a.Instance && e.address == a.Address && e.service == a.Service &&
-		e.slots == a.Slots && e.connections == a.Connections
+		e.announcedSlots == a.Slots && e.connections == a.Connections
 }
 
 // reserve sets slots aside for requests that this table did not send.
@@ -103,16 +115,22 @@
 }
 
 // expire drops idle connections of executors whose announcement is overdue, since such a connection
-// may have become silent, and forgets executors that stay away.
+// may have become silent, and forgets executors that stay away. It does so at most every expireEvery.
 func (t *Table) expire(now time.Time) {
-	missed := t.config.Lease - 2*t.config.Interval
+	if now.Sub(t.expired) < expireEvery {
+		return
+	}
+	t.expired = now
+	// Announcements come every interval and renew from a nonce that is one interval old: 1.5 intervals
+	// after the expected time one is missing.
+	missed := t.config.Lease - 5*t.config.Interval/2
 	for id, e := range t.executors {
 		if now.Before(e.leaseUntil.Add(-missed)) {
 			continue
 		}
 		e.transport.CloseIdleConnections()
 		e.pool.list(e, now)
-		if e.inFlight == 0 && !e.leaseUntil.IsZero() && now.Sub(e.leaseUntil) > forgetAfter*t.config.Lease {
+		if e.inFlight == 0 && now.Sub(e.announced) > forgetAfter*t.config.Lease {
 			e.retire()
 			delete(t.executors, id)
 			t.logExecutor("executor forgotten", e)
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -32,7 +33,8 @@
 	MaxQueue int
 	// RetryBudgetPercent bounds retries as a share of requests. Negative: none.
 	RetryBudgetPercent int
-	// MaxRequestTime bounds the time for which a slot used by a former holder stays reserved.
+	// MaxRequestTime is the longest time that a request may take. Slots that stay reserved for longer
+	// make the executor pause until its report is unambiguous.
 	MaxRequestTime time.Duration
 	// Now returns the time with a monotonic reading.
 	Now func() time.Time
@@ -47,6 +49,8 @@
 	Drained func(id string) bool
 	// Policy chooses among executors with a free slot. Nil: TwoChoices with latency.
 	Policy Policy
+	// Dial opens connections to executors. Nil: TCP.
+	Dial DialFunc
 	// Seed of the random choices.
 	Seed uint64
 }
@@ -79,6 +83,9 @@
 	if c.Policy == nil {
 		c.Policy = LatencyTwoChoices{}
 	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext
+	}
 	if c.Seed == 0 {
 		c.Seed = uint64(c.Now().UnixNano())
 	}
@@ -98,6 +105,8 @@
 	Avoid []string
 	// Idempotent requests may be retried.
 	Idempotent bool
+	// Begun requests began before Drain and are still served after it.
+	Begun bool
 	// ID appears in the decision line.
 	ID string
 }
@@ -109,7 +118,9 @@
 const (
 	// Success: the whole answer was read.
 	Success Result = iota
-	// NotSent: no byte of the request was written.
+	// Unused: the slot was not used, for a reason that is not the executor's.
+	Unused
+	// NotSent: the executor could not be reached; no byte of the request was written.
 	NotSent
 	// FailedBeforeFirstByte: the request may have been sent, no byte of an answer arrived.
 	FailedBeforeFirstByte
@@ -131,14 +142,22 @@
 }
 
 // settled reports whether the executor has ended its work on the request.
-func (o Outcome) settled() bool { return o.Result == Success || o.Result == NotSent }
+func (o Outcome) settled() bool {
+	return o.Result == Success || o.Result == NotSent || o.Result == Unused
+}
 
-// failed reports whether the executor is to blame.
-func (o Outcome) failed() bool {
-	if o.Result == Success {
+// failed reports whether the executor is to blame. A deadline that left less time than a slow
+// executor would need says nothing about the executor.
+func (o Outcome) failed(poolLatency float64) bool {
+	switch o.Result {
+	case Success:
 		return o.Status >= http.StatusInternalServerError
+	case Abandoned, Unused:
+		return false
+	case TimedOut:
+		return o.Latency.Seconds() > slowFactor*poolLatency
 	}
-	return o.Result != Abandoned
+	return true
 }
 
 // Refusals of the table.
--- a/internal/routing/executor.go
+++ b/internal/routing/executor.go
@@ -8,6 +8,10 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
+// closeNoticeTime is what an executor is given to notice that a connection was closed, before its
+// report can free the slot.
+const closeNoticeTime = 50 * time.Millisecond
+
 // rememberedNonces is the number of nonces kept for one executor. An answer that was lost makes the
 // executor echo an older nonce; four cover three lost answers in a row, which already take 2 s.
 const rememberedNonces = 4
@@ -22,11 +26,13 @@
 	id, instance, address string
 	domain, rack, service string
 	slots, connections    uint32
+	announcedSlots        uint32
 	capacity              *pb.Resources
 
 	nonces     [rememberedNonces]issuedNonce
 	nextNonce  int
 	leaseUntil time.Time
+	announced  time.Time
 	draining   bool
 	// released is set when the lease was given up by naming another entry VM.
 	released bool
@@ -35,6 +41,9 @@
 	// unsettled has one time, in ascending order, for each slot that a request of a former holder, or
 	// an abandoned request, may still use.
 	unsettled []time.Time
+	// quiet keeps new requests away, and quietSince is when the last one had ended.
+	quiet      bool
+	quietSince time.Time
 
 	health    health
 	transport *http.Transport
@@ -44,14 +53,16 @@
 	index int
 }
 
-func newExecutor(a *pb.Announcement, p *pool) *executor {
+func newExecutor(a *pb.Announcement, p *pool, dial DialFunc) *executor {
 	e := &executor{id: a.Id, instance: a.Instance, service: a.Service, pool: p, index: -1}
 	e.address = a.Address
-	e.transport = newTransport(a.Connections)
-	e.slots = a.Slots
-	e.unsettled = make([]time.Time, 0, a.Slots)
-	e.grants = make([]*Grant, 0, a.Slots)
-	for range a.Slots {
+	e.transport = newTransport(a.Slots, a.Connections, dial)
+	// Each request in flight needs a connection.
+	e.slots = min(a.Slots, a.Connections)
+	e.announcedSlots = a.Slots
+	e.unsettled = make([]time.Time, 0, e.slots)
+	e.grants = make([]*Grant, 0, e.slots)
+	for range e.slots {
 		e.grants = append(e.grants, &Grant{executor: e})
 	}
 	e.update(a)
@@ -92,7 +103,7 @@
 
 // limit is the number of requests that may be in flight now.
 func (e *executor) limit() uint32 {
-	if len(e.unsettled) >= int(e.slots) {
+	if len(e.unsettled) >= int(e.slots) || e.quiet {
 		return 0
 	}
 	usable := e.slots - uint32(len(e.unsettled))
@@ -103,7 +114,7 @@
 }
 
 func (e *executor) usable(now time.Time) bool {
-	return e.leased(now) && !e.draining && !e.health.isSetAside() && e.inFlight < e.limit()
+	return e.leased(now) && !e.draining && !e.health.setAside && e.inFlight < e.limit()
 }
 
 // leaveUnsettled reserves n more slots, at most all.
@@ -114,19 +125,33 @@
 }
 
 // settle frees the slots that the executor no longer reports as used. A report covers the slots left
-// unsettled before its nonce was issued; after longest no request can still run.
+// unsettled before its nonce was issued. An executor that counts all its requests in the report never
+// falls below the number of unsettled slots under load: once one of them is older than longest, the
+// executor gets no requests until a report can contain no others.
 func (e *executor) settle(reported uint32, nonceAt, now time.Time, longest time.Duration) {
-	covered, over := 0, 0
+	covered := 0
 	for _, since := range e.unsettled {
-		if now.Sub(since) >= longest {
-			over++
-		}
-		if since.Before(nonceAt) {
+		if !since.After(nonceAt) {
 			covered++
 		}
 	}
-	ended := max(over, covered-int(reported))
-	e.unsettled = append(e.unsettled[:0], e.unsettled[ended:]...)
+	if ended := covered - int(reported); ended > 0 {
+		e.unsettled = append(e.unsettled[:0], e.unsettled[ended:]...)
+	}
+	if e.quiet && e.inFlight == 0 && !e.quietSince.IsZero() && !e.quietSince.After(nonceAt) {
+		e.quiet = false
+		for i := range e.unsettled {
+			e.unsettled[i] = now
+		}
+		return
+	}
+	if len(e.unsettled) > 0 && now.Sub(e.unsettled[0]) >= longest && !e.quiet {
+		e.quiet = true
+		e.quietSince = time.Time{}
+	}
+	if e.quiet && e.inFlight == 0 && e.quietSince.IsZero() {
+		e.quietSince = now
+	}
 }
 
 func (e *executor) state(now time.Time) string {
@@ -135,7 +160,7 @@
 		return "draining"
 	case !e.leased(now):
 		return "lost"
-	case e.health.isSetAside():
+	case e.health.setAside:
 		return "set-aside"
 	case e.health.probing:
 		return "probing"
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	// latencyWeight is the weight of one sample in the moving averages.
-	latencyWeight = 0.125
-	// failuresToSetAside in a row set an executor aside.
-	failuresToSetAside = 5
+	// sampleWeight is the weight of one sample in the moving averages of one executor.
+	sampleWeight = 0.125
+	// failingRate is the share of failures at which an executor is set aside: five failures in a row
+	// after none reach it.
+	failingRate = 0.48
+	// failingMargin above the mean of the other executors is needed as well, so that requests that
+	// fail everywhere set nothing aside.
+	failingMargin = 0.4
 	// slowFactor is the latency relative to the pool at which an executor is set aside.
 	slowFactor = 5
 	// slowSamples is the number of answers needed before an executor counts as slow.
@@ -21,45 +25,48 @@
 // health is what the table knows of the answers of one executor.
 type health struct {
 	// latency is the moving average in seconds; 0 before the first answer.
-	latency  float64
-	samples  uint32
-	failures uint32
+	latency float64
+	samples uint32
+	// failing is the moving average of failures, 0 to 1.
+	failing float64
 
-	setAsideUntil time.Time
 	setAside      bool
+	setAsideUntil time.Time
 	period        time.Duration
 	probing       bool
 	successes     uint32
+	probeFailed   bool
 }
 
-func (h *health) isSetAside() bool { return h.setAside }
-
-func (h *health) record(o Outcome) {
-	if o.failed() {
-		h.failures++
+func (h *health) record(o Outcome, poolLatency float64) {
+	switch {
+	case o.failed(poolLatency):
+		h.failing += sampleWeight * (1 - h.failing)
 		h.successes = 0
-		return
+		h.probeFailed = true
+	case o.Result == Success:
+		h.failing -= sampleWeight * h.failing
+		h.successes++
+		h.samples++
+		h.recordLatency(o.Latency.Seconds())
 	}
-	if o.Result != Success {
-		return
-	}
-	h.failures = 0
-	h.successes++
-	h.samples++
-	h.latency = average(h.latency, o.Latency.Seconds())
 }
 
-func average(old, sample float64) float64 {
-	if old == 0 {
-		return sample
+func (h *health) recordLatency(sample float64) {
+	if h.latency == 0 {
+		h.latency = sample
+		return
 	}
-	return old + latencyWeight*(sample-old)
+	h.latency += sampleWeight * (sample - h.latency)
 }
 
-// outlier returns why the executor should be set aside, or "".
-func (h *health) outlier(poolLatency float64) string {
+// outlier returns why the executor should be set aside, or "". othersFailing is called only if the
+// executor fails often.
+func (h *health) outlier(poolLatency float64, othersFailing func() float64) string {
 	switch {
-	case h.failures >= failuresToSetAside, h.probing && h.failures > 0:
+	case h.probing && h.probeFailed:
+		return "failing"
+	case h.failing >= failingRate && h.failing >= othersFailing()+failingMargin:
 		return "failing"
 	case h.samples >= slowSamples && poolLatency > 0 && h.latency > slowFactor*poolLatency:
 		return "slow"
@@ -76,12 +83,7 @@
 
 // startProbe lets single requests through once the period is over.
 func (h *health) startProbe(poolLatency float64) {
-	h.setAside = false
-	h.probing = true
-	h.failures = 0
-	h.successes = 0
-	h.samples = 0
-	h.latency = poolLatency
+	*h = health{probing: true, latency: poolLatency, period: h.period}
 }
 
 func (h *health) endProbe() {
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -62,17 +62,6 @@
 	return report
 }
 
-func (p *pool) load(now time.Time) *pb.ServiceLoad {
-	load := &pb.ServiceLoad{Service: p.service, Queued: uint32(p.queued())}
-	load.Slots, load.Executors = p.slots(now)
-	for _, e := range p.executors {
-		if e.leased(now) {
-			load.InFlight += e.inFlight
-		}
-	}
-	return load
-}
-
 // PickPeer returns the entry VM that reported the most free capacity for the service: own domain
 // first, then the others. ok is false if none has any.
 func (t *Table) PickPeer(service string, avoid ...string) (vm string, ok bool) {
@@ -135,10 +124,7 @@
 // move returns the address of an entry VM of the domain that holds clearly fewer executors of the
 // service, and gives up the lease, or returns "". While this VM drains, any other one will do.
 func (t *Table) move(e *executor, now time.Time) string {
-	if t.config.SiblingAddress == nil || e.draining {
-		return ""
-	}
-	if !t.draining && now.Sub(t.lastMove) < t.config.Interval {
+	if t.config.SiblingAddress == nil || e.draining || !t.mayMove(e, now) {
 		return ""
 	}
 	peer, count := t.fewestExecutors(e.service, now)
@@ -156,10 +142,19 @@
 	t.lastMove = now
 	peer.sent[movedExecutors+e.service]++
 	e.released = true
+	e.transport.CloseIdleConnections()
 	t.logExecutor("executor moved", e)
 	return address
 }
 
+// mayMove spreads moves over time. A draining VM keeps its executors while requests wait for them.
+func (t *Table) mayMove(e *executor, now time.Time) bool {
+	if t.draining {
+		return e.pool.queued() == 0
+	}
+	return now.Sub(t.lastMove) >= t.config.Interval
+}
+
 // movedExecutors prefixes the count of executors moved since the last report.
 const movedExecutors = "moved:"
 
--- a/internal/routing/queue.go
+++ b/internal/routing/queue.go
@@ -11,8 +11,9 @@
 }
 
 type granted struct {
-	grant *Grant
-	err   error
+	grant    *Grant
+	err      error
+	decision decision
 }
 
 // line holds the waiting requests of one member in one class, first come first served.
@@ -24,7 +25,9 @@
 	virtual float64
 }
 
-// fairQueue serves lines in proportion to their weights (start-time fair queueing).
+// fairQueue serves lines in proportion to their weights (start-time fair queueing). A line that has
+// run empty keeps its tag until the queue's virtual time has reached it; otherwise a member whose
+// requests wait one at a time would be served before all others.
 type fairQueue struct {
 	lines   map[string]*line
 	size    int
@@ -32,8 +35,9 @@
 }
 
 func (q *fairQueue) push(w *waiter) {
-	if q.lines == nil {
+	if q.lines == nil || q.size == 0 {
 		q.lines = make(map[string]*line)
+		q.virtual = 0
 	}
 	l := q.lines[w.request.Member]
 	if l == nil {
@@ -49,7 +53,13 @@
 // next returns the line to serve next, or nil.
 func (q *fairQueue) next() *line {
 	var best *line
-	for _, l := range q.lines {
+	for member, l := range q.lines {
+		if len(l.waiting) == 0 {
+			if l.virtual <= q.virtual {
+				delete(q.lines, member)
+			}
+			continue
+		}
 		if best == nil || l.virtual < best.virtual || l.virtual == best.virtual && l.member < best.member {
 			best = l
 		}
@@ -62,22 +72,19 @@
 	if l == nil {
 		return nil
 	}
-	w := l.waiting[0]
 	q.virtual = l.virtual
 	l.virtual += 1 / float64(l.weight)
-	q.removeAt(l, 0)
-	return w
+	return q.removeAt(l, 0)
 }
 
-func (q *fairQueue) removeAt(l *line, i int) {
-	l.waiting[i].owner = nil
+func (q *fairQueue) removeAt(l *line, i int) *waiter {
+	w := l.waiting[i]
+	w.owner = nil
 	copy(l.waiting[i:], l.waiting[i+1:])
 	l.waiting[len(l.waiting)-1] = nil
 	l.waiting = l.waiting[:len(l.waiting)-1]
 	q.size--
-	if len(l.waiting) == 0 {
-		delete(q.lines, l.member)
-	}
+	return w
 }
 
 // remove takes w out of the queue; false if it is not queued any more.
@@ -102,18 +109,21 @@
 	for _, l := range q.lines {
 		if l.member == member {
 			own = len(l.waiting)
-			continue
+		} else if len(l.waiting) > 0 {
+			total += float64(l.weight)
 		}
-		total += float64(l.weight)
 	}
 	fair := float64(own) * total / float64(max(weight, 1))
 	return min(fair, float64(q.size))
 }
 
-// longest returns the line that is longest relative to its weight.
+// longest returns the line that is longest relative to its weight, or nil.
 func (q *fairQueue) longest() *line {
 	var worst *line
 	for _, l := range q.lines {
+		if len(l.waiting) == 0 {
+			continue
+		}
 		if worst == nil || l.share() > worst.share() || l.share() == worst.share() && l.member < worst.member {
 			worst = l
 		}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -20,9 +19,11 @@
 	budget    budget
 	waiting   int
 	inFlight  int
+	begun     int
 	draining  bool
 	idle      chan struct{}
 	sequence  uint64
+	expired   time.Time
 	lastMove  time.Time
 }
 
@@ -35,17 +36,6 @@
 	return t
 }
 
-// pool holds the executors of one service. Guarded by Table.mu.
-type pool struct {
-	service   string
-	executors []*executor
-	picker    Picker
-	urgent    fairQueue
-	normal    fairQueue
-	// latency is the moving average over all executors in seconds.
-	latency float64
-}
-
 func (t *Table) pool(service string) *pool {
 	p := t.pools[service]
 	if p == nil {
@@ -56,54 +46,6 @@
 	return p
 }
 
-// list puts e into or out of the executors with a free slot.
-func (p *pool) list(e *executor, now time.Time) {
-	usable := e.usable(now)
-	switch {
-	case usable && e.index < 0:
-		e.index = len(p.picker.available)
-		p.picker.available = append(p.picker.available, e)
-	case !usable && e.index >= 0:
-		p.unlist(e)
-	}
-}
-
-func (p *pool) unlist(e *executor) {
-	last := len(p.picker.available) - 1
-	moved := p.picker.available[last]
-	p.picker.available[e.index] = moved
-	moved.index = e.index
-	p.picker.available[last] = nil
-	p.picker.available = p.picker.available[:last]
-	e.index = -1
-}
-
-func (p *pool) remove(e *executor) {
-	if e.index >= 0 {
-		p.unlist(e)
-	}
-	for i, other := range p.executors {
-		if other == e {
-			p.executors = append(p.executors[:i], p.executors[i+1:]...)
-			return
-		}
-	}
-}
-
-// slots returns the usable slots of all leased executors, and their number.
-func (p *pool) slots(now time.Time) (slots, executors uint32) {
-	for _, e := range p.executors {
-		if !e.leased(now) || e.draining || e.health.isSetAside() {
-			continue
-		}
-		slots += e.limit()
-		executors++
-	}
-	return slots, executors
-}
-
-func (p *pool) queued() int { return p.urgent.size + p.normal.size }
-
 // Targets returns the status of all executors known to this entry VM, ordered by id.
 func (t *Table) Targets() []*pb.TargetStatus {
 	t.mu.Lock()
@@ -129,14 +71,11 @@
 	return s
 }
 
-// Drain refuses new requests and gives up no slot in use.
+// Drain refuses new requests. Those that have begun, wait or are in flight go on.
 func (t *Table) Drain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.draining = true
-	for _, p := range t.pools {
-		t.refuseAll(p, errs.ErrDraining)
-	}
 }
 
 // Draining reports whether Drain was called.
--- a/internal/routing/transport.go
+++ b/internal/routing/transport.go
@@ -52,21 +52,32 @@
 	return c.written == mark
 }
 
+// DialFunc opens a connection to an executor.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // newTransport returns the transport of one executor. It follows no proxy, compresses nothing and
 // never opens more connections than the executor allows.
-func newTransport(connections uint32) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}
+func newTransport(slots, connections uint32, dial DialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
 			return &CountingConn{Conn: conn}, nil
 		},
-		MaxConnsPerHost:     int(connections),
+		MaxConnsPerHost:     int(openConnections(slots, connections)),
 		MaxIdleConnsPerHost: int(connections),
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
+
+// openConnections leaves room for as many connections as there are slots, if it can: a connection
+// closed here counts at the executor until it notices.
+func openConnections(slots, connections uint32) uint32 {
+	if connections > 2*slots {
+		return connections - slots
+	}
+	return connections
+}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -22,6 +22,10 @@
 	defaultLease     = 2 * time.Second
 	maxAnswerBytes   = 1 << 20
 	drainedPollEvery = 10 * time.Millisecond
+	// retryPause separates announcements while no entry VM answers.
+	retryPause = 100 * time.Millisecond
+	// drainGrace is left for requests that were on their way when the entry VM learned of the drain.
+	drainGrace = 200 * time.Millisecond
 )
 
 // session is the executor's side of its lease.
@@ -69,12 +73,13 @@
 	answer, err := e.post(ctx, s)
 	if err != nil {
 		e.options.Logger.Warn().Str("executor", e.options.ID).Str("vm", s.vms[s.current]).Err(err).Msg("announcement failed")
-		if s.nonce != "" || s.sent.IsZero() {
+		// Only an announcement that echoes a nonce may have renewed a lease.
+		if s.nonce != "" {
 			s.sent = before
 		}
 		s.current = (s.current + 1) % len(s.vms)
 		s.nonce = ""
-		return max(s.lease*(100+driftPercent)/100-time.Since(s.sent), 0)
+		return max(s.lease*(100+driftPercent)/100-time.Since(s.sent), retryPause)
 	}
 	s.sent = before
 	return e.accept(s, answer)
@@ -214,6 +219,7 @@
 	if _, err := e.post(ctx, s); err != nil && s.nonce != "" {
 		e.pause(ctx, s.lease-time.Since(s.sent))
 	}
+	e.pause(ctx, drainGrace)
 	for e.InFlight() > 0 && ctx.Err() == nil && !e.isStopped() {
 		e.pause(ctx, drainedPollEvery)
 	}
--- a/internal/standin/requests.go
+++ b/internal/standin/requests.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -28,6 +30,7 @@
 
 const (
 	slowFactor  = 10
+	pieceBytes  = 8 << 10
 	minSlowWork = 100 * time.Millisecond
 	// withdrawal is the time within which a leaving executor must get no more requests.
 	withdrawal = 2 * time.Second
@@ -108,9 +111,34 @@
 	if !sleep(r, work) {
 		panic(http.ErrAbortHandler)
 	}
-	end()
-	fmt.Fprintf(w, "executor=%s method=%s path=%s bytes=%d request=%s\n", e.options.ID, r.Method, r.URL.RequestURI(), size,
+	head := fmt.Sprintf("executor=%s method=%s path=%s bytes=%d request=%s\n", e.options.ID, r.Method, r.URL.RequestURI(), size,
 		r.Header.Get("Lentilyard-Request-Id"))
+	writeAnswer(w, head, padding(r), end)
+}
+
+// padding returns the number of bytes that the query parameter "pad" asks for.
+func padding(r *http.Request) int {
+	n, err := strconv.Atoi(r.URL.Query().Get("pad"))
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// writeAnswer writes head and pad bytes. It calls end before the last piece.
+func writeAnswer(w http.ResponseWriter, head string, pad int, end func()) {
+	piece := []byte(head)
+	for pad > 0 {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+		n := min(pad, pieceBytes)
+		piece = bytes.Repeat([]byte{'.'}, n)
+		pad -= n
+	}
+	end()
+	// The sender may be gone; the work is done all the same.
+	_, _ = w.Write(piece)
 }
 
 // sleep waits for d; false if the connection was closed before.
