Accept tasks on the leader only after it has applied the note that covers them

Cause: the entry VM that accepted a task had applied the note, the leader of the home domain had not, and refused the task as contract-unknown. The submit now carries the note number and the leader waits for it. The note status counts a note as in force only after routing and placement work under it.

--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -28,6 +29,9 @@
 	methodStatus    = "vm.status"
 )
 
+// notePoll is the interval of checks for a note that another entry VM has applied before.
+const notePoll = 5 * time.Millisecond
+
 // message is a pointer to a protobuf message type T.
 type message[T any] interface {
 	*T
@@ -84,9 +88,25 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.waitForNote(ctx, req.MinNote); err != nil {
+		return nil, err
+	}
 	return orNil(hosted.Leader.Submit(ctx, req.Spec))
 }
 
+// waitForNote waits until the leaders of this process work under the note. The
+// entry VM that accepted a task may have applied a note before this one did.
+func (c *Cluster) waitForNote(ctx context.Context, number uint64) error {
+	for c.appliedNote() < number {
+		select {
+		case <-ctx.Done():
+			return errs.ErrNoQuorum.With("entry VM %s has not applied note %d yet", c.vm, number)
+		case <-time.After(notePoll):
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) onTask(_ context.Context, req *pb.TaskRequest) (proto.Message, error) {
 	hosted, err := c.leading(domainOfTask(req.Id))
 	if err != nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -64,23 +64,26 @@
 	// Domains are the domain groups hosted here, by failure domain.
 	Domains map[string]Domain
 	Ready   func() bool
-	Logger  zerolog.Logger
+	// AppliedNote returns the last note under which routing and placement of this process work.
+	AppliedNote func() uint64
+	Logger      zerolog.Logger
 }
 
 // Cluster implements api.Cluster.
 type Cluster struct {
-	settings  *pb.Settings
-	vm        string
-	domain    string
-	version   string
-	instance  string
-	transport Transport
-	table     *routing.Table
-	config    Group
-	contracts *contract.State
-	domains   map[string]Domain
-	ready     func() bool
-	log       zerolog.Logger
+	settings    *pb.Settings
+	vm          string
+	domain      string
+	version     string
+	instance    string
+	transport   Transport
+	table       *routing.Table
+	config      Group
+	contracts   *contract.State
+	domains     map[string]Domain
+	ready       func() bool
+	appliedNote func() uint64
+	log         zerolog.Logger
 
 	pool  pond.Pool
 	hosts map[string][]string // group name to the entry VMs that host it
@@ -92,21 +95,22 @@
 // New registers the calls that other entry VMs make and returns the cluster.
 func New(config Config) *Cluster {
 	c := &Cluster{
-		settings:  config.Settings,
-		vm:        config.VM,
-		domain:    config.Domain,
-		version:   config.Version,
-		instance:  config.Instance,
-		transport: config.Transport,
-		table:     config.Table,
-		config:    config.Config,
-		contracts: config.Contracts,
-		domains:   config.Domains,
-		ready:     config.Ready,
-		log:       config.Logger,
-		pool:      pond.NewPool(maxFanOut),
-		hosts:     make(map[string][]string),
-		leaders:   make(map[string]string),
+		settings:    config.Settings,
+		vm:          config.VM,
+		domain:      config.Domain,
+		version:     config.Version,
+		instance:    config.Instance,
+		transport:   config.Transport,
+		table:       config.Table,
+		config:      config.Config,
+		contracts:   config.Contracts,
+		domains:     config.Domains,
+		ready:       config.Ready,
+		appliedNote: config.AppliedNote,
+		log:         config.Logger,
+		pool:        pond.NewPool(maxFanOut),
+		hosts:       make(map[string][]string),
+		leaders:     make(map[string]string),
 	}
 	for _, vm := range config.Settings.EntryVms {
 		c.hosts[ConfigGroup] = append(c.hosts[ConfigGroup], vm.Id)
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -47,7 +47,7 @@
 		FailureDomain: c.domain,
 		Version:       c.version,
 		Ready:         c.ready(),
-		AppliedNote:   c.contracts.View().LastNote(),
+		AppliedNote:   c.appliedNote(),
 		Groups:        []*pb.GroupStatus{groupStatus(ConfigGroup, c.config.Status())},
 	}
 	for _, name := range c.domainNames() {
--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilyard/lentilyard/internal/contract"
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/gateway"
@@ -20,7 +21,8 @@
 
 // SubmitTask submits a task to its home domain.
 func (c *Cluster) SubmitTask(ctx context.Context, spec *pb.TaskSpec) (*pb.Task, error) {
-	if err := c.checkTaskContract(spec); err != nil {
+	view := c.contracts.View()
+	if err := checkTaskContract(view, spec); err != nil {
 		return nil, err
 	}
 	home := spec.FailureDomain
@@ -31,13 +33,13 @@
 		return nil, err
 	}
 	task := new(pb.Task)
-	request := &pb.SubmitRequest{FailureDomain: home, Spec: spec}
+	request := &pb.SubmitRequest{FailureDomain: home, Spec: spec, MinNote: view.LastNote()}
 	return task, c.callLeader(ctx, DomainGroup(home), methodSubmit, request, task, true)
 }
 
 // checkTaskContract refuses a task that its contract does not cover.
-func (c *Cluster) checkTaskContract(spec *pb.TaskSpec) error {
-	contract := c.contracts.View().Contract(spec.Contract)
+func checkTaskContract(view *contract.View, spec *pb.TaskSpec) error {
+	contract := view.Contract(spec.Contract)
 	if contract == nil || contract.Written.Member != spec.Member {
 		return errs.ErrForbidden.With("member %q has no contract %q", spec.Member, spec.Contract)
 	}
--- a/internal/leader/preview.go
+++ b/internal/leader/preview.go
@@ -10,7 +10,7 @@
 func (l *Leader) TasksBeyond(contractName string, limits *pb.ResolvedLimits) []string {
 	var ids []string
 	var assigned []*pb.Task
-	for _, t := range l.view.Tasks(domain.Filter{Contract: contractName}) {
+	for _, t := range l.view().Tasks(domain.Filter{Contract: contractName}) {
 		switch {
 		case domain.Ended(t.GetState()):
 		case limits == nil:
--- a/internal/server/background.go
+++ b/internal/server/background.go
@@ -17,7 +17,7 @@
 	// loadChannel carries load reports between entry VMs.
 	loadChannel = "load"
 	// contractPoll is the longest delay from an applied note to its effect on placement.
-	contractPoll = 50 * time.Millisecond
+	contractPoll = 10 * time.Millisecond
 	// witnessCheck is how often a witness that leads offers leadership to the domain's own VMs.
 	witnessCheck = 5 * time.Second
 )
@@ -82,6 +82,7 @@
 			domainParts, totalParts := s.contractParts(view, name)
 			d.leader.ContractsChanged(view.Contracts(), domainParts, totalParts)
 		}
+		s.appliedNote.Store(view.LastNote())
 		s.log.Info().Str("event", "contracts-applied").Uint64("note", view.LastNote()).Send()
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -59,7 +59,9 @@
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 	draining   atomic.Bool
-	fatal      chan error
+	// appliedNote is the last note that the leaders of this process were told about.
+	appliedNote atomic.Uint64
+	fatal       chan error
 }
 
 // New prepares an entry VM. It binds the listeners and opens the data folder.
@@ -93,18 +95,19 @@
 	// Load reports may arrive as soon as the transport is open, so the table must exist first.
 	s.transport.Handle(loadChannel, s.onLoadReport)
 	s.cluster = cluster.New(cluster.Config{
-		VM:        s.settings.Id,
-		Domain:    s.ownDomain(),
-		Version:   options.Version,
-		Instance:  s.instance,
-		Settings:  s.settings,
-		Transport: s.transport,
-		Table:     s.table,
-		Config:    s.config,
-		Contracts: s.contracts,
-		Domains:   s.clusterDomains(),
-		Ready:     s.Ready,
-		Logger:    s.log,
+		VM:          s.settings.Id,
+		Domain:      s.ownDomain(),
+		Version:     options.Version,
+		Instance:    s.instance,
+		Settings:    s.settings,
+		Transport:   s.transport,
+		Table:       s.table,
+		Config:      s.config,
+		Contracts:   s.contracts,
+		Domains:     s.clusterDomains(),
+		Ready:       s.Ready,
+		AppliedNote: s.appliedNote.Load,
+		Logger:      s.log,
 	})
 	s.gateway = gateway.New(s.gatewayConfig())
 	s.serveForwards()
