End all reads of a caller's body before the handler returns

Cause: with full duplex, net/http panics with "invalid concurrent Body.Read call" when a handler returns before its body was read to the end, or while an attempt or forwarder still reads it; the caller's connection breaks. Seen once in TestFrozenLeaderResumes; every refusal of a POST on a kept connection did it (TestRefusalsWithBodyKeepTheConnectionUsable, red before). Ruled out: the relay and the frozen process. After: the handler closes the body for other readers, reads a short rest, and otherwise ends the connection. System tests now fail on any panic in a log.

--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -29,20 +29,41 @@
 // ServeHTTP serves /v1/services/{service}/{path...}. The context must hold the Identity of the caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &answerer{begin: func(head *pb.AnswerHead) (io.Writer, error) { return startHTTP(w, r, head) }}
+	body := &callerBody{control: http.NewResponseController(w), source: r.Body}
 	if r.ContentLength != 0 && r.ProtoMajor == 1 {
 		// An executor may answer before it has read the whole body. Not supported by test recorders.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = body.control.EnableFullDuplex()
+		r.Body = io.NopCloser(body)
+	} else {
+		body.ended.Store(true)
 	}
 	err := g.serveCaller(r, out)
 	countOutcome(err)
-	if err == nil {
+	switch {
+	case err == nil:
+		endAnswer(body)
+	case out.started:
+		// Ends the connection so that the caller does not take a cut answer for a whole one.
+		body.finish()
+		panic(http.ErrAbortHandler)
+	default:
+		if !body.finish() {
+			w.Header().Set("Connection", "close")
+		}
+		WriteError(w, err)
+	}
+}
+
+// endAnswer delivers a complete answer and ends the connection if the caller still sends its body.
+func endAnswer(body *callerBody) {
+	if body.ended.Load() {
+		body.finish()
 		return
 	}
-	if out.started {
-		// Ends the connection so that the caller does not take a cut answer for a whole one.
+	_ = body.control.Flush()
+	if !body.finish() {
 		panic(http.ErrAbortHandler)
 	}
-	WriteError(w, err)
 }
 
 func (g *Gateway) serveCaller(r *http.Request, out *answerer) error {
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -255,11 +255,28 @@
 			v.process.kill()
 		}
 	}
+	d.checkLogs()
 	if d.t.Failed() {
 		d.printLogs()
 	}
 }
 
+// checkLogs fails the test if any process reported a panic, also one that net/http recovered.
+func (d *deployment) checkLogs() {
+	files, _ := filepath.Glob(d.path("*.log"))
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(content)) {
+			if strings.Contains(line, "panic") {
+				d.t.Errorf("%s: %s", filepath.Base(file), line)
+			}
+		}
+	}
+}
+
 const logTail = 6000 // bytes of each log shown after a failure
 
 func (d *deployment) printLogs() {
