--- a/internal/raft/identity.go
+++ b/internal/raft/identity.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -15,6 +16,9 @@
 	// confirmed is false after a restart until enough voters confirmed the boot counter.
 	confirmed   bool
 	confirmedBy map[ID]bool
+	// confirmedBoot is the boot counter that is, or is about to be, persisted
+	// as confirmed. The node acts as confirmed only after that.
+	confirmedBoot uint64
 	// floorTerm and floorIndex are the last committed entry of any confirming
 	// voter. A candidate whose log ends before it gets no vote: this node may
 	// itself have lost entries that it acknowledged.
@@ -40,7 +44,16 @@
 	for _, p := range n.cfg.HardState.GetMarks() {
 		n.identity.marks[idOf(p.GetId())] = mark{boot: p.GetBoot(), start: p.GetStart(), term: p.GetTerm()}
 	}
-	n.identity.confirmed = !n.cfg.Restarted || n.cfg.faults.skipBootCheck || n.isOnlyVoter()
+	n.identity.confirmedBoot = n.cfg.HardState.GetConfirmedBoot()
+	if !n.cfg.Restarted || n.cfg.faults.skipBootCheck || n.isOnlyVoter() {
+		n.identity.confirmed = true
+		n.noteConfirmed()
+	}
+}
+
+func (n *Node) noteConfirmed() {
+	n.identity.confirmedBoot = n.cfg.Boot
+	n.hardStateNew = true
 }
 
 // isOnlyVoter reports whether no other VM votes in the group.
@@ -58,6 +71,9 @@
 
 // tickIdentity repeats the questions that a new or restarted node asks.
 func (n *Node) tickIdentity() {
+	if !n.identity.confirmed {
+		n.checkConfirmed()
+	}
 	if !n.identity.confirmed && n.now%n.cfg.HeartbeatTicks == 0 {
 		n.sendBootChecks()
 	}
@@ -193,26 +209,44 @@
 	if n.identity.floorReached(m.GetIndexTerm(), m.GetIndex()) {
 		n.identity.floorTerm, n.identity.floorIndex = m.GetIndexTerm(), m.GetIndex()
 	}
-	n.identity.confirmed = n.confirmedByQuorum()
+	n.checkConfirmed()
+}
+
+// checkConfirmed ends the wait of a restarted node. Any quorum suffices, but
+// the voter that would object may be among the others, so all of them get one
+// election timeout to answer.
+func (n *Node) checkConfirmed() {
+	waited := n.now >= n.cfg.ElectionTicks || n.confirmedByAll()
+	if waited && n.identity.confirmedBoot != n.cfg.Boot && n.confirmedByQuorum() {
+		n.noteConfirmed()
+	}
+}
+
+func (n *Node) confirmedByAll() bool {
+	voters := n.current().list(true)
+	return len(voters) > 0 && !slices.ContainsFunc(voters, func(id ID) bool { return id != n.self && !n.identity.confirmedBy[id] })
 }
 
-// confirmedByQuorum reports whether this node and the voters that confirmed its boot counter are a quorum.
+// confirmedByQuorum reports whether this VM and those that confirmed its boot
+// counter are a majority of the voter VMs. Other incarnations of a VM do not
+// matter here: this one may be the only one alive.
 func (n *Node) confirmedByQuorum() bool {
 	m := n.current()
-	if len(m.seats) > 0 {
-		return m.quorum(func(id ID) bool { return id == n.self || n.identity.confirmedBy[id] })
-	}
-	vms := map[string]bool{n.self.VM: true}
+	agreed := map[string]bool{n.self.VM: true}
 	for id := range n.identity.confirmedBy {
-		vms[id.VM] = true
+		agreed[id.VM] = agreed[id.VM] || m.isVoter(id) || len(m.seats) == 0
 	}
-	agreed := 0
-	for _, vm := range n.cfg.Voters {
-		if vms[vm] {
-			agreed++
+	vms := n.cfg.Voters
+	if len(m.seats) > 0 {
+		vms = slices.Collect(maps.Keys(m.seats))
+	}
+	count := 0
+	for _, vm := range vms {
+		if agreed[vm] {
+			count++
 		}
 	}
-	return 2*agreed > len(n.cfg.Voters)
+	return 2*count > len(vms)
 }
 
 // mayBootstrap reports whether this node is the one that writes the initial membership.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -66,7 +66,7 @@
 }
 
 type writeInFlight struct {
-	write, index, indexTerm, term uint64
+	write, index, indexTerm, term, confirmedBoot uint64
 }
 
 // New returns a node in the recovered state.
@@ -180,7 +180,7 @@
 
 // HardState returns the state to persist at the head of a log.
 func (n *Node) HardState() *pb.RaftHardState {
-	return &pb.RaftHardState{Term: n.term, Vote: n.vote.proto(), Commit: n.log.commit, Marks: n.markList()}
+	return &pb.RaftHardState{Term: n.term, Vote: n.vote.proto(), Commit: n.log.commit, Marks: n.markList(), ConfirmedBoot: n.identity.confirmedBoot}
 }
 
 // Self returns the ID of this node.
@@ -232,7 +232,7 @@
 	r.HardState = n.HardState()
 	n.writes++
 	r.Write = n.writes
-	n.inWrite = writeInFlight{write: r.Write, index: n.log.last(), indexTerm: n.log.lastTerm(), term: n.term}
+	n.inWrite = writeInFlight{write: r.Write, index: n.log.last(), indexTerm: n.log.lastTerm(), term: n.term, confirmedBoot: r.HardState.GetConfirmedBoot()}
 }
 
 // Persisted reports that the write of a Ready is synced.
@@ -243,6 +243,7 @@
 	w := n.inWrite
 	n.inWrite = writeInFlight{}
 	n.persisted = w.term
+	n.identity.confirmed = n.identity.confirmed || w.confirmedBoot == n.cfg.Boot
 	if n.log.holds(w.index, w.indexTerm) {
 		n.log.stable = max(n.log.stable, w.index)
 	}
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -22,7 +22,7 @@
 	// answers then move match, but count towards no quorum.
 	counted bool
 	// highest is the highest index that the member acknowledged to this
-	// leader in any boot.
+	// leader in any boot while its boot counter was confirmed.
 	highest uint64
 	// inFlight holds the last index of each append without an answer.
 	inFlight []uint64
@@ -63,7 +63,9 @@
 // acknowledged records that the member holds everything up to index.
 func (p *progress) acknowledged(index uint64) {
 	p.match = max(p.match, index)
-	p.highest = max(p.highest, index)
+	if p.counted {
+		p.highest = max(p.highest, p.match)
+	}
 	p.next = max(p.next, p.match+1)
 	freed := 0
 	for freed < len(p.inFlight) && p.inFlight[freed] <= index {
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -110,7 +110,9 @@
 
 func (n *Node) sendHeartbeat(id ID) {
 	m := n.message(pb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, id)
+	// The term lets a member whose disk was restored see that its log differs.
 	m.Commit = min(n.progress[id].match, n.log.commit)
+	m.IndexTerm = n.log.term(m.GetCommit())
 	m.Round = n.round
 	n.send(m)
 }
@@ -125,6 +127,7 @@
 	pr.counted = !m.GetUnconfirmed()
 	if pr.counted {
 		pr.lastHeard = n.now
+		pr.highest = max(pr.highest, pr.match)
 	}
 	if nowCounted {
 		n.advanceCommit()
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -186,7 +186,9 @@
 }
 
 func (n *Node) stepHeartbeat(from ID, m *pb.RaftMessage) {
-	n.commitTo(min(m.GetCommit(), n.log.last()))
+	if n.log.holds(m.GetCommit(), m.GetIndexTerm()) {
+		n.commitTo(m.GetCommit())
+	}
 	answer := n.message(pb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_ANSWER, from)
 	answer.Round = m.GetRound()
 	n.send(answer)
@@ -195,6 +197,10 @@
 // stepSnapshot collects the chunks of a snapshot and installs it when it is complete.
 func (n *Node) stepSnapshot(from ID, m *pb.RaftMessage) {
 	c := m.GetChunk()
+	if n.log.holds(c.GetIndex(), c.GetTerm()) {
+		// Entries after the snapshot may be acknowledged already and must stay.
+		n.commitTo(c.GetIndex())
+	}
 	if c.GetIndex() <= n.log.commit {
 		answer := n.message(pb.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_ANSWER, from)
 		answer.Index = n.log.commit
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -57,9 +57,10 @@
 // Config of a node.
 type Config struct {
 	Self ID
-	// Boot is the boot counter of this start, from 1.
+	// Boot is the boot counter, from 1. It must be raised at each start, except
+	// while HardState.ConfirmedBoot is lower than the counter.
 	Boot uint64
-	// Start is a random value of this process, not 0.
+	// Start is a random value drawn when Boot was raised, not 0.
 	Start uint64
 	// Restarted is true if the state was read from a disk that an earlier
 	// process wrote. A restarted voter first has its boot counter confirmed.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -101,7 +101,7 @@
 	node, err := raft.New(raft.Config{
 		Self:           raft.ID{VM: g.host.cfg.ID, Incarnation: state.identity.GetIncarnation()},
 		Boot:           state.identity.GetBoot(),
-		Start:          randomNonZero(),
+		Start:          state.identity.GetStart(),
 		Restarted:      state.restarted,
 		Voters:         g.cfg.Voters,
 		Learners:       g.cfg.Learners,
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -34,7 +34,7 @@
 }
 
 func newIdentity() *pb.RaftIdentity {
-	return &pb.RaftIdentity{Incarnation: randomNonZero(), Boot: 1}
+	return &pb.RaftIdentity{Incarnation: randomNonZero(), Boot: 1, Start: randomNonZero()}
 }
 
 func randomNonZero() uint64 {
@@ -124,13 +124,15 @@
 	return state, nil
 }
 
-// begin raises the boot counter, or creates a new incarnation, and syncs that.
+// begin raises the boot counter if the last boot was confirmed, or creates a new incarnation, and syncs that.
 func (s *diskStorage) begin(state *recoveredState) error {
-	if state.identity == nil {
+	previous := state.identity
+	state.restarted = previous != nil
+	switch {
+	case previous == nil:
 		state.identity = newIdentity()
-	} else {
-		state.restarted = true
-		state.identity = &pb.RaftIdentity{Incarnation: state.identity.GetIncarnation(), Boot: state.identity.GetBoot() + 1}
+	case previous.GetBoot() <= state.hardState.GetConfirmedBoot():
+		state.identity = &pb.RaftIdentity{Incarnation: previous.GetIncarnation(), Boot: previous.GetBoot() + 1, Start: randomNonZero()}
 	}
 	s.identity = state.identity
 	s.hardState = state.hardState
