Test the replica host against lost, restored and failing disks

Timing tests run on a simulated clock: next commit after a leader's death, a leader without a quorum, a frozen leader, outcomes of an isolated leader, and bootstrap with a missing voter.

The goal of 1 s is not met yet after a split vote.

--- /dev/null
+++ b/internal/replica/disk_test.go
@@ -0,0 +1,207 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/wal"
+)
+
+var errDisk = errors.New("no space left on device")
+
+// failingFS fails every write and sync once broken is set.
+type failingFS struct {
+	wal.FS
+	broken *atomic.Bool
+}
+
+func (f failingFS) OpenFile(name string, flag int) (wal.File, error) {
+	file, err := f.FS.OpenFile(name, flag)
+	return failingFile{File: file, broken: f.broken}, err
+}
+
+type failingFile struct {
+	wal.File
+	broken *atomic.Bool
+}
+
+func (f failingFile) Sync() error {
+	if f.broken.Load() {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+// Guards against a voter that acknowledges anything after a failed sync, and
+// against a failure that is not reported.
+func TestDiskFailureStopsTheHost(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, threeVoters, nil, threeVoters)
+	var broken atomic.Bool
+	for _, vm := range threeVoters {
+		c.openFS[vm] = func(folder string) (wal.FS, error) {
+			fs, err := wal.OpenFolder(folder)
+			return failingFS{FS: fs, broken: &broken}, err
+		}
+	}
+	c.startAll()
+	c.propose("1")
+	c.eventually("all VMs hold 1 entry", func() bool { return c.settled(1) })
+	broken.Store(true) // all disks fail at once: nothing may be acknowledged
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	n := c.nodes[c.leader()]
+	_, err := n.group.Propose(ctx, []byte("2"))
+	is.True(errors.Is(err, ErrOutcomeUnknown))
+	err = <-n.fatal
+	is.True(errors.Is(err, wal.ErrFailed))
+	is.True(errors.Is(err, errDisk))
+	_, err = n.group.Propose(ctx, []byte("3"))
+	is.True(errors.Is(err, ErrStopped))
+	is.True(errors.Is(n.group.ReadBarrier(ctx), ErrStopped))
+	for _, n := range c.nodes {
+		is.Equal(len(n.machine.list()), 1)
+		is.NoErr(n.host.Close())
+	}
+	c.nodes = map[string]*node{}
+}
+
+func copyFolder(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.RemoveAll(to); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a voter that votes or acknowledges on the strength of a disk
+// restored from an older image, and against one that never comes back.
+func TestRestoredDiskRejoinsAsNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, threeVoters, nil, twoDisks)
+	c.startAll()
+	c.propose("1")
+	c.eventually("all VMs hold 1 entry", func() bool { return c.settled(1) })
+	c.stop("a")
+	image := filepath.Join(t.TempDir(), "image")
+	copyFolder(t, c.folders["a"], image)
+	n := c.start("a")
+	old := n.group.Status().Self
+	c.propose("2")
+	c.eventually("all VMs hold 2 entries", func() bool { return c.settled(2) })
+	c.stop("a")
+	copyFolder(t, image, c.folders["a"])
+	n = c.start("a")
+	c.eventually("a votes with a new incarnation", func() bool { return c.votesAlone(n) && n.group.Status().Self != old })
+	c.propose("3")
+	c.eventually("all VMs hold 3 entries", func() bool { return c.settled(3) })
+	c.stop("a")
+	n = c.start("a") // the new incarnation survives a restart
+	c.eventually("all VMs hold 3 entries", func() bool { return c.settled(3) })
+	is.True(n.group.Status().Self != old)
+}
+
+// Guards against a lost disk whose VM keeps its vote, and against a second loss right after the repair.
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	c := newCluster(t, threeVoters, nil, twoDisks)
+	c.startAll()
+	c.propose("1")
+	c.eventually("all VMs hold 1 entry", func() bool { return c.settled(1) })
+	c.stop("a")
+	if err := os.RemoveAll(c.folders["a"]); err != nil {
+		t.Fatal(err)
+	}
+	n := c.start("a")
+	c.eventually("the new incarnation of a votes", func() bool { return c.votesAlone(n) })
+	c.stop("b")
+	if err := os.RemoveAll(c.folders["b"]); err != nil {
+		t.Fatal(err)
+	}
+	c.propose("2")
+	n = c.start("b")
+	c.eventually("the new incarnation of b votes", func() bool { return c.votesAlone(n) })
+	c.stop("c")
+	c.propose("3")
+	c.eventually("all VMs hold 3 entries", func() bool { return c.settled(3) })
+}
+
+// Guards against a start on a log with a flipped bit, and against two processes on one folder.
+func TestStartIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, []string{"a"}, nil, []string{"a"})
+	c.startAll()
+	for range 10 {
+		c.propose("entry")
+	}
+	config := HostConfig{ID: "a", DataFolder: c.folders["a"], Messenger: c.network.endpoint("x"), Logger: zerolog.Nop()}
+	_, err := NewHost(config)
+	is.True(errors.Is(err, wal.ErrLocked))
+	c.stop("a")
+	segments, err := filepath.Glob(filepath.Join(c.folders["a"], "groups", "g", "*.seg"))
+	is.NoErr(err)
+	content, err := os.ReadFile(segments[0])
+	is.NoErr(err)
+	content[len(content)/2] ^= 1
+	is.NoErr(os.WriteFile(segments[0], content, 0o600))
+	host, err := NewHost(config)
+	is.NoErr(err)
+	_, err = host.AddGroup(GroupConfig{Name: "g", Voters: []string{"a"}, Machine: &listMachine{}})
+	is.True(errors.Is(err, wal.ErrCorrupt))
+	is.NoErr(host.Close())
+}
+
+// Guards against a member that missed thousands of changes and cannot catch up
+// from a snapshot of several chunks, and against a log on disk that only grows.
+func TestSnapshotCatchUp(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, threeVoters, []string{"d"}, twoDisks)
+	c.every = 100
+	c.startAll()
+	c.propose("first")
+	for _, vm := range []string{"c", "d"} {
+		c.stop(vm)
+	}
+	const entries, size = 500, 4 << 10
+	for range entries {
+		c.propose(strings.Repeat("x", size))
+	}
+	c.start("c")
+	c.start("d")
+	c.eventually("all VMs hold all entries", func() bool { return c.settled(entries + 1) })
+	c.stop("a")
+	c.start("a")
+	c.eventually("all VMs hold all entries", func() bool { return c.settled(entries + 1) })
+	_, log := folderSize(t, c.folders["a"])
+	is.True(log < 5<<20) // one full segment and the active one; all entries take 2 MB more
+}
+
+// folderSize returns the bytes of snapshots and of segments under a folder.
+func folderSize(t testing.TB, folder string) (snapshots, segments int64) {
+	err := filepath.Walk(folder, func(path string, info os.FileInfo, err error) error {
+		if err != nil {
+			return err
+		}
+		switch filepath.Ext(path) {
+		case ".snap":
+			snapshots += info.Size()
+		case ".seg":
+			segments += info.Size()
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshots, segments
+}
--- /dev/null
+++ b/internal/replica/timing_test.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The tests in this file run on a simulated clock, so their limits hold on a loaded machine too.
+
+// Guards against an outage of 1 s or more after the death of the leader.
+func TestNextCommitAfterLeaderDeath(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, threeVoters, nil, nil)
+			c.startAll()
+			c.propose("1")
+			c.stop(c.leader())
+			died := time.Now()
+			c.propose("2")
+			if took := time.Since(died); took >= time.Second {
+				t.Errorf("next commit %v after the leader's death", took)
+			}
+		})
+	}
+}
+
+// Guards against a leader that keeps its role without a quorum for longer than an election timeout.
+func TestLeaderStepsDownWithinElectionTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, threeVoters, nil, nil)
+		c.startAll()
+		c.propose("1")
+		n := c.nodes[c.leader()]
+		c.network.isolate(c.leader(), true)
+		cut := time.Now()
+		c.eventually("the leader steps down", func() bool { return n.group.Status().Role != RoleLeader })
+		// One tick for the clock's resolution and one heartbeat for the last answer on the way.
+		if took := time.Since(cut); took > DefaultElection+DefaultHeartbeat {
+			t.Errorf("stepped down after %v", took)
+		}
+	})
+}
+
+// Guards against a frozen leader that, once resumed, confirms reads or
+// proposals although another leader has been elected.
+func TestFrozenLeaderResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, threeVoters, nil, nil)
+		c.startAll()
+		c.propose("1")
+		old := c.leader()
+		n := c.nodes[old]
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		go n.host.Do(func() { time.Sleep(5 * time.Second) })
+		time.Sleep(time.Second)
+		c.network.isolate(old, true) // propose must not choose the frozen leader
+		c.propose("2")
+		c.network.isolate(old, false)
+		read := make(chan error, 1)
+		go func() { read <- n.group.ReadBarrier(ctx) }()
+		_, err := n.group.Propose(ctx, []byte("3"))
+		is.True(err != nil)
+		is.True(<-read != nil)
+		c.eventually("all VMs hold 2 entries", func() bool { return c.settled(2) })
+	})
+}
+
+// Guards against a proposal that is reported with the wrong outcome: one that
+// was overwritten is certainly not committed, one that may survive is unknown.
+func TestOutcomesOfAnIsolatedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, threeVoters, nil, nil)
+		c.startAll()
+		c.propose("1")
+		old := c.leader()
+		n := c.nodes[old]
+		c.network.isolate(old, true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		short, cancelShort := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancelShort()
+		overwritten := make(chan error, 1)
+		go func() {
+			_, err := n.group.Propose(ctx, []byte("lost"))
+			overwritten <- err
+		}()
+		_, err := n.group.Propose(short, []byte("lost too"))
+		is.True(errors.Is(err, ErrOutcomeUnknown))
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.Sleep(900 * time.Millisecond)
+		c.propose("2")
+		c.network.isolate(old, false)
+		is.True(errors.Is(<-overwritten, ErrNotCommitted))
+		c.eventually("all VMs hold 2 entries", func() bool { return c.settled(2) })
+	})
+}
+
+// Guards against a call that hangs or has an effect after its context ended or the host stopped.
+func TestCallsThatWereNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, []string{"a"}, nil, nil)
+		c.startAll()
+		c.propose("1")
+		n := c.nodes["a"]
+		go n.host.Do(func() { time.Sleep(time.Second) })
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := n.group.Propose(ctx, []byte("2"))
+		is.True(errors.Is(err, ErrNotCommitted))
+		time.Sleep(2 * time.Second)
+		is.Equal(len(n.machine.list()), 1)
+		is.NoErr(n.group.ReadBarrier(context.Background()))
+		c.stop("a")
+		_, err = n.group.Propose(context.Background(), []byte("3"))
+		is.True(errors.Is(err, ErrStopped))
+		n.host.Do(func() { t.Error("ran after Close") })
+	})
+}
+
+// Guards against one VM that starts a group of its own while the others are missing.
+func TestNoBootstrapWithoutAllInitialVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, threeVoters, nil, nil)
+		c.start("a")
+		c.start("b")
+		time.Sleep(10 * time.Second)
+		is.Equal(c.leader(), "")
+		is.Equal(len(c.nodes["a"].group.Status().Voters), 0)
+		c.start("c")
+		c.propose("1")
+		c.stop("a")
+		c.start("a") // holds nothing now, but the others do
+		c.eventually("a is a voter again", func() bool { return c.votesAlone(c.nodes["a"]) })
+		c.propose("2")
+		c.eventually("all VMs hold 2 entries", func() bool { return c.settled(2) })
+	})
+}
