--- a/internal/leader/sim_test.go
+++ b/internal/leader/sim_test.go
@@ -11,6 +11,7 @@
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/standin"
+	"google.golang.org/protobuf/proto"
 )
 
 var (
@@ -43,6 +44,11 @@
 	nodes  []*simNode
 	// unknownPercent of the committed entries are reported as of unknown outcome.
 	unknownPercent int
+	// skipBarrier lets a deposed leader pass for the leader.
+	skipBarrier bool
+
+	// rewrite changes commands before they are committed, which stands for a check that is left out.
+	rewrite func(view *domain.View, command *pb.DomainCommand)
 
 	mu      sync.Mutex
 	entries []simEntry
@@ -109,10 +115,17 @@
 	}()
 }
 
-func (c *simCluster) leads(id int) bool {
+func (c *simCluster) current() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leader == id
+	return c.leader
+}
+
+// freeze stops a node until d has passed, as far as its log is concerned.
+func (n *simNode) freeze(d time.Duration) {
+	n.frozenMu.Lock()
+	defer n.frozenMu.Unlock()
+	n.frozenUntil = time.Now().Add(d)
 }
 
 func (n *simNode) thaw() {
@@ -151,7 +164,7 @@
 		n.applyMu.Unlock()
 		return nil, errSimNotLeader
 	}
-	n.cluster.entries = append(n.cluster.entries, simEntry{n.cluster.term, entry})
+	n.cluster.entries = append(n.cluster.entries, simEntry{n.cluster.term, n.rewritten(entry)})
 	mine := len(n.cluster.entries)
 	n.cluster.mu.Unlock()
 	result := n.applyUpTo(mine)
@@ -163,6 +176,19 @@
 	return result, ctx.Err()
 }
 
+func (n *simNode) rewritten(entry []byte) []byte {
+	if n.cluster.rewrite == nil {
+		return entry
+	}
+	command := &pb.DomainCommand{}
+	_ = proto.Unmarshal(entry, command)
+	for _, c := range append(command.GetBatch().GetCommands(), command) {
+		n.cluster.rewrite(n.state.View(), c)
+	}
+	changed, _ := proto.Marshal(command)
+	return changed
+}
+
 func (n *simNode) applyUpTo(index int) any {
 	var last any
 	for n.applied < index {
@@ -179,7 +205,10 @@
 func (n *simNode) ReadBarrier(ctx context.Context) error {
 	n.thaw()
 	time.Sleep(n.cluster.random.upTo(3 * time.Millisecond))
-	if !n.cluster.leads(n.id) {
+	if n.cluster.current() != n.id {
+		if n.cluster.skipBarrier {
+			return nil
+		}
 		return errSimNotLeader
 	}
 	n.catchUp()
@@ -193,10 +222,20 @@
 	mu      sync.Mutex
 	// faulty turns faults on.
 	faulty bool
+	// dropResume removes the checkpoint from every start, which stands for a leader that forgets it.
+	dropResume bool
+	// lateRegistrations delivers every registration again after it has been answered.
+	lateRegistrations bool
 	// silent workers reach no node.
 	silent map[string]bool
 }
 
+func (n *simNetwork) set(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
 func (n *simNetwork) broken(worker string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -260,12 +299,23 @@
 
 // Register implements standin.WorkerTransport.
 func (n *simNetwork) Register(ctx context.Context, address string, q *pb.RegisterWorkerRequest) (*pb.RegisterWorkerAnswer, error) {
+	if n.lateRegistrations {
+		time.AfterFunc(3*time.Second, func() {
+			_, _ = n.node(address).leader.Register(context.WithoutCancel(ctx), proto.CloneOf(q))
+		})
+	}
 	return carry(ctx, n, q.GetWorker().GetId(), q, n.node(address).leader.Register)
 }
 
 // Heartbeat implements standin.WorkerTransport.
 func (n *simNetwork) Heartbeat(ctx context.Context, address string, q *pb.WorkerHeartbeat) (*pb.WorkerHeartbeatAnswer, error) {
-	return carry(ctx, n, q.GetWorker(), q, n.node(address).leader.Heartbeat)
+	answer, err := carry(ctx, n, q.GetWorker(), q, n.node(address).leader.Heartbeat)
+	for _, c := range answer.GetCommands() {
+		if n.dropResume {
+			c.Resume = nil
+		}
+	}
+	return answer, err
 }
 
 var _ standin.WorkerTransport = (*simNetwork)(nil)
