--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -34,6 +34,7 @@
 	sender unique.Handle[sender]
 	stage  pb.RequestRecord_Stage
 	answer []byte // encoded pb.StoredAnswer
+	intent uint64 // index of the entry that created the intent
 }
 
 type sender struct{ vm, instance string }
@@ -63,7 +64,8 @@
 func (r *record) head(k recordKey) *pb.RequestRecord {
 	from := r.sender.Value()
 	return &pb.RequestRecord{Member: k.member.Value(), Key: k.key.String(), Digest: bytes.Clone(r.digest[:]),
-		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs()}
+		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs(),
+		IntentIndex: r.intent}
 }
 
 func (s *State) putRecord(k recordKey, r *record) {
@@ -119,7 +121,7 @@
 	if err := s.checkIntent(k); err != nil {
 		return Result{Err: errs.From(err)}
 	}
-	r := &record{stage: pb.RequestRecord_STAGE_INTENT, sender: unique.Make(sender{asked.GetSender(), asked.GetSenderInstance()})}
+	r := &record{stage: pb.RequestRecord_STAGE_INTENT, intent: s.index, sender: unique.Make(sender{asked.GetSender(), asked.GetSenderInstance()})}
 	copy(r.digest[:], asked.GetDigest())
 	s.putRecord(k, r)
 	return Result{Record: r.proto(k), Created: true}
@@ -168,6 +170,9 @@
 	r := *old
 	switch c.GetResult() {
 	case pb.CommitOutcome_RESULT_NOT_RUN:
+		if c.GetIntentIndex() != old.intent {
+			return Result{Err: ErrNotSender.With("key %s has the intent of entry %d, not %d", c.GetKey(), old.intent, c.GetIntentIndex())}
+		}
 		s.removeRecord(k)
 		return Result{}
 	case pb.CommitOutcome_RESULT_EXECUTED:
--- /dev/null
+++ b/internal/domain/record_test.go
@@ -0,0 +1,243 @@
+package domain
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+const testNow = int64(1_780_000_000_000)
+
+func testKey(n int) string {
+	var u uuid
+	binary.BigEndian.PutUint64(u[:8], uint64(testNow)<<16)
+	binary.BigEndian.PutUint32(u[12:], uint32(n))
+	u[6] = uuidVersion << 4
+	return u.String()
+}
+
+// applier applies commands as consecutive entries.
+type applier struct {
+	state *State
+	index uint64
+}
+
+func (a *applier) apply(c *pb.DomainCommand) Result {
+	c.UnixMs = max(c.UnixMs, testNow)
+	entry, err := proto.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	a.index++
+	return a.state.Apply(a.index, 1, entry).(Result)
+}
+
+func intent(key int, sender, instance string) *pb.DomainCommand {
+	return &pb.DomainCommand{Command: &pb.DomainCommand_CommitIntent{CommitIntent: &pb.CommitIntent{Record: &pb.RequestRecord{
+		Member: "hanbit", Key: testKey(key), Digest: make([]byte, digestBytes), Sender: sender, SenderInstance: instance}}}}
+}
+
+func outcome(key int, sender, instance string, result pb.CommitOutcome_Result, index uint64) *pb.DomainCommand {
+	return &pb.DomainCommand{Command: &pb.DomainCommand_CommitOutcome{CommitOutcome: &pb.CommitOutcome{Member: "hanbit", Key: testKey(key),
+		Sender: sender, SenderInstance: instance, Result: result, IntentIndex: index, Answer: &pb.StoredAnswer{Status: 200, Body: []byte("ok")}}}}
+}
+
+// requestSim drives gateways that propose intents and outcomes over a network that loses, delays, reorders and repeats
+// proposals, and records each request that is sent.
+type requestSim struct {
+	applier
+	// forget makes the state machine lose the record of a key before an intent, as if the check were left out.
+	forget bool
+	// anyOutcome makes a not-run outcome apply to every intent of its key.
+	anyOutcome bool
+	inFlight   []flight
+	alive      map[string]int // sender to instance number
+	sent       []string
+}
+
+type flight struct {
+	key      int
+	sender   string
+	instance string
+	command  *pb.DomainCommand
+	copies   int
+}
+
+func (r *requestSim) instance(sender string) string { return fmt.Sprint(sender, r.alive[sender]) }
+
+func (r *requestSim) propose(key int, sender string, command *pb.DomainCommand, copies int) {
+	r.inFlight = append(r.inFlight, flight{key, sender, r.instance(sender), command, copies})
+}
+
+// deliver applies a proposal in flight and, unless the answer is lost, lets its sender act on it.
+func (r *requestSim) deliver(at int, lostAnswer, reachable bool, copies int) {
+	f := r.inFlight[at]
+	if r.inFlight[at].copies--; r.inFlight[at].copies <= 0 {
+		r.inFlight = slices.Delete(r.inFlight, at, at+1)
+	}
+	r.breakChecks(f)
+	result := r.apply(proto.CloneOf(f.command))
+	if lostAnswer || !result.Created || f.instance != r.instance(f.sender) {
+		return
+	}
+	if !reachable { // nothing is sent, which the sender knows for certain
+		r.propose(f.key, f.sender, outcome(f.key, f.sender, f.instance, pb.CommitOutcome_RESULT_NOT_RUN, result.Record.GetIntentIndex()), copies)
+		return
+	}
+	r.sent = append(r.sent, testKey(f.key))
+	r.propose(f.key, f.sender, outcome(f.key, f.sender, f.instance, pb.CommitOutcome_RESULT_EXECUTED, result.Record.GetIntentIndex()), copies)
+}
+
+func (r *requestSim) breakChecks(f flight) {
+	k, _ := newRecordKey("hanbit", testKey(f.key))
+	if r.forget && f.command.GetCommitIntent() != nil {
+		r.state.removeRecord(k)
+	}
+	if old := r.state.records.value(k); r.anyOutcome && old != nil && f.command.GetCommitOutcome() != nil {
+		f.command.GetCommitOutcome().IntentIndex = old.intent
+	}
+}
+
+func (r *requestSim) restart(sender string) {
+	r.alive[sender]++
+	r.apply(&pb.DomainCommand{Command: &pb.DomainCommand_SenderGone{SenderGone: &pb.SenderGone{Sender: sender, LiveInstance: r.instance(sender)}}})
+}
+
+// checkSentOnce is P6: no key is sent twice.
+func checkSentOnce(sent []string) error {
+	seen := map[string]bool{}
+	for _, key := range sent {
+		if seen[key] {
+			return fmt.Errorf("P6: key %s is sent twice", key)
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
+func (r *requestSim) step(t *rapid.T) {
+	sender := rapid.SampledFrom([]string{"vm1", "vm2"}).Draw(t, "sender")
+	switch rapid.SampledFrom([]string{"try", "try", "deliver", "deliver", "deliver", "restart", "reload"}).Draw(t, "step") {
+	case "try":
+		key := rapid.IntRange(0, 2).Draw(t, "key")
+		r.propose(key, sender, intent(key, sender, r.instance(sender)), rapid.IntRange(1, 2).Draw(t, "copies"))
+	case "deliver":
+		if len(r.inFlight) > 0 {
+			r.deliver(rapid.IntRange(0, len(r.inFlight)-1).Draw(t, "which"), rapid.IntRange(0, 9).Draw(t, "lost") == 0,
+				rapid.Bool().Draw(t, "reachable"), rapid.IntRange(1, 2).Draw(t, "copies"))
+		}
+	case "restart":
+		r.restart(sender)
+	case "reload":
+		snapshot, _ := r.state.Snapshot()
+		r.state = New("d1", Limits{})
+		if err := r.state.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func newRequestSim() *requestSim {
+	return &requestSim{applier: applier{state: New("d1", Limits{})}, alive: map[string]int{}}
+}
+
+// Guards against a request that is sent twice under lost, delayed, reordered and repeated proposals and restarts (P6).
+func TestRequestsAreSentAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRequestSim()
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			r.step(t)
+		}
+		if err := checkSentOnce(r.sent); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a P6 checker that cannot fail.
+func TestSentOnceCheckerReportsSeededFaults(t *testing.T) {
+	for name, seed := range map[string]func(*requestSim){
+		"record is forgotten":                    func(r *requestSim) { r.forget = true },
+		"late outcome ends a later try's intent": func(r *requestSim) { r.anyOutcome = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			found := false
+			for n := 0; n < 2000 && !found; n++ {
+				r := newRequestSim()
+				seed(r)
+				rapid.Custom(func(t *rapid.T) int {
+					for range 60 {
+						r.step(t)
+					}
+					return 0
+				}).Example(n)
+				found = checkSentOnce(r.sent) != nil
+			}
+			is.True(found) // the checker must report the seeded fault
+		})
+	}
+}
+
+// Guards against a caller that is told the wrong thing about a repeated key.
+func TestRepeatedKeys(t *testing.T) {
+	is := is.New(t)
+	a := &applier{state: New("d1", Limits{MaxRecordsPerMember: 3, MaxAnswerBytes: 30})}
+	first := a.apply(intent(1, "vm1", "a"))
+	is.True(first.Created)
+	again := a.apply(intent(1, "vm2", "b"))
+	is.True(!again.Created)
+	is.Equal(again.Record.GetStage(), pb.RequestRecord_STAGE_INTENT) // in progress
+	other := intent(1, "vm2", "b")
+	other.GetCommitIntent().Record.Digest = bytes.Repeat([]byte{1}, digestBytes)
+	is.True(errors.Is(a.apply(other).Err, ErrKeyReused))
+	is.True(errors.Is(a.apply(outcome(1, "vm2", "b", pb.CommitOutcome_RESULT_EXECUTED, 1)).Err, ErrNotSender))
+
+	a.apply(&pb.DomainCommand{Command: &pb.DomainCommand_SenderGone{SenderGone: &pb.SenderGone{Sender: "vm1", LiveInstance: "b"}}})
+	is.Equal(a.state.View().Record("hanbit", testKey(1)).GetStage(), pb.RequestRecord_STAGE_UNKNOWN)
+	a.apply(outcome(1, "vm1", "a", pb.CommitOutcome_RESULT_EXECUTED, 1)) // the sender lives after all
+	is.Equal(a.state.View().Record("hanbit", testKey(1)).GetAnswer().GetBody(), []byte("ok"))
+
+	a.apply(intent(2, "vm1", "a"))
+	large := outcome(2, "vm1", "a", pb.CommitOutcome_RESULT_EXECUTED, 0)
+	large.GetCommitOutcome().Answer.Body = make([]byte, 40)
+	is.True(a.apply(large).Record.GetAnswer().GetBodyDropped()) // beyond MaxAnswerBytes
+
+	a.apply(intent(3, "vm1", "a"))
+	is.True(errors.Is(a.apply(intent(4, "vm1", "a")).Err, ErrTooManyRecords))
+	is.Equal(a.apply(intent(4, "vm1", "a")).Err.Outcome, errs.OutcomeNotRun)
+}
+
+// Guards against keys that outlive their records and against clocks that run ahead.
+func TestKeyAge(t *testing.T) {
+	is := is.New(t)
+	a := &applier{state: New("d1", Limits{})}
+	a.apply(intent(1, "vm1", "a"))
+	late := intent(2, "vm1", "a")
+	late.UnixMs = testNow + KeyLife.Milliseconds() + 1
+	refused := a.apply(late)
+	is.True(errors.Is(refused.Err, ErrKeyExpired))
+	is.Equal(refused.Err.Outcome, errs.OutcomeUnknown)
+	is.True(a.state.View().Record("hanbit", testKey(1)) != nil)
+	before := testNow + time.Minute.Milliseconds()
+	a.apply(&pb.DomainCommand{Command: &pb.DomainCommand_ExpireRecords{ExpireRecords: &pb.ExpireRecords{RecordsBeforeUnixMs: before}}})
+	is.True(a.state.View().Record("hanbit", testKey(1)) == nil)
+
+	early := &applier{state: New("d1", Limits{})}
+	ahead := intent(1, "vm1", "a")
+	ahead.GetCommitIntent().Record.Key = NewKey(time.UnixMilli(testNow).Add(KeyAhead + time.Second))
+	is.True(errors.Is(early.apply(ahead).Err, ErrKeyInvalid))
+	at, err := KeyTime(NewKey(time.UnixMilli(testNow)))
+	is.NoErr(err)
+	is.Equal(at.UnixMilli(), testNow)
+}
--- a/internal/domain/snapshot.go
+++ b/internal/domain/snapshot.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return err
 	}
-	r := &record{stage: p.GetStage(), sender: unique.Make(sender{p.GetSender(), p.GetSenderInstance()})}
+	r := &record{stage: p.GetStage(), intent: p.GetIntentIndex(), sender: unique.Make(sender{p.GetSender(), p.GetSenderInstance()})}
 	copy(r.digest[:], p.GetDigest())
 	if p.GetAnswer() != nil {
 		r.answer = encodeAnswer(p.GetAnswer())
--- a/internal/domain/tree.go
+++ b/internal/domain/tree.go
@@ -48,8 +48,10 @@
 		}
 		bit := slot(hash, shift)
 		if n.values&bit != 0 {
-			e := &n.entries[position(n.values, bit)]
-			return e.value, e.key == key
+			if e := &n.entries[position(n.values, bit)]; e.key == key {
+				return e.value, true
+			}
+			break
 		}
 		if n.children&bit == 0 {
 			break
@@ -68,13 +70,9 @@
 	return value, false
 }
 
-// value returns the value of a key or the zero value. It reads nil for pointers that do not exist.
+// value returns the value of a key, or the zero value if the key does not exist.
 func (t *tree[K, V]) value(key K) V {
-	v, ok := t.get(key)
-	if !ok {
-		var zero V
-		return zero
-	}
+	v, _ := t.get(key)
 	return v
 }
 
--- a/internal/leader/property_test.go
+++ b/internal/leader/property_test.go
@@ -35,7 +35,7 @@
 // TestMain fixes the seed of the property tests unless -rapid.seed is given.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": propertySeed, "rapid.checks": propertyChecks} {
+	for name, value := range map[string]string{"rapid.seed": propertySeed, "rapid.checks": propertyChecks, "rapid.nofailfile": "true"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = f.Value.Set(value)
 		}
