Name the intent in outcomes, so that a key of a request that was not run is free again

Cause: the state machine refuses a not-run outcome that does not name its intent, and the gateway did not name it, so the key stayed used. Red before in TestKeyOfARequestThatWasNotRunCanBeUsedAgain, green after.

--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -23,7 +23,9 @@
 type commit struct {
 	gateway *Gateway
 	call    *call
-	done    bool
+	// intent is the index of the entry that committed the intent.
+	intent uint64
+	done   bool
 }
 
 // serveOnce runs a non-idempotent call at most once: the owner domain of its key commits an intent
@@ -66,7 +68,7 @@
 	if !created {
 		return g.replay(existing, digest, out)
 	}
-	commit := &commit{gateway: g, call: c}
+	commit := &commit{gateway: g, call: c, intent: existing.GetIntentIndex()}
 	err = g.run(ctx, c, body, out, commit)
 	if !commit.done {
 		commit.failed(ctx, err)
@@ -138,7 +140,7 @@
 	defer cancel()
 	config := &m.gateway.config
 	return config.Records.Finish(ctx, &pb.CommitOutcome{Member: m.call.member, Key: m.call.key, Sender: config.VM,
-		SenderInstance: config.Instance, Result: result, Answer: answer})
+		SenderInstance: config.Instance, Result: result, Answer: answer, IntentIndex: m.intent})
 }
 
 // replay answers from the record of an earlier request with the same key. It never sends.
