--- /dev/null
+++ b/internal/systemtest/drain_test.go
@@ -0,0 +1,155 @@
+package systemtest
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// load sends requests to several entry VMs until stopped and collects what callers saw.
+type load struct {
+	stop   chan struct{}
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	broken []answer // connection cut or answer not whole
+	ok     atomic.Int64
+	other  map[string]int // refusals by outcome
+}
+
+// skip returns whether an entry VM gets no requests at the moment, as the balancer decides.
+func startLoad(d *deployment, callers int, skip func(*vm) bool) *load {
+	l := &load{stop: make(chan struct{}), other: make(map[string]int)}
+	for i := range callers {
+		l.wait.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				v := d.vms[n%len(d.vms)]
+				if skip(v) {
+					continue
+				}
+				l.one(v, n)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) one(v *vm, n int) {
+	method, key := http.MethodGet, ""
+	if n%2 == 0 {
+		method, key = http.MethodPost, domain.NewKey(time.Now())
+	}
+	got := request(v, method, "/load", key, []byte("felt"))
+	switch {
+	case got.err != nil:
+		l.mu.Lock()
+		l.broken = append(l.broken, got)
+		l.mu.Unlock()
+	case got.status == http.StatusOK && strings.Contains(got.body, "path=/load"):
+		l.ok.Add(1)
+	default:
+		l.mu.Lock()
+		l.other[got.outcome]++
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.wait.Wait()
+}
+
+// Guards against requests cut off by the planned stop of an entry VM (P8). The balancer
+// follows readiness with a delay, so requests still arrive for a while after SIGTERM.
+func TestGracefulStopOfAnEntryVMCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	d := twoVMDomains(t)
+	d.start()
+	d.applyNote(d.vm("vm-b1"), note(1, serviceContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	for _, name := range []string{"a", "b", "c"} {
+		d.startExecutor("executor-"+name+"1", name, "--work", "50ms")
+		d.startExecutor("executor-"+name+"2", name, "--work", "50ms")
+	}
+	var leaving atomic.Pointer[vm]
+	l := startLoad(d, 12, func(v *vm) bool { return v == leaving.Load() })
+	time.Sleep(3 * time.Second)
+	for _, id := range []string{"vm-a1", "vm-b2"} {
+		v := d.vm(id)
+		go func() {
+			time.Sleep(300 * time.Millisecond) // the balancer's probe interval
+			leaving.Store(v)
+		}()
+		v.process.terminate(t, 20*time.Second)
+		d.startVM(v)
+		d.waitReady(v, 10*time.Second)
+		leaving.Store(nil)
+	}
+	l.end()
+	t.Logf("answered %d, refusals by outcome %v", l.ok.Load(), l.other)
+	is.Equal(len(l.broken), 0)      // no request was cut off
+	is.Equal(l.other["unknown"], 0) // a planned stop leaves no outcome unknown
+	is.True(l.ok.Load() > 500)
+}
+
+// Guards against requests cut off by the planned stop of an executor, and against new work for it
+// more than 2 s after it began to leave (P7, P8).
+func TestGracefulStopOfAnExecutorCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, serviceContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	leaving := d.startExecutor("executor-leaving", "a", "--work", "50ms")
+	for _, name := range []string{"a", "b", "c"} {
+		d.startExecutor("executor-"+name, name, "--work", "50ms")
+	}
+	l := startLoad(d, 12, func(*vm) bool { return false })
+	time.Sleep(3 * time.Second)
+	leaving.terminate(t, 10*time.Second)
+	time.Sleep(time.Second)
+	l.end()
+	t.Logf("answered %d, refusals by outcome %v", l.ok.Load(), l.other)
+	is.Equal(len(l.broken), 0)
+	is.Equal(l.other["unknown"], 0)
+}
+
+// Guards against a task that is lost or runs twice when its worker dies (P2, P3).
+func TestTaskOfAKilledWorkerResumesOnce(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.timing = "timing: {attemptLease: 2s}\n"
+	d.start()
+	d.applyNote(d.vms[0], note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	workers := map[string]*process{"w1": d.startWorker("w1", "a"), "w2": d.startWorker("w2", "a")}
+	task := d.submit(d.vms[0], batchTask("long", `{"run_ms": 4000, "checkpoint_every_ms": 200}`, "a"))
+	running := d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
+	time.Sleep(time.Second)
+	workers[running.Worker].kill()
+	killed := time.Now()
+	again := time.Duration(0)
+	eventually(t, 10*time.Second, "the second attempt runs", func() bool {
+		ctx, cancel := background()
+		defer cancel()
+		now, err := d.operator(d.vms[1]).Task(ctx, task.Id)
+		again = time.Since(killed)
+		return err == nil && now.Attempt == 2 && now.State == pb.TaskState_TASK_STATE_RUNNING
+	})
+	is.True(again >= 2*time.Second) // not before the lease of the dead worker ended
+	finished := d.waitTask(d.vms[2], task.Id, pb.TaskState_TASK_STATE_FINISHED, 20*time.Second)
+	is.Equal(finished.Attempt, uint32(2))
+	t.Logf("second attempt %v after the kill, resumed from %v", again, finished.Checkpoint)
+}
