Bound the arrival of a caller's body by the deadline of its request

Cause: a caller that stops in the middle of its body held its connection without end (TestHalfOpenClientsAreClosed, red before). The heads of requests and the bodies of API calls were already bounded, at 5 s and 10 s.

--- a/internal/gateway/caller_body.go
+++ b/internal/gateway/caller_body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,25 @@
 	if err == io.EOF {
 		b.ended.Store(true)
 	}
-	return n, err
+	return n, readError(err)
+}
+
+// readError gives failures to read the caller's body a type.
+func readError(err error) error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ErrDeadlineExceeded.With("the body did not arrive before the deadline")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return ErrCallerGone.With("the caller closed the connection before the end of the body")
+	}
+	return err
+}
+
+// expectBy bounds the arrival of the body, so that a half-open caller does not hold the connection.
+func (b *callerBody) expectBy(deadline time.Time) {
+	if !b.ended.Load() {
+		_ = b.control.SetReadDeadline(deadline)
+	}
 }
 
 // finish ends all reads. It reads a short rest to the end, and reports false if
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -37,7 +37,7 @@
 	} else {
 		body.ended.Store(true)
 	}
-	err := g.serveCaller(r, out)
+	err := g.serveCaller(r, body, out)
 	countOutcome(err)
 	switch {
 	case err == nil:
@@ -66,7 +66,7 @@
 	}
 }
 
-func (g *Gateway) serveCaller(r *http.Request, out *answerer) error {
+func (g *Gateway) serveCaller(r *http.Request, body *callerBody, out *answerer) error {
 	if !r.ProtoAtLeast(1, 1) {
 		// The end of an answer of unknown length could not be told from a broken connection.
 		return errs.ErrInvalid.With("HTTP/1.1 or later is required, got %s", r.Proto)
@@ -88,6 +88,7 @@
 	}
 	now := g.config.Now()
 	c.applyContract(contract, now)
+	body.expectBy(c.deadline)
 	if !g.rates.allow(contract, g.config.RateShare(contract), now) {
 		return ErrRateLimit
 	}
