Let one of two simultaneous candidates go first

Two voters that timed out together both passed the pre-vote, split the vote and left the group without a leader for another full timeout. A pre-candidate now refuses one with an equal log and a lower VM id, and an unsuccessful candidate tries again after half an election timeout. The shortest timeout is one tick longer than the time for which the other voters refuse to replace a leader.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -2,9 +2,19 @@
 
 import "github.com/lentilyard/lentilyard/internal/pb"
 
+// resetElectionTimer draws the time until this node campaigns. It exceeds the
+// time for which the other voters still count a silent leader as alive.
 func (n *Node) resetElectionTimer() {
 	n.electionStart = n.now
-	n.electionTimeout = n.cfg.ElectionTicks + int(n.cfg.Random(uint64(n.cfg.ElectionTicks)))
+	n.electionTimeout = n.cfg.ElectionTicks + 1 + int(n.cfg.Random(uint64(n.cfg.ElectionTicks)))
+}
+
+// shortenElectionTimer draws the time until an unsuccessful candidate tries
+// again. No leader is known then, so there is none to wait for.
+func (n *Node) shortenElectionTimer() {
+	half := (n.cfg.ElectionTicks + 1) / 2
+	n.electionStart = n.now
+	n.electionTimeout = half + int(n.cfg.Random(uint64(half)))
 }
 
 // becomeFollower adopts term and leader; leader may be unknown.
@@ -51,6 +61,7 @@
 	}
 	n.role = PreCandidate
 	n.leader = ID{}
+	n.shortenElectionTimer()
 	n.votes = map[ID]bool{}
 	n.requestVotes(pb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, false)
 	n.countVote(n.self, true)
@@ -64,7 +75,7 @@
 	n.leader = ID{}
 	n.hardStateNew = true
 	n.votes = map[ID]bool{}
-	n.resetElectionTimer()
+	n.shortenElectionTimer()
 	n.requestVotes(pb.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE, transfer)
 }
 
@@ -123,10 +134,24 @@
 func (n *Node) stepPreVote(from ID, m *pb.RaftMessage) {
 	answer := n.message(pb.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_ANSWER, from)
 	answer.Round = m.GetTerm()
-	answer.Reject = m.GetTerm() < n.term || n.leaderIsRecent() || !n.mayGrant(m)
+	answer.Reject = m.GetTerm() < n.term || n.leaderIsRecent() || !n.mayGrant(m) || n.precedes(from, m)
+	if !answer.GetReject() && n.role == PreCandidate {
+		n.becomeFollower(n.term, ID{})
+	}
 	n.send(answer)
 }
 
+// precedes reports whether this node is about to campaign itself and goes
+// first. Without that rule two nodes that time out together split the vote and
+// leave the group without a leader for another timeout.
+func (n *Node) precedes(from ID, m *pb.RaftMessage) bool {
+	if n.role != PreCandidate || m.GetTerm() > n.term {
+		return false
+	}
+	equal := m.GetIndexTerm() == n.log.lastTerm() && m.GetIndex() == n.log.last()
+	return equal && n.self.VM > from.VM
+}
+
 func (n *Node) stepPreVoteAnswer(from ID, m *pb.RaftMessage) {
 	if m.GetReject() && m.GetTerm() > n.term && n.role != Leader {
 		n.becomeFollower(m.GetTerm(), ID{})
--- a/internal/replica/timing_test.go
+++ b/internal/replica/timing_test.go
@@ -14,7 +14,8 @@
 
 // Guards against an outage of 1 s or more after the death of the leader.
 func TestNextCommitAfterLeaderDeath(t *testing.T) {
-	for range 20 {
+	var longest time.Duration
+	for range 100 {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster(t, threeVoters, nil, nil)
 			c.startAll()
@@ -22,11 +23,14 @@
 			c.stop(c.leader())
 			died := time.Now()
 			c.propose("2")
-			if took := time.Since(died); took >= time.Second {
+			took := time.Since(died)
+			longest = max(longest, took)
+			if took >= time.Second {
 				t.Errorf("next commit %v after the leader's death", took)
 			}
 		})
 	}
+	t.Log("longest of 100:", longest)
 }
 
 // Guards against a leader that keeps its role without a quorum for longer than an election timeout.
