--- a/internal/raft/check_test.go
+++ b/internal/raft/check_test.go
@@ -92,7 +92,7 @@
 	p.mark = m.index
 	before := n.membershipAt(m.index - 1)
 	s.events["membership"]++
-	for _, id := range m.list(true) {
+	for _, id := range m.voters {
 		target := s.process(id.VM)
 		if before.isVoter(id) || target.node == nil || target.node.self != id || target.node.term > n.term {
 			continue // not a promotion, down, or already following a later leader
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -80,7 +80,7 @@
 }
 
 func (n *Node) requestVotes(kind pb.RaftMessageType, transfer bool) {
-	for _, id := range n.current().list(true) {
+	for _, id := range n.current().voters {
 		if id == n.self {
 			continue
 		}
@@ -194,7 +194,7 @@
 		return ErrNotLeader
 	}
 	var best ID
-	for _, id := range n.current().list(true) {
+	for _, id := range n.current().voters {
 		if id == n.self || !n.heardRecently(id) || !n.progress[id].counted {
 			continue
 		}
--- a/internal/raft/identity.go
+++ b/internal/raft/identity.go
@@ -109,7 +109,7 @@
 // admit records boot counter and term of the sender. It refuses a sender that
 // runs on an older image of its disk.
 func (n *Node) admit(from ID, m *pb.RaftMessage) bool {
-	if n.cfg.faults.skipBootCheck || !n.holdsNothing() && !n.current().isMember(from) {
+	if n.cfg.faults.skipBootCheck || !n.holdsNothing() && !n.isKnown(from) {
 		return true
 	}
 	seen := n.identity.marks[from]
@@ -156,7 +156,7 @@
 func (n *Node) markList() []*pb.RaftPeerMark {
 	var list []*pb.RaftPeerMark
 	for id, m := range n.identity.marks {
-		if n.current().isMember(id) || n.holdsNothing() {
+		if n.isKnown(id) || n.holdsNothing() {
 			list = append(list, &pb.RaftPeerMark{Id: id.proto(), Boot: m.boot, Start: m.start, Term: m.term})
 		}
 	}
@@ -223,7 +223,7 @@
 }
 
 func (n *Node) confirmedByAll() bool {
-	voters := n.current().list(true)
+	voters := n.current().voters
 	return len(voters) > 0 && !slices.ContainsFunc(voters, func(id ID) bool { return id != n.self && !n.identity.confirmedBy[id] })
 }
 
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -14,8 +14,9 @@
 	source  *pb.RaftMembership
 	members map[ID]bool // value: voter
 	// seats holds the voting incarnations of each voter VM.
-	seats map[string][]ID
-	order []ID
+	seats            map[string][]ID
+	order            []ID
+	voters, learners []ID
 }
 
 func parseMembership(index uint64, p *pb.RaftMembership) *membership {
@@ -26,7 +27,10 @@
 		m.order = append(m.order, id)
 		if member.GetVoter() {
 			m.seats[id.VM] = append(m.seats[id.VM], id)
+			m.voters = append(m.voters, id)
+			continue
 		}
+		m.learners = append(m.learners, id)
 	}
 	return m
 }
@@ -66,16 +70,6 @@
 	return indexes[(len(indexes)-1)/2]
 }
 
-func (m *membership) list(voters bool) []ID {
-	var ids []ID
-	for _, id := range m.order {
-		if m.members[id] == voters {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // with returns a copy in which id has the given role and the ids in drop are absent.
 func (m *membership) with(id ID, voter bool, drop ...ID) *pb.RaftMembership {
 	changed := &pb.RaftMembership{GroupId: m.source.GetGroupId()}
@@ -91,9 +85,14 @@
 	return changed
 }
 
+// isKnown reports whether an ID belongs to a membership that is or may come into force.
+func (n *Node) isKnown(id ID) bool {
+	return slices.ContainsFunc(n.memberships, func(m *membership) bool { return m.isMember(id) })
+}
+
 func (n *Node) current() *membership { return n.memberships[len(n.memberships)-1] }
 
-// committedMembership returns the newest membership at or below index.
+// membershipAt returns the newest membership at or below index.
 func (n *Node) membershipAt(index uint64) *membership {
 	for i := len(n.memberships) - 1; i > 0; i-- {
 		if n.memberships[i].index <= index {
@@ -181,7 +180,7 @@
 
 // replacedVoter returns a voter whose VM has a voter that was promoted later.
 func (n *Node) replacedVoter(m *membership) (ID, bool) {
-	for _, id := range m.list(true) {
+	for _, id := range m.voters {
 		if incarnations := m.seats[id.VM]; len(incarnations) > 1 {
 			return incarnations[0], true
 		}
@@ -191,7 +190,7 @@
 
 // promotable returns a learner that is to become a voter and holds all committed entries.
 func (n *Node) promotable(m *membership) (ID, bool) {
-	for _, id := range m.list(false) {
+	for _, id := range m.learners {
 		pr := n.progress[id]
 		if !n.wantsVoter(m, id.VM) || pr == nil || n.now-pr.lastHeard > n.cfg.ElectionTicks {
 			continue
@@ -218,7 +217,7 @@
 			continue
 		}
 		var drop []ID
-		for _, other := range m.list(false) {
+		for _, other := range m.learners {
 			if other.VM == id.VM {
 				drop = append(drop, other)
 			}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -43,7 +44,9 @@
 
 	identity identityState
 	incoming *pb.RaftSnapshot // snapshot being received
-	caughtUp bool
+	// caughtUpAt is the commit index of a leader at which this node first held
+	// everything; 0 before that.
+	caughtUpAt uint64
 
 	pending      pendingWork
 	inWrite      writeInFlight
@@ -83,6 +86,7 @@
 	}
 	n := &Node{cfg: cfg, self: cfg.Self, log: log, term: cfg.HardState.GetTerm(), vote: idOf(cfg.HardState.GetVote())}
 	n.persisted = n.term
+	n.hardStateNew = cfg.HardState == nil
 	n.memberships = []*membership{parseMembership(cfg.Snapshot.GetIndex(), cfg.Snapshot.GetMembership())}
 	for _, e := range log.entries {
 		n.noteMembership(e)
@@ -92,8 +96,10 @@
 	if n.current().isVoter(n.self) {
 		n.role = Follower
 	}
-	// A restarted node has not heard from a leader, but one may exist.
 	n.resetElectionTimer()
+	if n.isOnlyVoter() {
+		n.electionTimeout = 1 // there is no other leader to wait for
+	}
 	return n, nil
 }
 
@@ -166,6 +172,7 @@
 func (n *Node) Compact(index uint64) {
 	index = min(index, n.log.applied, n.log.stable)
 	n.forgetMembershipsBefore(index)
+	maps.DeleteFunc(n.identity.marks, func(id ID, _ mark) bool { return !n.isKnown(id) })
 	n.log.compact(index)
 }
 
@@ -183,6 +190,9 @@
 	return &pb.RaftHardState{Term: n.term, Vote: n.vote.proto(), Commit: n.log.commit, Marks: n.markList(), ConfirmedBoot: n.identity.confirmedBoot}
 }
 
+// Role returns the current role.
+func (n *Node) Role() Role { return n.role }
+
 // Self returns the ID of this node.
 func (n *Node) Self() ID { return n.self }
 
@@ -191,8 +201,8 @@
 	m := n.current()
 	return Status{
 		Role: n.role, Leader: n.leader, Term: n.term, Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(),
-		Voters: m.list(true), Learners: m.list(false),
-		Confirmed: n.identity.confirmed, StaleDisk: n.identity.stale, OtherGroup: n.identity.otherGroup, CaughtUp: n.caughtUp, Fault: n.fault,
+		Voters: m.voters, Learners: m.learners,
+		Confirmed: n.identity.confirmed, StaleDisk: n.identity.stale, OtherGroup: n.identity.otherGroup, CaughtUp: n.caughtUpAt > 0 && n.log.applied >= n.caughtUpAt, Fault: n.fault,
 	}
 }
 
@@ -228,11 +238,14 @@
 		return
 	}
 	n.log.handed = n.log.last()
+	r.Commit = n.log.commit
+	if n.hardStateNew {
+		r.HardState = n.HardState()
+	}
 	n.hardStateNew = false
-	r.HardState = n.HardState()
 	n.writes++
 	r.Write = n.writes
-	n.inWrite = writeInFlight{write: r.Write, index: n.log.last(), indexTerm: n.log.lastTerm(), term: n.term, confirmedBoot: r.HardState.GetConfirmedBoot()}
+	n.inWrite = writeInFlight{write: r.Write, index: n.log.last(), indexTerm: n.log.lastTerm(), term: n.term, confirmedBoot: n.identity.confirmedBoot}
 }
 
 // Persisted reports that the write of a Ready is synced.
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -205,7 +205,7 @@
 	}
 	n.uncommittedBytes = max(0, n.uncommittedBytes)
 	n.log.commit = index
-	n.caughtUp = true
+	n.noteCaughtUp(index)
 	if !n.current().isVoter(n.self) && n.current().index <= index {
 		n.becomeFollower(n.term, ID{})
 		return
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -43,8 +43,10 @@
 		d.snapshot, d.entries = r.Snapshot, nil
 	}
 	if r.HardState != nil {
-		d.hardState = proto.CloneOf(r.HardState)
+		d.hardState = r.HardState
 	}
+	d.hardState = proto.CloneOf(d.hardState) // images share it
+	d.hardState.Commit = r.Commit
 	for _, e := range r.Entries {
 		for len(d.entries) > 0 && d.entries[len(d.entries)-1].GetIndex() >= e.GetIndex() {
 			d.entries = d.entries[:len(d.entries)-1]
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -180,8 +180,8 @@
 
 // noteCaughtUp records that this node holds everything the leader had committed.
 func (n *Node) noteCaughtUp(commit uint64) {
-	if commit > 0 && n.log.commit >= commit && n.current().isMember(n.self) {
-		n.caughtUp = true
+	if n.caughtUpAt == 0 && n.log.commit >= commit && n.current().isMember(n.self) {
+		n.caughtUpAt = commit
 	}
 }
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -88,9 +88,10 @@
 // Limits of messages and queues.
 const (
 	// maxAppendBytes bounds the entries of one append message, unless a single entry is larger.
-	maxAppendBytes = 1 << 20
-	// maxInFlight is the number of append messages to one follower without an answer.
-	maxInFlight = 64
+	maxAppendBytes = 256 << 10
+	// maxInFlight is the number of append messages to one follower without an
+	// answer. Together with maxAppendBytes it bounds the queue to a follower to 8 MiB.
+	maxInFlight = 32
 	// snapshotChunkBytes bounds the snapshot data in one message.
 	snapshotChunkBytes = 256 << 10
 	// maxUncommittedBytes bounds the proposals that a leader holds without a commit.
@@ -110,6 +111,9 @@
 	Snapshot *pb.RaftSnapshot
 	// HardState to persist, if not nil.
 	HardState *pb.RaftHardState
+	// Commit replaces the commit index of the last HardState. It need not be
+	// persisted unless something else is.
+	Commit uint64
 	// Entries to persist. They replace entries of the same and higher indexes.
 	Entries   []*pb.RaftEntry
 	Messages  []*pb.RaftMessage
@@ -135,7 +139,7 @@
 	OK bool
 }
 
-// Status is a copy of a node's observable state.
+// Status is a copy of a node's observable state. The lists must not be modified.
 type Status struct {
 	Role     Role
 	Leader   ID
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lentilyard/lentilyard/internal/raft"
 	"github.com/lentilyard/lentilyard/internal/wal"
 )
 
@@ -75,6 +76,9 @@
 	DefaultSnapshotEvery = 10000
 )
 
+// MaxEntryBytes is the largest entry that Propose accepts.
+const MaxEntryBytes = 4 << 20
+
 // Role of this VM in a group.
 type Role string
 
@@ -87,12 +91,9 @@
 )
 
 // Member is one incarnation of a VM.
-type Member struct {
-	VM          string
-	Incarnation uint64
-}
+type Member = raft.ID
 
-// Status is the state of a group as this VM knows it.
+// Status is the state of a group as this VM knows it. The lists must not be modified.
 type Status struct {
 	Group string
 	Role  Role
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -39,6 +39,9 @@
 // not be modified afterwards. On error see ErrNotLeader, ErrNotCommitted,
 // ErrOutcomeUnknown and ErrStopped.
 func (g *Group) Propose(ctx context.Context, entry []byte) (any, error) {
+	if len(entry) > MaxEntryBytes {
+		return nil, fmt.Errorf("%w: it has %d bytes, the limit is %d", ErrNotCommitted, len(entry), MaxEntryBytes)
+	}
 	w := newWaiter()
 	if !g.host.post(func() { g.propose(w, entry) }) {
 		return nil, ErrStopped
@@ -206,15 +209,15 @@
 	w     *waiter
 }
 
-// failAll ends all calls when the host stops.
-func (g *Group) failAll() {
+// failAll ends all calls. The error is that of read barriers.
+func (g *Group) failAll(err error) {
 	g.abandonWaiters(^uint64(0))
 	for token, w := range g.reads {
-		w.finish(nil, ErrStopped)
+		w.finish(nil, err)
 		delete(g.reads, token)
 	}
 	for _, c := range g.confirmed {
-		c.w.finish(nil, ErrStopped)
+		c.w.finish(nil, err)
 	}
 	g.confirmed = nil
 }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -24,6 +24,7 @@
 	cut      map[string]bool // VMs without connection
 	messages atomic.Int64
 	bytes    atomic.Int64
+	bySender sync.Map // VM to *atomic.Int64: bytes
 }
 
 func newNetwork() *network {
@@ -66,6 +67,8 @@
 	}
 	n.messages.Add(1)
 	n.bytes.Add(int64(len(payload)))
+	sent, _ := n.bySender.LoadOrStore(e.vm, new(atomic.Int64))
+	sent.(*atomic.Int64).Add(int64(len(payload)))
 	f(e.vm, payload)
 }
 
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -12,9 +12,9 @@
 	"github.com/lentilyard/lentilyard/internal/raft"
 )
 
-// maxQueuedMessages bounds the received messages that wait for the control
-// goroutine. Raft repeats what is lost.
-const maxQueuedMessages = 4096
+// maxQueuedBytes bounds the received messages that wait for the control
+// goroutine. It exceeds what raft sends to one follower without an answer.
+const maxQueuedBytes = 32 << 20
 
 // keepFraction of SnapshotEvery is the number of applied entries kept in
 // memory, so that a member slightly behind needs no snapshot.
@@ -27,7 +27,7 @@
 	host    *Host
 	cfg     GroupConfig
 	channel string
-	queued  atomic.Int64
+	queued  atomic.Int64 // bytes of received messages
 	status  atomic.Pointer[Status]
 
 	watchMu  sync.Mutex
@@ -36,7 +36,6 @@
 	// The fields below belong to the control goroutine.
 	node         *raft.Node
 	storage      storage
-	identity     *pb.RaftIdentity
 	initial      []byte // state of the machine before the first entry
 	recovered    bool   // the machine's state was recovered from disk
 	writing      bool
@@ -116,10 +115,9 @@
 		return err
 	}
 	g.node = node
-	g.identity = state.identity
 	g.recovered = node.Status().Commit > 0
 	g.snapshotAt = state.snapshot.GetIndex()
-	g.publish()
+	g.publish(node.Status())
 	return nil
 }
 
@@ -130,20 +128,21 @@
 		messagesRefused.Inc()
 		return
 	}
-	if g.queued.Add(1) > maxQueuedMessages {
-		g.queued.Add(-1)
+	size := int64(len(payload))
+	if g.queued.Add(size) > maxQueuedBytes {
+		g.queued.Add(-size)
 		messagesDropped.Inc()
 		return
 	}
-	if !g.host.post(func() { g.queued.Add(-1); g.node.Step(m) }) {
-		g.queued.Add(-1)
+	if !g.host.post(func() { g.queued.Add(-size); g.node.Step(m) }) {
+		g.queued.Add(-size)
 	}
 }
 
 func (g *Group) tickOnce() {
 	g.node.Tick()
 	g.idleTicks++
-	if g.node.Status().Role == raft.Leader {
+	if g.node.Role() == raft.Leader {
 		g.idleTicks = 0
 	}
 	g.expireWaiters()
@@ -157,9 +156,10 @@
 			break
 		}
 	}
-	g.checkNode()
-	g.maybeSnapshot()
-	g.publish()
+	status := g.node.Status()
+	g.checkNode(&status)
+	g.maybeSnapshot(status.Applied)
+	g.publish(g.node.Status())
 }
 
 // handle carries out one Ready. It returns true if that may have caused more work.
@@ -245,14 +245,13 @@
 }
 
 // maybeSnapshot begins a snapshot once enough entries were applied since the last one.
-func (g *Group) maybeSnapshot() {
+func (g *Group) maybeSnapshot(applied uint64) {
 	every := g.host.cfg.SnapshotEvery
-	meta := g.node.SnapshotMeta()
-	if g.host.fatal != nil || g.restarting || g.snapshotting || meta.GetIndex() < g.snapshotAt+every {
+	if g.host.fatal != nil || g.restarting || g.snapshotting || applied < g.snapshotAt+every {
 		return
 	}
-	g.snapshotAt = meta.GetIndex()
-	compactTo := meta.GetIndex() - every/keepFraction
+	g.snapshotAt = applied
+	compactTo := applied - every/keepFraction
 	if _, inMemory := g.storage.(memoryStorage); inMemory {
 		g.node.Compact(compactTo)
 		return
@@ -262,6 +261,7 @@
 		g.host.fail(fmt.Errorf("group %q: snapshot: %w", g.cfg.Name, err))
 		return
 	}
+	meta := g.node.SnapshotMeta()
 	meta.Data = data
 	g.snapshotting = true
 	g.storage.saveSnapshot(meta, func(err error) {
@@ -281,8 +281,7 @@
 }
 
 // checkNode reacts to conditions that the raft node cannot handle itself.
-func (g *Group) checkNode() {
-	status := g.node.Status()
+func (g *Group) checkNode(status *raft.Status) {
 	switch {
 	case status.Fault != nil:
 		g.host.fail(fmt.Errorf("group %q: %w", g.cfg.Name, status.Fault))
@@ -301,7 +300,7 @@
 	g.host.cfg.Logger.Warn().Str("group", g.cfg.Name).Str("incarnation", g.node.Self().String()).
 		Msg("the data folder holds an older state than this VM had before; it is discarded and the VM rejoins as learner")
 	g.restarting = true
-	g.abandonWaiters(^uint64(0))
+	g.failAll(ErrNotLeader{})
 	identity := newIdentity()
 	g.storage.restart(identity, func(err error) {
 		g.report(func() { g.discarded(identity, err) })
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -200,7 +200,7 @@
 	h.requestStop()
 	h.box.close()
 	for _, g := range h.groups {
-		g.failAll()
+		g.failAll(ErrStopped)
 	}
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -22,29 +22,35 @@
 }
 
 // publish makes the current status visible to other goroutines.
-func (g *Group) publish() {
-	s := g.node.Status()
-	previous := g.status.Load()
-	next := &Status{
+func (g *Group) publish(s raft.Status) {
+	next := Status{
 		Group: g.cfg.Name, Role: roleOf(s.Role), Leader: s.Leader.VM, Term: s.Term, Commit: s.Commit, Applied: s.Applied,
-		Self:   Member{VM: g.host.cfg.ID, Incarnation: g.identity.GetIncarnation()},
-		Voters: members(s.Voters), Learners: members(s.Learners),
+		Self: g.node.Self(), Voters: s.Voters, Learners: s.Learners,
 		Serving: !g.restarting && s.Applied > 0 && (s.CaughtUp || g.recovered),
 	}
-	g.status.Store(next)
-	if previous == nil || !roleChanged(previous, next) {
+	previous := g.status.Load()
+	if previous != nil && sameStatus(previous, &next) {
+		return
+	}
+	g.status.Store(&next)
+	if previous == nil || !roleChanged(previous, &next) {
 		return
 	}
 	g.watchMu.Lock()
 	watchers := slices.Clone(g.watchers)
 	g.watchMu.Unlock()
 	for _, f := range watchers {
-		f(*next)
+		f(next)
 	}
 	g.host.cfg.Logger.Info().Str("group", g.cfg.Name).Str("role", string(next.Role)).Str("leader", next.Leader).
 		Uint64("term", next.Term).Uint64("commit", next.Commit).Bool("serving", next.Serving).Msg("group role changed")
 }
 
+func sameStatus(a, b *Status) bool {
+	return !roleChanged(a, b) && a.Commit == b.Commit && a.Applied == b.Applied && a.Self == b.Self &&
+		slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Learners, b.Learners)
+}
+
 func roleChanged(a, b *Status) bool {
 	return a.Role != b.Role || a.Leader != b.Leader || a.Term != b.Term || a.Serving != b.Serving
 }
@@ -61,14 +67,6 @@
 	return RoleLearner
 }
 
-func members(ids []raft.ID) []Member {
-	list := make([]Member, 0, len(ids))
-	for _, id := range ids {
-		list = append(list, Member{VM: id.VM, Incarnation: id.Incarnation})
-	}
-	return list
-}
-
 // ErrTransferFailed means that no other voter took over within an election timeout.
 var ErrTransferFailed = errors.New("no other voter took the leadership over; retry once the voters are connected")
 
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -109,6 +109,8 @@
 			state.identity = record.GetIdentity()
 		case record.GetHardState() != nil:
 			state.hardState = record.GetHardState()
+		case record.GetCommit() != 0 && state.hardState != nil:
+			state.hardState.Commit = record.GetCommit()
 		case record.GetEntry() != nil && r.Sequence > saved.GetVoidSequence():
 			state.entries = append(state.entries, record.GetEntry())
 		}
@@ -183,6 +185,8 @@
 	records := make([]wal.Record, 0, len(r.Entries)+1)
 	if r.HardState != nil {
 		records = append(records, encodeRecord(0, &pb.RaftRecord{HardState: r.HardState}))
+	} else {
+		records = append(records, encodeRecord(0, &pb.RaftRecord{Commit: r.Commit}))
 	}
 	for _, e := range r.Entries {
 		records = append(records, encodeRecord(e.GetIndex(), &pb.RaftRecord{Entry: e}))
@@ -190,7 +194,10 @@
 	if err := s.log.Append(records...); err != nil {
 		return err
 	}
-	s.hardState = r.HardState
+	if r.HardState != nil {
+		s.hardState = r.HardState
+	}
+	s.hardState.Commit = r.Commit
 	return nil
 }
 
--- /dev/null
+++ b/internal/replica/storage_test.go
@@ -0,0 +1,96 @@
+package replica
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/raft"
+	"github.com/lentilyard/lentilyard/internal/wal"
+)
+
+func reopen(t *testing.T, folder string) (*diskStorage, *recoveredState) {
+	t.Helper()
+	fs, err := wal.OpenFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, state, err := openDisk(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, state
+}
+
+func entriesUpTo(last, term uint64) []*pb.RaftEntry {
+	var entries []*pb.RaftEntry
+	for i := range last {
+		entries = append(entries, &pb.RaftEntry{Index: i + 1, Term: term})
+	}
+	return entries
+}
+
+func writeSync(t *testing.T, s *diskStorage, r raft.Ready) {
+	t.Helper()
+	r.Write = 1
+	done := make(chan error)
+	s.write(r, func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against entries that come back after a snapshot of the leader replaced the log.
+func TestInstalledSnapshotVoidsLog(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "log")
+	s, _ := reopen(t, folder)
+	writeSync(t, s, raft.Ready{HardState: &pb.RaftHardState{Term: 1}, Entries: entriesUpTo(10, 1)})
+	writeSync(t, s, raft.Ready{HardState: &pb.RaftHardState{Term: 2}, Snapshot: &pb.RaftSnapshot{Index: 5, Term: 2}})
+	is.NoErr(s.close())
+	s, state := reopen(t, folder)
+	is.Equal(state.snapshot.GetIndex(), uint64(5))
+	is.Equal(len(state.entries), 0)
+	is.Equal(state.hardState.GetTerm(), uint64(2))
+	is.NoErr(s.close())
+}
+
+// Guards against state of a discarded incarnation that comes back when the
+// process dies between the new identity and the removal of the old files.
+func TestInterruptedRestartDiscards(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "log")
+	s, first := reopen(t, folder)
+	writeSync(t, s, raft.Ready{HardState: &pb.RaftHardState{Term: 7}, Entries: entriesUpTo(10, 1)})
+	is.NoErr(s.saveSnapshotNow(&pb.RaftSnapshot{Index: 4, Term: 1}))
+	fresh := newIdentity()
+	is.NoErr(s.log.Append(encodeRecord(0, &pb.RaftRecord{Identity: fresh})))
+	is.NoErr(s.close())
+	s, state := reopen(t, folder)
+	is.True(state.identity.GetIncarnation() != first.identity.GetIncarnation())
+	is.Equal(state.identity.GetIncarnation(), fresh.GetIncarnation())
+	is.Equal(state.snapshot, nil)
+	is.Equal(len(state.entries), 0)
+	is.Equal(state.hardState, nil)
+	is.NoErr(s.close())
+}
+
+// Guards against a boot counter that is raised by starts that were never
+// confirmed, with which a restored disk overtakes what its peers recorded.
+func TestBootCounterIsRaisedOnceConfirmed(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "log")
+	s, first := reopen(t, folder)
+	is.NoErr(s.close())
+	s, second := reopen(t, folder)
+	is.Equal(second.identity.GetBoot(), first.identity.GetBoot())
+	is.Equal(second.identity.GetStart(), first.identity.GetStart())
+	writeSync(t, s, raft.Ready{HardState: &pb.RaftHardState{ConfirmedBoot: 1}})
+	is.NoErr(s.close())
+	s, third := reopen(t, folder)
+	is.Equal(third.identity.GetBoot(), uint64(2))
+	is.True(third.identity.GetStart() != first.identity.GetStart())
+	is.NoErr(s.close())
+}
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -1,11 +1,12 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"io/fs"
 	"os"
-	"path"
+	"path/filepath"
 	"syscall"
 )
 
@@ -43,12 +44,9 @@
 
 // OpenFolder opens a folder, which is created and made durable if it does not exist.
 func OpenFolder(folder string) (FS, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
+	if err := createFolder(filepath.Clean(folder)); err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
-	if err := syncFolder(path.Dir(folder)); err != nil {
-		return nil, err
-	}
 	root, err := os.OpenRoot(folder)
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
@@ -61,6 +59,24 @@
 	return &folderFS{root: root, folder: opened}, nil
 }
 
+// createFolder creates a folder and its missing parents, and syncs the entry of each.
+func createFolder(folder string) error {
+	info, err := os.Stat(folder)
+	if err == nil && !info.IsDir() {
+		return fmt.Errorf("%s is not a folder", folder)
+	}
+	if err == nil || !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := createFolder(filepath.Dir(folder)); err != nil {
+		return err
+	}
+	if err := os.Mkdir(folder, folderMode); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return syncFolder(filepath.Dir(folder))
+}
+
 func syncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
@@ -113,7 +129,7 @@
 // Lock takes the lock of a folder, which is created if it does not exist.
 // ErrLocked means that another process holds it.
 func Lock(folder string) (*FolderLock, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
+	if err := createFolder(filepath.Clean(folder)); err != nil {
 		return nil, fmt.Errorf("create data folder: %w", err)
 	}
 	root, err := os.OpenRoot(folder)
