--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -50,9 +52,10 @@
 	work     Work
 	progress float64
 	sequence uint64
-	speed    func() float64
-	orders   chan Action
-	report   func(*pb.AttemptReport)
+	// speed and share are float64 bits, which the worker also reads for usage samples.
+	speed, share atomic.Uint64
+	orders       chan Action
+	report       func(*pb.AttemptReport)
 	// checkpointTime is how long writing a checkpoint takes.
 	checkpointTime time.Duration
 }
@@ -83,20 +86,20 @@
 	r.event(pb.AttemptEvent_ATTEMPT_EVENT_STARTED, nil, "")
 	ticker := time.NewTicker(workStep)
 	defer ticker.Stop()
-	share, last, saved := 1.0, time.Now(), time.Now()
+	last, saved := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case order := <-r.orders:
 			if order.Op == pb.WorkerOp_WORKER_OP_THROTTLE {
-				share = order.Share
+				r.share.Store(math.Float64bits(order.Share))
 				continue
 			}
 			r.end(ctx, order)
 			return
 		case now := <-ticker.C:
-			r.advance(now.Sub(last), share)
+			r.advance(now.Sub(last))
 			last = now
 			if r.ended() {
 				return
@@ -109,11 +112,13 @@
 	}
 }
 
-func (r *run) advance(elapsed time.Duration, share float64) {
+func (r *run) advance(elapsed time.Duration) {
 	total := time.Duration(max(r.work.RunMs, 1)) * time.Millisecond
-	r.progress = min(1, r.progress+share*r.speed()*elapsed.Seconds()/total.Seconds())
+	r.progress = min(1, r.progress+load(&r.share)*load(&r.speed)*elapsed.Seconds()/total.Seconds())
 }
 
+func load(bits *atomic.Uint64) float64 { return math.Float64frombits(bits.Load()) }
+
 func (r *run) ended() bool {
 	if at := r.work.FailAtPercent; at > 0 && r.progress*100 >= float64(at) {
 		r.event(pb.AttemptEvent_ATTEMPT_EVENT_FAILED, nil, "simulated failure while running")
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -314,5 +314,6 @@
 	id := AttemptID{r.GetTask(), r.GetAttempt()}
 	if r.GetEvent() != pb.AttemptEvent_ATTEMPT_EVENT_STARTED && r.GetEvent() != pb.AttemptEvent_ATTEMPT_EVENT_CHECKPOINTED {
 		delete(w.runs, id)
+		w.setSpeeds()
 	}
 }
--- a/internal/standin/worker_runs.go
+++ b/internal/standin/worker_runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -28,25 +29,29 @@
 		return
 	}
 	r := &run{id: a.ID, work: work, progress: a.Resume.GetProgress(), orders: make(chan Action, 16), checkpointTime: w.options.CheckpointTime}
-	w.runs[a.ID] = &running{run: r, spec: a.Spec}
-	r.speed = w.speedOf(a.Spec.GetKind())
+	r.share.Store(math.Float64bits(1))
 	r.report = func(report *pb.AttemptReport) {
 		select {
 		case w.reports <- report:
 		case <-ctx.Done():
 		}
 	}
+	w.runs[a.ID] = &running{run: r, spec: a.Spec}
+	w.setSpeeds()
 	go r.execute(ctx)
 }
 
-// speedOf returns the speed of a kind beside the kinds that run when the attempt starts.
-func (w *Worker) speedOf(kind string) func() float64 {
-	var others []string
-	for _, r := range w.runs {
-		others = append(others, r.spec.GetKind())
+// setSpeeds computes how much the attempts on the worker slow each other down.
+func (w *Worker) setSpeeds() {
+	for id, r := range w.runs {
+		var others []string
+		for otherID, other := range w.runs {
+			if otherID != id {
+				others = append(others, other.spec.GetKind())
+			}
+		}
+		r.run.speed.Store(math.Float64bits(w.options.Speed(r.spec.GetKind(), others)))
 	}
-	speed := w.options.Speed(kind, others)
-	return func() float64 { return speed }
 }
 
 // usageQueue delays usage samples by the lag of the platform's measurements.
@@ -77,6 +82,7 @@
 	return taken
 }
 
+// sample measures each attempt. A throttle lowers the used cores but not the speed, which tells only about neighbours.
 func (w *Worker) sample(now time.Time) {
 	for id, r := range w.runs {
 		cores, memory := r.run.work.UsedMillicores, r.run.work.UsedMemoryBytes
@@ -87,6 +93,6 @@
 			memory = r.spec.GetResources().GetMemoryBytes()
 		}
 		w.usage.add(&pb.UsageSample{Task: id.Task, Attempt: id.Attempt, TakenUnixMs: now.UnixMilli(),
-			Millicores: cores, MemoryBytes: memory, Speed: r.run.speed()})
+			Millicores: int64(load(&r.run.share) * float64(cores)), MemoryBytes: memory, Speed: load(&r.run.speed)})
 	}
 }
