Divide the request rate of a contract over entry VMs by demand

Cause: each entry VM admitted the whole rate of a contract, so six entry VMs together admitted six times the contract. Weighed: equal fixed shares (refuse below the contract when callers arrive unevenly), asking the domain leader for each request (a quorum's delay on the request path), and shares by reported demand, which need no message beside the load reports. The division changes only while every entry VM is heard. Load reports also name the process, so that an intent whose sender restarted is answered as unknown instead of in progress.

--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lentilyard/lentilyard/internal/admission"
 	"github.com/lentilyard/lentilyard/internal/api"
 	"github.com/lentilyard/lentilyard/internal/contract"
 	"github.com/lentilyard/lentilyard/internal/credentials"
@@ -96,15 +97,17 @@
 
 func (s *Server) gatewayConfig() gateway.Config {
 	return gateway.Config{
-		VM:        s.settings.Id,
-		Instance:  s.instance,
-		Domain:    s.ownDomain(),
-		Domains:   s.domainNames(),
-		Table:     s.table,
-		Forwarder: streamForwarder{s.transport},
-		Records:   s.cluster,
-		Contracts: contractLookup{s.contracts},
-		PeersOf:   s.reachablePeersOf,
+		VM:         s.settings.Id,
+		Instance:   s.instance,
+		Domain:     s.ownDomain(),
+		Domains:    s.domainNames(),
+		Table:      s.table,
+		Forwarder:  streamForwarder{s.transport},
+		Records:    s.cluster,
+		Contracts:  contractLookup{s.contracts},
+		PeersOf:    s.reachablePeersOf,
+		SenderGone: s.senderGone,
+		RateShare:  func(c *pb.ResolvedContract) float64 { return s.shares.Share(c.Written.Name) },
 		Limits: gateway.Limits{
 			MaxBodyBytes: s.settings.Limits.MaxBodyBytes,
 			Deadline:     s.settings.Limits.DefaultDeadline.AsDuration(),
@@ -113,6 +116,14 @@
 	}
 }
 
+func (s *Server) admissionVMs() []admission.VM {
+	var vms []admission.VM
+	for _, vm := range s.settings.EntryVms {
+		vms = append(vms, admission.VM{ID: vm.Id, Domain: vm.FailureDomain})
+	}
+	return vms
+}
+
 // reachablePeersOf lists the other entry VMs of a domain, reachable ones first.
 func (s *Server) reachablePeersOf(failureDomain string) []string {
 	var reachable, rest []string
--- a/internal/server/background.go
+++ b/internal/server/background.go
@@ -47,6 +47,8 @@
 func (s *Server) reportLoad(ctx context.Context) {
 	s.every(ctx, s.settings.Timing.LoadReportInterval.AsDuration(), func() {
 		report := s.table.Load()
+		report.Instance = s.instance
+		s.shares.Fill(report)
 		encoded, err := proto.Marshal(report)
 		if err != nil {
 			s.log.Error().Str("event", "load-report-failed").Err(err).Send()
@@ -67,6 +69,18 @@
 		return
 	}
 	s.table.ObservePeer(report)
+	s.shares.Observe(report)
+	s.instances.Store(report.Vm, report.Instance)
+}
+
+// senderGone reports whether the process that wrote an intent is known to be
+// gone: its entry VM has reported another process since.
+func (s *Server) senderGone(vm, instance string) bool {
+	if vm == s.settings.Id {
+		return instance != s.instance
+	}
+	now, heard := s.instances.Load(vm)
+	return heard && now != instance
 }
 
 // followContracts tells the leaders of hosted domains about applied notes.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/lentilyard/lentilyard/internal/admission"
 	"github.com/lentilyard/lentilyard/internal/api"
 	"github.com/lentilyard/lentilyard/internal/cluster"
 	"github.com/lentilyard/lentilyard/internal/contract"
@@ -52,6 +53,9 @@
 	domains   map[string]*domainGroup
 	table     *routing.Table
 	gateway   *gateway.Gateway
+	shares    *admission.Shares
+	// instances maps the ids of other entry VMs to the processes that they reported last.
+	instances sync.Map
 	cluster   *cluster.Cluster
 	http      *http.Server
 	listener  net.Listener
@@ -92,6 +96,7 @@
 		return err
 	}
 	s.table = routing.NewTable(s.tableConfig())
+	s.shares = admission.NewShares(s.settings.Id, s.admissionVMs(), time.Now)
 	// Load reports may arrive as soon as the transport is open, so the table must exist first.
 	s.transport.Handle(loadChannel, s.onLoadReport)
 	s.cluster = cluster.New(cluster.Config{
