--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,304 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/credentials"
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// deployment makes certificates of one authority and transports that use them.
+type deployment struct {
+	t     testing.TB
+	ca    *credentials.Authority
+	dir   string
+	addrs map[string]string
+}
+
+func newDeployment(t testing.TB, ids ...string) *deployment {
+	t.Helper()
+	ca, err := credentials.NewAuthority("test", credentials.AuthorityValidity, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{t: t, ca: ca, dir: t.TempDir(), addrs: map[string]string{}}
+	for _, id := range ids {
+		d.addrs[id] = freeAddress(t)
+	}
+	return d
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String()
+}
+
+// store issues a certificate for vm and opens it as entry VM vm.
+func (d *deployment) store(vm string) *credentials.Store {
+	d.t.Helper()
+	name := func(suffix string) string { return filepath.Join(d.dir, vm+suffix) }
+	certPEM, keyPEM, err := d.ca.Issue(vm, time.Hour, time.Now())
+	if err == nil {
+		err = errors.Join(credentials.WritePair(name(".pem"), certPEM, name(".key"), keyPEM), d.ca.Save(name("-ca.pem"), name("-ca.key")))
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	store, err := credentials.Open(vm, name("-ca.pem"), name(".pem"), name(".key"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return store
+}
+
+func (d *deployment) start(id string) *Transport {
+	d.t.Helper()
+	tr, err := New(Config{ID: id, Listen: d.addrs[id], Peers: d.addrs, Credentials: d.store(id), Logger: zerolog.Nop()})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = tr.Close() })
+	return tr
+}
+
+func pair(t testing.TB) (a, b *Transport) {
+	t.Helper()
+	d := newDeployment(t, "a", "b")
+	a, b = d.start("a"), d.start("b")
+	reach(t, a, "b")
+	reach(t, b, "a")
+	return a, b
+}
+
+func reach(t testing.TB, tr *Transport, id string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := tr.WaitReachable(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// echo answers with the request.
+func echo(_ context.Context, from string, req []byte) (proto.Message, error) {
+	return &pb.ProposeAnswer{Result: req}, nil
+}
+
+func TestCall(t *testing.T) {
+	// Guards against answers that are cut, mixed up, or lose the type of an error, on the network and to oneself.
+	a, b := pair(t)
+	b.HandleCall("echo", echo)
+	a.HandleCall("echo", echo)
+	refusal := &errs.Error{Code: "no-quorum", Status: http.StatusServiceUnavailable, Outcome: errs.OutcomeNotRun, Message: "m", Remedy: "r"}
+	refuse := func(context.Context, string, []byte) (proto.Message, error) {
+		return nil, fmt.Errorf("handler: %w", refusal)
+	}
+	b.HandleCall("refuse", refuse)
+	a.HandleCall("refuse", refuse)
+	for _, to := range []string{"a", "b"} {
+		t.Run("to "+to, func(t *testing.T) {
+			is := is.New(t)
+			ctx := within(t, 20*time.Second)
+			for _, size := range []int{0, 1, 100_000, MaxMessageBytes - 100} {
+				req, resp := &pb.ProposeRequest{Entry: bytes.Repeat([]byte{7}, size)}, &pb.ProposeAnswer{}
+				is.NoErr(a.Call(ctx, to, "echo", req, resp))
+				got := &pb.ProposeRequest{}
+				is.NoErr(proto.Unmarshal(resp.Result, got))
+				is.True(bytes.Equal(got.Entry, req.Entry))
+			}
+			var typed *errs.Error
+			is.True(errors.As(a.Call(ctx, to, "refuse", &pb.ProposeRequest{}, &pb.ProposeAnswer{}), &typed))
+			is.Equal(*typed.Proto(), *refusal.Proto())
+			is.Equal(typed.Status, refusal.Status)
+			is.True(errors.Is(a.Call(ctx, to, "none", &pb.ProposeRequest{}, &pb.ProposeAnswer{}), ErrMethod))
+			tooLarge := &pb.ProposeRequest{Entry: make([]byte, MaxMessageBytes+1)}
+			is.True(errors.Is(a.Call(ctx, to, "echo", tooLarge, &pb.ProposeAnswer{}), ErrNotSent))
+		})
+	}
+	is.New(t).True(errors.Is(a.Call(within(t, time.Second), "z", "echo", &pb.ProposeRequest{}, &pb.ProposeAnswer{}), ErrNotSent))
+}
+
+func TestCallDeadline(t *testing.T) {
+	// Guards against a handler that goes on after its caller has given up.
+	is := is.New(t)
+	a, b := pair(t)
+	ended := make(chan error, 2)
+	wait := func(ctx context.Context, _ string, _ []byte) (proto.Message, error) {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, ctx.Err()
+	}
+	b.HandleCall("wait", wait)
+	err := a.Call(within(t, 50*time.Millisecond), "b", "wait", &pb.ProposeRequest{}, &pb.ProposeAnswer{})
+	is.True(errors.Is(err, ErrNoAnswer) && errors.Is(err, context.DeadlineExceeded))
+	is.True(<-ended != nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	err = a.Call(ctx, "b", "wait", &pb.ProposeRequest{}, &pb.ProposeAnswer{})
+	is.True(errors.Is(err, ErrNoAnswer) && errors.Is(err, context.Canceled))
+	is.Equal(<-ended, context.Canceled)
+}
+
+func TestMessagesInOrder(t *testing.T) {
+	// Guards against reordering, loss without a fault, and a Send that blocks on a slow receiver.
+	is := is.New(t)
+	a, b := pair(t)
+	const count = 500
+	for _, to := range []struct {
+		id string
+		tr *Transport
+	}{{"b", b}, {"a", a}} {
+		got := make(chan byte, count)
+		to.tr.Handle("c", func(from string, payload []byte) { got <- payload[0] })
+		for i := range count {
+			a.Send(to.id, "c", []byte{byte(i)})
+		}
+		for i := range count {
+			is.Equal(<-got, byte(i))
+		}
+	}
+	is.Equal(a.Dropped(), uint64(0))
+	block := make(chan struct{})
+	defer close(block)
+	b.Handle("slow", func(string, []byte) { <-block })
+	started := time.Now()
+	for range 3 * queueMessages {
+		a.Send("b", "slow", make([]byte, 64<<10))
+	}
+	is.True(time.Since(started) < 5*time.Second)
+	is.True(a.Dropped() > 0)
+	a.Send("nobody", "c", nil)
+}
+
+func TestStreams(t *testing.T) {
+	// Guards against lost bytes, and against a reset or a lost handler that looks like the end of a body.
+	a, b := pair(t)
+	cases := map[string]func(ctx context.Context, from string, s Stream){
+		"copy":    func(_ context.Context, _ string, s Stream) { _, _ = io.Copy(s, s); _ = s.CloseWrite() },
+		"half":    func(_ context.Context, _ string, s Stream) { _, _ = s.Write([]byte("half")) },
+		"cancel":  func(_ context.Context, _ string, s Stream) { _, _ = s.Write([]byte("half")); s.Cancel(77) },
+		"waiting": func(ctx context.Context, _ string, s Stream) { <-ctx.Done() },
+	}
+	for method, f := range cases {
+		a.HandleStream(method, f)
+		b.HandleStream(method, f)
+	}
+	for _, to := range []string{"a", "b"} {
+		t.Run("to "+to, func(t *testing.T) {
+			is := is.New(t)
+			body := bytes.Repeat([]byte("0123456789"), 300_000)
+			s, err := a.OpenStream(within(t, 20*time.Second), to, "copy")
+			is.NoErr(err)
+			go func() { _, _ = s.Write(body); _ = s.CloseWrite() }()
+			got, err := io.ReadAll(s)
+			is.NoErr(err)
+			is.True(bytes.Equal(got, body))
+			for method, code := range map[string]uint64{"half": CodeAbandoned, "cancel": 77, "no such method": CodeRefused} {
+				s, err := a.OpenStream(within(t, 20*time.Second), to, method)
+				is.NoErr(err)
+				_, err = io.ReadAll(s)
+				var reset *ResetError
+				is.True(errors.As(err, &reset))
+				is.Equal(*reset, ResetError{code, true})
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(20*time.Millisecond, cancel)
+			s, err = a.OpenStream(ctx, to, "waiting")
+			is.NoErr(err)
+			_, err = io.ReadAll(s)
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestContextOutlivesCloseWrite(t *testing.T) {
+	// Guards against cancelling a handler's work because it has finished its answer before reading the whole request.
+	is := is.New(t)
+	a, b := pair(t)
+	result := make(chan error, 1)
+	b.HandleStream("early", func(ctx context.Context, _ string, s Stream) {
+		_ = s.CloseWrite()
+		_, _ = io.Copy(io.Discard, s)
+		result <- ctx.Err()
+	})
+	s, err := a.OpenStream(within(t, 10*time.Second), "b", "early")
+	is.NoErr(err)
+	_, err = io.ReadAll(s)
+	is.NoErr(err)
+	_, err = s.Write([]byte("more"))
+	is.NoErr(err)
+	is.NoErr(s.CloseWrite())
+	is.NoErr(<-result)
+}
+
+func TestCloseDeliversAnswers(t *testing.T) {
+	// Guards against a planned stop that turns answers on their way into "outcome unknown".
+	is := is.New(t)
+	a, b := pair(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	b.HandleCall("slow", func(ctx context.Context, from string, req []byte) (proto.Message, error) {
+		close(running)
+		<-release
+		return &pb.ProposeAnswer{Index: 9}, nil
+	})
+	done := make(chan error, 1)
+	resp := &pb.ProposeAnswer{}
+	go func() { done <- a.Call(context.Background(), "b", "slow", &pb.ProposeRequest{}, resp) }()
+	<-running
+	close(release)
+	time.Sleep(time.Millisecond)
+	is.NoErr(b.Close())
+	is.NoErr(<-done)
+	is.Equal(resp.Index, uint64(9))
+	err := a.Call(within(t, time.Second), "b", "slow", &pb.ProposeRequest{}, resp)
+	is.True(errors.Is(err, ErrNotSent) || errors.Is(err, ErrNoAnswer))
+}
+
+func TestIdentity(t *testing.T) {
+	// Guards against a VM of another authority, or with the certificate of another VM, being taken for a peer.
+	is := is.New(t)
+	d, other := newDeployment(t, "a", "b", "c"), newDeployment(t)
+	a := d.start("a")
+	connect := func(id, to string, store *credentials.Store) *Transport {
+		config := Config{ID: id, Listen: "127.0.0.1:0", Peers: map[string]string{to: d.addrs["a"]}, Credentials: store, Logger: zerolog.Nop()}
+		tr, err := New(config)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = tr.Close() })
+		return tr
+	}
+	known := connect("b", "a", d.store("b"))
+	unlisted := connect("x", "a", d.store("x"))
+	stranger := connect("c", "a", other.store("c"))
+	wrongAddress := connect("b", "c", d.store("b"))
+	reach(t, known, "a")
+	time.Sleep(300 * time.Millisecond)
+	is.True(!unlisted.Reachable("a"))
+	is.True(!stranger.Reachable("a"))
+	is.True(!wrongAddress.Reachable("c"))
+	is.True(!a.Reachable("c"))
+}
