--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -157,7 +157,8 @@
 }
 
 // changeMembership carries out the next pending change, one at a time: first
-// the removal of a replaced incarnation, then a promotion, then a join.
+// the removal of a replaced incarnation, then a promotion, then the removal of
+// an unlisted learner, then a join.
 func (n *Node) changeMembership() {
 	m := n.current()
 	if n.role != Leader || n.transferee != (ID{}) || m.index > n.log.commit || n.log.commit < n.termStart {
@@ -171,9 +172,28 @@
 		n.proposeMembership(m.with(learner, true))
 		return
 	}
+	if gone, ok := n.unlistedLearner(m); ok {
+		n.proposeMembership(m.with(ID{}, false, gone))
+		return
+	}
 	n.admitJoiner(m)
 }
 
+// unlistedLearner returns a learner whose VM is no longer listed in the
+// settings and does not answer.
+func (n *Node) unlistedLearner(m *membership) (ID, bool) {
+	for _, id := range m.learners {
+		if !n.isListed(id.VM) && len(m.seats[id.VM]) == 0 && !n.heardRecently(id) {
+			return id, true
+		}
+	}
+	return ID{}, false
+}
+
+func (n *Node) isListed(vm string) bool {
+	return slices.Contains(n.cfg.Voters, vm) || slices.Contains(n.cfg.Learners, vm)
+}
+
 func (n *Node) proposeMembership(p *pb.RaftMembership) {
 	n.appendOwn(&pb.RaftEntry{Type: pb.RaftEntryType_RAFT_ENTRY_TYPE_MEMBERSHIP, Membership: p})
 }
@@ -229,8 +249,7 @@
 
 // stepJoin queues an incarnation that wants to become a member.
 func (n *Node) stepJoin(from ID) {
-	known := slices.Contains(n.cfg.Voters, from.VM) || slices.Contains(n.cfg.Learners, from.VM)
-	if n.role != Leader || !known || n.current().isMember(from) || slices.Contains(n.joiners, from) {
+	if n.role != Leader || !n.isListed(from.VM) || n.current().isMember(from) || slices.Contains(n.joiners, from) {
 		return
 	}
 	// A VM has one live incarnation: while another one answers, this request is a late one.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -190,6 +190,23 @@
 	return &pb.RaftHardState{Term: n.term, Vote: n.vote.proto(), Commit: n.log.commit, Marks: n.markList(), ConfirmedBoot: n.identity.confirmedBoot}
 }
 
+// Progress returns what the leader knows of each member; nil on other nodes.
+func (n *Node) Progress() []MemberProgress {
+	if n.role != Leader {
+		return nil
+	}
+	m := n.current()
+	list := make([]MemberProgress, 0, len(m.order))
+	for _, id := range m.order {
+		known := MemberProgress{ID: id, Voter: m.isVoter(id), Match: n.log.stable, Applied: n.log.applied, Reachable: true}
+		if pr := n.progress[id]; id != n.self && pr != nil {
+			known.Match, known.Applied, known.Reachable = pr.match, pr.applied, n.heardRecently(id)
+		}
+		list = append(list, known)
+	}
+	return list
+}
+
 // Role returns the current role.
 func (n *Node) Role() Role { return n.role }
 
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -32,6 +32,8 @@
 	lastHeard int
 	// round is the latest read round that the member answered.
 	round uint64
+	// applied is the last entry that the member reported as applied.
+	applied uint64
 	// commitSent is the highest commit index sent.
 	commitSent uint64
 	// advanced is the tick at which match last grew, or at which appends began after none were in flight.
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -182,6 +182,7 @@
 
 func (n *Node) stepHeartbeatAnswer(pr *progress, m *pb.RaftMessage) {
 	pr.waiting = false
+	pr.applied = m.GetCommit()
 	if pr.counted {
 		pr.round = max(pr.round, m.GetRound())
 		n.finishReads()
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -191,6 +191,7 @@
 	}
 	answer := n.message(pb.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_ANSWER, from)
 	answer.Round = m.GetRound()
+	answer.Commit = n.log.applied
 	n.send(answer)
 }
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -161,6 +161,19 @@
 	Fault error
 }
 
+// MemberProgress is what the leader knows of a member, including itself.
+type MemberProgress struct {
+	ID    ID
+	Voter bool
+	// Match is the last entry that the member acknowledged.
+	Match uint64
+	// Applied is the last entry that the member has reported as applied. The
+	// report is at most one heartbeat old, for a learner four.
+	Applied uint64
+	// Reachable is true if the member answered within an election timeout.
+	Reachable bool
+}
+
 // Errors of proposals.
 var (
 	ErrNotLeader = fmt.Errorf("this node is not the leader")
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -93,6 +93,9 @@
 // Member is one incarnation of a VM.
 type Member = raft.ID
 
+// MemberProgress is what the leader knows of a member.
+type MemberProgress = raft.MemberProgress
+
 // Status is the state of a group as this VM knows it. The lists must not be modified.
 type Status struct {
 	Group string
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -5,24 +5,19 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
-
-	"github.com/VictoriaMetrics/metrics"
+	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/raft"
 )
 
-var (
-	messagesDropped = metrics.NewCounter("lentilyard_raft_messages_dropped_total")
-	messagesRefused = metrics.NewCounter("lentilyard_raft_messages_refused_total")
-)
-
 // waiter is one call in progress.
 type waiter struct {
 	// taken is set by whichever comes first: the control goroutine that
 	// carries the call out, or the caller that gives up.
 	taken  atomic.Bool
 	term   uint64
+	began  time.Time
 	result chan outcome // capacity 1; receives exactly one outcome
 }
 
@@ -84,10 +79,13 @@
 	}
 	index, term, err := g.node.Propose(entry)
 	if err != nil {
+		g.metrics.refused.Inc()
 		w.finish(nil, g.refusal(err))
 		return
 	}
 	w.term = term
+	w.began = time.Now()
+	g.metrics.proposals.Inc()
 	g.waiters[index] = append(g.waiters[index], w)
 }
 
@@ -108,6 +106,7 @@
 	delete(g.waiters, e.GetIndex())
 	for _, w := range waiting {
 		if w.term == e.GetTerm() {
+			g.metrics.commitTime.UpdateDuration(w.began)
 			w.finish(result, nil)
 			continue
 		}
@@ -122,6 +121,7 @@
 			continue
 		}
 		for _, w := range waiting {
+			g.metrics.unknown.Inc()
 			w.finish(nil, ErrOutcomeUnknown)
 		}
 		delete(g.waiters, at)
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -27,8 +28,11 @@
 	host    *Host
 	cfg     GroupConfig
 	channel string
+	metrics *groupMetrics
 	queued  atomic.Int64 // bytes of received messages
 	status  atomic.Pointer[Status]
+	// progress is published while this VM leads.
+	progress atomic.Pointer[[]MemberProgress]
 
 	watchMu  sync.Mutex
 	watchers []func(Status)
@@ -55,7 +59,7 @@
 		return nil, fmt.Errorf("a group needs a name of lower-case letters and digits, a state machine and at least one voter")
 	}
 	g := &Group{
-		host: h, cfg: cfg, channel: "raft/" + cfg.Name,
+		host: h, cfg: cfg, channel: "raft/" + cfg.Name, metrics: newGroupMetrics(cfg.Name),
 		waiters: map[uint64][]*waiter{}, reads: map[uint64]*waiter{},
 	}
 	initial, err := cfg.Machine.Snapshot()
@@ -79,7 +83,7 @@
 		g.storage = memoryStorage{}
 		return &recoveredState{identity: newIdentity()}, nil
 	}
-	fs, err := g.host.cfg.openFS(g.host.groupFolder(g.cfg.Name))
+	fs, err := g.host.cfg.openFS(groupFolder(g.host.cfg.DataFolder, g.cfg.Name))
 	if err != nil {
 		return nil, err
 	}
@@ -146,6 +150,7 @@
 		g.idleTicks = 0
 	}
 	g.expireWaiters()
+	g.publishProgress()
 }
 
 // advance carries out everything that the raft node has to be done.
@@ -180,14 +185,22 @@
 		return len(r.Committed) > 0 || r.SnapshotWanted
 	}
 	g.writing = true
-	g.storage.write(r, func(err error) { g.report(func() { g.written(r, err) }) })
+	began := time.Now()
+	g.storage.write(r, func(err error) {
+		if !g.inMemory() {
+			g.metrics.synced(began, len(r.Entries))
+		}
+		g.report(func() { g.written(r, err) })
+	})
 	return !g.writing
 }
 
+func (g *Group) inMemory() bool { return g.host.cfg.DataFolder == "" }
+
 // report runs f on the control goroutine: at once for storage in memory, which
 // calls back from within the call, else through the mailbox.
 func (g *Group) report(f func()) {
-	if _, inMemory := g.storage.(memoryStorage); inMemory {
+	if g.inMemory() {
 		f()
 		return
 	}
@@ -231,6 +244,7 @@
 		return
 	}
 	g.snapshotAt = s.GetIndex()
+	g.metrics.installed.Inc()
 	g.abandonWaiters(s.GetIndex())
 	g.host.cfg.Logger.Info().Str("group", g.cfg.Name).Uint64("index", s.GetIndex()).Int("bytes", len(s.GetData())).Msg("snapshot installed")
 }
@@ -252,7 +266,7 @@
 	}
 	g.snapshotAt = applied
 	compactTo := applied - every/keepFraction
-	if _, inMemory := g.storage.(memoryStorage); inMemory {
+	if g.inMemory() {
 		g.node.Compact(compactTo)
 		return
 	}
@@ -275,6 +289,7 @@
 		g.host.fail(fmt.Errorf("group %q: save snapshot: %w", g.cfg.Name, err))
 		return
 	}
+	g.metrics.snapshots.Inc()
 	if !g.restarting {
 		g.node.Compact(compactTo)
 	}
@@ -299,6 +314,7 @@
 func (g *Group) discard() {
 	g.host.cfg.Logger.Warn().Str("group", g.cfg.Name).Str("incarnation", g.node.Self().String()).
 		Msg("the data folder holds an older state than this VM had before; it is discarded and the VM rejoins as learner")
+	g.metrics.discards.Inc()
 	g.restarting = true
 	g.failAll(ErrNotLeader{})
 	identity := newIdentity()
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -203,7 +202,3 @@
 		g.failAll(ErrStopped)
 	}
 }
-
-func (h *Host) groupFolder(name string) string {
-	return filepath.Join(h.cfg.DataFolder, "groups", name)
-}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -13,6 +13,24 @@
 // Status returns the latest published status.
 func (g *Group) Status() Status { return *g.status.Load() }
 
+// Progress returns what this VM, as leader, knows of each member; nil if it is
+// not the leader. It is at most one tick (half a heartbeat) old.
+func (g *Group) Progress() []MemberProgress {
+	if list := g.progress.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// publishProgress makes the members' progress visible to other goroutines.
+func (g *Group) publishProgress() {
+	list := g.node.Progress()
+	if list == nil && g.progress.Load() == nil {
+		return
+	}
+	g.progress.Store(&list)
+}
+
 // OnRoleChange calls f whenever role, leader, term or Serving change. f is
 // called from the control goroutine and must not block.
 func (g *Group) OnRoleChange(f func(Status)) {
@@ -33,9 +51,11 @@
 		return
 	}
 	g.status.Store(&next)
+	g.metrics.observe(&next)
 	if previous == nil || !roleChanged(previous, &next) {
 		return
 	}
+	g.metrics.roleChanges.Inc()
 	g.watchMu.Lock()
 	watchers := slices.Clone(g.watchers)
 	g.watchMu.Unlock()
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -64,6 +65,9 @@
 	hardState *pb.RaftHardState
 	// void is the last batch whose entries were replaced by a snapshot of the leader.
 	void uint64
+	// installed is the index of the last snapshot received from a leader.
+	installed uint64
+	preparing sync.WaitGroup
 }
 
 // storageQueue exceeds the number of operations that a group has in progress:
@@ -181,6 +185,7 @@
 		if err := s.saveSnapshotNow(r.Snapshot); err != nil {
 			return err
 		}
+		s.installed = r.Snapshot.GetIndex()
 	}
 	records := make([]wal.Record, 0, len(r.Entries)+1)
 	if r.HardState != nil {
@@ -202,28 +207,49 @@
 }
 
 func (s *diskStorage) saveSnapshotNow(snapshot *pb.RaftSnapshot) error {
-	record := encodeRecord(0, &pb.RaftRecord{Identity: s.identity, Snapshot: snapshot, VoidSequence: s.void})
-	return s.log.SaveSnapshot(snapshot.GetIndex(), record.Data)
+	return s.log.SaveSnapshot(snapshot.GetIndex(), s.encodeSnapshot(snapshot))
 }
 
+func (s *diskStorage) encodeSnapshot(snapshot *pb.RaftSnapshot) []byte {
+	return encodeRecord(0, &pb.RaftRecord{Identity: s.identity, Snapshot: snapshot, VoidSequence: s.void}).Data
+}
+
+// saveSnapshot writes the file beside the appends of the log's goroutine, and
+// puts it into force between two of them.
 func (s *diskStorage) saveSnapshot(snapshot *pb.RaftSnapshot, done func(error)) {
 	s.work <- func() {
-		err := s.saveSnapshotNow(snapshot)
-		if err == nil {
-			err = s.log.Compact(snapshot.GetIndex())
-		}
-		done(err)
+		data := s.encodeSnapshot(snapshot)
+		s.preparing.Go(func() {
+			prepared := s.log.PrepareSnapshot(snapshot.GetIndex(), data)
+			s.work <- func() { done(s.commitSnapshot(snapshot.GetIndex(), prepared)) }
+		})
+	}
+}
+
+// commitSnapshot puts a prepared snapshot into force, unless the leader has
+// sent a newer one meanwhile.
+func (s *diskStorage) commitSnapshot(index uint64, prepared error) error {
+	if prepared == nil && index <= s.installed {
+		return s.log.DiscardSnapshot(index)
+	}
+	if err := s.log.CommitSnapshot(index, prepared); err != nil {
+		return err
 	}
+	return s.log.Compact(index)
 }
 
 func (s *diskStorage) restart(identity *pb.RaftIdentity, done func(error)) {
 	s.work <- func() {
-		s.identity, s.hardState, s.void = identity, nil, 0
+		s.identity, s.hardState, s.void, s.installed = identity, nil, 0, 0
 		done(s.log.Restart(encodeRecord(0, &pb.RaftRecord{Identity: identity})))
 	}
 }
 
 func (s *diskStorage) close() error {
+	flushed := make(chan struct{})
+	s.work <- func() { close(flushed) } // after it, no snapshot begins
+	<-flushed
+	s.preparing.Wait()
 	close(s.work)
 	<-s.ended
 	return s.log.Close()
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -94,3 +95,29 @@
 	is.True(third.identity.GetStart() != first.identity.GetStart())
 	is.NoErr(s.close())
 }
+
+// Guards against a repaired group that loses what the chosen VM held, or that the other VMs cannot rejoin.
+func TestRepairAfterLostQuorum(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, threeVoters, nil, twoDisks)
+	c.startAll()
+	for range 5 {
+		c.propose("entry")
+	}
+	c.eventually("all VMs hold 5 entries", func() bool { return c.settled(5) })
+	for _, vm := range threeVoters {
+		c.stop(vm)
+	}
+	is.NoErr(os.RemoveAll(c.folders["b"]))
+	result, err := Repair("a", c.folders["a"], "g")
+	is.NoErr(err)
+	is.Equal(len(result.Previous), 3)
+	c.startAll()
+	c.propose("after")
+	c.eventually("all VMs hold 6 entries", func() bool { return c.settled(6) })
+	for _, vm := range threeVoters {
+		c.eventually(vm+" votes", func() bool { return c.votesAlone(c.nodes[vm]) })
+	}
+	_, err = Repair("a", filepath.Join(t.TempDir(), "empty"), "g")
+	is.True(err != nil)
+}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -41,10 +41,26 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	name := snapshotName(index)
-	if err := l.writeTemporary(name+temporary, encodeSnapshot(index, data)); err != nil {
-		return err
+	return l.CommitSnapshot(index, l.PrepareSnapshot(index, data))
+}
+
+// PrepareSnapshot writes and syncs a snapshot file that does not count yet.
+// Unlike all other methods it may be called beside them from another goroutine,
+// so that appends do not wait for a large snapshot. Its result goes to
+// CommitSnapshot.
+func (l *Log) PrepareSnapshot(index uint64, data []byte) error {
+	return l.writeTemporary(snapshotName(index)+temporary, encodeSnapshot(index, data))
+}
+
+// CommitSnapshot puts a prepared snapshot into force and removes the one before it.
+func (l *Log) CommitSnapshot(index uint64, prepared error) error {
+	if l.failure != nil {
+		return l.failure
 	}
+	if prepared != nil {
+		return l.fail("write snapshot", prepared)
+	}
+	name := snapshotName(index)
 	if err := l.fs.Rename(name+temporary, name); err != nil {
 		return l.fail("rename snapshot", err)
 	}
@@ -59,10 +75,21 @@
 	return nil
 }
 
+// DiscardSnapshot removes a prepared snapshot.
+func (l *Log) DiscardSnapshot(index uint64) error {
+	if l.failure != nil {
+		return l.failure
+	}
+	if err := l.fs.Remove(snapshotName(index) + temporary); err != nil {
+		return l.fail("remove prepared snapshot", err)
+	}
+	return nil
+}
+
 func (l *Log) writeTemporary(name string, content []byte) error {
 	file, err := l.fs.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
-		return l.fail("create snapshot", err)
+		return fmt.Errorf("create snapshot file: %w", err)
 	}
 	_, err = file.Write(content)
 	if err == nil {
@@ -71,10 +98,7 @@
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil {
-		return l.fail("write snapshot", err)
-	}
-	return nil
+	return err
 }
 
 func (l *Log) removeSnapshot(index uint64) error {
