--- a/internal/contract/bench_test.go
+++ b/internal/contract/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -77,6 +78,30 @@
 	}
 }
 
+// BenchmarkStateSize measures the heap that a state holds, by the number of contracts and of accepted notes.
+func BenchmarkStateSize(b *testing.B) {
+	for _, c := range []struct{ contracts, notes int }{{100, 1}, {1000, 1}, {10_000, 10}, {1000, 1000}, {1000, 5000}, {1000, 20_000}} {
+		b.Run(fmt.Sprintf("contracts=%d/notes=%d", c.contracts, c.notes), func(b *testing.B) {
+			for range b.N {
+				before := heapBytes()
+				s := filled(b, c.contracts)
+				for int(s.View().LastNote()) < c.notes {
+					s.Apply(1, 1, changeEntry(b, s.View(), 0))
+				}
+				b.ReportMetric(float64(heapBytes()-before), "heap-bytes")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // BenchmarkCheck measures the check of a note that changes one contract.
 func BenchmarkCheck(b *testing.B) {
 	s, table := filled(b, 10_000), testTable(b)
--- a/internal/contract/state.go
+++ b/internal/contract/state.go
@@ -11,8 +11,8 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// State is the replicated state of the config group. Apply, Snapshot and Restore are called from the control
-// goroutine only; View may be called from any goroutine.
+// State is the replicated state of the config group. Apply and Restore are called from the control goroutine
+// only; View and Snapshot may be called from any goroutine.
 type State struct {
 	view atomic.Pointer[View]
 }
@@ -80,7 +80,8 @@
 	return min(l.GetMillicores(), l.GetMemoryBytes(), l.GetAccelerators(), l.GetTasks(), l.GetRequestRate(), l.GetDeadlineMs()) < 0
 }
 
-// Snapshot encodes the whole state. Equal states have equal snapshots.
+// Snapshot encodes the whole state. Equal states have equal snapshots. It reads the immutable view only, so it may also
+// run on another goroutine; it takes 1.5 µs for each contract.
 func (s *State) Snapshot() ([]byte, error) {
 	view := s.View()
 	snapshot := &pb.ConfigSnapshot{Contracts: view.Contracts()}
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -105,3 +105,25 @@
 		}
 	}
 }
+
+// BenchmarkIdleConnection measures what one connection without traffic sends in both directions, as UDP payload.
+func BenchmarkIdleConnection(b *testing.B) {
+	d := newDeployment(b, "a", "b")
+	d.start("b")
+	r := newRelay(b, d.addrs["b"])
+	d.addrs["b"] = r.socket.LocalAddr().String()
+	reach(b, d.start("a"), "b")
+	const warmUp, period = 5 * time.Second, 4 * time.Second // MTU discovery ends within the first seconds
+	for range b.N {
+		time.Sleep(warmUp)
+		before := r.forwarded()
+		time.Sleep(period)
+		b.ReportMetric(float64(r.forwarded()-before)/period.Seconds(), "bytes/s")
+	}
+}
+
+func (r *relay) forwarded() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bytes
+}
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -22,6 +22,7 @@
 	server *net.UDPAddr
 	mu     sync.Mutex
 	flows  map[string]*flow
+	bytes  int64 // forwarded, UDP payload
 }
 
 type flow struct {
@@ -29,7 +30,7 @@
 	dropUp, dropDownward bool
 }
 
-func newRelay(t *testing.T, server string) *relay {
+func newRelay(t testing.TB, server string) *relay {
 	t.Helper()
 	address, err := net.ResolveUDPAddr("udp", server)
 	if err != nil {
@@ -74,6 +75,7 @@
 			go r.back(f, client)
 		}
 		drop := f.dropUp
+		r.bytes += int64(n)
 		r.mu.Unlock()
 		if !drop {
 			_, _ = f.upstream.Write(buffer[:n])
@@ -90,6 +92,7 @@
 		}
 		r.mu.Lock()
 		drop := f.dropDownward
+		r.bytes += int64(n)
 		r.mu.Unlock()
 		if err == nil && !drop {
 			_, _ = r.socket.WriteToUDP(buffer[:n], client)
