--- a/internal/domain/key.go
+++ b/internal/domain/key.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
-	"strings"
 	"time"
 )
 
@@ -32,8 +31,12 @@
 	if len(key) != uuidTextLen || key[8] != '-' || key[13] != '-' || key[18] != '-' || key[23] != '-' {
 		return u, ErrKeyInvalid.With("idempotency key %q is not a UUID", key)
 	}
-	digits := strings.ReplaceAll(key, "-", "")
-	if n, err := hex.Decode(u[:], []byte(digits)); err != nil || n != uuidBytes {
+	var digits [2 * uuidBytes]byte
+	n := copy(digits[:], key[:8])
+	for _, part := range []string{key[9:13], key[14:18], key[19:23], key[24:]} {
+		n += copy(digits[n:], part)
+	}
+	if _, err := hex.Decode(u[:], digits[:]); err != nil {
 		return u, ErrKeyInvalid.With("idempotency key %q is not a UUID", key)
 	}
 	if u[6]>>4 != uuidVersion {
@@ -46,9 +49,16 @@
 	return int64(binary.BigEndian.Uint64(u[:8]) >> 16)
 }
 
-func (u uuid) String() string {
-	h := hex.EncodeToString(u[:])
-	return h[:8] + "-" + h[8:12] + "-" + h[12:16] + "-" + h[16:20] + "-" + h[20:]
+func (u uuid) String() string { return string(u.appendText(make([]byte, 0, uuidTextLen))) }
+
+func (u uuid) appendText(to []byte) []byte {
+	for i, part := range [][]byte{u[:4], u[4:6], u[6:8], u[8:10], u[10:]} {
+		if i > 0 {
+			to = append(to, '-')
+		}
+		to = hex.AppendEncode(to, part)
+	}
+	return to
 }
 
 // KeyTime returns the time of issue of an idempotency key.
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -52,7 +52,9 @@
 }
 
 func (r *record) proto(k recordKey) *pb.RequestRecord {
-	p := r.head(k)
+	from := r.sender.Value()
+	p := &pb.RequestRecord{Member: k.member.Value(), Key: k.key.String(), Digest: bytes.Clone(r.digest[:]),
+		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs(), IntentIndex: r.intent}
 	if r.answer != nil {
 		p.Answer = &pb.StoredAnswer{}
 		_ = proto.Unmarshal(r.answer, p.Answer) // encoded by this package
@@ -60,14 +62,6 @@
 	return p
 }
 
-// head returns the record without its answer.
-func (r *record) head(k recordKey) *pb.RequestRecord {
-	from := r.sender.Value()
-	return &pb.RequestRecord{Member: k.member.Value(), Key: k.key.String(), Digest: bytes.Clone(r.digest[:]),
-		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs(),
-		IntentIndex: r.intent}
-}
-
 func (s *State) putRecord(k recordKey, r *record) {
 	old := s.records.value(k)
 	if old == nil {
--- a/internal/domain/snapshot.go
+++ b/internal/domain/snapshot.go
@@ -9,17 +9,29 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Field numbers of pb.DomainSnapshot and of the answer in pb.RequestRecord.
+// Field numbers of pb.DomainSnapshot.
 const (
-	fieldTasks        = 1
-	fieldWorkers      = 2
-	fieldRecords      = 3
-	fieldDrained      = 4
-	fieldUnixMs       = 5
-	fieldHeld         = 6
-	fieldIndex        = 7
-	fieldTerm         = 8
-	fieldRecordAnswer = 7
+	fieldTasks   = 1
+	fieldWorkers = 2
+	fieldRecords = 3
+	fieldDrained = 4
+	fieldUnixMs  = 5
+	fieldHeld    = 6
+	fieldIndex   = 7
+	fieldTerm    = 8
+)
+
+// Field numbers of pb.RequestRecord.
+const (
+	fieldRecordMember   = 1
+	fieldRecordKey      = 2
+	fieldRecordDigest   = 3
+	fieldRecordStage    = 4
+	fieldRecordSender   = 5
+	fieldRecordInstance = 6
+	fieldRecordAnswer   = 7
+	fieldRecordUnixMs   = 8
+	fieldRecordIntent   = 9
 )
 
 // snapshotWriter appends one message after the other, so that encoding needs no second copy of the state.
@@ -29,14 +41,14 @@
 	err     error
 }
 
-func (w *snapshotWriter) message(field protowire.Number, m proto.Message, rest ...byte) {
+func (w *snapshotWriter) message(field protowire.Number, m proto.Message) {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(w.scratch[:0], m)
 	if err != nil {
 		w.err = err
 		return
 	}
-	w.scratch = append(encoded, rest...)
-	w.bytes(field, w.scratch)
+	w.scratch = encoded
+	w.bytes(field, encoded)
 }
 
 func (w *snapshotWriter) bytes(field protowire.Number, value []byte) {
@@ -45,30 +57,32 @@
 }
 
 func (w *snapshotWriter) number(field protowire.Number, value uint64) {
-	w.buffer = protowire.AppendTag(w.buffer, field, protowire.VarintType)
-	w.buffer = protowire.AppendVarint(w.buffer, value)
+	w.buffer = appendNumber(w.buffer, field, value)
 }
 
 // Snapshot encodes the whole state as a pb.DomainSnapshot. Equal states have equal snapshots.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return s.View().Encode() }
+
+// Encode encodes the view as a pb.DomainSnapshot. It may run while the control goroutine applies further entries.
+func (v *View) Encode() ([]byte, error) {
 	w := &snapshotWriter{}
-	w.number(fieldUnixMs, uint64(s.unixMs))
-	w.number(fieldIndex, s.index)
-	w.number(fieldTerm, s.term)
-	for _, one := range s.workers.all {
+	w.number(fieldUnixMs, uint64(v.unixMs))
+	w.number(fieldIndex, v.index)
+	w.number(fieldTerm, v.term)
+	for _, one := range v.workers.all {
 		w.worker(one)
 	}
-	for _, t := range s.tasks.all {
+	for _, t := range v.tasks.all {
 		w.message(fieldTasks, t)
 	}
-	for id := range s.drained.all {
+	for id := range v.drained.all {
 		w.bytes(fieldDrained, []byte(id))
 	}
-	for k, r := range s.records.all {
-		w.message(fieldRecords, r.head(k), r.answerField()...)
+	for k, r := range v.records.all {
+		w.record(k, r)
 	}
 	if w.err != nil {
-		return nil, fmt.Errorf("encode snapshot of domain %s: %w", s.name, w.err)
+		return nil, fmt.Errorf("encode snapshot at entry %d: %w", v.index, w.err)
 	}
 	return w.buffer, nil
 }
@@ -80,11 +94,30 @@
 	}
 }
 
-func (r *record) answerField() []byte {
-	if r.answer == nil {
-		return nil
+// record encodes a pb.RequestRecord field by field: there may be a million of them.
+func (w *snapshotWriter) record(k recordKey, r *record) {
+	from := r.sender.Value()
+	one := appendText(w.scratch[:0], fieldRecordMember, k.member.Value())
+	one = protowire.AppendTag(one, fieldRecordKey, protowire.BytesType)
+	one = k.key.appendText(protowire.AppendVarint(one, uuidTextLen))
+	one = appendText(one, fieldRecordDigest, string(r.digest[:]))
+	one = appendNumber(one, fieldRecordStage, uint64(r.stage))
+	one = appendText(one, fieldRecordSender, from.vm)
+	one = appendText(one, fieldRecordInstance, from.instance)
+	if r.answer != nil {
+		one = protowire.AppendBytes(protowire.AppendTag(one, fieldRecordAnswer, protowire.BytesType), r.answer)
 	}
-	return protowire.AppendBytes(protowire.AppendTag(nil, fieldRecordAnswer, protowire.BytesType), r.answer)
+	one = appendNumber(one, fieldRecordUnixMs, uint64(k.key.unixMs()))
+	w.scratch = appendNumber(one, fieldRecordIntent, r.intent)
+	w.bytes(fieldRecords, w.scratch)
+}
+
+func appendText(to []byte, field protowire.Number, value string) []byte {
+	return protowire.AppendString(protowire.AppendTag(to, field, protowire.BytesType), value)
+}
+
+func appendNumber(to []byte, field protowire.Number, value uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(to, field, protowire.VarintType), value)
 }
 
 // Restore replaces the state by a snapshot and reports the difference to subscribers.
--- a/internal/domain/task.go
+++ b/internal/domain/task.go
@@ -110,6 +110,9 @@
 	if err := checkKeyAge(u, s.unixMs); err != nil {
 		return err
 	}
+	if c.GetSpec().GetMember() == "" {
+		return errs.ErrInvalid.With("a task names its member")
+	}
 	if r := fromPB(c.GetSpec().GetResources()); min(r.millicores, r.memoryBytes, r.accelerators) < 0 {
 		return errs.ErrInvalid.With("the resources of a task cannot be negative")
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,16 +24,15 @@
 		Payload: standin.Work{RunMs: runMs}.Payload()}
 }
 
-func simWorker(network *simNetwork, id string, observe func(any)) *standin.Worker {
+func simWorker(network *simNetwork, id string) *standin.Worker {
 	return standin.NewWorker(standin.WorkerOptions{ID: id, FailureDomain: "d1", Guards: true, Transport: network,
-		EntryVMs: []string{"n0", "n1", "n2"}, Observe: observe,
+		EntryVMs: []string{"n0", "n1", "n2"}[:len(network.cluster.nodes)],
 		Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 1 << 30}})
 }
 
-// Guards against a break anywhere on the path from submit to the acknowledged end of a task.
-func TestTasksRunToTheEnd(t *testing.T) {
+// inCluster runs f in virtual time with node 0 as the leader and a healthy network of n workers.
+func inCluster(t *testing.T, workers int, f func(ctx context.Context, is *is.I, c *simCluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		defer time.Sleep(time.Minute) // lets delayed messages end
@@ -41,12 +42,18 @@
 		network := &simNetwork{cluster: c}
 		c.run(ctx, &running)
 		c.elect(0, 0)
-		for n := range 2 {
-			running.Go(func() { _ = simWorker(network, fmt.Sprintf("w%d", n), nil).Run(ctx) })
+		for n := range workers {
+			running.Go(func() { _ = simWorker(network, fmt.Sprintf("w%d", n)).Run(ctx) })
 		}
-		leader := c.nodes[0].leader
+		f(ctx, is.New(t), c)
+	})
+}
+
+// Guards against a break anywhere on the path from submit to the acknowledged end of a task.
+func TestTasksRunToTheEnd(t *testing.T) {
+	inCluster(t, 2, func(ctx context.Context, is *is.I, c *simCluster) {
 		for range 20 {
-			_, err := leader.Submit(ctx, testSpec(1000, 2000))
+			_, err := c.nodes[0].leader.Submit(ctx, testSpec(1000, 2000))
 			is.NoErr(err)
 		}
 		time.Sleep(20 * time.Second)
@@ -56,3 +63,224 @@
 		}
 	})
 }
+
+// Guards against urgent work that starts late: acknowledged submit to reported start in an idle domain.
+func TestStartsSoon(t *testing.T) {
+	inCluster(t, 2, func(ctx context.Context, is *is.I, c *simCluster) {
+		time.Sleep(3 * time.Second)
+		submitted := time.Now()
+		task, err := c.nodes[0].leader.Submit(ctx, testSpec(1000, 60000))
+		is.NoErr(err)
+		for c.nodes[0].state.View().Task(task.GetId()).GetState() != pb.TaskState_TASK_STATE_RUNNING {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(time.Since(submitted) < 300*time.Millisecond)
+	})
+}
+
+// Guards against a drained worker that keeps work or gets new work, and work that is lost by the drain.
+func TestDrain(t *testing.T) {
+	inCluster(t, 2, func(ctx context.Context, is *is.I, c *simCluster) {
+		l := c.nodes[0].leader
+		for range 4 {
+			_, err := l.Submit(ctx, testSpec(1000, 30000))
+			is.NoErr(err)
+		}
+		time.Sleep(3 * time.Second)
+		is.NoErr(l.Drain(ctx, "w0", true))
+		time.Sleep(2 * time.Second)
+		is.Equal(len(l.view().Assigned("w0")), 0)
+		is.Equal(len(l.view().Assigned("w1")), 4)
+		for _, task := range l.view().Tasks(domain.Filter{}) {
+			is.True(task.GetCheckpoint().GetProgress() > 0.05) // the work done before is kept
+		}
+	})
+}
+
+func contract(name string, millicores, tasks int64) *pb.ResolvedContract {
+	return &pb.ResolvedContract{Written: &pb.Contract{Name: name},
+		Resolved: &pb.ResolvedLimits{Millicores: millicores, MemoryBytes: 1 << 40, Accelerators: 8, Tasks: tasks}}
+}
+
+// Guards against work that outlives its contract, is lost with it, or exceeds its share.
+func TestContractsChanged(t *testing.T) {
+	inCluster(t, 1, func(ctx context.Context, is *is.I, c *simCluster) {
+		l := c.nodes[0].leader
+		parts, total := map[string]uint32{"sheets": 1}, map[string]uint32{"sheets": 2}
+		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 8000, 8)}, parts, total)
+		var ids []string
+		for range 4 {
+			task, err := l.Submit(ctx, testSpec(1000, 600000))
+			is.NoErr(err)
+			ids = append(ids, task.GetId())
+		}
+		_, err := l.Submit(ctx, testSpec(1000, 600000))
+		is.True(errors.Is(err, domain.ErrTooManyTasks)) // half of the 8 tasks belong to this domain
+		time.Sleep(3 * time.Second)
+
+		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 4000, 8)}, parts, total)
+		time.Sleep(1500 * time.Millisecond)
+		evicted := 0
+		for _, id := range ids {
+			evicted += int(min(1, l.view().Task(id).GetEvictions()))
+		}
+		is.Equal(evicted, 2) // two of four cores remain
+
+		l.ContractsChanged(nil, nil, nil)
+		time.Sleep(3 * time.Second)
+		for _, id := range ids {
+			is.Equal(l.view().Task(id).GetState(), pb.TaskState_TASK_STATE_CANCELLED)
+			is.True(l.view().Task(id).GetCheckpoint() != nil)
+		}
+		_, err = l.Submit(ctx, testSpec(1000, 1000))
+		is.True(errors.Is(err, ErrContractUnknown))
+	})
+}
+
+// Guards against tasks that end because this process does not know their contract yet.
+func TestUnknownContractsHaveGrace(t *testing.T) {
+	inCluster(t, 1, func(ctx context.Context, is *is.I, c *simCluster) {
+		l := c.nodes[0].leader
+		task, err := l.Submit(ctx, testSpec(1000, 600000))
+		is.NoErr(err)
+		l.ContractsChanged(nil, nil, nil)
+		time.Sleep(unknownContractGrace - 2*time.Second)
+		is.Equal(l.view().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_RUNNING)
+		time.Sleep(10 * time.Second)
+		is.Equal(l.view().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_CANCELLED)
+	})
+}
+
+// Guards against waves of cancellations that cost one log entry each.
+func TestCancellationWave(t *testing.T) {
+	inCluster(t, 0, func(ctx context.Context, is *is.I, c *simCluster) {
+		const wave = 2000
+		l := c.nodes[0].leader
+		var waiting sync.WaitGroup
+		for range wave {
+			waiting.Go(func() { _, _ = l.Submit(ctx, testSpec(1000, 1000)) })
+		}
+		waiting.Wait()
+		before := len(c.entries)
+		for _, task := range l.view().Tasks(domain.Filter{}) {
+			waiting.Go(func() { _, _ = l.Cancel(ctx, task.GetId(), "wave") })
+		}
+		waiting.Wait()
+		is.Equal(len(l.view().Tasks(domain.Filter{States: []pb.TaskState{pb.TaskState_TASK_STATE_CANCELLED}})), wave)
+		is.True(len(c.entries)-before < 20)
+	})
+}
+
+// Guards against capacity that stays held for an attempt which the worker has already reported gone.
+func TestHeldAttemptIsReleased(t *testing.T) {
+	inCluster(t, 1, func(ctx context.Context, is *is.I, c *simCluster) {
+		l := c.nodes[0].leader
+		task, err := l.Submit(ctx, testSpec(1000, 500))
+		is.NoErr(err)
+		time.Sleep(3 * time.Second)
+		is.Equal(l.view().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_FINISHED)
+		// A heartbeat sent before the end of the attempt arrives after its report was acknowledged.
+		late := &pb.WorkerHeartbeat{Worker: "w0", Epoch: l.view().Worker("w0").GetEpoch(),
+			Running: []*pb.AttemptRef{{Task: task.GetId(), Attempt: 1}}}
+		answer, err := l.Heartbeat(ctx, late)
+		is.NoErr(err)
+		is.Equal(answer.GetCommands()[0].GetOp(), pb.WorkerOp_WORKER_OP_STOP)
+		is.Equal(l.view().Used("w0").GetMillicores(), int64(1000))
+		time.Sleep(5 * time.Second)
+		is.Equal(l.view().Used("w0").GetMillicores(), int64(0))
+	})
+}
+
+// countingLog counts barriers, which take 5 ms each.
+type countingLog struct {
+	*simNode
+	barriers atomic.Int64
+}
+
+func (c *countingLog) ReadBarrier(ctx context.Context) error {
+	c.barriers.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return c.simNode.ReadBarrier(ctx)
+}
+
+// Guards against a quorum round for each heartbeat, and against a barrier that began before the heartbeat arrived.
+func TestBarriersAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newSimCluster(1, 1, func() Planner { return NewFirstFit() }, testLease)
+		c.elect(0, 0)
+		log := &countingLog{simNode: c.nodes[0]}
+		b := newBarriers(log)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running, waiting sync.WaitGroup
+		running.Go(func() { b.run(ctx) })
+		for range 1000 {
+			waiting.Go(func() { is.NoErr(b.wait(ctx)) })
+		}
+		waiting.Wait()
+		is.True(log.barriers.Load() <= 2)
+		waiting.Go(func() { is.NoErr(b.wait(ctx)) })
+		time.Sleep(time.Millisecond) // the barrier of the first caller has begun
+		began := log.barriers.Load()
+		is.NoErr(b.wait(ctx))
+		is.Equal(log.barriers.Load(), began+1) // the second caller got one of its own
+		waiting.Wait()
+		cancel()
+		running.Wait()
+		is.True(errors.Is(b.wait(t.Context()), errStopped))
+	})
+}
+
+// throttlePlanner throttles every running task to a quarter and counts usage samples.
+type throttlePlanner struct {
+	*FirstFit
+	samples *atomic.Int64
+}
+
+func (p throttlePlanner) Observe(string, *pb.UsageSample) { p.samples.Add(1) }
+
+func (p throttlePlanner) Plan(now time.Time, limit int) Plan {
+	plan := p.FirstFit.Plan(now, limit)
+	for _, t := range p.assigned {
+		plan.Throttles = append(plan.Throttles, Throttle{t.GetId(), t.GetAttempt(), 0.25})
+	}
+	return plan
+}
+
+// Guards against throttles that do not reach the worker, and usage that does not reach the planner.
+func TestThrottle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var samples atomic.Int64
+		c := newSimCluster(1, 1, func() Planner { return throttlePlanner{NewFirstFit(), &samples} }, testLease)
+		c.run(ctx, &running)
+		c.elect(0, 0)
+		running.Go(func() { _ = simWorker(&simNetwork{cluster: c}, "w0").Run(ctx) })
+		task, err := c.nodes[0].leader.Submit(ctx, testSpec(1000, 4000))
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		is.Equal(c.nodes[0].state.View().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_RUNNING)
+		time.Sleep(8 * time.Second)
+		is.Equal(c.nodes[0].state.View().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_FINISHED)
+		is.True(samples.Load() > 10)
+		cancel()
+		running.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against operations on a node that does not lead.
+func TestOnlyTheLeaderActs(t *testing.T) {
+	inCluster(t, 0, func(ctx context.Context, is *is.I, c *simCluster) {
+		l := c.nodes[1].leader
+		_, err := l.Submit(ctx, testSpec(1, 1))
+		is.True(errors.Is(err, ErrNotLeading))
+		_, err = l.Heartbeat(ctx, &pb.WorkerHeartbeat{})
+		is.True(errors.Is(err, ErrNotLeading))
+		_, err = l.Register(ctx, &pb.RegisterWorkerRequest{})
+		is.True(errors.Is(err, ErrNotLeading))
+		is.True(errors.Is(l.Drain(ctx, "w0", true), ErrNotLeading))
+	})
+}
