--- a/internal/domain/record_test.go
+++ b/internal/domain/record_test.go
@@ -229,8 +229,12 @@
 	is.True(errors.Is(refused.Err, ErrKeyExpired))
 	is.Equal(refused.Err.Outcome, errs.OutcomeUnknown)
 	is.True(a.state.View().Record("hanbit", testKey(1)) != nil)
-	before := testNow + time.Minute.Milliseconds()
-	a.apply(&pb.DomainCommand{Command: &pb.DomainCommand_ExpireRecords{ExpireRecords: &pb.ExpireRecords{RecordsBeforeUnixMs: before}}})
+	expire := &pb.DomainCommand{Command: &pb.DomainCommand_ExpireRecords{
+		ExpireRecords: &pb.ExpireRecords{RecordsBeforeUnixMs: testNow + time.Hour.Milliseconds()}}}
+	a.apply(expire)
+	is.True(a.state.View().Record("hanbit", testKey(1)) != nil) // not yet older than RecordLife
+	expire.UnixMs = testNow + RecordLife.Milliseconds() + time.Minute.Milliseconds()
+	a.apply(expire)
 	is.True(a.state.View().Record("hanbit", testKey(1)) == nil)
 
 	early := &applier{state: New("d1", Limits{})}
--- a/internal/domain/report.go
+++ b/internal/domain/report.go
@@ -122,10 +122,12 @@
 	s.requeue(t)
 }
 
-// expire drops old request records, ended tasks and lost workers.
+// expire drops old request records, ended tasks and lost workers. Nothing younger than RecordLife is dropped,
+// because its key could be accepted again.
 func (s *State) expire(c *pb.ExpireRecords) Result {
-	s.expireRecords(c.GetRecordsBeforeUnixMs())
-	before := c.GetTasksBeforeUnixMs()
+	limit := s.unixMs - RecordLife.Milliseconds()
+	s.expireRecords(min(limit, c.GetRecordsBeforeUnixMs()))
+	before := min(limit, c.GetTasksBeforeUnixMs())
 	for _, id := range s.ended.takeBefore(before) {
 		s.tasks.remove(s.edit, id)
 		s.change.RemovedTasks = append(s.change.RemovedTasks, id)
--- a/internal/domain/result.go
+++ b/internal/domain/result.go
@@ -69,6 +69,8 @@
 		Message: "the worker has registered again since", Remedy: "register the worker again"}
 	ErrPlacement = &errs.Error{Code: "placement-refused", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
 		Message: "the placement no longer fits the state", Remedy: "plan again"}
+	ErrNotRunning = &errs.Error{Code: "not-running", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
+		Message: "the attempt does not run", Remedy: "look at the state of the task"}
 	ErrKeyReused = &errs.Error{Code: "key-reused", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
 		Message: "the idempotency key was used for something else", Remedy: "use a new key for a new request"}
 	ErrKeyExpired = &errs.Error{Code: "key-expired", Status: http.StatusConflict, Outcome: errs.OutcomeUnknown,
--- a/internal/domain/task.go
+++ b/internal/domain/task.go
@@ -186,7 +186,7 @@
 		return Result{Err: errs.ErrNotFound.With("task %q does not exist", e.GetTask())}
 	}
 	if t.GetAttempt() != e.GetAttempt() || !Assigned(t.GetState()) {
-		return Result{Err: ErrPlacement.With("attempt %d of task %s is not running", e.GetAttempt(), e.GetTask())}
+		return Result{Err: ErrNotRunning.With("attempt %d of task %s is not running", e.GetAttempt(), e.GetTask())}
 	}
 	if t.GetState() == pb.TaskState_TASK_STATE_EVICTING {
 		return Result{Task: t}
@@ -207,6 +207,9 @@
 	if Assigned(t.GetState()) || Ended(t.GetState()) {
 		return Result{Err: ErrPlacement.With("task %s is not queued", c.GetTask())}
 	}
+	if t.GetState() == pb.TaskState_TASK_STATE_UNSCHEDULABLE && t.GetReason() == c.GetReason() {
+		return Result{Task: t}
+	}
 	next := cloneTask(t)
 	next.State = pb.TaskState_TASK_STATE_UNSCHEDULABLE
 	next.Reason = c.GetReason()
--- a/internal/leader/barrier.go
+++ b/internal/leader/barrier.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/lentilyard/lentilyard/internal/errs"
 )
 
 // barriers lets one read barrier serve every caller that arrived before it began.
@@ -37,7 +39,7 @@
 	case <-b.stop:
 		return errStopped
 	case <-ctx.Done():
-		return ctx.Err()
+		return errs.ErrNoQuorum.With("leadership was not confirmed in time: %w", ctx.Err())
 	}
 }
 
--- a/internal/leader/contracts.go
+++ b/internal/leader/contracts.go
@@ -67,11 +67,11 @@
 	return removed
 }
 
-// share returns the part of the limits that belongs to this domain, rounded down.
+// share returns the part of the limits that belongs to this domain, rounded down. Without parts it is the whole.
 func share(r *pb.ResolvedLimits, part, total uint32) *pb.ResolvedLimits {
 	of := func(limit int64) int64 {
 		if total == 0 || limit <= 0 {
-			return 0
+			return limit
 		}
 		high, low := bits.Mul64(uint64(limit), uint64(min(part, total)))
 		quotient, _ := bits.Div64(high, low, uint64(total))
--- a/internal/leader/property_test.go
+++ b/internal/leader/property_test.go
@@ -167,8 +167,10 @@
 
 // submitAll spreads the tasks over the first half of the fault phase.
 func (s *simulation) submitAll(ctx context.Context) {
-	for range simTasks {
+	for n := range simTasks {
 		spec := testSpec(int64(500+s.cluster.random.below(2000)), 0)
+		ms := time.Now().UnixMilli()
+		spec.IdempotencyKey = fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n) // repeatable, unlike a random key
 		spec.Payload = standin.Work{RunMs: (s.minRun + s.cluster.random.upTo(15*time.Second)).Milliseconds(), CheckpointEveryMs: s.checkpointEvery.Milliseconds()}.Payload()
 		s.onLeader(func(l *Leader) error { _, err := l.Submit(ctx, spec); return err })
 		time.Sleep(s.cluster.random.upTo(faultPhase / simTasks))
--- a/internal/leader/proposer.go
+++ b/internal/leader/proposer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/proto"
 )
@@ -46,7 +47,7 @@
 	case <-p.stop:
 		return domain.Result{}, errStopped
 	case <-ctx.Done():
-		return domain.Result{}, fmt.Errorf("command was not proposed: %w", ctx.Err())
+		return domain.Result{}, errs.ErrNoQuorum.With("command was not proposed in time: %w", ctx.Err())
 	}
 	select {
 	case answer := <-one.done:
--- a/internal/standin/transport.go
+++ b/internal/standin/transport.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/go-resty/resty/v2"
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -46,6 +47,9 @@
 }
 
 func (t *httpTransport) post(ctx context.Context, url string, request, answer proto.Message) error {
+	if !strings.Contains(url, "://") { // entry VMs name each other by IP:port
+		url = "http://" + url
+	}
 	encoded, err := protojson.Marshal(request)
 	if err != nil {
 		return fmt.Errorf("encode request to %s: %w", url, err)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -65,7 +66,9 @@
 	runs    map[AttemptID]*running
 	reports chan *pb.AttemptReport
 	answers chan answered
-	address int
+	// entryVMs are those of the last registration; address is the one in use.
+	entryVMs []string
+	address  string
 	// polling and reporting tell that a heartbeat of that sort waits for its answer.
 	polling, reporting   bool
 	nextPoll, nextReport time.Time
@@ -80,7 +83,7 @@
 type answered struct {
 	sent   Sent
 	poll   bool
-	vm     int
+	vm     string
 	answer *pb.WorkerHeartbeatAnswer
 	err    error
 }
@@ -121,6 +124,8 @@
 	if len(w.options.EntryVMs) == 0 {
 		return errNoEntryVM
 	}
+	w.learn(w.options.EntryVMs)
+	w.address = w.entryVMs[0]
 	sampling := time.NewTicker(w.options.UsageInterval)
 	defer sampling.Stop()
 	for ctx.Err() == nil {
@@ -197,11 +202,10 @@
 	}
 	message.WaitMs = wait.Milliseconds()
 	vm := w.address
-	address := w.options.EntryVMs[vm]
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, wait+w.options.RequestTimeout)
 		defer cancel()
-		answer, err := w.options.Transport.Heartbeat(ctx, address, message)
+		answer, err := w.options.Transport.Heartbeat(ctx, vm, message)
 		w.answers <- answered{sent, poll, vm, answer, err}
 	}()
 }
@@ -225,10 +229,17 @@
 }
 
 // moveOn chooses the next entry VM after a failure at one, unless an earlier failure already did.
-func (w *Worker) moveOn(failed int, err error) {
-	w.options.Logger.Info().Str("worker", w.options.ID).Str("entry_vm", w.options.EntryVMs[failed]).Err(err).Msg("no answer")
+func (w *Worker) moveOn(failed string, err error) {
+	w.options.Logger.Info().Str("worker", w.options.ID).Str("entry_vm", failed).Err(err).Msg("no answer")
 	if failed == w.address {
-		w.address = (w.address + 1) % len(w.options.EntryVMs)
+		w.address = w.entryVMs[(slices.Index(w.entryVMs, failed)+1)%len(w.entryVMs)]
+	}
+}
+
+// learn takes the entry VMs that a registration named.
+func (w *Worker) learn(entryVMs []string) {
+	if len(entryVMs) > 0 {
+		w.entryVMs = entryVMs
 	}
 }
 
@@ -240,7 +251,7 @@
 	vm := w.address
 	go func() {
 		err := error(nil)
-		answer, err = w.tryRegister(ctx, w.options.EntryVMs[vm], request)
+		answer, err = w.tryRegister(ctx, vm, request)
 		answers <- err
 	}()
 	err := w.attend(ctx, answers)
@@ -250,6 +261,7 @@
 		return
 	}
 	w.fence.Registered(answer)
+	w.learn(answer.GetEntryVms())
 	w.nextPoll, w.nextReport = time.Time{}, time.Time{}
 }
 
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -21,6 +21,7 @@
 	token    string
 	commands []*pb.WorkerCommand
 	epoch    uint64
+	address  string
 	reports  []*pb.AttemptReport
 	usage    []*pb.UsageSample
 }
@@ -51,7 +52,7 @@
 		return &pb.RegisterWorkerAnswer{KnownEpoch: e.epoch}
 	}
 	e.epoch++
-	return &pb.RegisterWorkerAnswer{Epoch: e.epoch, LeaseMs: 10000}
+	return &pb.RegisterWorkerAnswer{Epoch: e.epoch, LeaseMs: 10000, EntryVms: []string{e.address}}
 }
 
 func (e *entryVM) heartbeat(body []byte) *pb.WorkerHeartbeatAnswer {
@@ -111,6 +112,7 @@
 	defer silent.Close()
 	server := httptest.NewServer(entry)
 	defer server.Close()
+	entry.address = server.Listener.Addr().String()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	worker := NewWorker(WorkerOptions{ID: "w1", FailureDomain: "d1", Capacity: &pb.Resources{Millicores: 4000}, Guards: true, Token: "secret",
