--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -5,24 +5,19 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
-
-	"github.com/VictoriaMetrics/metrics"
+	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/raft"
 )
 
-var (
-	messagesDropped = metrics.NewCounter("lentilyard_raft_messages_dropped_total")
-	messagesRefused = metrics.NewCounter("lentilyard_raft_messages_refused_total")
-)
-
 // waiter is one call in progress.
 type waiter struct {
 	// taken is set by whichever comes first: the control goroutine that
 	// carries the call out, or the caller that gives up.
 	taken  atomic.Bool
 	term   uint64
+	began  time.Time
 	result chan outcome // capacity 1; receives exactly one outcome
 }
 
@@ -84,10 +79,13 @@
 	}
 	index, term, err := g.node.Propose(entry)
 	if err != nil {
+		g.metrics.refused.Inc()
 		w.finish(nil, g.refusal(err))
 		return
 	}
 	w.term = term
+	w.began = time.Now()
+	g.metrics.proposals.Inc()
 	g.waiters[index] = append(g.waiters[index], w)
 }
 
@@ -108,6 +106,7 @@
 	delete(g.waiters, e.GetIndex())
 	for _, w := range waiting {
 		if w.term == e.GetTerm() {
+			g.metrics.commitTime.UpdateDuration(w.began)
 			w.finish(result, nil)
 			continue
 		}
@@ -122,6 +121,7 @@
 			continue
 		}
 		for _, w := range waiting {
+			g.metrics.unknown.Inc()
 			w.finish(nil, ErrOutcomeUnknown)
 		}
 		delete(g.waiters, at)
@@ -136,79 +136,6 @@
 	}
 }
 
-// ReadBarrier returns once this VM's leadership is confirmed by a quorum round
-// that began after the call, and everything committed before is applied.
-func (g *Group) ReadBarrier(ctx context.Context) error {
-	w := newWaiter()
-	if !g.host.post(func() { g.readBarrier(w) }) {
-		return ErrStopped
-	}
-	select {
-	case o := <-w.result:
-		return o.err
-	case <-ctx.Done():
-		w.taken.Store(true)
-		return fmt.Errorf("read barrier: %w", ctx.Err())
-	case <-g.host.done:
-		return ErrStopped
-	}
-}
-
-func (g *Group) readBarrier(w *waiter) {
-	if w.taken.Load() {
-		return
-	}
-	g.nextRead++
-	if g.restarting {
-		w.finish(nil, ErrNotLeader{})
-		return
-	}
-	if err := g.node.ReadIndex(g.nextRead); err != nil {
-		w.finish(nil, g.refusal(err))
-		return
-	}
-	g.reads[g.nextRead] = w
-}
-
-// finishReads answers read barriers. Entries up to a read's index may still
-// wait for this VM's own sync, so it is answered once they are applied.
-func (g *Group) finishReads(reads []raft.Read) {
-	for _, r := range reads {
-		w := g.reads[r.Token]
-		delete(g.reads, r.Token)
-		switch {
-		case w == nil:
-		case !r.OK:
-			w.finish(nil, ErrNotLeader{Leader: g.node.Status().Leader.VM})
-		default:
-			g.confirmed = append(g.confirmed, confirmedRead{index: r.Index, w: w})
-		}
-	}
-	g.finishConfirmed()
-}
-
-func (g *Group) finishConfirmed() {
-	if len(g.confirmed) == 0 {
-		return
-	}
-	applied := g.node.Status().Applied
-	kept := g.confirmed[:0]
-	for _, c := range g.confirmed {
-		if c.index <= applied {
-			c.w.finish(nil, nil)
-			continue
-		}
-		kept = append(kept, c)
-	}
-	g.confirmed = kept
-}
-
-// confirmedRead waits for entries to be applied.
-type confirmedRead struct {
-	index uint64
-	w     *waiter
-}
-
 // failAll ends all calls. The error is that of read barriers.
 func (g *Group) failAll(err error) {
 	g.abandonWaiters(^uint64(0))
