--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -242,7 +242,7 @@
 func (p throttlePlanner) Plan(now time.Time, limit int) Plan {
 	plan := p.FirstFit.Plan(now, limit)
 	for _, t := range p.assigned {
-		plan.Throttles = append(plan.Throttles, Throttle{t.GetId(), t.GetAttempt(), 0.25})
+		plan.Throttles = append(plan.Throttles, Throttle{Task: t.GetId(), Attempt: t.GetAttempt(), Share: 0.25})
 	}
 	return plan
 }
--- a/internal/server/adapters.go
+++ b/internal/server/adapters.go
@@ -85,10 +85,20 @@
 		RetryBudgetPercent: int(s.settings.Limits.RetryBudgetPercent),
 		Logger:             s.log,
 		Siblings:           func() []string { return s.httpAddresses(s.ownDomain()) },
+		SiblingAddress:     s.httpAddress,
 		Drained:            s.drained,
 	}
 }
 
+func (s *Server) httpAddress(id string) string {
+	for _, vm := range s.settings.EntryVms {
+		if vm.Id == id {
+			return vm.HttpAddress
+		}
+	}
+	return ""
+}
+
 // drained reports whether an operator drains an executor of this domain.
 func (s *Server) drained(id string) bool {
 	own, found := s.domains[s.ownDomain()]
--- a/internal/server/background.go
+++ b/internal/server/background.go
@@ -102,8 +102,8 @@
 		}
 		last = view
 		for name, d := range s.domains {
-			domainParts, totalParts := s.contractParts(view, name)
-			d.leader.ContractsChanged(view.Contracts(), domainParts, totalParts)
+			shares, whole := s.domainContracts(view, name)
+			d.leader.ContractsChanged(shares, whole, whole)
 		}
 		s.appliedNote.Store(view.LastNote())
 		s.log.Info().Str("event", "contracts-applied").Uint64("note", view.LastNote()).Send()
@@ -148,12 +148,13 @@
 	return names
 }
 
-// contractParts returns the parts of each contract's limits in a domain and in all domains.
-func (s *Server) contractParts(view *contract.View, failureDomain string) (ofDomain, ofAll map[string]uint32) {
-	ofDomain, ofAll = make(map[string]uint32), make(map[string]uint32)
+// domainContracts returns the contracts with a domain's exact share of their limits, and parts that take them whole.
+func (s *Server) domainContracts(view *contract.View, failureDomain string) (shares []*pb.ResolvedContract, whole map[string]uint32) {
+	whole = make(map[string]uint32)
 	for _, resolved := range view.Contracts() {
-		name := resolved.Written.Name
-		ofDomain[name], ofAll[name] = contract.Parts(resolved.Written, failureDomain, s.domainNames())
+		limits := contract.DomainLimits(resolved, failureDomain, s.domainNames())
+		shares = append(shares, &pb.ResolvedContract{Written: resolved.Written, Resolved: limits, Note: resolved.Note})
+		whole[resolved.Written.Name] = 1
 	}
-	return ofDomain, ofAll
+	return shares, whole
 }
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -7,12 +7,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -102,22 +104,30 @@
 	d.vms = append(d.vms, &vm{id: id, domain: domain, disk: disk, http: freeTCP(d.t), peer: freeUDP(d.t)})
 }
 
-func freeTCP(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// nextPort hands out ports below the ephemeral range, so that no outgoing connection takes one before its entry VM
+// binds it.
+var nextPort atomic.Int32
+
+const firstPort = 20000
+
+func freePort(t *testing.T, bind func(address string) (io.Closer, error)) string {
+	for range 5000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		if closer, err := bind(address); err == nil {
+			closer.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
+}
+
+func freeTCP(t *testing.T) string {
+	return freePort(t, func(address string) (io.Closer, error) { return net.Listen("tcp", address) })
 }
 
 func freeUDP(t *testing.T) string {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	return conn.LocalAddr().String()
+	return freePort(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp", address) })
 }
 
 // start writes settings and keys and starts all entry VMs.
