--- a/cmd/lentilyard/main.go
+++ b/cmd/lentilyard/main.go
@@ -45,6 +45,7 @@
 	options := addGlobalFlags(app)
 	addServe(app)
 	addSettings(app)
+	addRepair(app)
 	addCredentials(app)
 	addNotes(app, options)
 	addContracts(app, options)
--- a/cmd/lentilyard/serve.go
+++ b/cmd/lentilyard/serve.go
@@ -12,6 +12,7 @@
 	"github.com/lentilyard/lentilyard/internal/dev"
 	"github.com/lentilyard/lentilyard/internal/logging"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/replica"
 	"github.com/lentilyard/lentilyard/internal/server"
 	"github.com/lentilyard/lentilyard/internal/settings"
 )
@@ -51,6 +52,9 @@
 func withLogger(s *pb.LogSettings, f func(zerolog.Logger) error) error {
 	sink := logging.NewSink(os.Stderr, 0)
 	defer sink.Close()
+	if s.GetDecisions() == "off" {
+		sink.OmitDecisions()
+	}
 	return f(logging.New(sink, s.GetLevel()))
 }
 
@@ -73,3 +77,19 @@
 		return nil
 	})
 }
+
+func addRepair(app *kingpin.Application) {
+	command := app.Command("repair", "Make this VM the only voter of a group that has lost its quorum for good. All VMs of the group must be stopped.")
+	vm := command.Flag("vm", "Id of this entry VM.").Required().String()
+	folder := command.Flag("data-folder", "Data folder of this entry VM.").Required().ExistingDir()
+	group := command.Flag("group", "Name of the group, as in 'lentilyard status'.").Required().String()
+	command.Action(func(*kingpin.ParseContext) error {
+		result, err := replica.Repair(*vm, *folder, *group)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("group %s continues from entry %d of term %d with %s as only voter; voters before: %v\n",
+			*group, result.Index, result.Term, *vm, result.Previous)
+		return nil
+	})
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -20,9 +20,6 @@
 	"github.com/rs/zerolog"
 )
 
-// DecisionLevel marks the lines written for each routing or placement decision.
-const DecisionLevel = zerolog.DebugLevel
-
 const defaultQueueLines = 8192
 
 var droppedLines = metrics.NewCounter("lentilyard_log_lines_dropped_total")
@@ -37,6 +34,8 @@
 	mu      sync.RWMutex // excludes Close during a write
 	closed  bool
 	done    chan struct{}
+	// omitDecisions is set before the first line.
+	omitDecisions bool
 }
 
 // NewSink starts the goroutine that writes to out. queueLines <= 0 selects the default of 8192.
@@ -50,8 +49,10 @@
 	return s
 }
 
+// OmitDecisions leaves out the lines for each routing and placement decision. Call it before the first line.
+func (s *Sink) OmitDecisions() { s.omitDecisions = true }
+
 // New returns a logger on the sink. Level is a zerolog level name; an unknown one selects info.
-// Decision lines are logged at info level by Decision unless decisions is false.
 func New(s *Sink, level string) zerolog.Logger {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
@@ -67,6 +68,9 @@
 
 // WriteLevel implements zerolog.LevelWriter. It never blocks.
 func (s *Sink) WriteLevel(level zerolog.Level, line []byte) (int, error) {
+	if s.omitDecisions && isDecision(line) {
+		return len(line), nil
+	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.closed || (level <= zerolog.DebugLevel || isDecision(line)) && len(s.queue) > cap(s.queue)/2 {
--- a/internal/server/groups.go
+++ b/internal/server/groups.go
@@ -1,9 +1,7 @@
 package server
 
 import (
-	"context"
 	"slices"
-	"time"
 
 	"github.com/lentilyard/lentilyard/internal/cluster"
 	"github.com/lentilyard/lentilyard/internal/contract"
@@ -106,25 +104,6 @@
 	}
 }
 
-// transferLeaderships hands over every group that this process leads and that has another voter.
-func (s *Server) transferLeaderships(ctx context.Context) {
-	groups := []*replica.Group{s.config}
-	for _, d := range s.domains {
-		groups = append(groups, d.group)
-	}
-	for _, group := range groups {
-		status := group.Status()
-		if status.Role != replica.RoleLeader || len(status.Voters) < 2 {
-			continue
-		}
-		bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
-		if err := group.TransferLeadership(bounded); err != nil {
-			s.log.Warn().Str("event", "leadership-transfer-failed").Err(err).Msg("another voter will be elected")
-		}
-		cancel()
-	}
-}
-
 func (s *Server) ownDomain() string {
 	for _, vm := range s.settings.EntryVms {
 		if vm.Id == s.settings.Id {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -116,6 +116,7 @@
 	})
 	s.gateway = gateway.New(s.gatewayConfig())
 	s.serveForwards()
+	s.addGauges()
 	return s.buildHTTP()
 }
 
@@ -226,7 +227,9 @@
 	if err := s.http.Shutdown(timeout); err != nil {
 		s.log.Warn().Str("event", "drain-timeout").Err(err).Msg("connections still open")
 	}
-	s.transferLeaderships(timeout)
+	if err := s.host.Drain(timeout); err != nil {
+		s.log.Warn().Str("event", "leadership-transfer-failed").Err(err).Msg("another voter will be elected")
+	}
 }
 
 // handOverExecutors waits until executors had time to learn that they must move.
