--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,10 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
+// forwardMargin is kept back of the time left, so that a refusal by the other entry VM at the deadline
+// arrives while the call still waits for it. Without it such a refusal reads as outcome unknown.
+const forwardMargin = 20 * time.Millisecond
+
 // maxStatus is the highest status that net/http writes.
 const maxStatus = 999
 
@@ -18,7 +22,9 @@
 	head := &pb.ForwardHead{Method: c.method, Service: c.service, Path: c.path, Member: c.member, Contract: c.contract}
 	head.Idempotent = c.idempotent
 	head.IdempotencyKey = c.key
-	head.DeadlineMs = max(c.deadline.Sub(now).Milliseconds(), 1)
+	left := c.deadline.Sub(now)
+	left -= min(forwardMargin, left/10)
+	head.DeadlineMs = max(left.Milliseconds(), 1)
 	head.RequestId = c.id
 	head.Hops = c.hops + 1
 	head.ContentLength = c.contentLength
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -19,6 +20,10 @@
 type answerer struct {
 	begin   func(*pb.AnswerHead) (io.Writer, error)
 	started bool
+	// body of the request, once it is served.
+	body *replayBody
+	// duplex is set if the answer began before the body was read.
+	duplex bool
 }
 
 func (a *answerer) start(head *pb.AnswerHead) (io.Writer, error) {
@@ -28,13 +33,12 @@
 
 // ServeHTTP serves /v1/services/{service}/{path...}. The context must hold the Identity of the caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out := &answerer{begin: func(head *pb.AnswerHead) (io.Writer, error) { return startHTTP(w, r, head) }}
-	if r.ContentLength != 0 && r.ProtoMajor == 1 {
-		// An executor may answer before it has read the whole body. Not supported by test recorders.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
-	err := g.serveCaller(r, out)
+	control := http.NewResponseController(w)
+	out := &answerer{}
+	out.begin = func(head *pb.AnswerHead) (io.Writer, error) { return startHTTP(w, r, control, head, out) }
+	err := g.serveCaller(r, control, out)
 	countOutcome(err)
+	out.endDuplex(r, control)
 	if err == nil {
 		return
 	}
@@ -45,7 +49,27 @@
 	WriteError(w, err)
 }
 
-func (g *Gateway) serveCaller(r *http.Request, out *answerer) error {
+// beginDuplex lets an executor go on reading a body after its answer has begun. Without it net/http
+// would discard a part of the body that the executor still expects.
+func (a *answerer) beginDuplex(r *http.Request, control *http.ResponseController) {
+	if r.ProtoMajor != 1 || a.body == nil || a.body.finished() {
+		return
+	}
+	a.duplex = control.EnableFullDuplex() == nil
+}
+
+// endDuplex reads what is left of the body in the server's buffer. In full duplex net/http must not
+// find the end of the body itself after the handler has returned: it would then read the connection
+// twice at once and panic. A body that is not read to its end closes the connection.
+func (a *answerer) endDuplex(r *http.Request, control *http.ResponseController) {
+	if !a.duplex || a.body.finished() {
+		return
+	}
+	_ = control.SetReadDeadline(time.Now())
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+func (g *Gateway) serveCaller(r *http.Request, control *http.ResponseController, out *answerer) error {
 	if !r.ProtoAtLeast(1, 1) {
 		// The end of an answer of unknown length could not be told from a broken connection.
 		return errs.ErrInvalid.With("HTTP/1.1 or later is required, got %s", r.Proto)
@@ -61,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	c.abortRead = func() { _ = control.SetReadDeadline(time.Now()) }
 	contract, err := g.config.Contracts.Lookup(c.member, c.contract, c.service)
 	if err != nil {
 		return err
@@ -91,7 +116,8 @@
 	_, _ = w.Write(body)
 }
 
-func startHTTP(w http.ResponseWriter, r *http.Request, head *pb.AnswerHead) (io.Writer, error) {
+func startHTTP(w http.ResponseWriter, r *http.Request, control *http.ResponseController, head *pb.AnswerHead, out *answerer) (io.Writer, error) {
+	out.beginDuplex(r, control)
 	h := w.Header()
 	for _, header := range head.Headers {
 		h.Add(header.Name, header.Value)
@@ -105,7 +131,7 @@
 	if r.Method == http.MethodHead || head.ContentLength >= 0 {
 		return w, nil
 	}
-	return &flushWriter{w: w, control: http.NewResponseController(w)}, nil
+	return &flushWriter{w: w, control: control}, nil
 }
 
 // flushWriter passes each piece of an answer of unknown length on at once.
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -36,6 +36,7 @@
 	method, path                  string
 	header                        http.Header
 	body                          io.Reader
+	abortRead                     func()
 	contentLength                 int64
 	idempotent                    bool
 	key                           string
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,9 +23,9 @@
 	// in which the executor may have left.
 	valid func() bool
 	mu    sync.Mutex
-	conn *routing.CountingConn
-	mark int64
-	sent bool
+	conn  *routing.CountingConn
+	mark  int64
+	sent  bool
 }
 
 func (s *sentTracker) gotConn(info httptrace.GotConnInfo) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,6 +21,9 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	body := newReplayBody(c.body, g.config.Limits.MaxBodyBytes)
+	body.atEnd.Store(c.contentLength == 0)
+	defer body.close(c.abortRead)
+	out.body = body
 	if c.idempotent || c.recorded {
 		return g.run(ctx, c, body, out, nil)
 	}
@@ -30,8 +33,13 @@
 // run makes attempts until one succeeds, or another one is not safe or not in the budget.
 func (g *Gateway) run(ctx context.Context, c *call, body *replayBody, out *answerer, commit *commit) error {
 	var avoid []string
+	// first is the failure of an attempt that may have run; a later refusal must not hide it.
+	var first error
 	for {
 		target, err := g.attempt(ctx, c, body, out, avoid, commit)
+		if err != nil && first != nil && outcomeOf(err) == errs.OutcomeNotRun {
+			return first
+		}
 		if err == nil || out.started || ctx.Err() != nil || !c.retryable(err) {
 			return err
 		}
@@ -39,6 +47,9 @@
 		if !whole || !g.config.Table.AllowRetry() {
 			return err
 		}
+		if outcomeOf(err) != errs.OutcomeNotRun {
+			first = err
+		}
 		if target != "" {
 			avoid = append(avoid, target)
 		}
@@ -68,6 +79,12 @@
 		return "", err
 	}
 	grant, err := g.config.Table.Acquire(ctx, r)
+	if errors.Is(err, routing.ErrNoExecutor) {
+		// The last own executor may have left while the call waited.
+		if done, err := g.forwardForLoad(ctx, c, body, out, commit); done {
+			return "", err
+		}
+	}
 	if err != nil {
 		return "", contextError(err, errs.OutcomeNotRun)
 	}
--- a/internal/routing/announce.go
+++ b/internal/routing/announce.go
@@ -52,6 +52,7 @@
 	t.review(e, now)
 	e.pool.list(e, now)
 	t.dispatch(e.pool, now)
+	t.refuseStranded(e.pool, now)
 	answer.Nonce = e.issueNonce(now)
 	return answer, nil
 }
@@ -136,6 +137,9 @@
 			t.logExecutor("executor forgotten", e)
 		}
 	}
+	for _, p := range t.pools {
+		t.refuseStranded(p, now)
+	}
 }
 
 func checkAnnouncement(a *pb.Announcement) error {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -126,6 +126,22 @@
 	}
 }
 
+// refuseStranded ends all waiters of a pool whose last executor has left, so that they can be
+// forwarded or tried elsewhere in time.
+func (t *Table) refuseStranded(p *pool, now time.Time) {
+	if p.queued() == 0 {
+		return
+	}
+	if _, executors := p.slots(now); executors > 0 {
+		return
+	}
+	for _, queue := range []*fairQueue{&p.urgent, &p.normal} {
+		for w := queue.pop(); w != nil; w = queue.pop() {
+			t.refuse(w, ErrNoExecutor)
+		}
+	}
+}
+
 // refuse ends a waiter that was taken out of its queue.
 func (t *Table) refuse(w *waiter, err error) {
 	t.waiting--
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -50,9 +50,12 @@
 	if len(s.vms) == 0 {
 		return fmt.Errorf("executor %s has no entry VM to announce to", e.options.ID)
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.isStopped() {
 		e.pause(ctx, e.announce(ctx, s))
 	}
+	if e.isStopped() {
+		return fmt.Errorf("executor %s was closed", e.options.ID)
+	}
 	return e.drain(s)
 }
 
