Follow changes of the voter list

A voter VM that is no longer listed is removed once it has been silent for ten election timeouts and every listed voter VM votes. Before, only incarnations of the initial voters could be replaced, so a VM replaced under another id left a dead voter for good. Live voters are never removed.

--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -21,7 +21,8 @@
 //   - A learner whose VM is to vote becomes a voter once it has acknowledged
 //     every entry that is committed at that moment.
 //   - A voter whose VM has a voter that was promoted later is removed.
-//   - A learner whose VM is no longer listed and does not answer is removed.
+//   - A member whose VM is no longer listed and does not answer is removed; a
+//     voter only once every listed voter VM votes.
 //
 // # Elections
 //
--- a/internal/raft/history_test.go
+++ b/internal/raft/history_test.go
@@ -24,10 +24,7 @@
 	os.Exit(m.Run())
 }
 
-var (
-	threeVoters = []string{"a", "b", "c"}
-	fiveVoters  = []string{"a", "b", "c", "e", "f"}
-)
+var threeVoters, fiveVoters = []string{"a", "b", "c"}, []string{"a", "b", "c", "e", "f"}
 
 // historySteps is the number of events of a history.
 const historySteps = 3000
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -158,7 +158,7 @@
 
 // changeMembership carries out the next pending change, one at a time: first
 // the removal of a replaced incarnation, then a promotion, then the removal of
-// an unlisted learner, then a join.
+// an unlisted member, then a join.
 func (n *Node) changeMembership() {
 	m := n.current()
 	if n.role != Leader || n.transferee != (ID{}) || m.index > n.log.commit || n.log.commit < n.termStart {
@@ -172,18 +172,24 @@
 		n.proposeMembership(m.with(learner, true))
 		return
 	}
-	if gone, ok := n.unlistedLearner(m); ok {
+	if gone, ok := n.unlistedMember(m); ok {
 		n.proposeMembership(m.with(ID{}, false, gone))
 		return
 	}
 	n.admitJoiner(m)
 }
 
-// unlistedLearner returns a learner whose VM is no longer listed in the
-// settings and does not answer.
-func (n *Node) unlistedLearner(m *membership) (ID, bool) {
-	for _, id := range m.learners {
-		if !n.isListed(id.VM) && len(m.seats[id.VM]) == 0 && !n.heardRecently(id) {
+// unlistedMember returns a member whose VM is no longer listed and has been
+// silent for unlistedTimeouts. A voter is removed only after its replacement:
+// every listed voter VM must vote.
+func (n *Node) unlistedMember(m *membership) (ID, bool) {
+	complete := !slices.ContainsFunc(n.cfg.Voters, func(vm string) bool { return len(m.seats[vm]) == 0 })
+	for _, id := range m.order {
+		pr := n.progress[id]
+		if id == n.self || pr == nil || n.isListed(id.VM) || m.isVoter(id) && !complete {
+			continue
+		}
+		if n.now-pr.lastHeard > unlistedTimeouts*n.cfg.ElectionTicks {
 			return id, true
 		}
 	}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -85,6 +85,9 @@
 	snapshotChunkBytes = 256 << 10
 	// maxUncommittedBytes bounds the proposals that a leader holds without a commit.
 	maxUncommittedBytes = 64 << 20
+	// unlistedTimeouts is the number of election timeouts without an answer
+	// after which a member whose VM is not listed any more is removed.
+	unlistedTimeouts = 10
 	// learnerHeartbeatRatio is the number of heartbeats to voters for each one
 	// to learners. Learners take part in no quorum, so a slower rate suffices;
 	// it must stay below the election timeout, after which they report no leader.
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -62,7 +62,9 @@
 type GroupConfig struct {
 	// Name consists of lower-case letters, digits, "-" and ".".
 	Name string
-	// Voters are the VM ids of the initial voters.
+	// Voters are the VM ids that are to vote. When the list changes, the leader
+	// adds VMs that are new in it, and removes those that are missing in it and
+	// in Learners once they are stopped.
 	Voters []string
 	// Learners are the VM ids that follow the log without a vote.
 	Learners []string
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -108,7 +108,7 @@
 		Restarted:      state.restarted,
 		Voters:         g.cfg.Voters,
 		Learners:       g.cfg.Learners,
-		ElectionTicks:  int(g.host.cfg.Election / g.host.tick),
+		ElectionTicks:  int((g.host.cfg.Election + g.host.tick - 1) / g.host.tick),
 		HeartbeatTicks: ticksPerHeartbeat,
 		Random:         func(n uint64) uint64 { return randomNonZero() % n },
 		HardState:      state.hardState,
--- a/internal/replica/timing_test.go
+++ b/internal/replica/timing_test.go
@@ -176,3 +176,30 @@
 		is.Equal(len(d.machine.list()), 2)
 	})
 }
+
+// Guards against a VM that cannot be replaced by one with another id, and
+// against the removal of a voter before its replacement votes.
+func TestVoterListChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, threeVoters, nil, nil)
+		c.startAll()
+		c.propose("1")
+		c.voters = []string{"a", "b", "d"}
+		for _, vm := range []string{"a", "b"} { // restarted with the new list, one after the other
+			c.stop(vm)
+			n := c.start(vm)
+			c.eventually(vm+" votes again", func() bool { return c.votesAlone(n) })
+		}
+		c.stop("c")
+		c.propose("2")
+		time.Sleep(time.Minute)
+		if s := c.nodes[c.leader()].group.Status(); len(s.Voters) != 3 {
+			t.Errorf("voters without a replacement: %v", s.Voters)
+		}
+		d := c.start("d")
+		c.eventually("d replaces c", func() bool { return c.votesAlone(d) })
+		c.stop("a")
+		c.propose("3")
+		c.eventually("all VMs hold 3 entries", func() bool { return c.settled(3) })
+	})
+}
