--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -12,17 +12,12 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
-const (
-	// maxFileBytes bounds a settings file or release note.
-	maxFileBytes = 4 << 20
-	// maxDepth bounds nested collections, since the parser recurses; the schema nests 5 deep.
-	maxDepth = 32
-)
+// maxFileBytes bounds a settings file or release note.
+const maxFileBytes = 4 << 20
 
 // Decode reads YAML into the message. Keys are the camelCase names of the JSON mapping. Unknown keys, duplicate
 // keys, values of the wrong type, empty values, anchors, aliases and tags are refused. A duration is a string such as
@@ -78,43 +73,6 @@
 	return nil
 }
 
-// refusedTokens are YAML features that would make a value differ from what its line shows.
-var refusedTokens = map[token.Type]string{
-	token.AnchorType:     "an anchor",
-	token.AliasType:      "an alias",
-	token.MergeKeyType:   "a merge key",
-	token.TagType:        "a tag",
-	token.DirectiveType:  "a directive",
-	token.MappingKeyType: `an explicit key ("?")`,
-}
-
-func checkTokens(r *report, tokens token.Tokens) bool {
-	depth, entriesOnLine, line := 0, 0, 0
-	for _, t := range tokens {
-		if name, refused := refusedTokens[t.Type]; refused {
-			r.add(t.Position.Line, "write the value out in place", "%s (%q) is not supported", name, clip(t.Value))
-			return false
-		}
-		if t.Position.Line != line {
-			line, entriesOnLine = t.Position.Line, 0
-		}
-		switch t.Type {
-		case token.SequenceStartType, token.MappingStartType:
-			depth++
-		case token.SequenceEndType, token.MappingEndType:
-			depth--
-		case token.SequenceEntryType:
-			entriesOnLine++
-		}
-		indent := t.Position.Column / 2
-		if max(depth, entriesOnLine) > maxDepth || t.Type == token.SequenceEntryType && indent > maxDepth {
-			r.add(line, "remove the extra nesting", "collections are nested more than %d deep", maxDepth)
-			return false
-		}
-	}
-	return true
-}
-
 func reportSyntax(r *report, err error) {
 	var located yaml.Error
 	if errors.As(err, &located) && located.GetToken() != nil {
@@ -143,6 +101,9 @@
 	}
 	seen := map[string]int{}
 	for _, value := range values {
+		if w.full() {
+			return
+		}
 		w.entry(path, value, m, seen)
 	}
 }
--- a/internal/settings/problem.go
+++ b/internal/settings/problem.go
@@ -50,12 +50,14 @@
 }
 
 func (r *report) add(line int, remedy, format string, args ...any) {
-	if len(r.problems) >= maxProblems {
+	if r.full() {
 		return
 	}
 	r.problems = append(r.problems, &Problem{File: r.file, Line: line, Message: fmt.Sprintf(format, args...), Remedy: remedy})
 }
 
+func (r *report) full() bool { return len(r.problems) >= maxProblems }
+
 // at adds a problem at the line of the field with the given path, or of the nearest enclosing field.
 func (r *report) at(path, remedy, format string, args ...any) {
 	r.add(r.line(path), remedy, format, args...)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,6 +88,8 @@
 		{"factor exponent", `"1000"`, `"1e3"`, `a.yaml:17: units[0]: unit "core": factor "1e3" is not a whole number, decimal or fraction`},
 		{"dimension", "dimension: processor", "dimension: length", `a.yaml:17: units[0]: unit "core": dimension "length"`},
 		{"no peerTls", "peerTls: {caFile: ca.pem, certFile: a1.pem, keyFile: a1.key}\n", "", `a.yaml: peerTls must set`},
+		{"too many keys", "limits: {maxQueue: 16}", strings.Repeat("a: b\n", maxKeys+1), `: a mapping has more than 1000 keys`},
+		{"too many items", "limits: {maxQueue: 16}", "x:\n" + strings.Repeat("-\n", maxItems+1), `or a list more than 20000 items`},
 		{"deep nesting", "limits: {maxQueue: 16}", "limits: " + strings.Repeat("[", 40), `a.yaml:19: collections are nested`},
 	}
 	for _, c := range cases {
