--- a/internal/credentials/store.go
+++ b/internal/credentials/store.go
@@ -132,10 +132,12 @@
 	}
 	get := func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 		own, err := s.certificate()
-		if err != nil {
-			refused(err)
+		if err == nil {
+			return own, nil
 		}
-		return own, err
+		refused(err)
+		own, _ = s.pair.files.get() // lets the other side see, refuse and log an expired certificate
+		return own, nil
 	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, GetCertificate: get,
 		ClientAuth: tls.RequireAnyClientCert, VerifyConnection: verify, SessionTicketsDisabled: true}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -145,7 +145,7 @@
 const (
 	probeByte = 'p'
 	// schedulingMargin covers the time between a deadline and its effect on a busy machine.
-	schedulingMargin = 50 * time.Millisecond
+	schedulingMargin = 100 * time.Millisecond
 )
 
 func isTimeout(err error) bool {
