--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,6 +94,13 @@
 	return l, log
 }
 
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // parallel calls f for 0 to n-1 from some goroutines.
 func parallel(goroutines, n int, f func(int)) {
 	var next atomic.Int64
@@ -127,11 +135,13 @@
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
+			cpu := cpuTime()
 			parallel(workers, b.N, func(n int) {
 				if answer, err := l.Heartbeat(b.Context(), heartbeats[n%workers]); err != nil || answer.GetRegisterAgain() {
 					b.Error(answer, err)
 				}
 			})
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-µs/heartbeat")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "heartbeats/s")
 		})
 	}
@@ -148,7 +158,7 @@
 			for n := range workers {
 				working.Go(func() { benchWorker(ctx, l, fmt.Sprint("w", n), &finished) })
 			}
-			before := log.entries.Load()
+			before, cpu := log.entries.Load(), cpuTime()
 			b.ReportAllocs()
 			b.ResetTimer()
 			parallel(1000, b.N, func(int) { _, _ = l.Submit(ctx, testSpec(100, 1000)) })
@@ -156,6 +166,7 @@
 				time.Sleep(time.Millisecond)
 			}
 			b.StopTimer()
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-µs/task")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "starts/s")
 			b.ReportMetric(float64(log.entries.Load()-before)/float64(b.N), "entries/task")
 			cancel()
