--- a/internal/domain/bench_test.go
+++ b/internal/domain/bench_test.go
@@ -39,51 +39,71 @@
 	return &pb.DomainCommand{Command: &pb.DomainCommand_Batch{Batch: batch}}
 }
 
-// BenchmarkApply measures one command, alone in an entry and in a batch, beside a number of queued tasks.
+// BenchmarkApply measures submits, and cycles of place, started and stopped with a checkpoint, which are three commands,
+// beside a number of tasks. Commands come alone in an entry or in a batch.
 func BenchmarkApply(b *testing.B) {
-	worker := func(n int) string { return fmt.Sprint("w", n%1200) }
-	kinds := []struct {
-		name    string
-		command func(int) *pb.DomainCommand
-	}{
-		{"submit", func(n int) *pb.DomainCommand { return submit(1<<30+n, 1000, "") }},
-		{"place", func(n int) *pb.DomainCommand { return place(on(n, 1, worker(n), uint64(n%1200+1))) }},
-		{"started", func(n int) *pb.DomainCommand {
-			return reports(worker(n), uint64(n%1200+1), report(n, 1, pb.AttemptEvent_ATTEMPT_EVENT_STARTED, 0))
-		}},
-		{"finished", func(n int) *pb.DomainCommand {
-			return reports(worker(n), uint64(n%1200+1), report(n, 1, pb.AttemptEvent_ATTEMPT_EVENT_FINISHED, 0))
-		}},
-	}
 	for _, size := range []int{1_000, 10_000, 100_000} {
 		for _, batch := range []int{1, benchBatch} {
-			a := filled(size)
-			for _, kind := range kinds {
-				b.Run(fmt.Sprintf("%s/tasks=%d/batch=%d", kind.name, size, batch), func(b *testing.B) {
-					benchApply(b, a, batch, kind.command)
-				})
-			}
+			b.Run(fmt.Sprintf("submit/tasks=%d/batch=%d", size, batch), func(b *testing.B) {
+				benchApply(b, filled(size), batch, func(n int) *pb.DomainCommand { return submit(1<<30+n, 1000, "") })
+			})
+			b.Run(fmt.Sprintf("cycle/tasks=%d/batch=%d", size, batch), func(b *testing.B) {
+				benchApply(b, filled(size), batch, cycle(size)...)
+			})
 		}
 	}
 }
 
-func benchApply(b *testing.B, a *applier, batch int, command func(int) *pb.DomainCommand) {
+// cycle returns the commands that run and stop task n%size once more.
+func cycle(size int) []func(int) *pb.DomainCommand {
+	event := func(event pb.AttemptEvent, sequence uint64) func(int) *pb.DomainCommand {
+		return func(n int) *pb.DomainCommand {
+			return reports(fmt.Sprint("w", n%1200), uint64(n%1200+1), report(n%size, uint32(n/size+1), event, sequence))
+		}
+	}
+	return []func(int) *pb.DomainCommand{
+		func(n int) *pb.DomainCommand {
+			return place(on(n%size, uint32(n/size+1), fmt.Sprint("w", n%1200), uint64(n%1200+1)))
+		},
+		event(pb.AttemptEvent_ATTEMPT_EVENT_STARTED, 0),
+		event(pb.AttemptEvent_ATTEMPT_EVENT_STOPPED, 1),
+	}
+}
+
+func benchApply(b *testing.B, a *applier, batch int, phases ...func(int) *pb.DomainCommand) {
 	b.ReportAllocs()
 	var entries [][]byte
 	for from := 0; from < b.N; from += batch {
-		c := batchOf(from, min(b.N, from+batch), command)
-		c.UnixMs = testNow
-		entry, err := proto.Marshal(c)
-		if err != nil {
-			b.Fatal(err)
+		for _, phase := range phases {
+			c := batchOf(from, min(b.N, from+batch), phase)
+			c.UnixMs = testNow
+			entry, err := proto.Marshal(c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			entries = append(entries, entry)
 		}
-		entries = append(entries, entry)
 	}
 	b.ResetTimer()
 	for _, entry := range entries {
 		a.index++
-		a.state.Apply(a.index, 1, entry)
+		result := a.state.Apply(a.index, 1, entry).(Result)
+		if err := firstError(result); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func firstError(r Result) error {
+	if r.Err != nil {
+		return r.Err
+	}
+	for _, one := range r.Batch {
+		if err := firstError(one); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // BenchmarkRequestRecords measures an intent with its outcome beside a number of records.
--- a/internal/leader/property_test.go
+++ b/internal/leader/property_test.go
@@ -55,7 +55,7 @@
 	one := rapid.Custom(func(t *rapid.T) fault {
 		return fault{
 			after:  time.Duration(rapid.IntRange(0, 6000).Draw(t, "after_ms")) * time.Millisecond,
-			kind:   rapid.SampledFrom([]string{"elect", "freeze", "restart", "silence", "evict", "evict", "cancel", "drain"}).Draw(t, "kind"),
+			kind:   rapid.SampledFrom([]string{"elect", "freeze", "stall", "restart", "silence", "evict", "evict", "cancel", "drain"}).Draw(t, "kind"),
 			target: rapid.IntRange(0, 5).Draw(t, "target"),
 			length: time.Duration(rapid.IntRange(100, 30000).Draw(t, "length_ms")) * time.Millisecond,
 		}
@@ -206,6 +206,8 @@
 		leader := s.cluster.current()
 		s.cluster.nodes[leader].freeze(f.length)
 		s.cluster.elect((leader+1)%3, f.length+time.Second)
+	case "stall": // the leader keeps leading
+		s.cluster.nodes[s.cluster.current()].freeze(f.length)
 	case "restart":
 		s.kill[worker]()
 		time.Sleep(f.length / 10)
@@ -255,8 +257,13 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		reckless := rapid.Bool().Draw(rt, "reckless")
+		patient := rapid.Bool().Draw(rt, "patient")
 		faults := drawFaults(rt)
-		h := simulate(t, seed, reckless, faults, nil)
+		h := simulate(t, seed, reckless, faults, func(s *simulation) {
+			if patient { // late answers are not cut off by the worker's timeout
+				s.options = func(o *standin.WorkerOptions) { o.RequestTimeout = 9 * time.Second }
+			}
+		})
 		runs += len(h.runs)
 		for _, r := range h.runs {
 			if r.resume != nil {
