--- a/internal/leader/sim_test.go
+++ b/internal/leader/sim_test.go
@@ -136,21 +136,13 @@
 }
 
 // catchUp applies all committed entries to the node.
-func (n *simNode) catchUp() any {
+func (n *simNode) catchUp() {
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
-	var last any
-	for {
-		n.cluster.mu.Lock()
-		if n.applied == len(n.cluster.entries) {
-			n.cluster.mu.Unlock()
-			return last
-		}
-		e := n.cluster.entries[n.applied]
-		n.cluster.mu.Unlock()
-		n.applied++
-		last = n.state.Apply(uint64(n.applied), e.term, e.entry)
-	}
+	n.cluster.mu.Lock()
+	committed := len(n.cluster.entries)
+	n.cluster.mu.Unlock()
+	n.applyUpTo(committed)
 }
 
 // Propose implements Log.
