--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -147,10 +147,12 @@
 	}
 }
 
-// BenchmarkTaskCycle measures tasks from submit to the committed end, with log entries that take 5 ms.
+// BenchmarkTaskCycle measures tasks from submit to the committed end, with log entries that take 5 ms. Tasks are
+// submitted as fast as they are accepted, or at a fixed rate per second.
 func BenchmarkTaskCycle(b *testing.B) {
-	for _, workers := range []int{100, 1_200, 6_000} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+	for _, c := range []struct{ workers, rate int }{{100, 0}, {1_200, 0}, {6_000, 0}, {1_200, 3_100}} {
+		workers := c.workers
+		b.Run(fmt.Sprintf("workers=%d/rate=%d", workers, c.rate), func(b *testing.B) {
 			l, log := benchLeader(b, workers, 5*time.Millisecond)
 			ctx, cancel := context.WithCancel(b.Context())
 			var working sync.WaitGroup
@@ -161,7 +163,13 @@
 			before, cpu := log.entries.Load(), cpuTime()
 			b.ReportAllocs()
 			b.ResetTimer()
-			parallel(1000, b.N, func(int) { _, _ = l.Submit(ctx, testSpec(100, 1000)) })
+			begin := time.Now()
+			parallel(1000, b.N, func(n int) {
+				if c.rate > 0 {
+					time.Sleep(time.Until(begin.Add(time.Duration(n) * time.Second / time.Duration(c.rate))))
+				}
+				_, _ = l.Submit(ctx, testSpec(100, 1000))
+			})
 			for finished.Load() < int64(b.N) {
 				time.Sleep(time.Millisecond)
 			}
