--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,6 +94,13 @@
 	return l, log
 }
 
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // parallel calls f for 0 to n-1 from some goroutines.
 func parallel(goroutines, n int, f func(int)) {
 	var next atomic.Int64
@@ -127,20 +135,24 @@
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
+			cpu := cpuTime()
 			parallel(workers, b.N, func(n int) {
 				if answer, err := l.Heartbeat(b.Context(), heartbeats[n%workers]); err != nil || answer.GetRegisterAgain() {
 					b.Error(answer, err)
 				}
 			})
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-µs/heartbeat")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "heartbeats/s")
 		})
 	}
 }
 
-// BenchmarkTaskCycle measures tasks from submit to the committed end, with log entries that take 5 ms.
+// BenchmarkTaskCycle measures tasks from submit to the committed end, with log entries that take 5 ms. Tasks are
+// submitted as fast as they are accepted, or at a fixed rate per second.
 func BenchmarkTaskCycle(b *testing.B) {
-	for _, workers := range []int{100, 1_200, 6_000} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+	for _, c := range []struct{ workers, rate int }{{100, 0}, {1_200, 0}, {6_000, 0}, {1_200, 3_100}} {
+		workers := c.workers
+		b.Run(fmt.Sprintf("workers=%d/rate=%d", workers, c.rate), func(b *testing.B) {
 			l, log := benchLeader(b, workers, 5*time.Millisecond)
 			ctx, cancel := context.WithCancel(b.Context())
 			var working sync.WaitGroup
@@ -148,14 +160,21 @@
 			for n := range workers {
 				working.Go(func() { benchWorker(ctx, l, fmt.Sprint("w", n), &finished) })
 			}
-			before := log.entries.Load()
+			before, cpu := log.entries.Load(), cpuTime()
 			b.ReportAllocs()
 			b.ResetTimer()
-			parallel(1000, b.N, func(int) { _, _ = l.Submit(ctx, testSpec(100, 1000)) })
+			begin := time.Now()
+			parallel(1000, b.N, func(n int) {
+				if c.rate > 0 {
+					time.Sleep(time.Until(begin.Add(time.Duration(n) * time.Second / time.Duration(c.rate))))
+				}
+				_, _ = l.Submit(ctx, testSpec(100, 1000))
+			})
 			for finished.Load() < int64(b.N) {
 				time.Sleep(time.Millisecond)
 			}
 			b.StopTimer()
+			b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(b.N), "cpu-µs/task")
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "starts/s")
 			b.ReportMetric(float64(log.entries.Load()-before)/float64(b.N), "entries/task")
 			cancel()
