--- a/internal/placement/cost_bench_test.go
+++ b/internal/placement/cost_bench_test.go
@@ -44,3 +44,30 @@
 	b.ReportMetric(float64(r.Max.Microseconds()), "plan-max-us")
 	b.ReportMetric(float64(r.Placed), "placed")
 }
+
+// BenchmarkMemory reports the bytes of heap for each worker with ten running tasks that report usage, and for each
+// queued task, to derive slopes from three sizes.
+func BenchmarkMemory(b *testing.B) {
+	for _, workers := range []int{65, 1200, 6000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				m := sim.Memory(sim.LoadConditions{Seed: 1, Workers: workers, Rate: 3100, Running: 10 * workers, Kinds: 20}, attach)
+				b.ReportMetric(float64(m.Workers)/float64(workers), "B/worker")
+				b.ReportMetric(float64(m.Running)/float64(10*workers), "B/running-task")
+				b.ReportMetric(float64(m.Queued)/float64(10*workers), "B/queued-task")
+				b.ReportMetric(float64(m.Total)/1e6, "total-MB")
+			}
+		})
+	}
+}
+
+// BenchmarkCancel reports the cost of a cancellation out of a long queue. The cost must not grow with the queue.
+func BenchmarkCancel(b *testing.B) {
+	for _, queued := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(sim.CancelWave(queued, 1, attach).Nanoseconds())/float64(queued), "ns/cancel")
+			}
+		})
+	}
+}
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -108,7 +108,7 @@
 }
 
 // fewest returns the fewest of candidates that together hold missing, the cheapest among equally many. Sets of more
-// than two are chosen greedily.
+// than two are chosen greedily: the largest first, and the cheapest that suffices last.
 func fewest(candidates []*task, missing vector, cost func(*task) float64) []*task {
 	if missing.fits(vector{}) {
 		return []*task{}
@@ -160,8 +160,9 @@
 	})
 	var chosen []*task
 	held := vector{}
-	for _, t := range candidates {
-		if missing.fits(held) {
+	for i, t := range candidates {
+		if last := cheapestOne(candidates[i:], missing.minus(held), cost); last != nil {
+			chosen, held = append(chosen, last), held.plus(last.occupied)
 			break
 		}
 		chosen, held = append(chosen, t), held.plus(t.occupied)
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -26,10 +26,16 @@
 	recentAt int64
 }
 
-// harm is the prior of the pairs of one aggressor.
+// harm is the prior of the pairs of one aggressor: the mean effect on its recent victims. Without samples it returns to
+// first, the prior of the class.
 type harm struct {
-	mean, variance, deviation float64
-	weight                    float64 // 0 if the kind is not known
+	first, mean         float64
+	variance, deviation float64
+	weight              float64 // samples that the mean counts for; 0 if the kind is not known
+	at                  int64   // Unix ms of the newest sample
+	// recent is the mean as of recentAt.
+	recent   float64
+	recentAt int64
 }
 
 const (
@@ -64,16 +70,28 @@
 // expect sets the prior of a kind that has none yet.
 func (m *interference) expect(aggressor kindID, batch bool) {
 	for int(aggressor) >= len(m.harm) {
-		m.harm = append(m.harm, harm{mean: batchHarm, variance: batchVariance, deviation: math.Sqrt(batchVariance)})
+		m.harm = append(m.harm, newHarm(batchHarm, batchVariance, 0))
 	}
-	h := &m.harm[aggressor]
-	if h.weight > 0 {
-		return
+	switch h := &m.harm[aggressor]; {
+	case h.weight > 0:
+	case batch:
+		h.weight = priorWeight
+	default:
+		*h = newHarm(latencyHarm, latencyVariance, priorWeight)
 	}
-	h.weight = priorWeight
-	if !batch {
-		h.mean, h.variance, h.deviation = latencyHarm, latencyVariance, math.Sqrt(latencyVariance)
+}
+
+func newHarm(mean, variance, weight float64) harm {
+	return harm{first: mean, mean: mean, variance: variance, deviation: math.Sqrt(variance), weight: weight}
+}
+
+// prior returns the prior of the pairs of an aggressor at time now, aged at most every recentMs.
+func (m *interference) prior(aggressor kindID, now int64) *harm {
+	h := &m.harm[aggressor]
+	if now-h.recentAt >= recentMs {
+		h.recent, h.recentAt = h.first+(h.mean-h.first)*m.remaining(now-h.at), now
 	}
+	return h
 }
 
 // lookup returns the pair or nil.
@@ -93,11 +111,11 @@
 func (m *interference) estimate(victim, aggressor kindID, now int64) effect {
 	p := m.lookup(victim, aggressor)
 	if p == nil {
-		h := &m.harm[aggressor]
-		return effect{h.mean, h.deviation}
+		h := m.prior(aggressor, now)
+		return effect{h.recent, h.deviation}
 	}
 	if now-p.recentAt >= recentMs {
-		mean, variance := p.aged(&m.harm[aggressor], m.remaining(now-p.at))
+		mean, variance := p.aged(m.prior(aggressor, now), m.remaining(now-p.at))
 		p.recent, p.recentAt = effect{mean, math.Sqrt(variance)}, now
 	}
 	return p.recent
@@ -105,7 +123,7 @@
 
 // aged returns mean and variance when only the share keep of what was learned remains.
 func (p *pair) aged(prior *harm, keep float64) (mean, variance float64) {
-	return prior.mean + (p.mean-prior.mean)*keep, prior.variance + (p.variance-prior.variance)*keep
+	return prior.recent + (p.mean-prior.recent)*keep, prior.variance + (p.variance-prior.variance)*keep
 }
 
 // remaining is the share of an estimate that is kept after age ms. The cheap path covers the usual case of fresh
@@ -162,14 +180,18 @@
 	}
 	p.at = max(p.at, taken)
 	p.recentAt = 0
-	m.learnHarm(n.kind, p.mean)
+	m.learnHarm(n.kind, p.mean, taken)
 }
 
 // harmSamples is the number of samples over which the mean effect of a kind is averaged.
 const harmSamples = 64
 
-func (m *interference) learnHarm(aggressor kindID, mean float64) {
+func (m *interference) learnHarm(aggressor kindID, mean float64, taken int64) {
 	h := &m.harm[aggressor]
+	if taken > h.at {
+		h.mean = h.first + (h.mean-h.first)*m.remaining(taken-h.at)
+		h.at = taken
+	}
 	h.weight = min(harmSamples, h.weight+1)
 	h.mean += (mean - h.mean) / h.weight
 }
@@ -181,7 +203,7 @@
 		return m.add(victim, aggressor, at)
 	}
 	if at > p.at {
-		p.mean, p.variance = p.aged(&m.harm[aggressor], m.remaining(at-p.at))
+		p.mean, p.variance = p.aged(m.prior(aggressor, at), m.remaining(at-p.at))
 		p.at = at
 	}
 	return p
@@ -200,8 +222,8 @@
 	for int(aggressor) >= len(m.pairs[victim]) {
 		m.pairs[victim] = append(m.pairs[victim], nil)
 	}
-	prior := &m.harm[aggressor]
-	p := &pair{mean: prior.mean, variance: prior.variance, at: at, surprise: 1}
+	prior := m.prior(aggressor, at)
+	p := &pair{mean: prior.recent, variance: prior.variance, at: at, surprise: 1}
 	m.pairs[victim][aggressor] = p
 	m.count++
 	return p
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -17,7 +17,6 @@
 	rackWeight = 1.0
 	// Accelerators are kept for tasks that need them unless this costs more than a slow-down by 20%.
 	acceleratorWeight = 0.2
-	suspectWeight     = 0.5
 	// deviations of uncertainty are added to the predicted slow-down of tasks of latency classes.
 	deviations = 0.5
 	maxSlow    = 2.0
@@ -36,7 +35,7 @@
 	if t.size.accelerators == 0 && w.capacity.accelerators > 0 {
 		s += acceleratorWeight
 	}
-	return s + suspectWeight*float64(len(w.health.failures))
+	return s
 }
 
 func packing(t *task) float64 {
