placement: report gangs that lost a task before they started, widen the property test

A gang of which a task was cancelled before the start waited for ever without a report. The property test now also removes workers and withdraws a contract, and the accounting check is shown to fail on seven seeded faults.

--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -200,12 +200,22 @@
 		if t.bucket != nil && occupies(m.GetState()) {
 			t.bucket.servedAt = now
 		}
+		c.noteBrokenGang(t, m)
 		c.detach(t, now)
 		t.update(m, now)
 		c.attach(t, m.GetWorker(), now)
 	}
 }
 
+// noteBrokenGang marks a gang that lost a task before it started.
+func (c *cache) noteBrokenGang(t *task, m *pb.Task) {
+	if t.bucket == nil || t.gang == "" || t.attempt > 0 || occupies(m.GetState()) || m.GetState() == pb.TaskState_TASK_STATE_QUEUED {
+		return
+	}
+	t.bucket.broken = true
+	c.feasibility.check(t.bucket)
+}
+
 // changeState moves a placed task between starting, running and evicting.
 func (c *cache) changeState(t *task, m *pb.Task, now int64) {
 	w := t.worker
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -62,3 +62,23 @@
 	}
 	return nil
 }
+
+// AccountingFaults damage the cache in ways that CheckAccounting must notice. They need one placed batch task.
+var AccountingFaults = map[string]func(p *Planner){
+	"used":      func(p *Planner) { placedTask(p).worker.used.cores++ },
+	"evictable": func(p *Planner) { placedTask(p).worker.evictable.cores-- },
+	"releasing": func(p *Planner) { placedTask(p).worker.releasing.cores++ },
+	"condemned": func(p *Planner) { placedTask(p).condemned = true },
+	"quota":     func(p *Planner) { placedTask(p).contract.account.used.cores++ },
+	"charge":    func(p *Planner) { p.cache.queue.flow(placedTask(p)).charge++ },
+	"index":     func(p *Planner) { w := placedTask(p).worker; p.cache.free.set(w.slot, w.room().plus(vector{cores: 1})) },
+}
+
+func placedTask(p *Planner) *task {
+	for _, t := range p.cache.tasks {
+		if t.stay != nil {
+			return t
+		}
+	}
+	return nil
+}
--- a/internal/placement/feasible.go
+++ b/internal/placement/feasible.go
@@ -165,7 +165,10 @@
 
 // gangRefused returns why the workers together cannot hold the gang of b, or "".
 func (c *cache) gangRefused(b *bucket, total vector) (string, bool) {
-	if b.count < int(b.head.gangSize) {
+	if !complete(b) {
+		if b.broken {
+			return "a task of the gang ended before the gang started", false
+		}
 		return "", false // checked again when it is complete
 	}
 	size, uniform := b.uniformSize()
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// removeWorker removes a lost worker for good.
+func (m *machine) removeWorker(t *rapid.T) {
+	id := fmt.Sprintf("w%d", rapid.IntRange(0, 8).Draw(t, "worker"))
+	if old := m.world.Workers[id]; old.GetState() == pb.WorkerState_WORKER_STATE_LOST {
+		delete(m.world.Workers, id)
+		m.world.Planner.RemoveWorker(id)
+	}
+}
+
+func (m *machine) withdraw(*rapid.T) {
+	c := m.world.Contracts["a2"]
+	c.Resolved = &pb.ResolvedLimits{} // nothing may be placed under it, and work under it may be ended
+	m.world.Planner.RemoveContract("a2")
+}
+
 func (m *machine) changeContract(t *rapid.T) {
 	m.world.AddContract(contract("a1", memberA, "", rapid.Int64Range(1, 6).Draw(t, "limit")*10000))
 }
@@ -200,7 +215,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.submit, "submit2": m.submit, "step": m.step, "step2": m.step, "progress": m.progress,
 			"cancel": m.cancel, "observe": m.observe, "worker": m.changeWorker, "contract": m.changeContract,
-			"advance": m.advance, "": m.accounting,
+			"advance": m.advance, "remove": m.removeWorker, "withdraw": m.withdraw, "": m.accounting,
 		})
 	})
 }
@@ -262,3 +277,19 @@
 	w.SetWorkerState("w2", pb.WorkerState_WORKER_STATE_DRAINING)
 	return w
 }
+
+// Guards against an accounting check that passes everything.
+func TestAccountingCheckRejectsFaults(t *testing.T) {
+	for name, fault := range placement.AccountingFaults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDomain(t, 2, placement.Config{})
+			d.submit(batch, 1000)
+			d.run()
+			p := d.Planner.(*placement.Planner)
+			is.NoErr(p.CheckAccounting())
+			fault(p)
+			is.True(p.CheckAccounting() != nil)
+		})
+	}
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -54,6 +54,8 @@
 	position   int // in flow.buckets
 	// infeasible says why its tasks can never run; empty otherwise.
 	infeasible string
+	// broken is set when a task of the gang ended before the gang started.
+	broken bool
 	// listed is set while the bucket waits for a check of feasibility.
 	listed bool
 	// servedAt is when a task of the bucket was last placed. Unix ms.
--- a/internal/placement/scenario_test.go
+++ b/internal/placement/scenario_test.go
@@ -252,6 +252,10 @@
 	for _, c := range cases {
 		is.True(strings.Contains(reasons[c.task.GetId()], c.reason))
 	}
+	pair := func(s *pb.TaskSpec) { s.Gang, s.GangSize = "h", 2 }
+	cancelled, left := d.submit(batch, 100, pair), d.submit(batch, 100, pair)
+	d.End(cancelled, pb.TaskState_TASK_STATE_CANCELLED)
+	is.Equal(d.step().Unschedulable[0].GetTask(), left.GetId())
 	d.SetWorkerState("w1", pb.WorkerState_WORKER_STATE_LOST) // the only one with an accelerator
 	is.Equal(len(d.step().Unschedulable), 0)
 	d.after(6 * time.Second)
