placement: go on behind tasks that do not fit

Cause: a plan tries 256 tasks plus twice its size. More shapes that do not fit than that, queued ahead in one member, kept the tasks behind them from being tried at all. Every other plan now goes on where the last one ran out, and tasks that exceed the largest free amounts or their quota no longer count as tried.

The new test fails with the resume mark set to 0.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,7 +20,7 @@
 	condemned []*task
 	// promised lists urgent tasks that wait for room in their quota.
 	promised []*task
-	// attempts is the number of tasks that may still be tried.
+	// attempts is the number of tasks that may be tried in each class.
 	attempts int
 }
 
@@ -59,11 +59,10 @@
 }
 
 func (s *planning) placeAll() {
-	flows := &s.cache.queue.flows
-	s.placeInOrder(newOrder(flows[0]), s.max)
+	s.placeClass(0)
 	s.placeAged()
-	s.placeInOrder(newOrder(flows[1]), s.max)
-	s.placeInOrder(newOrder(flows[2]), s.max)
+	s.placeClass(1)
+	s.placeClass(2)
 	s.round++
 }
 
@@ -110,17 +109,49 @@
 		(t.gang == "" || complete(t.bucket))
 }
 
-func (s *planning) placeInOrder(o *order, max int) {
-	for len(s.plan.Placements) < max && s.attempts > 0 {
+// placeClass places tasks of one class in fair order. A plan that runs out of attempts among tasks that do not fit
+// leaves a mark, and every other plan goes on behind it, so that they never block what is queued behind them.
+func (s *planning) placeClass(rank int) {
+	o := newOrder(s.cache.queue.flows[rank])
+	skip := 0
+	goesOn := s.round%2 == 1
+	if goesOn {
+		skip = s.resume[rank]
+	}
+	attempts, failed := s.attempts, 0
+	for len(s.plan.Placements) < s.max && attempts > 0 {
 		walk := o.next()
 		if walk == nil {
+			s.resume[rank] = 0
 			return
 		}
-		s.attempts--
-		if s.place(walk.take()) != blocked {
+		t := walk.take()
+		if s.hopeless(t) {
+			continue
+		}
+		if failed < skip {
+			failed++
+			continue
+		}
+		attempts--
+		if s.place(t) == blocked {
+			failed++
+		} else {
 			walk.keep()
 		}
 	}
+	if attempts == 0 && goesOn {
+		s.resume[rank] = failed
+	}
+}
+
+// hopeless reports at little cost that t cannot be placed now.
+func (s *planning) hopeless(t *task) bool {
+	if t.bucket.infeasible != "" {
+		return true
+	}
+	return !t.urgent() && t.gang == "" && t.bucket.reservations == 0 &&
+		(!t.contract.allows(t.size, t.class) || !s.cache.free.holds(t.size))
 }
 
 // place finds a worker for t, or workers for its whole gang.
--- a/internal/placement/scenario_test.go
+++ b/internal/placement/scenario_test.go
@@ -383,3 +383,24 @@
 	}
 	is.Equal(len(racks), 3)
 }
+
+// Guards against tasks that do not fit now blocking those behind them, also when there are more of them than one plan
+// tries. The memory of one worker and the cores of the other are in use, so each has to be searched for.
+func TestTasksThatDoNotFitBlockNobody(t *testing.T) {
+	is := is.New(t)
+	d := newDomain(t, 2, placement.Config{})
+	d.submit(batch, 8000)
+	d.run()
+	d.submit(batch, 100, func(s *pb.TaskSpec) { s.Resources.MemoryBytes = 8000 })
+	d.run()
+	for i := range 2000 {
+		d.submit(batch, 200+int64(i), func(s *pb.TaskSpec) { s.Resources.MemoryBytes = 1000 })
+	}
+	last := d.submit(batch, 50)
+	last.SubmittedUnixMs++
+	for range 20 {
+		d.after(10 * time.Millisecond)
+		d.run()
+	}
+	is.Equal(last.GetState(), running)
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -138,6 +138,8 @@
 	cache  *cache
 	// round counts plans, to give aged tasks their turn.
 	round int
+	// resume is the number of blocked buckets behind which the next plan goes on, by class.
+	resume [numClasses]int
 }
 
 // New returns a Planner with an empty cache.
