placement: wait before a refused start is tried again

A worker that refuses a start, because it still holds an attempt that the leader has closed, was proposed again in the next plan. The task now waits 200 ms. Adds a test of the 4.8 s limit for urgent tasks on full workers.

--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -56,6 +56,9 @@
 	if m.GetFailures() > t.failures || len(m.GetFailedOn()) > len(t.failedOn) {
 		c.startFailed(t, m, now)
 	}
+	if t.state == pb.TaskState_TASK_STATE_STARTING && m.GetState() == pb.TaskState_TASK_STATE_QUEUED {
+		t.notBefore = max(t.notBefore, now+firstRetryDelayMs) // a refused start would be refused again at once
+	}
 	if t.state == pb.TaskState_TASK_STATE_RUNNING && m.GetState() == pb.TaskState_TASK_STATE_FINISHED && t.stay != nil {
 		c.noteRunTime(t, now)
 	}
--- a/internal/placement/scenario_test.go
+++ b/internal/placement/scenario_test.go
@@ -404,3 +404,30 @@
 	}
 	is.Equal(last.GetState(), running)
 }
+
+// Guards against urgent tasks that start later than 4.8 s after their submit on full workers, and against more victims
+// than room for them needs. The benchmark BenchmarkUrgent runs the same for longer.
+func TestUrgentStartsInTime(t *testing.T) {
+	is := is.New(t)
+	c := sim.UrgentConditions(1)
+	c.Warmup, c.Duration = 20*time.Second, 20*time.Second
+	r, err := sim.Drive(c, func(now func() time.Time) sim.Planner {
+		return placement.New(placement.Config{Seed: 1, Now: now})
+	})
+	is.NoErr(err)
+	is.True(r.Urgent >= 20)
+	is.True(r.UrgentWait <= 4800*time.Millisecond)
+	is.True(r.Evictions <= 2*r.Urgent)
+}
+
+// Guards against a refused start that is repeated in every plan.
+func TestRefusedStartWaits(t *testing.T) {
+	is := is.New(t)
+	d := newDomain(t, 1, placement.Config{})
+	refused := d.submit(batch, 1000)
+	is.Equal(len(d.step().Placements), 1)
+	d.SetState(refused, pb.TaskState_TASK_STATE_QUEUED)
+	is.Equal(len(d.step().Placements), 0)
+	d.after(200 * time.Millisecond)
+	is.Equal(len(d.step().Placements), 1)
+}
