--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -9,14 +9,14 @@
 
 // health tracks failed starts on one worker.
 type health struct {
+	// probing limits the worker to one task until a start succeeds.
+	probing bool
 	// failures lists the distinct tasks that failed at start since the last success.
 	failures []startFailure
 	// until is when a quarantined worker is probed. Unix ms.
 	until int64
 	// delay is the length of the last quarantine in ms.
 	delay int64
-	// probing limits the worker to one task until a start succeeds.
-	probing bool
 	// releasedAt is when the last probe succeeded. Unix ms.
 	releasedAt int64
 }
@@ -56,6 +56,9 @@
 	if m.GetFailures() > t.failures || len(m.GetFailedOn()) > len(t.failedOn) {
 		c.startFailed(t, m, now)
 	}
+	if t.state == pb.TaskState_TASK_STATE_STARTING && m.GetState() == pb.TaskState_TASK_STATE_QUEUED {
+		t.notBefore = max(t.notBefore, now+firstRetryDelayMs) // a refused start would be refused again at once
+	}
 	if t.state == pb.TaskState_TASK_STATE_RUNNING && m.GetState() == pb.TaskState_TASK_STATE_FINISHED && t.stay != nil {
 		c.noteRunTime(t, now)
 	}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -17,7 +17,6 @@
 	rackWeight = 1.0
 	// Accelerators are kept for tasks that need them unless this costs more than a slow-down by 20%.
 	acceleratorWeight = 0.2
-	suspectWeight     = 0.5
 	// deviations of uncertainty are added to the predicted slow-down of tasks of latency classes.
 	deviations = 0.5
 	maxSlow    = 2.0
@@ -36,7 +35,7 @@
 	if t.size.accelerators == 0 && w.capacity.accelerators > 0 {
 		s += acceleratorWeight
 	}
-	return s + suspectWeight*float64(len(w.health.failures))
+	return s
 }
 
 func packing(t *task) float64 {
@@ -56,9 +55,9 @@
 	own, others := 0.0, 0.0
 	for i := range w.groups {
 		g := &w.groups[i]
-		n := float64(g.count)
+		n, class := float64(g.count), pb.TaskClass(g.class)
 		own += n * p.slowdown(t.kind, t.class, g.kind, nowMs)
-		others += n * p.weight(g.class) * g.worsened * p.slowdown(g.kind, g.class, t.kind, nowMs)
+		others += n * p.weight(class) * float64(g.worsened) * p.slowdown(g.kind, class, t.kind, nowMs)
 	}
 	return p.weight(t.class)*own + others
 }
