--- /dev/null
+++ b/internal/systemtest/bench_test.go
@@ -0,0 +1,175 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// cpuTime returns the processor time that a process has used. A tick is 10 ms on Linux.
+func cpuTime(b *testing.B, p *process) time.Duration {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(content[strings.LastIndexByte(string(content), ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// residentBytes returns the memory of a process.
+func residentBytes(b *testing.B, p *process) int64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(content))[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// BenchmarkIdleEntryVM measures processor time and memory of entry VMs without work, by their number.
+func BenchmarkIdleEntryVM(b *testing.B) {
+	const measured = 10 * time.Second
+	for _, perDomain := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("vms=%d", 3*perDomain), func(b *testing.B) {
+			d := newDeployment(b)
+			for _, name := range []string{"a", "b", "c"} {
+				for i := range perDomain {
+					d.addVM(fmt.Sprintf("vm-%s%d", name, i), name, i == 0)
+				}
+				d.voters[name] = []string{"vm-" + name + "0"}
+			}
+			d.config = []string{"vm-a0", "vm-b0", "vm-c0"}
+			d.start()
+			time.Sleep(3 * time.Second)
+			b.ResetTimer()
+			var before, after time.Duration
+			var memory int64
+			for _, v := range d.vms {
+				before += cpuTime(b, v.process)
+			}
+			time.Sleep(measured)
+			for _, v := range d.vms {
+				after += cpuTime(b, v.process)
+				memory += residentBytes(b, v.process)
+			}
+			vms := float64(len(d.vms))
+			b.ReportMetric(100*float64(after-before)/float64(measured)/vms, "core%/vm")
+			b.ReportMetric(float64(memory)/vms/1e6, "MB/vm")
+		})
+	}
+}
+
+// BenchmarkWorkerSide measures what the worker side of the protocol costs a node, by running tasks.
+func BenchmarkWorkerSide(b *testing.B) {
+	const measured = 10 * time.Second
+	for _, tasks := range []int{0, 13, 52} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			d := threeDomains(b)
+			d.start()
+			d.applyNote(d.vms[0], note(1, batchContract()))
+			d.waitNoteEverywhere(1, time.Second)
+			worker := d.startWorker("w", "a", "--cores", "64")
+			var last string
+			for range tasks {
+				spec := batchTask("t", `{"run_ms": 600000}`, "a")
+				spec.Resources = &pb.Resources{Millicores: 500, MemoryBytes: 1 << 20}
+				last = d.submit(d.vms[0], spec).Id
+			}
+			if last != "" {
+				d.waitTask(d.vms[0], last, pb.TaskState_TASK_STATE_RUNNING, 20*time.Second)
+			}
+			time.Sleep(2 * time.Second)
+			b.ResetTimer()
+			before, beforeVM := cpuTime(b, worker), cpuTime(b, d.vms[0].process)
+			time.Sleep(measured)
+			b.ReportMetric(100*float64(cpuTime(b, worker)-before)/float64(measured), "core%/worker")
+			b.ReportMetric(100*float64(cpuTime(b, d.vms[0].process)-beforeVM)/float64(measured), "core%/leader")
+			b.ReportMetric(float64(residentBytes(b, worker))/1e6, "MB/worker")
+			b.ReportMetric(float64(heartbeatBytes(b, tasks)), "B/heartbeat")
+		})
+	}
+}
+
+// heartbeatBytes is the size of a heartbeat's body with one usage sample for each running task.
+func heartbeatBytes(b *testing.B, tasks int) int {
+	heartbeat := &pb.WorkerHeartbeat{Worker: "worker-0001", Epoch: 12345, WaitMs: 1000}
+	for range tasks {
+		id := "wonju/" + domain.NewKey(time.Now())
+		heartbeat.Running = append(heartbeat.Running, &pb.AttemptRef{Task: id, Attempt: 1})
+		heartbeat.Usage = append(heartbeat.Usage, &pb.UsageSample{Task: id, Attempt: 1, TakenUnixMs: time.Now().UnixMilli(),
+			Millicores: 980, MemoryBytes: 1 << 28, Speed: 0.93})
+	}
+	encoded, err := protojson.Marshal(heartbeat)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(encoded)
+}
+
+// BenchmarkNoteInForce measures the time from the acknowledgement of a note until it is in force on every entry VM.
+func BenchmarkNoteInForce(b *testing.B) {
+	d := twoVMDomains(b)
+	d.start()
+	var times []time.Duration
+	for number := uint64(1); number <= uint64(b.N); number++ {
+		d.applyNote(d.vms[0], note(number, &pb.Contract{Name: fmt.Sprint("c", number), Member: "hanbit",
+			Limits: &pb.ContractLimits{Cores: "1 core"}}))
+		times = append(times, d.waitNoteEverywhere(number, 7*time.Second))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "max-ms")
+}
+
+// BenchmarkRequestThroughProcesses compares a request through an entry VM with a direct call to the same executor.
+func BenchmarkRequestThroughProcesses(b *testing.B) {
+	for _, work := range []string{"0s", "5ms"} {
+		d := threeDomains(b)
+		d.start()
+		d.applyNote(d.vms[0], note(1, serviceContract()))
+		d.waitNoteEverywhere(1, time.Second)
+		address := freeTCP(b)
+		d.startExecutor("executor-a", "a", "--work", work, "--listen", address)
+		eventually(b, 5*time.Second, "a request", func() bool {
+			return request(d.vms[0], http.MethodGet, "/", "", nil).status == http.StatusOK
+		})
+		direct := &vm{http: address}
+		b.Run("work="+work, func(b *testing.B) {
+			var through, alone []time.Duration
+			for range b.N {
+				through = append(through, timed(b, d.vms[0]))
+				alone = append(alone, timed(b, direct))
+			}
+			slices.Sort(through)
+			slices.Sort(alone)
+			report := func(name string, quantile float64) {
+				i := int(quantile * float64(len(through)-1))
+				b.ReportMetric(float64(through[i])/float64(alone[i]), name+"-ratio")
+				b.ReportMetric(float64(through[i].Microseconds()), name+"-us")
+			}
+			report("p50", 0.5)
+			report("p99", 0.99)
+		})
+		d.stop()
+	}
+}
+
+func timed(b *testing.B, v *vm) time.Duration {
+	begin := time.Now()
+	if got := request(v, http.MethodGet, "/", "", nil); got.status != http.StatusOK {
+		b.Fatalf("request: status %d, %v", got.status, got.err)
+	}
+	return time.Since(begin)
+}
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -60,7 +60,7 @@
 
 // deployment is a set of entry VMs with their settings in a temporary folder.
 type deployment struct {
-	t      *testing.T
+	t      testing.TB
 	folder string
 	vms    []*vm
 	voters map[string][]string // domain to voters
@@ -71,7 +71,7 @@
 }
 
 // threeDomains has one entry VM with a disk in each of three domains.
-func threeDomains(t *testing.T) *deployment {
+func threeDomains(t testing.TB) *deployment {
 	d := newDeployment(t)
 	for _, name := range []string{"a", "b", "c"} {
 		d.addVM("vm-"+name, name, true)
@@ -83,7 +83,7 @@
 
 // twoVMDomains has three domains with two entry VMs each, of which one has a
 // disk, and a witness in the next domain as third voter.
-func twoVMDomains(t *testing.T) *deployment {
+func twoVMDomains(t testing.TB) *deployment {
 	d := newDeployment(t)
 	names := []string{"a", "b", "c"}
 	for i, name := range names {
@@ -96,7 +96,7 @@
 	return d
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t testing.TB) *deployment {
 	return &deployment{t: t, folder: t.TempDir(), voters: make(map[string][]string), relays: make(map[string]*relay)}
 }
 
@@ -110,7 +110,7 @@
 
 const firstPort = 20000
 
-func freePort(t *testing.T, bind func(address string) (io.Closer, error)) string {
+func freePort(t testing.TB, bind func(address string) (io.Closer, error)) string {
 	for range 5000 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
 		if closer, err := bind(address); err == nil {
@@ -122,11 +122,11 @@
 	return ""
 }
 
-func freeTCP(t *testing.T) string {
+func freeTCP(t testing.TB) string {
 	return freePort(t, func(address string) (io.Closer, error) { return net.Listen("tcp", address) })
 }
 
-func freeUDP(t *testing.T) string {
+func freeUDP(t testing.TB) string {
 	return freePort(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp", address) })
 }
 
@@ -309,7 +309,7 @@
 	done chan struct{}
 }
 
-func startProcess(t *testing.T, logFile string, args ...string) *process {
+func startProcess(t testing.TB, logFile string, args ...string) *process {
 	t.Helper()
 	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -338,7 +338,7 @@
 }
 
 // terminate asks for a graceful shutdown and waits.
-func (p *process) terminate(t *testing.T, limit time.Duration) {
+func (p *process) terminate(t testing.TB, limit time.Duration) {
 	t.Helper()
 	p.signal(syscall.SIGTERM)
 	select {
@@ -349,7 +349,7 @@
 }
 
 // eventually polls until condition holds, and fails the test after the limit.
-func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) time.Duration {
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
 	t.Helper()
 	begin := time.Now()
 	for time.Since(begin) < limit {
