--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -262,13 +262,16 @@
 		if g := tables[vm].TryAcquire(r); g != nil {
 			return g.Target(), func(d time.Duration) { g.Release(Outcome{Latency: d, Status: 200}) }
 		}
+		best, least := vm, uint32(simSlots*simExecutors/simVMs)
 		for other := range tables {
-			if tables[other].Load().Services[0].InFlight >= simSlots*simExecutors/simVMs {
-				continue
+			if used := tables[other].Load().Services[0].InFlight; used < least {
+				best, least = other, used
 			}
+		}
+		if best != vm {
 			s.hop()
 			time.Sleep(simHop)
-			return waitFor(tables[other])
+			return waitFor(tables[best])
 		}
 		return waitFor(tables[vm])
 	}
@@ -310,18 +313,21 @@
 	s.acquire = func() (string, func(time.Duration)) {
 		vm := s.arrival()
 		for {
-			target, release := waitFor(tables[vm])
-			if accept(target) {
-				return target, func(d time.Duration) {
+			g, err := tables[vm].Acquire(context.Background(), Request{Service: "s", Member: "m"})
+			if err != nil {
+				panic(err)
+			}
+			if accept(g.Target()) {
+				return g.Target(), func(d time.Duration) {
 					mu.Lock()
-					inUse[target]--
+					inUse[g.Target()]--
 					mu.Unlock()
-					release(d)
+					g.Release(Outcome{Latency: d, Status: 200})
 				}
 			}
 			s.hop()
 			time.Sleep(simHop)
-			release(simHop)
+			g.Release(Outcome{Result: Unused})
 		}
 	}
 }
