--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -5,6 +5,8 @@
 const (
 	// sampleWeight is the weight of one sample in the moving averages of one executor.
 	sampleWeight = 0.125
+	// fadeWeight is the share forgotten at each announcement.
+	fadeWeight = 0.1
 	// failingRate is the share of failures at which an executor is set aside: five failures in a row
 	// after none reach it.
 	failingRate = 0.48
@@ -22,6 +24,8 @@
 	probeSuccesses = 3
 )
 
+const reasonSlow = "slow"
+
 // health is what the table knows of the answers of one executor.
 type health struct {
 	// latency is the moving average in seconds; 0 before the first answer.
@@ -30,7 +34,9 @@
 	// failing is the moving average of failures, 0 to 1.
 	failing float64
 
-	setAside      bool
+	setAside bool
+	// slow is the reason for which the executor was set aside last.
+	slow          bool
 	setAsideUntil time.Time
 	period        time.Duration
 	probing       bool
@@ -52,6 +58,15 @@
 	}
 }
 
+// fade moves what is known towards the pool at each announcement, so that an executor which is no
+// longer chosen is tried again: half of it is forgotten in 3.5 s.
+func (h *health) fade(poolLatency float64) {
+	h.failing -= fadeWeight * h.failing
+	if h.latency > 0 && poolLatency > 0 {
+		h.latency += fadeWeight * (poolLatency - h.latency)
+	}
+}
+
 func (h *health) recordLatency(sample float64) {
 	if h.latency == 0 {
 		h.latency = sample
@@ -69,7 +84,7 @@
 	case h.failing >= failingRate && h.failing >= othersFailing()+failingMargin:
 		return "failing"
 	case h.samples >= slowSamples && poolLatency > 0 && h.latency > slowFactor*poolLatency:
-		return "slow"
+		return reasonSlow
 	}
 	return ""
 }
