--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,11 +8,7 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"fmt"
 	"io"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -115,52 +111,9 @@
 	for line := range s.queue {
 		buffer := s.buffers.Get().(*bytes.Buffer)
 		buffer.Reset()
-		if err := writeKeyValue(buffer, line); err != nil {
-			buffer.Reset()
-			buffer.Write(line)
-		}
+		writeKeyValue(buffer, line)
 		// A failed write is not reported: the log is the place where it would be.
 		_, _ = s.out.Write(buffer.Bytes())
 		s.buffers.Put(buffer)
 	}
 }
-
-// writeKeyValue converts one JSON object to a line of key=value pairs in the same order.
-func writeKeyValue(out *bytes.Buffer, line []byte) error {
-	decoder := json.NewDecoder(bytes.NewReader(line))
-	decoder.UseNumber()
-	if _, err := decoder.Token(); err != nil {
-		return fmt.Errorf("read log line: %w", err)
-	}
-	for decoder.More() {
-		key, err := decoder.Token()
-		if err != nil {
-			return fmt.Errorf("read log key: %w", err)
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return fmt.Errorf("read log value: %w", err)
-		}
-		if out.Len() > 0 {
-			out.WriteByte(' ')
-		}
-		fmt.Fprintf(out, "%s=%s", key, formatValue(value))
-	}
-	out.WriteByte('\n')
-	return nil
-}
-
-func formatValue(raw json.RawMessage) string {
-	var text string
-	if err := json.Unmarshal(raw, &text); err != nil {
-		compact := string(raw)
-		if strings.ContainsAny(compact, " \"=") {
-			return strconv.Quote(compact)
-		}
-		return compact
-	}
-	if text == "" || strings.ContainsAny(text, " \"=\n\t") {
-		return strconv.Quote(text)
-	}
-	return text
-}
