--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash"
 	"io"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,6 +130,10 @@
 		n, err = 0, errs.ErrTooLarge.With("the body exceeds %d bytes", b.limit)
 	case err == io.EOF && b.hash != nil && !bytes.Equal(b.hash.Sum(nil), b.want):
 		n, err = 0, ErrDigestMismatch
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = ErrDeadlineExceeded.With("the body did not arrive before the deadline")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		err = ErrCallerGone.With("the caller closed the connection before the end of the body")
 	}
 	b.err = err
 	b.atEnd.Store(err == io.EOF)
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -16,6 +16,9 @@
 // outcomeExecuted is the value of Lentilyard-Outcome of an answer from an executor.
 const outcomeExecuted = "executed"
 
+// bodyGrace is added to the deadline of a request for the arrival of its body, so that the deadline itself is reported first.
+const bodyGrace = time.Second
+
 // answerer receives the answer to a call. start is called at most once.
 type answerer struct {
 	begin   func(*pb.AnswerHead) (io.Writer, error)
@@ -92,6 +95,10 @@
 	}
 	now := g.config.Now()
 	c.applyContract(contract, now)
+	if r.ContentLength != 0 {
+		// A caller that stops in the middle of its body must not hold the connection.
+		_ = control.SetReadDeadline(c.deadline.Add(bodyGrace))
+	}
 	if !g.rates.allow(contract, g.config.RateShare(contract), now) {
 		return ErrRateLimit
 	}
