--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -54,10 +54,10 @@
 		r.queued[t.GetId()] = t
 	}
 }
-func (r *roundRobin) RemoveTask(id string)                             { delete(r.queued, id) }
-func (r *roundRobin) SetContract(*pb.ResolvedContract, uint32, uint32) {}
-func (r *roundRobin) RemoveContract(string)                            {}
-func (r *roundRobin) Observe(string, *pb.UsageSample)                  {}
+func (r *roundRobin) RemoveTask(id string)             { delete(r.queued, id) }
+func (r *roundRobin) SetContract(*pb.ResolvedContract) {}
+func (r *roundRobin) RemoveContract(string)            {}
+func (r *roundRobin) Observe(string, *pb.UsageSample)  {}
 func (r *roundRobin) Plan(_ time.Time, limit int) Plan {
 	var plan Plan
 	for _, t := range r.queued {
--- a/internal/leader/contracts.go
+++ b/internal/leader/contracts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -29,22 +28,21 @@
 // domainLimits are the limits of a contract in this domain.
 type domainLimits struct{ limits *pb.ResolvedLimits }
 
-// ContractsChanged takes the applied contracts and this domain's parts of their limits. Work beyond a lowered limit
+// ContractsChanged takes the applied contracts with this domain's share of their limits. Work beyond a lowered limit
 // is evicted by checkpoint; tasks of a withdrawn contract end cancelled after their checkpoint.
-func (l *Leader) ContractsChanged(inForce []*pb.ResolvedContract, domainParts, totalParts map[string]uint32) {
-	removed := l.policy.replace(inForce, domainParts, totalParts)
+func (l *Leader) ContractsChanged(inForce []*pb.ResolvedContract) {
+	removed := l.policy.replace(inForce)
 	l.planned.call(func(planner Planner) {
 		for _, name := range removed {
 			planner.RemoveContract(name)
 		}
 		for _, c := range inForce {
-			name := c.GetWritten().GetName()
-			planner.SetContract(c, domainParts[name], totalParts[name])
+			planner.SetContract(c)
 		}
 	})
 }
 
-func (c *contracts) replace(inForce []*pb.ResolvedContract, domainParts, totalParts map[string]uint32) (removed []string) {
+func (c *contracts) replace(inForce []*pb.ResolvedContract) (removed []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	former := c.limits
@@ -55,7 +53,7 @@
 	}
 	for _, r := range inForce {
 		name := r.GetWritten().GetName()
-		c.limits[name] = domainLimits{share(r.GetResolved(), domainParts[name], totalParts[name])}
+		c.limits[name] = domainLimits{r.GetResolved()}
 		c.seen[name] = true
 		delete(c.missing, name)
 	}
@@ -67,20 +65,6 @@
 	return removed
 }
 
-// share returns the part of the limits that belongs to this domain, rounded down. Without parts it is the whole.
-func share(r *pb.ResolvedLimits, part, total uint32) *pb.ResolvedLimits {
-	of := func(limit int64) int64 {
-		if total == 0 || limit <= 0 {
-			return limit
-		}
-		high, low := bits.Mul64(uint64(limit), uint64(min(part, total)))
-		quotient, _ := bits.Div64(high, low, uint64(total))
-		return int64(quotient)
-	}
-	return &pb.ResolvedLimits{Millicores: of(r.GetMillicores()), MemoryBytes: of(r.GetMemoryBytes()),
-		Accelerators: of(r.GetAccelerators()), Tasks: of(r.GetTasks())}
-}
-
 // limitTasks states how many tasks the contract allows in this domain, once contracts are known here.
 func (c *contracts) limitTasks(submit *pb.SubmitTask) error {
 	c.mu.Lock()
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -106,8 +106,7 @@
 func TestContractsChanged(t *testing.T) {
 	inCluster(t, 1, func(ctx context.Context, is *is.I, c *simCluster) {
 		l := c.nodes[0].leader
-		parts, total := map[string]uint32{"sheets": 1}, map[string]uint32{"sheets": 2}
-		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 8000, 8)}, parts, total)
+		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 4000, 4)})
 		var ids []string
 		for range 4 {
 			task, err := l.Submit(ctx, testSpec(1000, 600000))
@@ -115,10 +114,10 @@
 			ids = append(ids, task.GetId())
 		}
 		_, err := l.Submit(ctx, testSpec(1000, 600000))
-		is.True(errors.Is(err, domain.ErrTooManyTasks)) // half of the 8 tasks belong to this domain
+		is.True(errors.Is(err, domain.ErrTooManyTasks)) // the share of this domain is 4 tasks
 		time.Sleep(3 * time.Second)
 
-		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 4000, 8)}, parts, total)
+		l.ContractsChanged([]*pb.ResolvedContract{contract("sheets", 2000, 4)})
 		time.Sleep(1500 * time.Millisecond)
 		evicted := 0
 		for _, id := range ids {
@@ -126,7 +125,7 @@
 		}
 		is.Equal(evicted, 2) // two of four cores remain
 
-		l.ContractsChanged(nil, nil, nil)
+		l.ContractsChanged(nil)
 		time.Sleep(3 * time.Second)
 		for _, id := range ids {
 			is.Equal(l.view().Task(id).GetState(), pb.TaskState_TASK_STATE_CANCELLED)
@@ -143,7 +142,7 @@
 		l := c.nodes[0].leader
 		task, err := l.Submit(ctx, testSpec(1000, 600000))
 		is.NoErr(err)
-		l.ContractsChanged(nil, nil, nil)
+		l.ContractsChanged(nil)
 		time.Sleep(unknownContractGrace - 2*time.Second)
 		is.Equal(l.view().Task(task.GetId()).GetState(), pb.TaskState_TASK_STATE_RUNNING)
 		time.Sleep(10 * time.Second)
--- a/internal/leader/planner.go
+++ b/internal/leader/planner.go
@@ -18,7 +18,7 @@
 	UpsertTask(t *pb.Task)
 	RemoveTask(id string)
 	// SetContract sets a contract and the share of its limits in this domain.
-	SetContract(c *pb.ResolvedContract, domainParts, totalParts uint32)
+	SetContract(c *pb.ResolvedContract)
 	RemoveContract(name string)
 	// Observe takes measured usage; late samples count for the time they were taken.
 	Observe(worker string, s *pb.UsageSample)
@@ -73,7 +73,7 @@
 }
 
 // SetContract implements Planner.
-func (f *FirstFit) SetContract(*pb.ResolvedContract, uint32, uint32) {}
+func (f *FirstFit) SetContract(*pb.ResolvedContract) {}
 
 // RemoveContract implements Planner.
 func (f *FirstFit) RemoveContract(string) {}
--- a/internal/placement/choice_test.go
+++ b/internal/placement/choice_test.go
@@ -201,7 +201,7 @@
 	now := testStart
 	p := New(Config{Now: func() time.Time { return now }})
 	p.UpsertWorker(testWorker(0, resources(8000, 8000, 0)))
-	p.SetContract(testContract("c1", "", 1<<40, 1<<40, 0), 1, 1)
+	p.SetContract(testContract("c1", "", 1<<40, 1<<40, 0))
 	put := func(i int, kind string, state pb.TaskState) {
 		m := testTask(i, batchClass, resources(1000, 1000, 0))
 		m.Spec.Kind, m.State, m.Worker, m.Attempt, m.StartedUnixMs = kind, state, "w00000", 1, now.UnixMilli()
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -38,7 +38,7 @@
 	for i := range workers {
 		p.UpsertWorker(testWorker(i, capacity))
 	}
-	p.SetContract(testContract("c1", "", 1<<40, 1<<50, 1<<20), 1, 1)
+	p.SetContract(testContract("c1", "", 1<<40, 1<<50, 1<<20))
 	return p
 }
 
@@ -77,7 +77,7 @@
 func TestQuotaShare(t *testing.T) {
 	is := is.New(t)
 	p := newTestPlanner(4, resources(8000, 8000, 0))
-	p.SetContract(testContract("c1", "", 9000, 9000, 0), 1, 3)
+	p.SetContract(testContract("c1", "", 3000, 3000, 0))
 	for i := range 20 {
 		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0)))
 	}
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -129,7 +129,7 @@
 	return c
 }
 
-func (q *quotas) set(r *pb.ResolvedContract, parts, total uint32) {
+func (q *quotas) set(r *pb.ResolvedContract) {
 	w := r.GetWritten()
 	c := q.contract(w.GetName())
 	q.detach(c)
@@ -138,11 +138,8 @@
 	c.urgent = w.GetTerms().GetUrgent()
 	l := r.GetResolved()
 	limit := vector{l.GetMillicores(), l.GetMemoryBytes(), l.GetAccelerators()}
-	c.account.limit, c.account.limited = limit.scaled(parts, total), true
+	c.account.limit, c.account.limited = limit, true
 	c.tasks = l.GetTasks()
-	if total > 0 && c.tasks > 0 {
-		c.tasks = max(1, scale(c.tasks, parts, total))
-	}
 	c.known, c.withdrawn = true, false
 	q.attach(c)
 	q.limitsChanged(c)
--- a/internal/placement/sim/load.go
+++ b/internal/placement/sim/load.go
@@ -87,7 +87,7 @@
 	for m := range 4 {
 		l.planner.SetContract(&pb.ResolvedContract{
 			Written:  &pb.Contract{Name: fmt.Sprintf("c%d", m), Member: fmt.Sprintf("m%d", m), Terms: &pb.ServiceTerms{Weight: uint32(m + 1), Urgent: true}},
-			Resolved: &pb.ResolvedLimits{Millicores: 1 << 50, MemoryBytes: 1 << 60}}, 1, 1)
+			Resolved: &pb.ResolvedLimits{Millicores: 1 << 50, MemoryBytes: 1 << 60}})
 	}
 }
 
--- a/internal/placement/sim/world.go
+++ b/internal/placement/sim/world.go
@@ -17,7 +17,7 @@
 	RemoveWorker(id string)
 	UpsertTask(t *pb.Task)
 	RemoveTask(id string)
-	SetContract(c *pb.ResolvedContract, domainParts, totalParts uint32)
+	SetContract(c *pb.ResolvedContract)
 	RemoveContract(name string)
 	Observe(worker string, s *pb.UsageSample)
 	Plan(now time.Time, max int) placement.Plan
@@ -70,7 +70,7 @@
 // AddContract grants a contract in full.
 func (w *World) AddContract(c *pb.ResolvedContract) {
 	w.Contracts[c.GetWritten().GetName()] = c
-	w.Planner.SetContract(c, 1, 1)
+	w.Planner.SetContract(c)
 }
 
 // Submit queues a task.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -160,9 +160,9 @@
 // RemoveTask forgets a task.
 func (p *Planner) RemoveTask(id string) { p.cache.removeTask(id, p.nowMs()) }
 
-// SetContract adds or replaces a contract. This domain grants domainParts of totalParts of its limits, rounded down.
-func (p *Planner) SetContract(c *pb.ResolvedContract, domainParts, totalParts uint32) {
-	p.cache.quotas.set(c, domainParts, totalParts)
+// SetContract adds or replaces a contract. Its limits are the share that this domain grants.
+func (p *Planner) SetContract(c *pb.ResolvedContract) {
+	p.cache.quotas.set(c)
 	p.cache.feasibility.limitsChanged()
 }
 
--- a/internal/placement/vector.go
+++ b/internal/placement/vector.go
@@ -43,20 +43,6 @@
 	return max(s, ratio(v.accelerators, total.accelerators))
 }
 
-// scaled returns v x parts / total, rounded down. A total of 0 leaves v unchanged.
-func (v vector) scaled(parts, total uint32) vector {
-	if total == 0 {
-		return v
-	}
-	return vector{scale(v.cores, parts, total), scale(v.memory, parts, total), scale(v.accelerators, parts, total)}
-}
-
-// scale divides before it multiplies, so that large byte counts do not overflow.
-func scale(x int64, parts, total uint32) int64 {
-	p, t := int64(parts), int64(total)
-	return x/t*p + x%t*p/t
-}
-
 // copiesIn returns how often v fits in o.
 func (v vector) copiesIn(o vector) int64 {
 	n := int64(math.MaxInt64)
--- a/internal/server/background.go
+++ b/internal/server/background.go
@@ -102,8 +102,7 @@
 		}
 		last = view
 		for name, d := range s.domains {
-			shares, whole := s.domainContracts(view, name)
-			d.leader.ContractsChanged(shares, whole, whole)
+			d.leader.ContractsChanged(s.domainContracts(view, name))
 		}
 		s.appliedNote.Store(view.LastNote())
 		s.log.Info().Str("event", "contracts-applied").Uint64("note", view.LastNote()).Send()
@@ -148,13 +147,12 @@
 	return names
 }
 
-// domainContracts returns the contracts with a domain's exact share of their limits, and parts that take them whole.
-func (s *Server) domainContracts(view *contract.View, failureDomain string) (shares []*pb.ResolvedContract, whole map[string]uint32) {
-	whole = make(map[string]uint32)
+// domainContracts returns the contracts with a domain's exact share of their limits.
+func (s *Server) domainContracts(view *contract.View, failureDomain string) []*pb.ResolvedContract {
+	var shares []*pb.ResolvedContract
 	for _, resolved := range view.Contracts() {
 		limits := contract.DomainLimits(resolved, failureDomain, s.domainNames())
 		shares = append(shares, &pb.ResolvedContract{Written: resolved.Written, Resolved: limits, Note: resolved.Note})
-		whole[resolved.Written.Name] = 1
 	}
-	return shares, whole
+	return shares
 }
