Report all requests in flight, end the deadlock of the stand-in's Close

P1: the executor stand-in reported only requests whose connection it knew to be closed. It now reports all its requests; slots that stay reserved for 5 s make the entry VM pause the executor until the report counts no others.

Histories also make the records fail.

--- a/internal/gateway/network_test.go
+++ b/internal/gateway/network_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -135,18 +136,21 @@
 	net.Conn
 	network *network
 	link    link
+	// dead is set once a write was lost: TCP never delivers what comes after lost bytes.
+	dead atomic.Bool
 }
 
 func (w *wire) Write(p []byte) (int, error) {
 	time.Sleep(wireDelay)
-	if w.network.isSilent(w.link.from, w.link.to) {
+	if w.dead.Load() || w.network.isSilent(w.link.from, w.link.to) {
+		w.dead.Store(true)
 		return len(p), nil
 	}
 	return w.Conn.Write(p)
 }
 
 func (w *wire) Close() error {
-	if w.network.isSilent(w.link.from, w.link.to) {
+	if w.dead.Load() || w.network.isSilent(w.link.from, w.link.to) {
 		// The other end does not learn of it. closeAll ends the connection.
 		return w.Conn.SetDeadline(time.Now())
 	}
--- a/internal/gateway/property_test.go
+++ b/internal/gateway/property_test.go
@@ -107,6 +107,9 @@
 		w.silence(executor.address, vm.address, e.deadline)
 	case "silence-vms":
 		w.silence(vm.address, w.vms[(e.vm+1)%worldVMs].address, e.deadline)
+	case "records-fail":
+		vm.recordsFail.Store(true)
+		time.AfterFunc(time.Duration(e.deadline)*time.Millisecond, func() { vm.recordsFail.Store(false) })
 	case "drain-executor":
 		executor.cancel()
 	case "crash-executor":
@@ -205,7 +208,7 @@
 }
 
 var failureKinds = []string{"burst", "mode", "normal", "silence", "silence-answers", "silence-vms", "drain-executor",
-	"crash-executor", "stop-vm", "crash-vm"}
+	"crash-executor", "stop-vm", "crash-vm", "records-fail"}
 
 // Guards against requests beyond the slots or connections of an executor (P1), cut or foreign answers
 // (P4), requests that ran although refused as not run (P5), non-idempotent requests that run twice
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -49,7 +49,7 @@
 	gateway             *Gateway
 	records             *memoryRecords
 	server              *http.Server
-	down                atomic.Bool
+	down, recordsFail   atomic.Bool
 	cancel              context.CancelFunc
 	ctx                 context.Context
 }
@@ -149,6 +149,10 @@
 func (vm *worldVM) Begin(ctx context.Context, r *pb.RequestRecord) (*pb.RequestRecord, bool, error) {
 	time.Sleep(3 * time.Millisecond)
 	old, created, err := vm.records.Begin(ctx, r)
+	if vm.recordsFail.Load() {
+		// The intent is committed, but this call does not learn of it.
+		return nil, false, fmt.Errorf("no answer from the leader")
+	}
 	if !created && vm.world.faults.forgetRecords {
 		return r, true, nil
 	}
@@ -157,6 +161,9 @@
 
 func (vm *worldVM) Finish(ctx context.Context, o *pb.CommitOutcome) error {
 	time.Sleep(3 * time.Millisecond)
+	if vm.recordsFail.Load() {
+		return fmt.Errorf("no quorum")
+	}
 	return vm.records.Finish(ctx, o)
 }
 
--- a/internal/routing/announce.go
+++ b/internal/routing/announce.go
@@ -43,7 +43,7 @@
 	if known {
 		e.renew(issued.Add(t.config.Lease))
 		e.health.fade(e.pool.latency)
-		e.settle(a.InFlight, issued, now, t.config.MaxRequestTime)
+		e.settle(a.InFlight, issued, now, t.config.MaxReserved)
 	} else {
 		answer.IntervalMs = firstContactInterval.Milliseconds()
 	}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -18,7 +18,7 @@
 	DefaultInterval           = 500 * time.Millisecond
 	DefaultMaxQueue           = 1024
 	DefaultRetryBudgetPercent = 10
-	DefaultMaxRequestTime     = 30 * time.Second
+	DefaultMaxReserved        = 5 * time.Second
 )
 
 // Config describes the table of one entry VM. Zero values select the defaults.
@@ -33,9 +33,10 @@
 	MaxQueue int
 	// RetryBudgetPercent bounds retries as a share of requests. Negative: none.
 	RetryBudgetPercent int
-	// MaxRequestTime is the longest time that a request may take. Slots that stay reserved for longer
-	// make the executor pause until its report is unambiguous.
-	MaxRequestTime time.Duration
+	// MaxReserved is the time after which a slot that is still reserved for a former holder or an
+	// abandoned request makes the executor pause for one or two intervals. Its report is unambiguous
+	// then: it counts no other requests.
+	MaxReserved time.Duration
 	// Now returns the time with a monotonic reading.
 	Now func() time.Time
 	// Logger receives one line for each decision unless QuietDecisions is set.
@@ -68,8 +69,8 @@
 	if c.RetryBudgetPercent == 0 {
 		c.RetryBudgetPercent = DefaultRetryBudgetPercent
 	}
-	if c.MaxRequestTime <= 0 {
-		c.MaxRequestTime = DefaultMaxRequestTime
+	if c.MaxReserved <= 0 {
+		c.MaxReserved = DefaultMaxReserved
 	}
 	if c.Now == nil {
 		c.Now = time.Now
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -167,7 +167,9 @@
 	a.Nonce = s.nonce
 	a.Draining = e.draining.Load()
 	a.Instance = e.instance
-	a.InFlight = e.unawaited(s.nonce == "")
+	// All of them: an executor cannot know that the sender has given up a request whose connection has
+	// become silent.
+	a.InFlight = uint32(e.InFlight())
 	return a
 }
 
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -62,10 +62,7 @@
 	stats      Stats
 }
 
-type activeRequest struct {
-	holder string
-	ctx    context.Context
-}
+type activeRequest struct{ ctx context.Context }
 
 // Stats counts what an executor has seen.
 type Stats struct {
@@ -126,15 +123,16 @@
 // Close ends the executor at once, as a crash would.
 func (e *Executor) Close() error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	select {
 	case <-e.stopped:
 	default:
 		close(e.stopped)
 	}
+	e.mu.Unlock()
 	if e.server == nil {
 		return nil
 	}
+	// Not under mu: the server waits for Serve, which may be about to call connState.
 	return e.server.Close()
 }
 
@@ -165,20 +163,6 @@
 	return len(e.active)
 }
 
-// unawaited returns the number of requests that the current holder of the lease does not wait for:
-// those of another holder and those whose connection was closed.
-func (e *Executor) unawaited(firstContact bool) uint32 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := uint32(0)
-	for r := range e.active {
-		if firstContact || r.holder != e.holder || r.ctx.Err() != nil {
-			n++
-		}
-	}
-	return n
-}
-
 func (e *Executor) connState(conn net.Conn, state http.ConnState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/requests.go
+++ b/internal/standin/requests.go
@@ -61,7 +61,7 @@
 }
 
 func (e *Executor) begin(r *http.Request) *activeRequest {
-	active := &activeRequest{holder: r.Header.Get("Lentilyard-Holder"), ctx: r.Context()}
+	active := &activeRequest{ctx: r.Context()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.active[active] = struct{}{}
