--- a/cmd/lentilyard/credentials.go
+++ b/cmd/lentilyard/credentials.go
@@ -25,11 +25,11 @@
 // Files of the certificate authority in its folder.
 const (
 	authorityCertFile = "ca.pem"
-	authorityKeyFile  = "ca-key.pem"
+	authorityKeyFile  = "ca.key"
 )
 
 func addKeysAuthority(parent *kingpin.CmdClause) {
-	command := parent.Command("ca", "Create a certificate authority: ca.pem for every entry VM, ca-key.pem for none.")
+	command := parent.Command("ca", "Create a certificate authority: ca.pem for every entry VM, ca.key for none.")
 	folder := command.Arg("folder", "Folder for the files.").Required().ExistingDir()
 	command.Action(func(*kingpin.ParseContext) error {
 		authority, err := credentials.NewAuthority("lentilyard", credentials.AuthorityValidity, time.Now())
@@ -45,7 +45,7 @@
 }
 
 func addKeysIssue(parent *kingpin.CmdClause) {
-	command := parent.Command("vm", "Create key and certificate of an entry VM: ID.pem and ID-key.pem.")
+	command := parent.Command("vm", "Create key and certificate of an entry VM: ID.pem and ID.key.")
 	folder := command.Arg("folder", "Folder of the certificate authority.").Required().ExistingDir()
 	id := command.Arg("id", "Id of the entry VM.").Required().String()
 	validity := command.Flag("validity", "Validity.").Default(credentials.CertificateValidity.String()).Duration()
@@ -79,5 +79,5 @@
 }
 
 func pairFiles(folder, id string) (certFile, keyFile string) {
-	return filepath.Join(folder, id+".pem"), filepath.Join(folder, id+"-key.pem")
+	return filepath.Join(folder, id+".pem"), filepath.Join(folder, id+".key")
 }
