--- a/cmd/lentilyard/options.go
+++ b/cmd/lentilyard/options.go
@@ -11,6 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/client"
+	"github.com/lentilyard/lentilyard/internal/settings"
+	"github.com/lentilyard/lentilyard/internal/units"
 )
 
 const (
@@ -88,3 +90,31 @@
 	}
 	return urls
 }
+
+// quantityVar registers a flag such as "125 GB" that is resolved exactly to base units of the dimension.
+func quantityVar(command *kingpin.CmdClause, name, help, defaultValue string, dimension units.Dimension, into *int64) {
+	command.Flag(name, help).Default(defaultValue).SetValue(&quantityValue{dimension: dimension, resolved: into})
+}
+
+type quantityValue struct {
+	dimension units.Dimension
+	written   string
+	resolved  *int64
+}
+
+// Set implements kingpin.Value.
+func (v *quantityValue) Set(written string) error {
+	table, err := units.New(settings.StandardUnits())
+	if err != nil {
+		return err
+	}
+	resolved, err := table.Resolve(written, v.dimension)
+	if err != nil {
+		return err
+	}
+	v.written, *v.resolved = written, resolved
+	return nil
+}
+
+// String implements kingpin.Value.
+func (v *quantityValue) String() string { return v.written }
--- a/cmd/lentilyard/standin.go
+++ b/cmd/lentilyard/standin.go
@@ -6,6 +6,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/standin"
+	"github.com/lentilyard/lentilyard/internal/units"
 )
 
 func addStandIns(app *kingpin.Application) {
@@ -58,8 +59,8 @@
 	command := parent.Command("worker", "Run a stand-in worker.")
 	flags := addStandInFlags(command)
 	capacity := new(pb.Resources)
-	cores := command.Flag("cores", "Cores.").Default("32").Int64()
-	memory := command.Flag("memory", "Memory.").Default("125GB").Bytes()
+	quantityVar(command, "cores", "Processor.", "32 core", units.Processor, &capacity.Millicores)
+	quantityVar(command, "memory", "Memory.", "125 GB", units.Memory, &capacity.MemoryBytes)
 	command.Flag("accelerators", "Accelerators.").Int64Var(&capacity.Accelerators)
 	guards := command.Flag("guards", "Refuse starts above the capacity.").Default("true").Bool()
 	command.Action(func(*kingpin.ParseContext) error {
@@ -67,7 +68,6 @@
 		if err != nil {
 			return err
 		}
-		capacity.Millicores, capacity.MemoryBytes = *cores*1000, int64(*memory)
 		return withLogger(&pb.LogSettings{}, func(logger zerolog.Logger) error {
 			return standin.NewWorker(standin.WorkerOptions{
 				ID: flags.id, FailureDomain: flags.domain, Rack: flags.rack, Capacity: capacity, Guards: *guards,
--- a/cmd/lentilyard/task.go
+++ b/cmd/lentilyard/task.go
@@ -12,6 +12,7 @@
 	"github.com/lentilyard/lentilyard/internal/client"
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/units"
 )
 
 const waitPollInterval = 500 * time.Millisecond
@@ -34,8 +35,8 @@
 	command.Flag("contract", "Contract that grants the capacity.").Required().StringVar(&spec.Contract)
 	command.Flag("kind", "Kind of work.").Default("default").StringVar(&spec.Kind)
 	class := command.Flag("class", "urgent, service or batch.").Default("batch").Enum("urgent", "service", "batch")
-	cores := command.Flag("cores", "Cores.").Default("1").Float64()
-	memory := command.Flag("memory", "Memory.").Default("256MB").Bytes()
+	quantityVar(command, "cores", "Processor, such as \"2 core\" or \"500 millicore\".", "1 core", units.Processor, &spec.Resources.Millicores)
+	quantityVar(command, "memory", "Memory, such as \"256 MB\" or \"2 GiB\".", "256 MB", units.Memory, &spec.Resources.MemoryBytes)
 	command.Flag("accelerators", "Accelerators.").Int64Var(&spec.Resources.Accelerators)
 	expected := command.Flag("expected", "Expected run time.").Default("10s").Duration()
 	command.Flag("domain", "Home failure domain; default: chosen by the key.").StringVar(&spec.FailureDomain)
@@ -46,8 +47,6 @@
 	wait := command.Flag("wait", "Wait until the task has ended.").Bool()
 	command.Action(func(*kingpin.ParseContext) error {
 		spec.Class = pb.TaskClass(pb.TaskClass_value["TASK_CLASS_"+strings.ToUpper(*class)])
-		spec.Resources.Millicores = int64(*cores * 1000)
-		spec.Resources.MemoryBytes = int64(*memory)
 		spec.ExpectedRunMs = expected.Milliseconds()
 		spec.Payload = []byte(*payload)
 		if spec.IdempotencyKey == "" {
--- a/internal/systemtest/bench_test.go
+++ b/internal/systemtest/bench_test.go
@@ -85,7 +85,7 @@
 			d.start()
 			d.applyNote(d.vms[0], note(1, batchContract()))
 			d.waitNoteEverywhere(1, time.Second)
-			worker := d.startWorker("w", "a", "--cores", "64")
+			worker := d.startWorker("w", "a", "--cores", "64 core")
 			var last string
 			for range tasks {
 				spec := batchTask("t", `{"run_ms": 600000}`, "a")
