Add a test of failures together and twice with a checker over the whole history

Kill, freeze, partition, lost disk, graceful stop and kill of a frozen process, two at a time in different domains, under requests and tasks; P2 to P6 are checked over what executors, workers and callers saw, and the checks are shown to fail.

--- /dev/null
+++ b/internal/systemtest/combined_test.go
@@ -0,0 +1,265 @@
+package systemtest
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/standin"
+)
+
+// The seed fixes the order of failures; the processes themselves are not deterministic.
+var (
+	combinedSeed   = flag.Uint64("combined.seed", 20261204, "seed of TestFailuresTogetherAndTwice")
+	combinedRounds = flag.Int("combined.rounds", 4, "pairs of failures in TestFailuresTogetherAndTwice")
+)
+
+// span is the time in which one attempt ran on a worker.
+type span struct {
+	worker     string
+	attempt    uint32
+	begin, end time.Time
+}
+
+// history collects what callers, executors and workers saw.
+type history struct {
+	mu      sync.Mutex
+	spans   map[string][]*span  // by task
+	answers map[string][]answer // by idempotency key
+}
+
+func (h *history) observe(worker string, event any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch e := event.(type) {
+	case standin.Action:
+		if e.Op == pb.WorkerOp_WORKER_OP_START {
+			h.spans[e.ID.Task] = append(h.spans[e.ID.Task], &span{worker: worker, attempt: e.ID.Attempt, begin: time.Now()})
+		}
+	case *pb.AttemptReport:
+		if !domain.Gone(e.Event) {
+			return
+		}
+		for _, s := range h.spans[e.Task] {
+			if s.worker == worker && s.attempt == e.Attempt && s.end.IsZero() {
+				s.end = time.Now()
+			}
+		}
+	}
+}
+
+func (h *history) answered(key string, a answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers[key] = append(h.answers[key], a)
+}
+
+// violations checks the history against the invariants. executions tells how often a key ran.
+func (h *history) violations(executions func(key string) int) []string {
+	var found []string
+	report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	for task, spans := range h.spans {
+		slices.SortFunc(spans, func(a, b *span) int { return a.begin.Compare(b.begin) })
+		for i := 1; i < len(spans); i++ {
+			if spans[i-1].end.IsZero() || spans[i].begin.Before(spans[i-1].end) {
+				report("P2: task %s: attempt %d on %s began before attempt %d on %s had ended", task, spans[i].attempt,
+					spans[i].worker, spans[i-1].attempt, spans[i-1].worker)
+			}
+		}
+	}
+	for key, answers := range h.answers {
+		ran := executions(key)
+		if ran > 1 {
+			report("P6: key %s ran %d times", key, ran)
+		}
+		for _, a := range answers {
+			if a.status == http.StatusOK && (ran == 0 || !strings.Contains(a.body, "path=/"+key)) {
+				report("P4: key %s ran %d times and was answered %q", key, ran, a.body)
+			}
+		}
+		last := answers[len(answers)-1]
+		if ran > 0 && !slices.ContainsFunc(answers, func(a answer) bool { return a.err != nil || a.outcome != "not-run" }) {
+			report("P5: key %s ran, all answers said not run, the last %q", key, last.body)
+		}
+	}
+	return found
+}
+
+// callers send non-idempotent requests, each up to three times to different entry VMs, until ctx ends.
+func (h *history) callers(ctx context.Context, d *deployment, count int) *sync.WaitGroup {
+	var wait sync.WaitGroup
+	for i := range count {
+		wait.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				key := domain.NewKey(time.Now())
+				for try := range 3 {
+					got := request(d.vms[(n+try)%len(d.vms)], http.MethodPost, "/"+key, key, []byte("felt"))
+					h.answered(key, got)
+					if got.status == http.StatusOK {
+						break
+					}
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	return &wait
+}
+
+// failure is one event that the system must survive; end undoes it.
+type failure struct {
+	name       string
+	begin, end func(d *deployment, v *vm)
+	// endsProcess is set if an entry VM without a disk loses its state, losesDisk if any does.
+	endsProcess, losesDisk bool
+}
+
+func (f failure) losesState(v *vm) bool { return f.losesDisk || f.endsProcess && !v.disk }
+
+// shareGroup reports whether both entry VMs are voters of one group.
+func (d *deployment) shareGroup(a, b *vm) bool {
+	for _, voters := range append([][]string{d.config}, slices.Collect(maps.Values(d.voters))...) {
+		if slices.Contains(voters, a.id) && slices.Contains(voters, b.id) {
+			return true
+		}
+	}
+	return false
+}
+
+var failures = []failure{
+	{"kill", func(_ *deployment, v *vm) { v.process.kill() }, func(d *deployment, v *vm) { d.startVM(v) }, true, false},
+	{"freeze", func(_ *deployment, v *vm) { v.process.signal(syscall.SIGSTOP) }, func(_ *deployment, v *vm) { v.process.signal(syscall.SIGCONT) }, false, false},
+	{"partition", func(d *deployment, v *vm) { d.setCut(v.domain, true) }, func(d *deployment, v *vm) { d.setCut(v.domain, false) }, false, false},
+	{"lose the disk", func(d *deployment, v *vm) { v.process.kill(); os.RemoveAll(d.dataFolder(v)) }, func(d *deployment, v *vm) { d.startVM(v) }, true, true},
+	{"graceful stop", func(d *deployment, v *vm) { v.process.terminate(d.t, 30*time.Second) }, func(d *deployment, v *vm) { d.startVM(v) }, true, false},
+	{"kill a frozen process", func(_ *deployment, v *vm) { v.process.signal(syscall.SIGSTOP) }, func(d *deployment, v *vm) { v.process.kill(); d.startVM(v) }, true, false},
+}
+
+// Guards against invariants that hold under each failure alone and break under several of them together and twice
+// (P2 to P6). A second failure begins while the first one lasts, in another failure domain.
+func TestFailuresTogetherAndTwice(t *testing.T) {
+	d := twoVMDomains(t)
+	d.useRelays()
+	d.timing = "timing: {attemptLease: 3s}\n"
+	d.start()
+	d.applyNote(d.vms[0], note(1, serviceContract(), batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	h := &history{spans: make(map[string][]*span), answers: make(map[string][]answer)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	executors := startTargets(ctx, d, h)
+	eventually(t, 10*time.Second, "a request", func() bool {
+		return request(d.vms[0], http.MethodGet, "/", "", nil).status == http.StatusOK
+	})
+	load, stopLoad := context.WithCancel(ctx)
+	wait := h.callers(load, d, 6)
+	var ids []string
+	for i, v := range d.vms {
+		for range 3 {
+			ids = append(ids, d.submit(v, batchTask(fmt.Sprint("t", i), `{"run_ms": 6000, "checkpoint_every_ms": 500}`, v.domain)).Id)
+		}
+	}
+	random := rand.New(rand.NewPCG(*combinedSeed, 1))
+	for round := range *combinedRounds {
+		first, second := d.vms[random.IntN(2)], d.vms[2+random.IntN(4)]
+		a, b := failures[random.IntN(len(failures))], failures[random.IntN(len(failures))]
+		if a.losesState(first) && b.losesState(second) && d.shareGroup(first, second) {
+			// Two of three voters without their state need an operator's repair (docs/design.md, section 3).
+			b = failures[1]
+		}
+		t.Logf("round %d: %s of %s, then %s of %s", round, a.name, first.id, b.name, second.id)
+		a.begin(d, first)
+		time.Sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+		b.begin(d, second)
+		time.Sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+		a.end(d, first)
+		b.end(d, second)
+		for _, v := range d.vms {
+			d.waitReady(v, 20*time.Second)
+		}
+	}
+	for _, id := range ids {
+		d.waitTask(d.vms[0], id, pb.TaskState_TASK_STATE_FINISHED, 60*time.Second)
+	}
+	stopLoad()
+	wait.Wait()
+	found := h.violations(func(key string) int {
+		total := 0
+		for _, e := range executors {
+			total += e.Executions(key)
+		}
+		return total
+	})
+	ok := 0
+	for _, answers := range h.answers {
+		if answers[len(answers)-1].status == http.StatusOK {
+			ok++
+		}
+	}
+	t.Logf("%d keys, %d answered; %d tasks", len(h.answers), ok, len(ids))
+	for _, violation := range found {
+		t.Error(violation)
+	}
+	if ok < 200 {
+		t.Errorf("only %d requests were answered; the checks above say little", ok)
+	}
+}
+
+// startTargets runs two executors and two workers for each domain in this process, where their runs can be counted.
+func startTargets(ctx context.Context, d *deployment, h *history) []*standin.Executor {
+	var executors []*standin.Executor
+	for _, name := range []string{"a", "b", "c"} {
+		for i := range 2 {
+			e := standin.NewExecutor(standin.ExecutorOptions{ID: fmt.Sprintf("executor-%s%d", name, i), Domain: name, Rack: "r",
+				Service: "kit-orders", EntryVMs: d.addresses(name), Token: targetToken, Work: 10 * time.Millisecond})
+			executors = append(executors, e)
+			go func() { _ = e.Run(ctx) }()
+			id := fmt.Sprintf("worker-%s%d", name, i)
+			w := standin.NewWorker(standin.WorkerOptions{ID: id, FailureDomain: name, Rack: "r", Guards: true, Token: workerToken,
+				Capacity: &pb.Resources{Millicores: 32000, MemoryBytes: 125e9}, EntryVMs: withScheme(d.addresses(name)),
+				Observe: func(event any) { h.observe(id, event) }})
+			go func() { _ = w.Run(ctx) }()
+		}
+	}
+	return executors
+}
+
+func withScheme(addresses []string) []string {
+	var urls []string
+	for _, address := range addresses {
+		urls = append(urls, "http://"+address)
+	}
+	return urls
+}
+
+// Guards against checks of a history that cannot fail.
+func TestHistoryChecksReportSeededFaults(t *testing.T) {
+	now := time.Now()
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	h := &history{
+		spans: map[string][]*span{"t": {{worker: "w1", attempt: 1, begin: at(0), end: at(5)}, {worker: "w2", attempt: 2, begin: at(4), end: at(9)}}},
+		answers: map[string][]answer{
+			"twice":   {{status: 200, body: "path=/twice"}},
+			"not-run": {{status: 503, outcome: "not-run"}},
+			"mixed":   {{status: 200, body: "path=/other"}},
+		},
+	}
+	found := strings.Join(h.violations(func(key string) int { return map[string]int{"twice": 2, "not-run": 1, "mixed": 1}[key] }), "\n")
+	for _, invariant := range []string{"P2:", "P4:", "P5:", "P6:"} {
+		if !strings.Contains(found, invariant) {
+			t.Errorf("no violation of %s in %q", invariant, found)
+		}
+	}
+}
