Read idempotency keys in one place, in canonical form

Key parsing and ages stood twice, in domain and gateway; both now use package idempotency. Ruled out: the records, which hold the binary form.

--- a/cmd/lentilyard/main.go
+++ b/cmd/lentilyard/main.go
@@ -14,8 +14,8 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lentilyard/lentilyard/internal/client"
-	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 )
 
 // version is the release of this build.
@@ -58,7 +58,7 @@
 		return nil
 	})
 	app.Command("key", "Print a new idempotency key.").Action(func(*kingpin.ParseContext) error {
-		fmt.Println(domain.NewKey(time.Now()))
+		fmt.Println(idempotency.NewKey(time.Now()))
 		return nil
 	})
 	commandContext = ctx
--- a/cmd/lentilyard/task.go
+++ b/cmd/lentilyard/task.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lentilyard/lentilyard/internal/client"
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/units"
 )
@@ -50,7 +50,7 @@
 		spec.ExpectedRunMs = expected.Milliseconds()
 		spec.Payload = []byte(*payload)
 		if spec.IdempotencyKey == "" {
-			spec.IdempotencyKey = domain.NewKey(time.Now())
+			spec.IdempotencyKey = idempotency.NewKey(time.Now())
 		}
 		c, err := o.client()
 		if err != nil {
--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -10,6 +10,7 @@
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
 	"github.com/lentilyard/lentilyard/internal/gateway"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -21,6 +22,7 @@
 
 // SubmitTask submits a task to its home domain.
 func (c *Cluster) SubmitTask(ctx context.Context, spec *pb.TaskSpec) (*pb.Task, error) {
+	spec.IdempotencyKey = idempotency.Canonical(spec.IdempotencyKey)
 	view := c.contracts.View()
 	if err := checkTaskContract(view, spec); err != nil {
 		return nil, err
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/proto"
 )
@@ -15,7 +16,7 @@
 // recordKey identifies a request record. The member name is stored once.
 type recordKey struct {
 	member unique.Handle[string]
-	key    uuid
+	key    idempotency.Key
 }
 
 // hash depends only on the text of the key, so that replicas agree.
@@ -24,8 +25,8 @@
 }
 
 func newRecordKey(member, key string) (recordKey, error) {
-	u, err := parseKey(key)
-	return recordKey{unique.Make(member), u}, err
+	parsed, err := idempotency.Parse(key)
+	return recordKey{unique.Make(member), parsed}, err
 }
 
 // record is the compact, immutable form of pb.RequestRecord.
@@ -54,7 +55,7 @@
 func (r *record) proto(k recordKey) *pb.RequestRecord {
 	from := r.sender.Value()
 	p := &pb.RequestRecord{Member: k.member.Value(), Key: k.key.String(), Digest: bytes.Clone(r.digest[:]),
-		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.unixMs(), IntentIndex: r.intent}
+		Stage: r.stage, Sender: from.vm, SenderInstance: from.instance, KeyUnixMs: k.key.UnixMs(), IntentIndex: r.intent}
 	if r.answer != nil {
 		p.Answer = &pb.StoredAnswer{}
 		_ = proto.Unmarshal(r.answer, p.Answer) // encoded by this package
@@ -66,7 +67,7 @@
 	old := s.records.value(k)
 	if old == nil {
 		s.recordUse.perMember[k.member]++
-		s.recordUse.byAge.add(k.key.unixMs(), k)
+		s.recordUse.byAge.add(k.key.UnixMs(), k)
 	} else {
 		s.recordUse.answerBytes -= int64(len(old.answer))
 	}
@@ -129,7 +130,7 @@
 }
 
 func (s *State) checkIntent(k recordKey) error {
-	if err := checkKeyAge(k.key, s.unixMs); err != nil {
+	if err := k.key.CheckAge(s.unixMs); err != nil {
 		return err
 	}
 	if s.records.size >= s.limits.MaxRecords {
--- a/internal/domain/record_test.go
+++ b/internal/domain/record_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -19,10 +20,10 @@
 const testNow = int64(1_780_000_000_000)
 
 func testKey(n int) string {
-	var u uuid
+	var u idempotency.Key
 	binary.BigEndian.PutUint64(u[:8], uint64(testNow)<<16)
 	binary.BigEndian.PutUint32(u[12:], uint32(n))
-	u[6] = uuidVersion << 4
+	u[6], u[8] = 7<<4, 0x80
 	return u.String()
 }
 
@@ -224,24 +225,25 @@
 	a := &applier{state: New("d1", Limits{})}
 	a.apply(intent(1, "vm1", "a"))
 	late := intent(2, "vm1", "a")
-	late.UnixMs = testNow + KeyLife.Milliseconds() + 1
+	late.UnixMs = testNow + idempotency.KeyLife.Milliseconds() + 1
 	refused := a.apply(late)
-	is.True(errors.Is(refused.Err, ErrKeyExpired))
+	is.True(errors.Is(refused.Err, idempotency.ErrExpired))
 	is.Equal(refused.Err.Outcome, errs.OutcomeUnknown)
 	is.True(a.state.View().Record("hanbit", testKey(1)) != nil)
 	expire := &pb.DomainCommand{Command: &pb.DomainCommand_ExpireRecords{
 		ExpireRecords: &pb.ExpireRecords{RecordsBeforeUnixMs: testNow + time.Hour.Milliseconds()}}}
 	a.apply(expire)
 	is.True(a.state.View().Record("hanbit", testKey(1)) != nil) // not yet older than RecordLife
-	expire.UnixMs = testNow + RecordLife.Milliseconds() + time.Minute.Milliseconds()
+	expire.UnixMs = testNow + idempotency.RecordLife.Milliseconds() + time.Minute.Milliseconds()
 	a.apply(expire)
 	is.True(a.state.View().Record("hanbit", testKey(1)) == nil)
 
 	early := &applier{state: New("d1", Limits{})}
 	ahead := intent(1, "vm1", "a")
-	ahead.GetCommitIntent().Record.Key = NewKey(time.UnixMilli(testNow).Add(KeyAhead + time.Second))
-	is.True(errors.Is(early.apply(ahead).Err, ErrKeyInvalid))
-	at, err := KeyTime(NewKey(time.UnixMilli(testNow)))
+	ahead.GetCommitIntent().Record.Key = idempotency.NewKey(time.UnixMilli(testNow).Add(idempotency.MaxAhead + time.Second))
+	is.True(errors.Is(early.apply(ahead).Err, idempotency.ErrAhead))
+	parsed, err := idempotency.Parse(idempotency.NewKey(time.UnixMilli(testNow)))
+	at := parsed.Issued()
 	is.NoErr(err)
 	is.Equal(at.UnixMilli(), testNow)
 }
--- a/internal/domain/report.go
+++ b/internal/domain/report.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -125,7 +126,7 @@
 // expire drops old request records, ended tasks and lost workers. Nothing younger than RecordLife is dropped,
 // because its key could be accepted again.
 func (s *State) expire(c *pb.ExpireRecords) Result {
-	limit := s.unixMs - RecordLife.Milliseconds()
+	limit := s.unixMs - idempotency.RecordLife.Milliseconds()
 	s.expireRecords(min(limit, c.GetRecordsBeforeUnixMs()))
 	before := min(limit, c.GetTasksBeforeUnixMs())
 	for _, id := range s.ended.takeBefore(before) {
--- a/internal/domain/result.go
+++ b/internal/domain/result.go
@@ -73,11 +73,6 @@
 		Message: "the attempt does not run", Remedy: "look at the state of the task"}
 	ErrKeyReused = &errs.Error{Code: "key-reused", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
 		Message: "the idempotency key was used for something else", Remedy: "use a new key for a new request"}
-	ErrKeyExpired = &errs.Error{Code: "key-expired", Status: http.StatusConflict, Outcome: errs.OutcomeUnknown,
-		Message: "the idempotency key is older than its records are kept",
-		Remedy:  "find out by other means whether the first try ran, then use a new key"}
-	ErrKeyInvalid = &errs.Error{Code: "key-invalid", Status: http.StatusBadRequest, Outcome: errs.OutcomeNotRun,
-		Message: "the idempotency key is not a current UUIDv7", Remedy: "make the key a UUIDv7 and check the clock"}
 	ErrTooManyRecords = &errs.Error{Code: "too-many-records", Status: http.StatusTooManyRequests, Outcome: errs.OutcomeNotRun,
 		Message: "the limit of request records is reached", Remedy: "retry later with the same key; records are kept for 24 h"}
 	ErrTooManyTasks = &errs.Error{Code: "too-many-tasks", Status: http.StatusTooManyRequests, Outcome: errs.OutcomeNotRun,
--- a/internal/domain/snapshot.go
+++ b/internal/domain/snapshot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"unique"
 
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -99,7 +100,7 @@
 	from := r.sender.Value()
 	one := appendText(w.scratch[:0], fieldRecordMember, k.member.Value())
 	one = protowire.AppendTag(one, fieldRecordKey, protowire.BytesType)
-	one = k.key.appendText(protowire.AppendVarint(one, uuidTextLen))
+	one = k.key.AppendText(protowire.AppendVarint(one, idempotency.TextLength))
 	one = appendText(one, fieldRecordDigest, string(r.digest[:]))
 	one = appendNumber(one, fieldRecordStage, uint64(r.stage))
 	one = appendText(one, fieldRecordSender, from.vm)
@@ -107,7 +108,7 @@
 	if r.answer != nil {
 		one = protowire.AppendBytes(protowire.AppendTag(one, fieldRecordAnswer, protowire.BytesType), r.answer)
 	}
-	one = appendNumber(one, fieldRecordUnixMs, uint64(k.key.unixMs()))
+	one = appendNumber(one, fieldRecordUnixMs, uint64(k.key.UnixMs()))
 	w.scratch = appendNumber(one, fieldRecordIntent, r.intent)
 	w.bytes(fieldRecords, w.scratch)
 }
--- a/internal/domain/state_test.go
+++ b/internal/domain/state_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"testing"
 
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -290,8 +291,8 @@
 	a.apply(lost("w1", 1))
 	is.Equal(a.task(2).GetState(), pb.TaskState_TASK_STATE_CANCELLED)
 
-	later := &pb.DomainCommand{UnixMs: testNow + 2*RecordLife.Milliseconds(), Command: &pb.DomainCommand_ExpireRecords{
-		ExpireRecords: &pb.ExpireRecords{TasksBeforeUnixMs: testNow + RecordLife.Milliseconds()}}}
+	later := &pb.DomainCommand{UnixMs: testNow + 2*idempotency.RecordLife.Milliseconds(), Command: &pb.DomainCommand_ExpireRecords{
+		ExpireRecords: &pb.ExpireRecords{TasksBeforeUnixMs: testNow + idempotency.RecordLife.Milliseconds()}}}
 	a.apply(later)
 	is.Equal(a.task(1), nil)
 	is.Equal(a.state.View().Worker("w1"), nil) // lost for a day
--- a/internal/domain/task.go
+++ b/internal/domain/task.go
@@ -8,6 +8,7 @@
 	"unique"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"google.golang.org/protobuf/proto"
 )
@@ -103,11 +104,11 @@
 	if c.GetId() != TaskID(s.name, key) {
 		return errs.ErrInvalid.With("task id %q does not belong to key %q in domain %s", c.GetId(), key, s.name)
 	}
-	u, err := parseKey(key)
+	parsed, err := idempotency.Parse(key)
 	if err != nil {
 		return err
 	}
-	if err := checkKeyAge(u, s.unixMs); err != nil {
+	if err := parsed.CheckAge(s.unixMs); err != nil {
 		return err
 	}
 	if c.GetSpec().GetMember() == "" {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -11,11 +11,6 @@
 	ErrKeyRequired = &errs.Error{Code: "key-required", Status: http.StatusBadRequest, Outcome: errs.OutcomeNotRun,
 		Message: "a non-idempotent request needs an Idempotency-Key that is a UUIDv7",
 		Remedy:  "send a fresh UUIDv7 with each new request and the same one with each retry"}
-	ErrKeyExpired = &errs.Error{Code: "key-expired", Status: http.StatusConflict, Outcome: errs.OutcomeUnknown,
-		Message: "the idempotency key is too old for its record to be kept",
-		Remedy:  "check by other means whether the request ran; use a new key for a new request"}
-	ErrKeyFuture = &errs.Error{Code: "key-in-future", Status: http.StatusBadRequest, Outcome: errs.OutcomeNotRun,
-		Message: "the idempotency key was issued in the future", Remedy: "correct the clock of the caller and use a new key"}
 	ErrKeyReused = &errs.Error{Code: "key-reused", Status: http.StatusUnprocessableEntity, Outcome: errs.OutcomeNotRun,
 		Message: "the idempotency key belongs to a different request", Remedy: "use a new key for a new request"}
 	ErrInProgress = &errs.Error{Code: "in-progress", Status: http.StatusConflict, Outcome: errs.OutcomeUnknown,
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/routing"
 )
@@ -31,13 +32,16 @@
 // serveOnce runs a non-idempotent call at most once: the owner domain of its key commits an intent
 // before the first byte is sent.
 func (g *Gateway) serveOnce(ctx context.Context, c *call, body *replayBody, out *answerer) error {
-	issued, err := parseKey(c.key)
+	key, err := idempotency.Parse(c.key)
 	if err != nil {
-		return err
+		return ErrKeyRequired
 	}
-	if err := checkKeyAge(issued, g.config.Now()); err != nil {
+	if err := key.CheckAge(g.config.Now().UnixMilli()); err != nil {
 		return err
 	}
+	// Owner and record depend on the text, so one form is used everywhere.
+	c.key = key.String()
+	issued := key.Issued()
 	if owner := OwnerDomain(g.config.Domains, c.member, c.key); owner != g.config.Domain {
 		return g.forwardToOwner(ctx, c, owner, body, out)
 	}
--- a/internal/gateway/safety_test.go
+++ b/internal/gateway/safety_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/routing"
 	"github.com/lentilyard/lentilyard/internal/standin"
@@ -198,7 +199,7 @@
 		for name, value := range map[string]string{headerDeadline: deadline, headerIdempotent: idempotent, headerKey: key, "Connection": connection} {
 			req.Header[name] = []string{value}
 		}
-		_, _ = parseKey(key)
+		_, _ = idempotency.Parse(key)
 		_ = statedDigest(digest)
 		before := time.Now()
 		c, err := g.parse(req, "m")
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -10,6 +10,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/rs/zerolog"
 )
@@ -160,7 +161,7 @@
 
 func (l *Leader) runExpiry(ctx context.Context) {
 	l.every(ctx, expireInterval, func() {
-		before := time.Now().Add(-domain.RecordLife).UnixMilli()
+		before := time.Now().Add(-idempotency.RecordLife).UnixMilli()
 		_, err := l.proposer.propose(ctx, &pb.DomainCommand{Command: &pb.DomainCommand_ExpireRecords{
 			ExpireRecords: &pb.ExpireRecords{RecordsBeforeUnixMs: before, TasksBeforeUnixMs: before}}})
 		l.logFailure("expire records", err)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/standin"
 	"github.com/matryer/is"
@@ -20,7 +21,7 @@
 
 func testSpec(millicores, runMs int64) *pb.TaskSpec {
 	return &pb.TaskSpec{Member: "hanbit", Contract: "sheets", Kind: "pattern", Class: pb.TaskClass_TASK_CLASS_BATCH,
-		Resources: &pb.Resources{Millicores: millicores, MemoryBytes: 1 << 20}, IdempotencyKey: domain.NewKey(time.Now()),
+		Resources: &pb.Resources{Millicores: millicores, MemoryBytes: 1 << 20}, IdempotencyKey: idempotency.NewKey(time.Now()),
 		Payload: standin.Work{RunMs: runMs}.Payload()}
 }
 
--- a/internal/systemtest/bench_test.go
+++ b/internal/systemtest/bench_test.go
@@ -17,7 +17,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -111,7 +111,7 @@
 func heartbeatBytes(b *testing.B, tasks int) int {
 	heartbeat := &pb.WorkerHeartbeat{Worker: "worker-0001", Epoch: 12345, WaitMs: 1000}
 	for range tasks {
-		id := "wonju/" + domain.NewKey(time.Now())
+		id := "wonju/" + idempotency.NewKey(time.Now())
 		heartbeat.Running = append(heartbeat.Running, &pb.AttemptRef{Task: id, Attempt: 1})
 		heartbeat.Usage = append(heartbeat.Usage, &pb.UsageSample{Task: id, Attempt: 1, TakenUnixMs: time.Now().UnixMilli(),
 			Millicores: 980, MemoryBytes: 1 << 28, Speed: 0.93})
@@ -220,7 +220,7 @@
 	}
 	heartbeat := &pb.WorkerHeartbeat{Worker: id, Epoch: registered.Epoch}
 	for range 13 {
-		heartbeat.Usage = append(heartbeat.Usage, &pb.UsageSample{Task: "a/" + domain.NewKey(time.Now()), Attempt: 1,
+		heartbeat.Usage = append(heartbeat.Usage, &pb.UsageSample{Task: "a/" + idempotency.NewKey(time.Now()), Attempt: 1,
 			TakenUnixMs: time.Now().UnixMilli(), Millicores: 980, MemoryBytes: 1 << 28, Speed: 0.93})
 	}
 	for ctx.Err() == nil {
--- a/internal/systemtest/combined_test.go
+++ b/internal/systemtest/combined_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/standin"
 )
@@ -103,7 +104,7 @@
 	for i := range count {
 		wait.Go(func() {
 			for n := i; ctx.Err() == nil; n++ {
-				key := domain.NewKey(time.Now())
+				key := idempotency.NewKey(time.Now())
 				for try := range 3 {
 					got := request(d.vms[(n+try)%len(d.vms)], http.MethodPost, "/"+key, key, []byte("felt"))
 					h.answered(key, got)
--- a/internal/systemtest/drain_test.go
+++ b/internal/systemtest/drain_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -51,7 +51,7 @@
 func (l *load) one(v *vm, n int) {
 	method, key := http.MethodGet, ""
 	if n%2 == 0 {
-		method, key = http.MethodPost, domain.NewKey(time.Now())
+		method, key = http.MethodPost, idempotency.NewKey(time.Now())
 	}
 	got := request(v, method, "/load", key, []byte("felt"))
 	switch {
--- a/internal/systemtest/failure_test.go
+++ b/internal/systemtest/failure_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -211,7 +211,7 @@
 		var first answer
 		eventually(t, 20*time.Second, "a non-idempotent request while the leader is frozen", func() bool {
 			// A request that was forwarded to the frozen VM stays unknown, so each try is a new request.
-			key = domain.NewKey(time.Now())
+			key = idempotency.NewKey(time.Now())
 			first = request(via, http.MethodPost, "/orders", key, []byte("felt"))
 			return first.status == http.StatusOK
 		})
--- a/internal/systemtest/input_test.go
+++ b/internal/systemtest/input_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -108,7 +108,7 @@
 	eventually(t, 5*time.Second, "a request", func() bool {
 		return request(v, http.MethodGet, "/", "", nil).status == http.StatusOK
 	})
-	key := domain.NewKey(time.Now())
+	key := idempotency.NewKey(time.Now())
 	openings := []string{
 		"GET /v1/ser",
 		"POST /v1/tasks HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + callerToken + "\r\nContent-Length: 100\r\n\r\n{",
--- a/internal/systemtest/path_test.go
+++ b/internal/systemtest/path_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -104,7 +104,7 @@
 func batchTask(name, payload, home string) *pb.TaskSpec {
 	return &pb.TaskSpec{Name: name, Member: "hanbit", Contract: "batch", Kind: "cutting", Class: pb.TaskClass_TASK_CLASS_BATCH,
 		Resources: &pb.Resources{Millicores: 1000, MemoryBytes: 1 << 28}, ExpectedRunMs: 2000,
-		IdempotencyKey: domain.NewKey(time.Now()), FailureDomain: home, Payload: []byte(payload)}
+		IdempotencyKey: idempotency.NewKey(time.Now()), FailureDomain: home, Payload: []byte(payload)}
 }
 
 func (d *deployment) submit(v *vm, spec *pb.TaskSpec) *pb.Task {
@@ -137,7 +137,7 @@
 			return got.status == http.StatusOK && got.outcome == "executed"
 		})
 	}
-	key := domain.NewKey(time.Now())
+	key := idempotency.NewKey(time.Now())
 	first := request(d.vms[0], http.MethodPost, "/orders", key, []byte("felt"))
 	is.Equal(first.status, http.StatusOK)
 	for _, v := range d.vms {
--- a/internal/systemtest/request_test.go
+++ b/internal/systemtest/request_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/lentilyard/lentilyard/internal/domain"
+	"github.com/lentilyard/lentilyard/internal/idempotency"
 )
 
 // Guards against a key that stays used after its request was refused as not run.
@@ -17,7 +18,7 @@
 	d.start()
 	d.applyNote(d.vms[0], note(1, serviceContract()))
 	d.waitNoteEverywhere(1, time.Second)
-	key := domain.NewKey(time.Now())
+	key := idempotency.NewKey(time.Now())
 	refused := request(d.vms[0], http.MethodPost, "/orders", key, []byte("felt"))
 	is.Equal(refused.outcome, "not-run") // no executor
 	for _, v := range d.vms {
@@ -27,3 +28,36 @@
 		return request(d.vms[1], http.MethodPost, "/orders", key, []byte("felt")).status == http.StatusOK
 	})
 }
+
+// Guards against a second run when the same key is written in capital letters: it must have the same owner (P6).
+func TestKeyInCapitalLettersIsTheSameKey(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, serviceContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	for _, v := range d.vms {
+		d.startExecutor("executor-"+v.domain, v.domain)
+	}
+	eventually(t, 5*time.Second, "a request through each entry VM", func() bool {
+		for _, v := range d.vms {
+			if request(v, http.MethodGet, "/", "", nil).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	for range 8 {
+		key := idempotency.NewKey(time.Now())
+		answered := func(v *vm, key string) (got answer) {
+			eventually(t, 5*time.Second, "a request with key "+key, func() bool {
+				got = request(v, http.MethodPost, "/orders", key, []byte("felt"))
+				return got.status == http.StatusOK // entry VMs may still be connecting to each other
+			})
+			return got
+		}
+		first := answered(d.vms[0], key)
+		repeat := answered(d.vms[1], strings.ToUpper(key))
+		is.Equal(repeat.body, first.body)
+	}
+}
