--- /dev/null
+++ b/internal/systemtest/operations_test.go
@@ -0,0 +1,93 @@
+package systemtest
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// urgentStart is the time within which urgent work starts.
+const urgentStart = 4800 * time.Millisecond
+
+// Guards against urgent work that waits for batch work to end, and against evicted batch work that is lost.
+func TestUrgentWorkStartsAtFullLoad(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	d.startWorker("w1", "a", "--cores", "8 core")
+	d.startWorker("w2", "a", "--cores", "8 core")
+	var batch []string
+	for range 16 {
+		batch = append(batch, d.submit(d.vms[0], batchTask("batch", `{"run_ms": 8000, "checkpoint_every_ms": 500}`, "a")).Id)
+	}
+	for _, id := range batch {
+		d.waitTask(d.vms[0], id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
+	}
+	for range 3 {
+		spec := batchTask("urgent", `{"run_ms": 200}`, "a")
+		spec.Class = pb.TaskClass_TASK_CLASS_URGENT
+		spec.Resources.Millicores = 2000
+		begin := time.Now()
+		urgent := d.submit(d.vms[1], spec)
+		ended := d.waitTask(d.vms[1], urgent.Id, pb.TaskState_TASK_STATE_FINISHED, 10*time.Second)
+		took := time.UnixMilli(ended.StartedUnixMs).Sub(begin)
+		t.Logf("urgent task started after %v", took)
+		is.True(took < urgentStart)
+	}
+	for _, id := range batch {
+		d.waitTask(d.vms[2], id, pb.TaskState_TASK_STATE_FINISHED, 40*time.Second)
+	}
+}
+
+// Guards against a withdrawn contract whose work goes on or is lost, and against a check that says something else
+// than what happens.
+func TestWithdrawnContractEndsWorkByCheckpoint(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	d.startWorker("w1", "b")
+	task := d.submit(d.vms[0], batchTask("long", `{"run_ms": 60000, "checkpoint_every_ms": 300}`, "b"))
+	d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
+	time.Sleep(time.Second)
+	withdrawal := &pb.ReleaseNote{Number: 2, Author: "test", Withdraw: []string{"batch"}}
+	ctx, cancel := background()
+	defer cancel()
+	check, err := d.operator(d.vms[2]).CheckNote(ctx, withdrawal)
+	is.NoErr(err)
+	is.Equal(len(check.Effects), 1)
+	is.True(slices.Contains(check.Effects[0].TasksEvicted, task.Id))
+	d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_RUNNING, time.Second) // the check changed nothing
+	d.applyNote(d.vms[2], withdrawal)
+	ended := d.waitTask(d.vms[1], task.Id, pb.TaskState_TASK_STATE_CANCELLED, 10*time.Second)
+	is.True(ended.Checkpoint != nil) // ended by checkpoint, not by loss
+}
+
+// Guards against a drained worker that keeps or gets work, and against tasks lost by the drain.
+func TestDrainedWorkerGivesUpItsTasks(t *testing.T) {
+	is := is.New(t)
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	d.startWorker("w1", "c")
+	task := d.submit(d.vms[0], batchTask("long", `{"run_ms": 5000, "checkpoint_every_ms": 300}`, "c"))
+	d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
+	d.startWorker("w2", "c")
+	time.Sleep(500 * time.Millisecond)
+	ctx, cancel := background()
+	defer cancel()
+	is.NoErr(d.operator(d.vms[1]).Drain(ctx, "c", "w1", true))
+	moved := d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_FINISHED, 30*time.Second)
+	is.Equal(moved.Attempt, uint32(2))
+	second := d.submit(d.vms[0], batchTask("next", `{"run_ms": 3000}`, "c"))
+	running := d.waitTask(d.vms[0], second.Id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
+	is.Equal(running.Worker, "w2")
+}
