Write waiting log lines together and reuse their buffers

Cause: each line took a buffer and a write of its own. TestSlowSinkDropsAndCounts counted on the sink taking at most two lines before it blocks, which no longer holds; it now waits until the writer blocks and checks the exact number of drops.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,16 +16,20 @@
 	"github.com/rs/zerolog"
 )
 
-const defaultQueueLines = 8192
+const (
+	defaultQueueLines = 8192
+	// maxWriteBytes bounds the lines that are collected for one write.
+	maxWriteBytes = 32 << 10
+)
 
 var droppedLines = metrics.NewCounter("lentilyard_log_lines_dropped_total")
 
 // Sink is a zerolog writer with a bounded queue.
 type Sink struct {
-	queue   chan []byte
+	queue   chan *[]byte
 	out     io.Writer
 	dropped atomic.Uint64
-	buffers sync.Pool
+	lines   sync.Pool // of *[]byte
 	closing sync.Once
 	mu      sync.RWMutex // excludes Close during a write
 	closed  bool
@@ -39,8 +43,8 @@
 	if queueLines <= 0 {
 		queueLines = defaultQueueLines
 	}
-	s := &Sink{queue: make(chan []byte, queueLines), out: out, done: make(chan struct{})}
-	s.buffers.New = func() any { return new(bytes.Buffer) }
+	s := &Sink{queue: make(chan *[]byte, queueLines), out: out, done: make(chan struct{})}
+	s.lines.New = func() any { return new([]byte) }
 	go s.run()
 	return s
 }
@@ -73,10 +77,12 @@
 		s.drop()
 		return len(line), nil
 	}
-	copied := append([]byte(nil), line...)
+	copied := s.lines.Get().(*[]byte)
+	*copied = append((*copied)[:0], line...)
 	select {
 	case s.queue <- copied:
 	default:
+		s.lines.Put(copied)
 		s.drop()
 	}
 	return len(line), nil
@@ -108,12 +114,34 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	for line := range s.queue {
-		buffer := s.buffers.Get().(*bytes.Buffer)
-		buffer.Reset()
-		writeKeyValue(buffer, line)
+	var text, line bytes.Buffer
+	for first := range s.queue {
+		text.Reset()
+		s.convert(&text, &line, first)
+		s.convertQueued(&text, &line)
 		// A failed write is not reported: the log is the place where it would be.
-		_, _ = s.out.Write(buffer.Bytes())
-		s.buffers.Put(buffer)
+		_, _ = s.out.Write(text.Bytes())
+	}
+}
+
+// convertQueued converts lines that wait already, so that one write takes them all.
+func (s *Sink) convertQueued(text, line *bytes.Buffer) {
+	for text.Len() < maxWriteBytes {
+		select {
+		case next, open := <-s.queue:
+			if !open {
+				return
+			}
+			s.convert(text, line, next)
+		default:
+			return
+		}
 	}
 }
+
+func (s *Sink) convert(text, line *bytes.Buffer, encoded *[]byte) {
+	line.Reset()
+	writeKeyValue(line, *encoded)
+	text.Write(line.Bytes())
+	s.lines.Put(encoded)
+}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -22,9 +22,14 @@
 	is.True(strings.HasSuffix(line, "message=routed\n"))
 }
 
-type blockedWriter struct{ release chan struct{} }
+// blockedWriter tells when its first write begins and blocks until it is released.
+type blockedWriter struct{ began, release chan struct{} }
 
 func (b blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case b.began <- struct{}{}:
+	default:
+	}
 	<-b.release
 	return len(p), nil
 }
@@ -32,13 +37,15 @@
 // Guards against a slow sink stalling traffic, and against uncounted drops.
 func TestSlowSinkDropsAndCounts(t *testing.T) {
 	is := is.New(t)
-	writer := blockedWriter{release: make(chan struct{})}
+	writer := blockedWriter{began: make(chan struct{}, 1), release: make(chan struct{})}
 	sink := NewSink(writer, 4)
 	logger := New(sink, "info")
+	logger.Info().Msg("first")
+	<-writer.began
 	for range 100 {
 		logger.Info().Msg("event")
 	}
-	is.True(sink.Dropped() >= 94) // 4 queued, at most 2 in the writer
+	is.Equal(sink.Dropped(), uint64(96)) // 4 lines wait in the queue
 	close(writer.release)
 	is.NoErr(sink.Close())
 }
