Refuse names of failure domains that no group can have; remember the leader that answered

The settings check accepted a domain name in capital letters and the start then failed without file and line. A hint to a leader was overwritten by the host that gave it, so each call to a group of another domain took two hops.

--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -40,7 +40,6 @@
 		for _, host := range c.candidates(group) {
 			err := c.callHost(ctx, group, host, method, req, resp)
 			if err == nil {
-				c.rememberLeader(group, host)
 				return nil
 			}
 			if !isSearchError(err) {
@@ -62,15 +61,16 @@
 // callHost calls one host and follows one hint to the leader.
 func (c *Cluster) callHost(ctx context.Context, group, host, method string, req, resp proto.Message) error {
 	err := c.callOnce(ctx, host, method, req, resp)
-	if !errors.Is(err, errNotLeader) {
-		return err
+	if errors.Is(err, errNotLeader) {
+		if hint := errs.From(err).Message; hint != "" && hint != host {
+			host = hint
+			err = c.callOnce(ctx, host, method, req, resp)
+		}
 	}
-	hint := errs.From(err).Message
-	if hint == "" || hint == host {
-		return err
+	if err == nil {
+		c.rememberLeader(group, host)
 	}
-	c.rememberLeader(group, hint)
-	return c.callOnce(ctx, hint, method, req, resp)
+	return err
 }
 
 func (c *Cluster) callOnce(ctx context.Context, to, method string, req, resp proto.Message) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,6 +74,7 @@
 		{"id", "id: a1\n", "id: zz\n", `a.yaml:1: id "zz" does not appear in entryVms`},
 		{"unknown domain", "id: b1, failureDomain: b", "id: b1, failureDomain: x", `a.yaml:6: entry VM "b1" is in failure domain "x"`},
 		{"missing domain", "id: b1, failureDomain: b,", "id: b1,", `a.yaml:6: entry VM "b1" has no failure domain`},
+		{"domain name", "name: c,", "name: Chuncheon,", `failure domain "Chuncheon" has a name that cannot be used`},
 		{"unknown voter", "configVoters: [a1, b1, c1]", "configVoters: [a1, b1, x1]", `a.yaml:12: voter "x1" of the config group`},
 		{"voter twice", "voters: [c1, a1, b1]", "voters: [c1, a1, a1]", `a.yaml:11: voter "a1" of failure domain "c" is listed twice`},
 		{"majority in a domain", "configVoters: [a1, b1, c1]", "configVoters: [a1]", `a.yaml:12: failure domain "a" holds a majority`},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -37,14 +38,20 @@
 	domains map[string]bool
 }
 
+// domainName is the form of names that may be part of a group's name and folder.
+var domainName = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
+
 func (v validator) failureDomains() {
 	if len(v.s.FailureDomains) == 0 {
 		v.at("failureDomains", "list every failure domain with name and voters", "failureDomains lists no domain")
 	}
 	for i, d := range v.s.FailureDomains {
 		path := fmt.Sprintf("failureDomains[%d]", i)
-		if d.Name == "" {
+		switch {
+		case d.Name == "":
 			v.at(path, "give it a name", "%s has no name", path)
+		case !domainName.MatchString(d.Name):
+			v.at(path+".name", `use lower-case letters, digits, "-" and "."`, "failure domain %q has a name that cannot be used", d.Name)
 		}
 		if v.domains[d.Name] {
 			v.at(path+".name", "give each failure domain its own name", "failure domain %q is listed twice", d.Name)
