Let targets find their failure domain through any entry VM

Cause: a balancer may send the first contact of a target to an entry VM of another domain, which refused executors and took heartbeats of workers for its own domain, so both never served (TestTargetsFindTheirDomainThroughAnyEntryVM, red before). Executors are now told the entry VMs of their domain; the worker stand-in goes on with those that its registration names.

--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/contract"
@@ -134,11 +135,25 @@
 	return answer, c.callLeader(ctx, DomainGroup(c.domain), methodHeartbeat, report, answer, true)
 }
 
-// Announce passes an executor's announcement to the routing table.
+// Announce passes an executor's announcement to the routing table. An executor
+// of another failure domain, sent here by a balancer, is told its entry VMs and granted nothing.
 func (c *Cluster) Announce(announcement *pb.Announcement) (*pb.AnnouncementAnswer, error) {
-	if announcement.FailureDomain != c.domain {
-		return nil, errs.ErrInvalid.With("executor %q of failure domain %q announced to entry VM %s of %q",
-			announcement.Id, announcement.FailureDomain, c.vm, c.domain)
+	if announcement.FailureDomain == c.domain {
+		return c.table.Announce(announcement)
 	}
-	return c.table.Announce(announcement)
+	if err := c.checkDomain(announcement.FailureDomain); err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, vm := range c.settings.EntryVms {
+		if vm.FailureDomain == announcement.FailureDomain {
+			addresses = append(addresses, vm.HttpAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, errs.ErrNotFound.With("failure domain %q has no entry VM", announcement.FailureDomain)
+	}
+	// The hash spreads the executors of a domain over its entry VMs.
+	chosen := addresses[xxhash.Sum64String(announcement.Id)%uint64(len(addresses))]
+	return &pb.AnnouncementAnswer{EntryVms: addresses, MoveTo: chosen}, nil
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -125,7 +126,6 @@
 		return errNoEntryVM
 	}
 	w.learn(w.options.EntryVMs)
-	w.address = w.entryVMs[0]
 	sampling := time.NewTicker(w.options.UsageInterval)
 	defer sampling.Stop()
 	for ctx.Err() == nil {
@@ -236,11 +236,16 @@
 	}
 }
 
-// learn takes the entry VMs that a registration named.
+// learn takes the entry VMs that a registration named. A worker that registered through an entry VM of another failure
+// domain goes on with one of its own.
 func (w *Worker) learn(entryVMs []string) {
-	if len(entryVMs) > 0 {
-		w.entryVMs = entryVMs
+	if len(entryVMs) == 0 {
+		return
 	}
+	current := strings.TrimPrefix(w.address, "http://")
+	same := slices.IndexFunc(entryVMs, func(vm string) bool { return strings.TrimPrefix(vm, "http://") == current })
+	w.entryVMs = entryVMs
+	w.address = entryVMs[max(same, 0)]
 }
 
 // register opens a session. Attempts that still run keep their leases and are due as before.
@@ -261,7 +266,9 @@
 		return
 	}
 	w.fence.Registered(answer)
-	w.learn(answer.GetEntryVms())
+	if answer.GetEpoch() != 0 {
+		w.learn(answer.GetEntryVms())
+	}
 	w.nextPoll, w.nextReport = time.Time{}, time.Time{}
 }
 
--- a/internal/systemtest/operations_test.go
+++ b/internal/systemtest/operations_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -91,3 +92,22 @@
 	running := d.waitTask(d.vms[0], second.Id, pb.TaskState_TASK_STATE_RUNNING, 10*time.Second)
 	is.Equal(running.Worker, "w2")
 }
+
+// Guards against targets that a balancer sends to an entry VM of another domain and that never serve.
+func TestTargetsFindTheirDomainThroughAnyEntryVM(t *testing.T) {
+	d := threeDomains(t)
+	d.start()
+	d.applyNote(d.vms[0], note(1, serviceContract(), batchContract()))
+	d.waitNoteEverywhere(1, time.Second)
+	elsewhere := d.vm("vm-b").http
+	d.extra = append(d.extra,
+		startProcess(t, d.path("e.log"), "stand-in", "executor", "--id", "e", "--domain", "a", "--service", "kit-orders",
+			"--entry-vm", elsewhere, "--target-token", targetToken),
+		startProcess(t, d.path("w.log"), "stand-in", "worker", "--id", "w", "--domain", "a",
+			"--entry-vm", elsewhere, "--target-token", workerToken))
+	eventually(t, 5*time.Second, "the executor serves its domain", func() bool {
+		return request(d.vm("vm-a"), http.MethodGet, "/", "", nil).target == "e"
+	})
+	task := d.submit(d.vms[0], batchTask("task", `{"run_ms": 100}`, "a"))
+	d.waitTask(d.vms[0], task.Id, pb.TaskState_TASK_STATE_FINISHED, 10*time.Second)
+}
