Give concurrent system test processes ports of their own

Two runs of TestFailuresTogetherAndTwice failed because another test process took the port of a killed entry VM: its executor answered, and its certificates were unknown. Ruled out: a fault of the system; the logs name the foreign executor and authority.

--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -108,11 +108,19 @@
 // binds it.
 var nextPort atomic.Int32
 
-const firstPort = 20000
+// Test processes that run at the same time take ports from different ranges: with shared ones, a deployment met the
+// processes of another after one of its own was killed.
+const (
+	firstPort    = 12000
+	portRange    = 400
+	portRanges   = 50
+	portAttempts = 5000
+)
 
 func freePort(t testing.TB, bind func(address string) (io.Closer, error)) string {
-	for range 5000 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+	base := firstPort + os.Getpid()%portRanges*portRange
+	for range portAttempts {
+		address := fmt.Sprintf("127.0.0.1:%d", base+int(nextPort.Add(1))%portRange)
 		if closer, err := bind(address); err == nil {
 			closer.Close()
 			return address
