Call a refusal of a repeated key not run only when that is certain

Cause: a repeat whose first answer was lost could be refused as not run, for instance for want of a route to the owner, although the first attempt had run (P5; TestRefusedRepeatIsNotCalledNotRun). An entry VM cannot tell a repeat from a first attempt. Callers now state a first attempt in Lentilyard-Attempt; without it a refusal that did not reach the owner's record has the outcome unknown. Weighed: asking the record before each refusal, which needs the owner that is out of reach; a tombstone for each refused key, a commit for each refusal under overload.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,6 +30,7 @@
 	head.ContentLength = c.contentLength
 	head.Weight = c.weight
 	head.Urgent = c.urgent
+	head.FirstAttempt = c.firstAttempt
 	head.ForwardedForLoad = c.loadForwarded
 	for name, values := range c.header {
 		for _, value := range values {
@@ -90,6 +91,8 @@
 	for _, vm := range g.config.PeersOf(owner) {
 		err := g.forward(ctx, c, vm, c.forwardHead(g.config.Now()), body, out, nil)
 		if !errors.Is(err, ErrNotSent) && !errors.Is(err, errs.ErrDraining) {
+			// The owner has said what it knows of the key.
+			c.settled = true
 			return err
 		}
 		if _, whole := body.view(); !whole {
@@ -105,7 +108,7 @@
 	out := &answerer{begin: answer}
 	c, err := g.forwardedCall(head, body)
 	if err == nil {
-		err = g.serve(ctx, c, out)
+		err = c.attemptError(g.serve(ctx, c, out))
 	}
 	if err == nil || out.started {
 		return err
@@ -130,6 +133,7 @@
 	c.hops = head.Hops
 	c.loadForwarded = head.ForwardedForLoad
 	c.recorded = head.Recorded
+	c.firstAttempt = head.FirstAttempt
 	c.contentLength = head.ContentLength
 	c.body = body
 	left := min(time.Duration(head.DeadlineMs)*time.Millisecond, g.config.Limits.Deadline)
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -88,6 +88,11 @@
 	if err != nil {
 		return err
 	}
+	return c.attemptError(g.serveCall(r, c, control, out))
+}
+
+// serveCall checks the contract of a parsed request and serves it.
+func (g *Gateway) serveCall(r *http.Request, c *call, control *http.ResponseController, out *answerer) error {
 	c.abortRead = func() { _ = control.SetReadDeadline(time.Now()) }
 	contract, err := g.config.Contracts.Lookup(c.member, c.contract, c.service)
 	if err != nil {
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -37,6 +37,8 @@
 		return ErrKeyRequired
 	}
 	if err := key.CheckAge(g.config.Now().UnixMilli()); err != nil {
+		// A key from the future has been refused by every entry VM so far.
+		c.settled = errors.Is(err, idempotency.ErrAhead)
 		return err
 	}
 	// Owner and record depend on the text, so one form is used everywhere.
@@ -69,6 +71,7 @@
 	if err != nil {
 		return beginError(err)
 	}
+	c.settled = true
 	if !created {
 		return g.replay(existing, digest, out)
 	}
@@ -190,3 +193,19 @@
 	}
 	return err
 }
+
+// attemptError keeps a refusal from saying that a request was not run when only this attempt was not: an earlier
+// attempt with the same key may have run, unless the owner's record was asked or the caller states that there was none.
+func (c *call) attemptError(err error) error {
+	if err == nil || c.idempotent || c.recorded || c.settled || c.firstAttempt || outcomeOf(err) != errs.OutcomeNotRun {
+		return err
+	}
+	if _, invalid := idempotency.Parse(c.key); invalid != nil {
+		return err
+	}
+	refusal := *errs.From(err)
+	refusal.Outcome = errs.OutcomeUnknown
+	refusal.Message += "; this attempt was not run, an earlier one with the same key may have been"
+	refusal.Remedy = "ask again with the same idempotency key; " + headerAttempt + ": 1 on a first attempt makes its refusal definite"
+	return &refusal
+}
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -19,6 +19,7 @@
 	headerIdempotent = "Lentilyard-Idempotent"
 	headerContract   = "Lentilyard-Contract"
 	headerKey        = "Idempotency-Key"
+	headerAttempt    = "Lentilyard-Attempt"
 	headerRequestID  = "Lentilyard-Request-Id"
 	headerMember     = "Lentilyard-Member"
 	headerHolder     = "Lentilyard-Holder"
@@ -46,6 +47,10 @@
 	hops                          uint32
 	loadForwarded                 bool
 	recorded                      bool
+	// firstAttempt is set if the caller states that it has not sent the key before.
+	firstAttempt bool
+	// settled is set once the owner's record of the key has been asked.
+	settled bool
 }
 
 // parse reads the request line and headers of a caller's request.
@@ -72,6 +77,7 @@
 	c.deadline = g.config.Now().Add(limit)
 	c.contract = r.Header.Get(headerContract)
 	c.key = r.Header.Get(headerKey)
+	c.firstAttempt = r.Header.Get(headerAttempt) == "1"
 	c.header = forExecutor(r.Header)
 	return c, nil
 }
--- a/internal/gateway/property_test.go
+++ b/internal/gateway/property_test.go
@@ -134,6 +134,13 @@
 		r.path = fmt.Sprintf("/k%d?pad=%d", e.key, e.pad)
 		r.key = newKey(time.UnixMilli(946684800000), e.key*10+e.pad%7)
 	}
+	w.mu.Lock()
+	if w.sent == nil {
+		w.sent = make(map[string]bool)
+	}
+	r.first = !w.sent[r.key]
+	w.sent[r.key] = true
+	w.mu.Unlock()
 	w.background(func() { w.call(vm, r, time.Duration(e.deadline)*time.Millisecond) })
 }
 
@@ -199,6 +206,8 @@
 	for _, r := range w.results {
 		refused := r.outcome == "not-run" || r.err != nil && strings.Contains(r.err.Error(), errRefused.Error())
 		// A repeated key may find its request in progress, or its answer too large to be kept.
+		// A refused repeat cannot tell whether the key ran before, but says that it was not run itself.
+		refused = refused || !r.first && strings.Contains(r.body, "this attempt was not run")
 		known := strings.Contains(r.body, `"in-progress"`) || strings.Contains(r.body, `"answer-not-kept"`)
 		if !r.whole && !refused && !known {
 			found = append(found, fmt.Sprintf("P8: %s ended with status %d, error %v, %.200s", r.path, r.status, r.err, r.body))
--- a/internal/gateway/safety_test.go
+++ b/internal/gateway/safety_test.go
@@ -214,3 +214,20 @@
 		}
 	})
 }
+
+// Guards against a repeat that is refused as not run although the first attempt, whose answer was lost, ran (P5).
+func TestRefusedRepeatIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	v := newEntryVM(t, func(c *Config) { c.Domains = []string{"d1", "d2"} })
+	startExecutor(t, v, standin.ExecutorOptions{ID: "e1"})
+	key := ""
+	for n := 0; key == "" || OwnerDomain([]string{"d1", "d2"}, "hanbit", key) != "d2"; n++ {
+		key = newKey(time.Now(), n)
+	}
+	for _, c := range []struct{ attempt, outcome string }{{"1", "not-run"}, {"2", "unknown"}, {"", "unknown"}} {
+		resp, _, err := do(t, v, "POST", "/v1/services/orders/x", "", "Idempotency-Key", key, "Lentilyard-Attempt", c.attempt)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // the owner cannot be reached
+		is.Equal(resp.Header.Get("Lentilyard-Outcome"), c.outcome)
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	results []result
+	sent    map[string]bool // keys that a caller has sent
 }
 
 type worldVM struct {
@@ -65,6 +66,7 @@
 	key, path         string
 	pad               int
 	idempotent        bool
+	first             bool // the key was not sent before
 	whole             bool
 	status            int
 	outcome, body     string
@@ -273,6 +275,9 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: w.network.dialFrom("caller"), DisableKeepAlives: true}}
 	req, _ := http.NewRequest(method, "http://"+vm.address+"/v1/services/orders"+r.path, strings.NewReader("body of "+r.path))
 	req.Header.Set("Idempotency-Key", r.key)
+	if r.first {
+		req.Header.Set("Lentilyard-Attempt", "1")
+	}
 	req.Header.Set("Lentilyard-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	resp, err := client.Do(req)
 	if err == nil {
--- a/internal/systemtest/path_test.go
+++ b/internal/systemtest/path_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,8 +37,13 @@
 	err     error
 }
 
-// request sends one request of the member hanbit through an entry VM.
+// request sends one request of the member hanbit through an entry VM. A key counts as sent before.
 func request(v *vm, method, path, key string, body []byte) answer {
+	return requestAttempt(v, method, path, key, body, 2)
+}
+
+// requestAttempt states how often the key was sent, this time included.
+func requestAttempt(v *vm, method, path, key string, body []byte, attempt int) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.http+"/v1/services/kit-orders"+path, bytes.NewReader(body))
@@ -47,6 +53,7 @@
 	req.Header.Set("Authorization", "Bearer "+callerToken)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
+		req.Header.Set("Lentilyard-Attempt", strconv.Itoa(attempt))
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
