--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,13 +161,26 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Ready reports whether this entry VM should get traffic: it is not shutting
-// down, and it holds the state of its groups.
+// down, holds the state of its groups, and votes in those where it should. A
+// rolling restart waits for this, so that a restarted VM counts towards each
+// quorum again before the next one stops.
 func (s *Server) Ready() bool {
-	if s.draining.Load() || !s.config.Status().Serving {
+	if s.draining.Load() || !restored(s.config.Status(), s.settings.ConfigVoters, s.settings.Id) {
 		return false
 	}
-	own, found := s.domains[s.ownDomain()]
-	return found && own.group.Status().Serving
+	for _, failureDomain := range s.settings.FailureDomains {
+		hosted, found := s.domains[failureDomain.Name]
+		if found && !restored(hosted.group.Status(), failureDomain.Voters, s.settings.Id) {
+			return false
+		}
+	}
+	return true
+}
+
+// restored reports whether a group member holds the state and, if the settings
+// list its VM as a voter, whether its present incarnation is one.
+func restored(status replica.Status, voters []string, id string) bool {
+	return status.Serving && (!slices.Contains(voters, id) || slices.Contains(status.Voters, status.Self))
 }
 
 // Run serves until ctx ends, then shuts down gracefully: readiness first, then
