--- a/cmd/lentilyard/note.go
+++ b/cmd/lentilyard/note.go
@@ -6,6 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/lentilyard/lentilyard/internal/client"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/settings"
 )
@@ -30,15 +31,21 @@
 	return note, nil
 }
 
+// noteAndClient reads a release note before it opens the client, so that a faulty file is reported without a token.
+func (o *clientOptions) noteAndClient(file string) (*pb.ReleaseNote, *client.Client, error) {
+	note, err := readNote(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := o.client()
+	return note, c, err
+}
+
 func addNoteCheck(parent *kingpin.CmdClause, o *clientOptions) {
 	command := parent.Command("check", "Print what a release note would do.")
 	file := command.Arg("file", "Release note in YAML.").Required().String()
 	command.Action(func(*kingpin.ParseContext) error {
-		note, err := readNote(*file)
-		if err != nil {
-			return err
-		}
-		c, err := o.client()
+		note, c, err := o.noteAndClient(*file)
 		if err != nil {
 			return err
 		}
@@ -62,11 +69,7 @@
 	command := parent.Command("apply", "Carry out a release note, entirely or not at all.")
 	file := command.Arg("file", "Release note in YAML.").Required().String()
 	command.Action(func(*kingpin.ParseContext) error {
-		note, err := readNote(*file)
-		if err != nil {
-			return err
-		}
-		c, err := o.client()
+		note, c, err := o.noteAndClient(*file)
 		if err != nil {
 			return err
 		}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -68,7 +67,6 @@
 	// Services handles /v1/services/. The identity is added with WithIdentity.
 	Services     http.Handler
 	WithIdentity func(ctx context.Context, identity Identity) context.Context
-	Logger       zerolog.Logger
 }
 
 // API is the HTTP handler of an entry VM.
@@ -76,13 +74,12 @@
 	cluster Cluster
 	auth    Authenticator
 	config  Config
-	log     zerolog.Logger
 	mux     *http.ServeMux
 }
 
 // New returns the handler.
 func New(config Config) *API {
-	a := &API{cluster: config.Cluster, auth: config.Auth, config: config, log: config.Logger, mux: http.NewServeMux()}
+	a := &API{cluster: config.Cluster, auth: config.Auth, config: config, mux: http.NewServeMux()}
 	a.addTaskRoutes()
 	a.addNoteRoutes()
 	a.addTargetRoutes()
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -51,11 +51,9 @@
 
 // Config holds what the cluster needs from the rest of the process.
 type Config struct {
-	VM      string
-	Domain  string
-	Version string
-	// Instance is a value unique to this process.
-	Instance  string
+	VM        string
+	Domain    string
+	Version   string
 	Settings  *pb.Settings
 	Transport Transport
 	Table     *routing.Table
@@ -75,7 +73,6 @@
 	vm          string
 	domain      string
 	version     string
-	instance    string
 	transport   Transport
 	table       *routing.Table
 	config      Group
@@ -99,7 +96,6 @@
 		vm:          config.VM,
 		domain:      config.Domain,
 		version:     config.Version,
-		instance:    config.Instance,
 		transport:   config.Transport,
 		table:       config.Table,
 		config:      config.Config,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -103,7 +103,6 @@
 		VM:          s.settings.Id,
 		Domain:      s.ownDomain(),
 		Version:     options.Version,
-		Instance:    s.instance,
 		Settings:    s.settings,
 		Transport:   s.transport,
 		Table:       s.table,
@@ -139,7 +138,6 @@
 		Auth:         tokenAuthenticator{tokens},
 		Services:     s.gateway,
 		WithIdentity: withGatewayIdentity,
-		Logger:       s.log,
 	})
 	s.http = &http.Server{
 		Handler:           handler,
