Send requests to the draining executor in every run of the seeded P7 fault

Change: with the fault, the world itself goes on sending to the executor, as an entry VM does that never learns of the drain. The checker and its bound are unchanged.

--- a/internal/gateway/property_test.go
+++ b/internal/gateway/property_test.go
@@ -112,6 +112,9 @@
 		time.AfterFunc(time.Duration(e.deadline)*time.Millisecond, func() { vm.recordsFail.Store(false) })
 	case "drain-executor":
 		executor.cancel()
+		if w.faults.hideDraining {
+			w.background(func() { w.keepUsing(vm, executor) })
+		}
 	case "crash-executor":
 		_ = executor.Close()
 		w.network.cut(executor.address)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -375,6 +375,22 @@
 	return m.next.RoundTrip(req)
 }
 
+// keepUsing sends requests to an executor as an entry VM does that never learns of its drain. Which executor the table
+// chooses depends on the schedule; this does not.
+func (w *world) keepUsing(vm *worldVM, e *worldExecutor) {
+	const interval, requests = 400 * time.Millisecond, 10
+	client := &http.Client{Transport: &http.Transport{DialContext: w.network.dialFrom(vm.address), DisableKeepAlives: true}}
+	for range requests {
+		time.Sleep(interval)
+		w.background(func() {
+			resp, err := client.Get("http://" + e.address + "/hidden")
+			if err == nil {
+				resp.Body.Close()
+			}
+		})
+	}
+}
+
 // announceTwice keeps the lease of an executor at two entry VMs at once.
 func (w *world) announceTwice(e *worldExecutor) {
 	nonces := make([]string, 2)
