Let VMs join a group that has no list of members; count suspended time

Cause: on deployments without a list of VMs the members are found through a few seeds, a VM comes back with an empty disk or at another address, and nobody edits a list. The leader's ticks also stood still while a VM was suspended. Change: an open group takes every VM that reaches a member as learner and makes it a voter once it has caught up; a silent voter is removed only while enough others answer; a voter that was removed unknowingly asks to join again. The host counts ticks by CLOCK_BOOTTIME. Ruled out: a second membership protocol beside raft; removal of every silent voter (shrinks the group in a partition).

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -98,7 +98,7 @@
 
 // openStream waits while maxStreams are open.
 func (t *Transport) openStream(ctx context.Context, to string) (*quic.Stream, error) {
-	l := t.links[to]
+	l := t.link(to)
 	if l == nil {
 		return nil, fmt.Errorf("%w: %q is not an entry VM in the settings", ErrNotSent, to)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,14 +23,16 @@
 	t       *Transport
 	id      string
 	address *net.UDPAddr
+	ctx     context.Context // ends with the transport, or when the peer is removed
+	cancel  context.CancelFunc
 	conn    atomic.Pointer[quic.Conn] // nil while there is none
 }
 
-// run connects until the transport is closed. The pause between attempts doubles up to maxBackoff while they fail, and
+// run connects until the transport is closed or the peer is removed. The pause between attempts doubles up to maxBackoff while they fail, and
 // starts over after a connection that was in use.
 func (l *link) run() {
 	backoff := minBackoff
-	for l.t.ctx.Err() == nil {
+	for l.ctx.Err() == nil {
 		err := l.connect()
 		if err == nil {
 			backoff = minBackoff
@@ -39,7 +41,7 @@
 		if backoff == minBackoff || backoff == maxBackoff {
 			l.t.log.Warn().Str("event", "connect-failed").Str("peer", l.id).Stringer("address", l.address).Err(err).Msg("cannot connect to entry VM")
 		}
-		if !sleep(l.t.ctx, backoff/2+rand.N(backoff/2)) {
+		if !sleep(l.ctx, backoff/2+rand.N(backoff/2)) {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -55,7 +57,7 @@
 	transport := &quic.Transport{Conn: socket}
 	defer func() { _, _ = transport.Close(), socket.Close() }()
 
-	ctx, cancel := context.WithTimeout(l.t.ctx, l.t.config.IdleTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, l.t.config.IdleTimeout)
 	defer cancel()
 	conn, err := transport.Dial(ctx, l.address, l.t.config.Credentials.ClientTLS(alpn, l.id), l.t.quicConfig())
 	if err != nil {
@@ -101,7 +103,7 @@
 	l.conn.Store(conn)
 	err := l.probeLoop(conn, control)
 	l.conn.Store(nil)
-	if l.t.ctx.Err() != nil {
+	if l.ctx.Err() != nil {
 		_ = conn.CloseWithError(codeShutdown, "the entry VM shuts down")
 		return
 	}
@@ -115,7 +117,7 @@
 // probeLoop sends a probe each KeepAlive until one is not answered in time or the transport is closed.
 // QUIC's own idle timeout does not find a connection that is silent in one direction only.
 func (l *link) probeLoop(conn *quic.Conn, control *quic.Stream) error {
-	stop := context.AfterFunc(l.t.ctx, func() { _ = conn.CloseWithError(codeShutdown, "the entry VM shuts down") })
+	stop := context.AfterFunc(l.ctx, func() { _ = conn.CloseWithError(codeShutdown, "the entry VM shuts down") })
 	defer stop()
 	for {
 		if !sleep(conn.Context(), l.t.config.KeepAlive) {
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"sync/atomic"
@@ -42,7 +43,10 @@
 	if t.closed || len(channel) > maxNameBytes || l == nil && to != t.config.ID {
 		return nil
 	}
-	o := &outbox{t: t, link: l, channel: channel, queue: make(chan []byte, queueMessages)}
+	o := &outbox{t: t, link: l, ctx: t.ctx, channel: channel, queue: make(chan []byte, queueMessages)}
+	if l != nil {
+		o.ctx = l.ctx
+	}
 	o.drops = metrics.GetOrCreateCounter(fmt.Sprintf("lentilyard_peer_messages_dropped_total{peer=%q,channel=%q}", to, channel))
 	t.outboxes[key] = o
 	if l == nil {
@@ -57,6 +61,7 @@
 type outbox struct {
 	t       *Transport
 	link    *link
+	ctx     context.Context // of the link, or of the transport
 	channel string
 	queue   chan []byte
 	bytes   atomic.Int64 // queued
@@ -94,7 +99,7 @@
 func (o *outbox) run() {
 	for {
 		select {
-		case <-o.t.ctx.Done():
+		case <-o.ctx.Done():
 			return
 		case payload := <-o.queue:
 			o.bytes.Add(-int64(len(payload)))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -19,8 +20,6 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
-
-	"github.com/lentilyard/lentilyard/internal/credentials"
 )
 
 // Errors of Call and OpenStream, beside the *errs.Error that a handler returned.
@@ -75,15 +74,24 @@
 	// Listen is the IP:port for incoming connections.
 	Listen string
 	// Peers maps the ids of the other entry VMs to their IP:port. An entry for ID is ignored.
-	Peers       map[string]string
-	Credentials *credentials.Store
-	Logger      zerolog.Logger
+	Peers map[string]string
+	// Credentials are those of the deployment, or an ephemeral identity where it has none.
+	Credentials Credentials
+	// Open admits connections of VMs that are not among the peers.
+	Open   bool
+	Logger zerolog.Logger
 	// KeepAlive is the interval of probes. Default 250 ms.
 	KeepAlive time.Duration
 	// IdleTimeout bounds the time until a silent connection is found and closed. Default 1 s.
 	IdleTimeout time.Duration
 }
 
+// Credentials make the TLS configurations of both directions.
+type Credentials interface {
+	ServerTLS(protocol string, accept func(vm string) error, refused func(error)) *tls.Config
+	ClientTLS(protocol, vm string) *tls.Config
+}
+
 // MessageHandler receives the messages of one channel. Those of one sender arrive one at a time, in order, for as long
 // as the connection lasts.
 type MessageHandler func(from string, payload []byte)
@@ -102,13 +110,13 @@
 	socket   net.PacketConn
 	quic     *quic.Transport
 	listener *quic.Listener
-	links    map[string]*link
 
 	messageHandlers sync.Map // channel -> MessageHandler
 	callHandlers    sync.Map // method -> CallHandler
 	streamHandlers  sync.Map // method -> StreamHandler
 
 	mu       sync.Mutex
+	links    map[string]*link
 	outboxes map[outboxKey]*outbox
 	incoming map[string][]*quic.Conn
 	closed   bool
@@ -147,12 +155,8 @@
 
 func (t *Transport) start() error {
 	for id, address := range t.config.Peers {
-		parsed, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return fmt.Errorf("address of entry VM %q: %w", id, err)
-		}
-		if id != t.config.ID {
-			t.links[id] = &link{t: t, id: id, address: net.UDPAddrFromAddrPort(parsed)}
+		if err := t.addLink(id, address); err != nil {
+			return err
 		}
 	}
 	tlsConfig := t.config.Credentials.ServerTLS(alpn, t.accepts, t.logRefused)
@@ -168,6 +172,59 @@
 	return nil
 }
 
+// addLink records a peer. The caller holds mu or is the only user of t.
+func (t *Transport) addLink(id, address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address of entry VM %q: %w", id, err)
+	}
+	if id == t.config.ID {
+		return nil
+	}
+	l := &link{t: t, id: id, address: net.UDPAddrFromAddrPort(parsed)}
+	l.ctx, l.cancel = context.WithCancel(t.ctx)
+	t.links[id] = l
+	return nil
+}
+
+// AddPeer starts to connect to a VM that was not known before. A known one is left as it is.
+func (t *Transport) AddPeer(id, address string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || id == t.config.ID || t.links[id] != nil {
+		return nil
+	}
+	if err := t.addLink(id, address); err != nil {
+		return err
+	}
+	t.spawn(t.links[id].run)
+	return nil
+}
+
+// RemovePeer ends the connection to a VM and forgets it.
+func (t *Transport) RemovePeer(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.links[id]
+	if l == nil {
+		return
+	}
+	l.cancel()
+	delete(t.links, id)
+	for key := range t.outboxes {
+		if key.peer == id {
+			delete(t.outboxes, key)
+		}
+	}
+}
+
+// link returns the link to a VM, or nil.
+func (t *Transport) link(id string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.links[id]
+}
+
 func (t *Transport) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       t.config.IdleTimeout,
@@ -195,7 +252,7 @@
 	if id == t.config.ID {
 		return true
 	}
-	l := t.links[id]
+	l := t.link(id)
 	return l != nil && l.conn.Load() != nil
 }
 
--- a/internal/raft/identity.go
+++ b/internal/raft/identity.go
@@ -83,15 +83,26 @@
 	if n.mayBootstrap() {
 		n.askBootstrap()
 	}
-	lost := n.role == Learner && n.leader == (ID{})
-	if n.identity.confirmed && (lost || !n.current().isMember(n.self)) {
+	if n.identity.confirmed && (n.isLost() || !n.current().isMember(n.self)) {
 		n.broadcastToVMs(pb.RaftMessageType_RAFT_MESSAGE_TYPE_JOIN)
 	}
 }
 
+// isLost reports whether this node may have been removed from the group without knowing it.
+func (n *Node) isLost() bool {
+	if n.leader != (ID{}) || n.role == Leader {
+		return false
+	}
+	return n.role == Learner || n.cfg.Open && n.now-n.leaderHeard > lostTimeouts*n.cfg.ElectionTicks
+}
+
+// lostTimeouts is the number of election timeouts without a leader after which
+// a voter of an open group asks to join again; an election takes about two.
+const lostTimeouts = 4
+
 // broadcastToVMs sends a message to every other known VM, whatever its incarnation.
 func (n *Node) broadcastToVMs(kind pb.RaftMessageType) {
-	vms := slices.Concat(n.cfg.Voters, n.cfg.Learners)
+	vms := slices.Concat(n.cfg.Voters, n.cfg.Learners, n.cfg.Contacts)
 	for _, id := range n.current().order {
 		vms = append(vms, id.VM)
 	}
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -183,6 +183,9 @@
 // silent for unlistedTimeouts. A voter is removed only after its replacement:
 // every listed voter VM must vote.
 func (n *Node) unlistedMember(m *membership) (ID, bool) {
+	if n.cfg.Open {
+		return n.silentMember(m)
+	}
 	complete := !slices.ContainsFunc(n.cfg.Voters, func(vm string) bool { return len(m.seats[vm]) == 0 })
 	for _, id := range m.order {
 		pr := n.progress[id]
@@ -196,8 +199,35 @@
 	return ID{}, false
 }
 
+// silentMember returns a member of an open group that has been silent for
+// unlistedTimeouts. A voter is removed only while enough others vote, all of
+// which answer, so that a partition never shrinks the group.
+func (n *Node) silentMember(m *membership) (ID, bool) {
+	for _, id := range m.order {
+		pr := n.progress[id]
+		if id == n.self || pr == nil || n.now-pr.lastHeard <= unlistedTimeouts*n.cfg.ElectionTicks {
+			continue
+		}
+		if !m.isVoter(id) || len(m.seats) > n.cfg.MinVoters && n.othersAnswer(m, id) {
+			return id, true
+		}
+	}
+	return ID{}, false
+}
+
+// othersAnswer reports whether at least MinVoters voter VMs besides silent have answered recently.
+func (n *Node) othersAnswer(m *membership, silent ID) bool {
+	answering := 0
+	for vm, incarnations := range m.seats {
+		if vm != silent.VM && !slices.ContainsFunc(incarnations, func(id ID) bool { return !n.heardRecently(id) }) {
+			answering++
+		}
+	}
+	return answering >= n.cfg.MinVoters
+}
+
 func (n *Node) isListed(vm string) bool {
-	return slices.Contains(n.cfg.Voters, vm) || slices.Contains(n.cfg.Learners, vm)
+	return n.cfg.Open || slices.Contains(n.cfg.Voters, vm) || slices.Contains(n.cfg.Learners, vm)
 }
 
 func (n *Node) proposeMembership(p *pb.RaftMembership) {
@@ -230,7 +260,7 @@
 
 // wantsVoter reports whether a VM is an initial voter or has another incarnation that votes.
 func (n *Node) wantsVoter(m *membership, vm string) bool {
-	return slices.Contains(n.cfg.Voters, vm) || len(m.seats[vm]) > 0
+	return n.cfg.Open || slices.Contains(n.cfg.Voters, vm) || len(m.seats[vm]) > 0
 }
 
 // admitJoiner adds the first waiting incarnation as learner. It replaces
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -17,6 +17,7 @@
 	faults
 	skipSync   bool // acknowledge before the write is on disk
 	forgetVote bool // the vote is not written to disk
+	open       bool // VMs that are not listed may join
 }
 
 // image is what a disk holds after a sync.
@@ -54,6 +55,8 @@
 type process struct {
 	vm      string
 	durable bool
+	started bool     // there was an earlier process
+	gone    bool     // never started again
 	disk    *image   // nil: empty
 	images  []*image // copies of the disk from earlier boots
 	node    *Node    // nil: not running
@@ -127,9 +130,17 @@
 		p.disk.boot++
 		p.disk.start = s.next()
 	}
+	voters, learners, contacts := s.voters, s.learners, []string(nil)
+	if s.variant.open {
+		contacts, learners = s.voters, nil
+		if p.started || !slices.Contains(s.voters, p.vm) {
+			voters = nil
+		}
+	}
+	p.started = true
 	node, err := New(Config{
 		Self: ID{VM: p.vm, Incarnation: p.disk.incarnation}, Boot: p.disk.boot, Start: p.disk.start, Restarted: restarted,
-		Voters: s.voters, Learners: s.learners, ElectionTicks: 10, HeartbeatTicks: 2,
+		Voters: voters, Learners: learners, Open: s.variant.open, Contacts: contacts, MinVoters: len(s.voters), ElectionTicks: 10, HeartbeatTicks: 2,
 		Random:    func(n uint64) uint64 { return s.next() >> 11 % n },
 		HardState: p.disk.hardState, Snapshot: p.disk.snapshot, Entries: p.disk.entries, faults: s.variant.faults,
 	})
@@ -284,7 +295,7 @@
 	clear(s.cut)
 	for _, p := range s.vms {
 		p.frozen = false
-		if p.node == nil {
+		if p.node == nil && !p.gone {
 			s.start(p)
 		}
 	}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -56,6 +56,13 @@
 	Restarted bool
 	// Voters and Learners are the VM ids of the initial members.
 	Voters, Learners []string
+	// Open lets every VM join that reaches a member, and makes each of them a voter once it has caught up. Without it
+	// only the listed VMs join. Voters are then the VMs that bootstrap the group; they are empty at any later start.
+	Open bool
+	// Contacts are VM ids that may know the group although this node's membership does not name them.
+	Contacts []string
+	// MinVoters is the number of voter VMs below which an open group removes none that is silent.
+	MinVoters int
 	// ElectionTicks is the shortest election timeout; the longest is twice that.
 	ElectionTicks, HeartbeatTicks int
 	// Random returns a number in [0, n). n is at least 1.
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lentilyard/lentilyard/internal/boottime"
 	"github.com/lentilyard/lentilyard/internal/raft"
 	"github.com/lentilyard/lentilyard/internal/wal"
 )
@@ -50,6 +51,8 @@
 	// SnapshotEvery is the number of entries between snapshots, default 10000.
 	SnapshotEvery uint64
 	Logger        zerolog.Logger
+	// Clock returns the time since some fixed moment, suspensions of the VM included. Default boottime.Now.
+	Clock func() time.Duration
 	// OnFatal is called once when the host stops by itself, which it does when
 	// a disk fails or an invariant does not hold.
 	OnFatal func(error)
@@ -69,6 +72,13 @@
 	// Learners are the VM ids that follow the log without a vote.
 	Learners []string
 	Machine  StateMachine
+	// Open lets VMs join that are not listed. Voters then bootstrap the group at
+	// its very first start; at any later start Voters is empty.
+	Open bool
+	// Contacts are VM ids to ask for the group, beside its known members.
+	Contacts []string
+	// MinVoters is the number of voters below which an open group removes no silent one.
+	MinVoters int
 }
 
 // Defaults of HostConfig.
@@ -159,6 +169,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	if c.OnFatal == nil {
 		c.OnFatal = func(error) {}
 	}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -98,6 +98,8 @@
 	c.t.Helper()
 	n := &node{machine: &listMachine{}, fatal: make(chan error, 1)}
 	host, err := NewHost(HostConfig{
+		Clock: sinceStart, // the simulated clock in tests that use one
+
 		ID: vm, DataFolder: c.folders[vm], Messenger: c.network.Endpoint(vm), Logger: zerolog.Nop(),
 		SnapshotEvery: c.every, OnFatal: func(err error) { n.fatal <- err }, openFS: c.openFS[vm],
 	})
@@ -187,3 +189,7 @@
 	}
 	return true
 }
+
+var clusterStart = time.Now()
+
+func sinceStart() time.Duration { return time.Since(clusterStart) }
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -55,7 +55,7 @@
 }
 
 func newGroup(h *Host, cfg GroupConfig) (*Group, error) {
-	if !groupName.MatchString(cfg.Name) || cfg.Machine == nil || len(cfg.Voters) == 0 {
+	if !groupName.MatchString(cfg.Name) || cfg.Machine == nil || len(cfg.Voters) == 0 && !cfg.Open {
 		return nil, fmt.Errorf("a group needs a name of lower-case letters and digits, a state machine and at least one voter")
 	}
 	g := &Group{
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	disk, state, err := openDisk(fs)
+	disk, state, err := openDisk(fs, g.cfg.Open)
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +108,9 @@
 		Restarted:      state.restarted,
 		Voters:         g.cfg.Voters,
 		Learners:       g.cfg.Learners,
+		Open:           g.cfg.Open,
+		Contacts:       g.cfg.Contacts,
+		MinVoters:      g.cfg.MinVoters,
 		ElectionTicks:  int((g.host.cfg.Election + g.host.tick - 1) / g.host.tick),
 		HeartbeatTicks: ticksPerHeartbeat,
 		Random:         func(n uint64) uint64 { return randomNonZero() % n },
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -29,8 +29,8 @@
 	stopOnce sync.Once
 	done     chan struct{} // closed when the control goroutine has ended
 
-	ticked time.Time // control goroutine: time up to which ticks were delivered
-	fatal  error     // control goroutine
+	ticked time.Duration // control goroutine: time since boot up to which ticks were delivered
+	fatal  error         // control goroutine
 }
 
 // NewHost returns a host. It takes the lock of the data folder.
@@ -166,7 +166,7 @@
 func (h *Host) loop() {
 	ticker := time.NewTicker(h.tick)
 	defer ticker.Stop()
-	h.ticked = time.Now()
+	h.ticked = h.cfg.Clock()
 	for h.fatal == nil {
 		h.advanceGroups()
 		select {
@@ -185,10 +185,10 @@
 }
 
 // deliverTicks passes on the time that went by, including time for which the
-// process was frozen, so that leadership held before a freeze is given up.
+// process was frozen or the VM suspended, so that leadership held before is given up.
 func (h *Host) deliverTicks() {
-	due := int(time.Since(h.ticked) / h.tick)
-	h.ticked = h.ticked.Add(time.Duration(due) * h.tick)
+	due := int((h.cfg.Clock() - h.ticked) / h.tick)
+	h.ticked += time.Duration(due) * h.tick
 	// Two longest election timeouts; more ticks have no further effect.
 	most := 4 * int(h.cfg.Election/h.tick)
 	for range min(due, most) {
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	disk, state, err := openDisk(fs)
+	disk, state, err := openDisk(fs, false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -74,14 +74,18 @@
 // one write, one snapshot and one restart.
 const storageQueue = 4
 
-// openDisk recovers the state in a folder and writes the identity of this start.
-func openDisk(fs wal.FS) (*diskStorage, *recoveredState, error) {
+// openDisk recovers the state in a folder and writes the identity of this start. A member of an open group that holds
+// nothing yet starts as a new incarnation: there is nobody who could confirm its boot counter.
+func openDisk(fs wal.FS, open bool) (*diskStorage, *recoveredState, error) {
 	log, found, err := wal.Open(fs, wal.Options{})
 	if err != nil {
 		return nil, nil, err
 	}
 	s := &diskStorage{log: log, work: make(chan func(), storageQueue), ended: make(chan struct{})}
 	state, err := s.recover(found)
+	if err == nil && open && state.snapshot == nil && len(state.entries) == 0 {
+		state = &recoveredState{}
+	}
 	if err == nil {
 		err = s.begin(state)
 	}
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, state, err := openDisk(fs)
+	s, state, err := openDisk(fs, false)
 	if err != nil {
 		t.Fatal(err)
 	}
