--- a/cmd/lentilyard/main.go
+++ b/cmd/lentilyard/main.go
@@ -44,6 +44,7 @@
 	app.HelpFlag.Short('h')
 	options := addGlobalFlags(app)
 	addServe(app)
+	addFleet(app)
 	addSettings(app)
 	addRepair(app)
 	addCredentials(app)
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+const (
+	// planInterval is the least time between two plans; what arrives meanwhile is planned together.
+	planInterval = 4 * time.Millisecond
+	// maxStarts bounds the starts of one plan, and with it the log entry.
+	maxStarts = 256
+	// avoidFor is how long a worker that refused a task is not offered that task again.
+	avoidFor = 3 * time.Second
+)
+
+// avoidance lists the workers that a task is kept away from.
+type avoidance struct {
+	workers map[string]time.Duration
+}
+
+func (l *Leader) avoidWorker(task submission.Ref, worker string) {
+	a := l.avoid[task]
+	if a == nil {
+		a = &avoidance{workers: map[string]time.Duration{}}
+		l.avoid[task] = a
+	}
+	a.workers[worker] = l.cfg.Clock()
+}
+
+func (l *Leader) avoided(task submission.Ref, now time.Duration) []string {
+	a := l.avoid[task]
+	if a == nil {
+		return nil
+	}
+	var list []string
+	for worker, at := range a.workers {
+		if now-at < avoidFor {
+			list = append(list, worker)
+			continue
+		}
+		delete(a.workers, worker)
+	}
+	if len(list) == 0 {
+		delete(l.avoid, task)
+	}
+	return list
+}
+
+// plan proposes starts and stops for the present state and queues what is to be committed.
+func (l *Leader) plan() {
+	now := l.cfg.Clock()
+	if !l.dirty || now-l.planAt < planInterval {
+		return
+	}
+	l.dirty, l.planAt = false, now
+	snapshot := l.snapshot(now)
+	plan := steps.Make(snapshot)
+	for _, start := range plan.Starts {
+		l.queueStart(start)
+	}
+	for _, stop := range plan.Stops {
+		if r := l.runs[stop.Task]; r != nil && r.on == stop.On && r.attempt == stop.Attempt {
+			l.log.Info().Str("decision", "evict").Str("request", stop.Task.Submission).Uint32("step", stop.Task.Step).Uint32("task", stop.Task.Index).
+				Uint32("attempt", stop.Attempt).Str("worker", stop.On.ID).Str("for", stop.For).Msg("")
+			l.stopRun(stop.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "evicted")
+		}
+	}
+}
+
+func (l *Leader) queueStart(start steps.Start) {
+	change := &pb.TaskStart{Task: start.Task.Proto(), Attempt: start.Attempt, Worker: start.On.ID, WorkerBornUnixMs: start.On.BornUnixMs}
+	l.change(&pb.SubmissionChange{Change: &pb.SubmissionChange_Start{Start: change}}, func(result submission.Result, err error) {
+		l.logFailed("task-start", start.Task.Submission, err)
+		if err != nil || !result.Applied {
+			return
+		}
+		l.log.Info().Str("decision", "placed").Str("request", start.Task.Submission).Uint32("step", start.Task.Step).Uint32("task", start.Task.Index).
+			Uint32("attempt", start.Attempt).Str("worker", start.On.ID).Int("considered", start.Considered).Uint64("term", l.term).Msg("")
+		l.startRun(start.Task, start.Attempt, start.On)
+	})
+}
+
+// snapshot collects what the planner needs.
+func (l *Leader) snapshot(now time.Duration) *steps.Snapshot {
+	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts}
+	l.cfg.State.View(func(state *submission.State) {
+		for _, sub := range state.Active() {
+			snap.Requests = append(snap.Requests, l.requests(state, sub, snap.NowUnixMs, now)...)
+		}
+		if len(snap.Requests) == 0 {
+			return
+		}
+		for _, w := range state.Workers() {
+			if !w.GetGone() {
+				snap.Workers = append(snap.Workers, l.viewWorker(state, w, now))
+			}
+		}
+	})
+	slices.SortFunc(snap.Workers, func(a, b *steps.Worker) int { return strings.Compare(a.Life.ID, b.Life.ID) })
+	return snap
+}
+
+// viewWorker returns the planner's view of a worker.
+func (l *Leader) viewWorker(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
+	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Domain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(),
+		Capacity: steps.SizeOf(w.GetCapacity()), Penalty: l.penalty(w.GetId(), now)}
+	s := l.sessions[w.GetId()]
+	view.Usable = w.Usable() && s != nil && s.life == w.Life() && l.usable(s, now) && !l.quarantined(w.GetId(), now)
+	for ref, attempt := range w.Attempts {
+		sub := state.Submission(ref.Submission)
+		if sub == nil {
+			continue
+		}
+		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), UsedMillicores: -1}
+		if s != nil {
+			if figure, ok := s.figures[ref]; ok && figure.Attempt == attempt && resident.Step.GetTailLimitMs() == 0 {
+				resident.UsedMillicores = figure.Figure
+			}
+		}
+		if r := l.runs[ref]; r != nil && r.attempt == attempt {
+			resident.Stopping = r.phase == stopping
+		}
+		view.Residents = append(view.Residents, resident)
+	}
+	return view
+}
+
+// requests returns the steps of a submission that have waiting tasks whose turn has come.
+func (l *Leader) requests(state *submission.State, sub *submission.Submission, unixMs int64, now time.Duration) []*steps.Request {
+	var list []*steps.Request
+	queue := state.QueueOf(sub)
+	if queue == nil {
+		return nil
+	}
+	for number := range sub.Runs() {
+		if sub.DueUnixMs(number) > unixMs {
+			break
+		}
+		o := sub.Occurrence(number)
+		if o.Done {
+			continue
+		}
+		for i := range o.Steps {
+			if o.Steps[i].Waiting() == 0 || !o.Ready(sub.Spec, i) {
+				continue
+			}
+			r := &steps.Request{Submission: sub.Spec.GetId(), Occurrence: number, Step: uint32(i), Spec: sub.Spec.GetSteps()[i],
+				Pool: queue.GetPool(), Priority: queue.GetPriority(), AcceptedUnixMs: sub.AcceptedUnixMs}
+			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
+			r.ChainMs = steps.ChainFrom(sub.Spec, i)
+			l.waiting(r, &o.Steps[i], now)
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (l *Leader) waiting(r *steps.Request, step *submission.Step, now time.Duration) {
+	attempt := uint32(0)
+	if r.Spec.GetGang() {
+		for i := range step.Tasks {
+			attempt = max(attempt, step.Tasks[i].Attempt+1)
+		}
+	}
+	for i := range step.Tasks {
+		t := &step.Tasks[i]
+		if t.Done || t.Placed() {
+			continue
+		}
+		ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: uint32(i)}
+		r.Waiting = append(r.Waiting, steps.WaitingTask{Index: uint32(i), Attempt: max(attempt, t.Attempt+1), AvoidWorkers: l.avoided(ref, now)})
+	}
+}
+
+// quality is how a worker has treated recent tasks.
+type quality struct {
+	// failures are the times at which tasks of distinct submissions failed there.
+	failures   map[string]time.Duration
+	successAt  time.Duration
+	refusedAt  time.Duration
+	quarantine time.Duration // until when it gets no tasks
+}
+
+const (
+	// qualityWindow is the time for which a failure counts against a worker.
+	qualityWindow = 6 * time.Second
+	// quarantineAfter is the number of distinct submissions whose tasks failed in a row before a worker is set aside.
+	quarantineAfter = 3
+	// quarantineFor is how long a worker is set aside; then one failure suffices to set it aside again.
+	quarantineFor = 4 * time.Second
+	// unwellFor is how long a worker that refused work as not well is set aside.
+	unwellFor = time.Second
+)
+
+func (l *Leader) qualityOf(worker string) *quality {
+	q := l.quality[worker]
+	if q == nil {
+		q = &quality{failures: map[string]time.Duration{}}
+		l.quality[worker] = q
+	}
+	return q
+}
+
+// noteQuality records the end of a task. Failures in a row of several submissions speak against the worker, those of
+// one submission against the submission.
+func (l *Leader) noteQuality(worker string, e Ended) {
+	q, now := l.qualityOf(worker), l.cfg.Clock()
+	switch e.Kind {
+	case pb.TaskEndKind_TASK_END_KIND_DONE:
+		q.successAt = now
+		clear(q.failures)
+	case pb.TaskEndKind_TASK_END_KIND_FAILED:
+		l.avoidWorker(e.Task, worker)
+		q.failures[e.Task.Submission] = now
+		for id, at := range q.failures {
+			if now-at > qualityWindow {
+				delete(q.failures, id)
+			}
+		}
+		if len(q.failures) >= quarantineAfter && q.quarantine <= now {
+			q.quarantine = now + quarantineFor
+			l.log.Warn().Str("decision", "quarantine").Str("worker", worker).Int("failures", len(q.failures)).Msg("tasks of several submissions failed there")
+		}
+	}
+}
+
+func (l *Leader) noteRefusal(worker string, err error) {
+	q, now := l.qualityOf(worker), l.cfg.Clock()
+	q.refusedAt = now
+	if errors.Is(err, ErrUnwell) {
+		q.quarantine = max(q.quarantine, now+unwellFor)
+	}
+}
+
+func (l *Leader) quarantined(worker string, now time.Duration) bool {
+	q := l.quality[worker]
+	return q != nil && q.quarantine > now
+}
+
+// penalty is above 0 for a worker on which tasks have failed lately.
+func (l *Leader) penalty(worker string, now time.Duration) float64 {
+	q := l.quality[worker]
+	if q == nil {
+		return 0
+	}
+	recent := 0
+	for _, at := range q.failures {
+		if now-at < qualityWindow {
+			recent++
+		}
+	}
+	return float64(recent) * failurePenalty
+}
+
+// failurePenalty is the penalty for each recent failure, in shares of a worker's processor time.
+const failurePenalty = 0.1
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,353 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+const (
+	// startRepeat is the pause before a start without an answer is sent again.
+	startRepeat = 500 * time.Millisecond
+	// startPatience is how long a start is repeated before the task is placed elsewhere.
+	startPatience = 2500 * time.Millisecond
+	// stopRepeat is the pause before a stop is sent again while the attempt still runs.
+	stopRepeat = 700 * time.Millisecond
+	// startLease is the lease named in a start: a start that is carried out late is then refused.
+	startLease = 2500 * time.Millisecond
+)
+
+// runPhase is how far an attempt has come.
+type runPhase int
+
+const (
+	// ordered attempts may or may not run.
+	ordered runPhase = iota
+	// confirmed attempts were seen running or their start was acknowledged.
+	confirmedRun
+	// stopping attempts have been told to stop.
+	stopping
+)
+
+// run is what the leader knows of an attempt that it placed or found.
+type run struct {
+	on      submission.Life
+	attempt uint32
+	phase   runPhase
+	// calling is true while a start or stop is in progress.
+	calling bool
+	// unanswered is true if a start had no answer, so that it may be carried out late.
+	unanswered bool
+	orderedAt  time.Duration
+	calledAt   time.Duration
+	answeredAt time.Duration // of the start
+	// then is the end to commit once a stop is acknowledged and the attempt does not run; unspecified if its end will be listed.
+	then pb.TaskEndKind
+	// why the attempt is stopped, for the log.
+	why string
+}
+
+func (l *Leader) forgetRun(task submission.Ref, attempt uint32) {
+	if r := l.runs[task]; r != nil && r.attempt == attempt {
+		delete(l.runs, task)
+	}
+}
+
+// ordered notes a committed placement and calls the worker.
+func (l *Leader) startRun(task submission.Ref, attempt uint32, on submission.Life) {
+	r := &run{on: on, attempt: attempt, orderedAt: l.cfg.Clock()}
+	l.runs[task] = r
+	l.callStart(task, r)
+}
+
+func (l *Leader) callStart(task submission.Ref, r *run) {
+	s := l.sessions[r.on.ID]
+	if s == nil || s.life != r.on || r.calling {
+		return
+	}
+	c := StartCall{Target: l.target(s), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grant(min(startLease, l.lease), l.cfg.Clock())}
+	known := false
+	l.cfg.State.View(func(state *submission.State) {
+		sub, t := state.Submission(task.Submission), state.Task(task)
+		if sub == nil || t == nil || !sub.Active() || t.Attempt != r.attempt || t.On != r.on {
+			return
+		}
+		known = true
+		c.Payload, c.Checkpoint = sub.Spec.GetPayload(), t.Checkpoint
+	})
+	if !known || c.LeaseUntilMs == 0 {
+		return // repeatCalls tries again, or the lease runs out
+	}
+	r.calling, r.calledAt = true, l.cfg.Clock()
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
+		func(err error) { l.onStart(s, task, r, err) })
+}
+
+// call makes a call outside the loop and hands its outcome to the loop, if the term and the session last.
+func (l *Leader) call(s *session, f func(context.Context) (int64, error), then func(error)) {
+	ctx := l.ctx
+	l.pool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		clockMs, err := f(callCtx)
+		if clockMs > 0 {
+			s.noteClock(clockMs, l.cfg.Clock())
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		l.post(func() {
+			if l.ctx == ctx && l.sessions[s.life.ID] == s {
+				then(err)
+			}
+		})
+	})
+}
+
+func (l *Leader) target(s *session) Target {
+	return Target{Life: s.life, Address: s.address, Fence: l.term}
+}
+
+func (l *Leader) onStart(s *session, task submission.Ref, r *run, err error) {
+	r.calling = false
+	if l.runs[task] != r {
+		return
+	}
+	event := l.log.Info()
+	if err != nil {
+		event = l.log.Warn().AnErr("error", err)
+	}
+	event.Str("decision", "start-answered").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
+		Uint32("attempt", r.attempt).Str("worker", s.life.ID).Uint64("term", l.term).Msg("")
+	if r.phase == stopping {
+		r.unanswered = r.unanswered || errors.Is(err, ErrNoAnswer)
+		return
+	}
+	switch {
+	case err == nil:
+		r.phase, r.answeredAt = confirmedRun, l.cfg.Clock()
+	case errors.Is(err, ErrNoAnswer):
+		r.unanswered = true
+	case errors.Is(err, ErrFenced):
+		l.end()
+	case errors.Is(err, ErrOtherLife):
+		l.otherLife(s, "start")
+	case errors.Is(err, ErrLeaseOver):
+		// Repeated with a fresh reading of the clock.
+	default:
+		l.noteRefusal(s.life.ID, err)
+		l.refused(s, task, r, err)
+	}
+}
+
+// refused gives a task back that a worker does not start. If an earlier copy of the start may still be on its way, the
+// attempt is stopped first.
+func (l *Leader) refused(s *session, task submission.Ref, r *run, err error) {
+	l.avoidWorker(task, s.life.ID)
+	if r.unanswered || errors.Is(err, ErrOldAttempt) {
+		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused")
+		return
+	}
+	l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
+}
+
+// stopRun tells a worker to stop an attempt. then is the end to commit if the attempt turns out not to run.
+func (l *Leader) stopRun(task submission.Ref, r *run, then pb.TaskEndKind, why string) {
+	if r.phase != stopping {
+		r.phase, r.then, r.why, r.calledAt = stopping, then, why, 0
+	}
+	l.callStop(task, r)
+}
+
+func (l *Leader) callStop(task submission.Ref, r *run) {
+	s := l.sessions[r.on.ID]
+	if s == nil || s.life != r.on || r.calling {
+		return
+	}
+	c := StopCall{Target: l.target(s), Task: task, Attempt: r.attempt}
+	r.calling, r.calledAt = true, l.cfg.Clock()
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) },
+		func(err error) { l.onStop(s, task, r, err) })
+}
+
+func (l *Leader) onStop(s *session, task submission.Ref, r *run, err error) {
+	r.calling = false
+	l.log.Info().Str("decision", "stop-answered").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
+		Uint32("attempt", r.attempt).Str("worker", s.life.ID).Str("why", r.why).AnErr("error", err).Msg("")
+	switch {
+	case l.runs[task] != r:
+	case errors.Is(err, ErrFenced):
+		l.end()
+	case errors.Is(err, ErrOtherLife):
+		l.otherLife(s, "stop")
+	case err == nil:
+		r.answeredAt = l.cfg.Clock()
+	}
+}
+
+// repeatCalls sends starts and stops again that had no effect so far.
+func (l *Leader) repeatCalls(task submission.Ref, r *run, now time.Duration) {
+	switch {
+	case r.calling:
+	case r.phase == ordered && now-r.orderedAt > startPatience:
+		l.avoidWorker(task, r.on.ID)
+		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
+	case r.phase == ordered && now-r.calledAt > startRepeat:
+		l.callStart(task, r)
+	case r.phase == stopping && r.answeredAt < r.calledAt && now-r.calledAt > stopRepeat,
+		r.phase == stopping && now-r.calledAt > 2*stopRepeat+l.cfg.Bounds.Stop:
+		l.callStop(task, r)
+	}
+}
+
+// reconcile compares what a worker runs with what was placed there. Calls that were answered after the hold was sent
+// may be missing in its answer.
+func (l *Leader) reconcile(s *session, sent time.Duration, answer HoldAnswer) {
+	figures := make(map[submission.Ref]Running, len(answer.Running))
+	ended := make(map[submission.Ref]bool, len(answer.Ended))
+	for _, e := range answer.Ended {
+		ended[e.Task] = true
+	}
+	var strays []Running
+	var missing []submission.Ref
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[s.life.ID]
+		if w == nil || w.Life() != s.life {
+			return
+		}
+		for _, running := range answer.Running {
+			figures[running.Task] = running
+			if !l.expected(state, s.life, running) {
+				strays = append(strays, running)
+			}
+		}
+		for ref, attempt := range w.Attempts {
+			if running, ok := figures[ref]; (!ok || running.Attempt != attempt) && !ended[ref] {
+				missing = append(missing, ref)
+				l.adopt(ref, attempt, s.life, false)
+			} else if ok {
+				l.adopt(ref, attempt, s.life, true)
+			}
+		}
+	})
+	s.figures = figures
+	for _, running := range strays {
+		l.stopStray(s, running, sent)
+	}
+	for _, ref := range missing {
+		l.missingRun(s, ref, sent)
+	}
+}
+
+// expected reports whether an attempt that runs is the one that was placed there.
+func (l *Leader) expected(state *submission.State, life submission.Life, running Running) bool {
+	sub, t := state.Submission(running.Task.Submission), state.Task(running.Task)
+	return sub != nil && sub.Active() && t != nil && t.On == life && t.Attempt == running.Attempt
+}
+
+// adopt makes sure that there is a run for an attempt that is placed on a worker, for instance by a former leader.
+func (l *Leader) adopt(task submission.Ref, attempt uint32, on submission.Life, running bool) {
+	r := l.runs[task]
+	if r == nil || r.attempt < attempt {
+		r = &run{on: on, attempt: attempt, orderedAt: l.cfg.Clock(), unanswered: true}
+		l.runs[task] = r
+	}
+	if running && r.attempt == attempt && r.phase == ordered {
+		r.phase = confirmedRun
+	}
+}
+
+// missingRun deals with an attempt that a worker neither runs nor lists as ended.
+func (l *Leader) missingRun(s *session, task submission.Ref, sent time.Duration) {
+	r := l.runs[task]
+	if r == nil || r.on != s.life || r.calling {
+		return
+	}
+	switch r.phase {
+	case ordered:
+		// repeatCalls sends the start again.
+	case confirmedRun:
+		if r.answeredAt < sent {
+			l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, "not-listed")
+		}
+	case stopping:
+		if r.answeredAt > 0 && r.answeredAt < sent && r.calledAt <= r.answeredAt {
+			kind := r.then
+			if kind == pb.TaskEndKind_TASK_END_KIND_UNSPECIFIED {
+				kind = pb.TaskEndKind_TASK_END_KIND_STOPPED
+			}
+			l.commitEnd(s, task, r.attempt, kind, "", nil)
+		}
+	}
+}
+
+// stopStray stops an attempt that runs although the state does not want it, for instance one that was started late.
+func (l *Leader) stopStray(s *session, running Running, sent time.Duration) {
+	r := l.runs[running.Task]
+	if r == nil || r.on != s.life || r.attempt != running.Attempt {
+		if r != nil && r.on != s.life && r.phase != stopping {
+			l.stopOnce(s, running)
+			return
+		}
+		r = &run{on: s.life, attempt: running.Attempt, phase: confirmedRun}
+		l.runs[running.Task] = r
+	}
+	if r.calling || r.phase == stopping && l.cfg.Clock()-r.calledAt < stopRepeat+l.cfg.Bounds.Stop || r.calledAt > sent {
+		return
+	}
+	l.stopRun(running.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "not-wanted")
+}
+
+// stopOnce stops an attempt of a task whose newer attempt runs elsewhere. It is sent again with the next hold.
+func (l *Leader) stopOnce(s *session, running Running) {
+	c := StopCall{Target: l.target(s), Task: running.Task, Attempt: running.Attempt}
+	l.log.Warn().Str("decision", "stop-stray").Str("request", running.Task.Submission).Uint32("attempt", running.Attempt).Str("worker", s.life.ID).Msg("")
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(error) {})
+}
+
+// stopEnded stops what still runs of submissions that have ended.
+func (l *Leader) stopEnded() {
+	l.endedMu.Lock()
+	ids := l.ended
+	l.ended = nil
+	l.endedMu.Unlock()
+	for _, id := range ids {
+		for _, placed := range l.placedOf(id) {
+			l.adopt(placed.task, placed.attempt, placed.on, false)
+			if r := l.runs[placed.task]; r.on == placed.on && r.attempt == placed.attempt {
+				l.stopRun(placed.task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "submission-ended")
+			}
+		}
+	}
+}
+
+type placedTask struct {
+	task    submission.Ref
+	attempt uint32
+	on      submission.Life
+}
+
+// placedOf returns the placed tasks of a submission.
+func (l *Leader) placedOf(id string) []placedTask {
+	var list []placedTask
+	l.cfg.State.View(func(state *submission.State) {
+		sub := state.Submission(id)
+		if sub == nil || sub.Active() {
+			return
+		}
+		for number, o := range sub.Occurrences {
+			for i := range o.Steps {
+				for j := range o.Steps[i].Tasks {
+					if t := &o.Steps[i].Tasks[j]; t.Placed() {
+						ref := submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}
+						list = append(list, placedTask{ref, t.Attempt, t.On})
+					}
+				}
+			}
+		}
+	})
+	return list
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,137 @@
+// Package fleet holds what intake VMs and control VMs share: their settings, the transport between them and the names
+// of the calls that they make to each other.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/credentials"
+	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/peer"
+)
+
+// Methods of the calls that VMs make to control VMs.
+const (
+	MethodMembers     = "fleet.members"
+	MethodSubmit      = "submission.submit"
+	MethodState       = "submission.state"
+	MethodCancel      = "submission.cancel"
+	MethodReport      = "worker.report"
+	MethodPutConfig   = "config.put"
+	MethodGetConfig   = "config.get"
+	MethodStartWave   = "wave.start"
+	MethodWaveOutcome = "wave.outcome"
+)
+
+// Transport carries calls and messages between the VMs of a deployment that has no list of them. The id of a VM is its
+// IP address, and all VMs use the same port.
+type Transport struct {
+	*peer.Transport
+	port uint16
+}
+
+const (
+	// keepAlive and idleTimeout bound the time until a silent connection is found and replaced.
+	keepAlive   = 300 * time.Millisecond
+	idleTimeout = time.Second
+)
+
+// OpenTransport listens for the other VMs.
+func OpenTransport(s *pb.FleetSettings, log zerolog.Logger) (*Transport, error) {
+	listen, err := netip.ParseAddrPort(s.GetListen().GetPeer())
+	if err != nil {
+		return nil, fmt.Errorf("listen.peer: %w", err)
+	}
+	identity, err := credentials.NewEphemeral(s.GetId())
+	if err != nil {
+		return nil, err
+	}
+	transport, err := peer.New(peer.Config{ID: s.GetId(), Listen: listen.String(), Credentials: identity, Open: true, Logger: log,
+		KeepAlive: keepAlive, IdleTimeout: idleTimeout})
+	if err != nil {
+		return nil, err
+	}
+	return &Transport{Transport: transport, port: listen.Port()}, nil
+}
+
+// Connect starts to connect to a VM, unless there is a connection.
+func (t *Transport) Connect(vm string) error {
+	return t.AddPeer(vm, net.JoinHostPort(vm, fmt.Sprint(t.port)))
+}
+
+// Send implements replica.Messenger. It connects to VMs that are not known yet.
+func (t *Transport) Send(to, channel string, payload []byte) {
+	if err := t.Connect(to); err == nil {
+		t.Transport.Send(to, channel, payload)
+	}
+}
+
+// Keep ends the connections to all VMs that were connected to but are not in vms.
+func (t *Transport) Keep(vms []string) {
+	for _, vm := range t.Peers() {
+		if !slices.Contains(vms, vm) {
+			t.RemovePeer(vm)
+		}
+	}
+}
+
+// NotSent reports whether a call that failed certainly did not reach its handler.
+func NotSent(err error) bool {
+	return errors.Is(err, peer.ErrNotSent) || errors.Is(err, errs.ErrDraining)
+}
+
+// SeedVMs returns the ids of the VMs that the settings name as seeds.
+func SeedVMs(s *pb.FleetSettings) []string {
+	var vms []string
+	for _, seed := range s.GetSeeds() {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			vms = append(vms, host)
+		}
+	}
+	return vms
+}
+
+// Validate checks settings and names the first field that is wrong, with its remedy.
+func Validate(s *pb.FleetSettings, control bool) error {
+	listen := s.GetListen()
+	addresses := map[string]string{"listen.peer": listen.GetPeer()}
+	if control {
+		addresses["listen.control"] = listen.GetControl()
+	} else {
+		addresses["listen.callers"], addresses["listen.ready"] = listen.GetCallers(), listen.GetReady()
+	}
+	for field, address := range addresses {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("%s: %q is not IP:port; state the address to listen on", field, address)
+		}
+	}
+	if _, err := netip.ParseAddr(s.GetId()); err != nil {
+		return fmt.Errorf("id: %q is not an IP address; state the address of this VM", s.GetId())
+	}
+	for _, seed := range s.GetSeeds() {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return fmt.Errorf("seeds: %q is not IP:port; list addresses of control VMs", seed)
+		}
+	}
+	if len(s.GetSeeds()) == 0 {
+		return errors.New("seeds: the list is empty; list at least one address of a control VM")
+	}
+	if control && s.GetDataFolder() == "" {
+		return errors.New("dataFolder: it is empty; a control VM needs a folder on its disk")
+	}
+	if control && s.GetOrders() != "call" {
+		return fmt.Errorf("orders: %q is not supported; workers must take orders by call", s.GetOrders())
+	}
+	if control && s.GetBounds().GetLeaseMax().AsDuration() <= 0 {
+		return errors.New("bounds.leaseMax: it is missing; state the longest lease that workers grant")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/serve.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// HTTP timeouts that release the connections of half-open clients; the platform's example configuration has the same.
+const (
+	headerTimeout  = 3 * time.Second
+	idleHTTP       = 15 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// HTTPServer is a listening HTTP server.
+type HTTPServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+// Listen binds the address of an HTTP server. field names the setting in errors.
+func Listen(field, address string, handler http.Handler, log zerolog.Logger) (*HTTPServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w; choose a free address of this VM", field, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleHTTP, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(log.Level(zerolog.DebugLevel).With().Str("event", "http").Logger(), "", 0)}
+	return &HTTPServer{Server: server, listener: listener}, nil
+}
+
+// Run serves until the server is shut down.
+func (s *HTTPServer) Run() error {
+	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Finish ends idle connections and waits for requests in progress, at most for the given time.
+func (s *HTTPServer) Finish(limit time.Duration, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		log.Warn().Str("event", "shutdown-timeout").Err(err).Msg("requests were still in progress")
+		_ = s.Close()
+	}
+}
+
+// MetricsHandler serves counters and histograms as text.
+func MetricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,8 +10,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,6 +220,13 @@
 	}
 }
 
+// Peers returns the ids of the VMs that this one connects to.
+func (t *Transport) Peers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.links))
+}
+
 // link returns the link to a VM, or nil.
 func (t *Transport) link(id string) *link {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/placement/steps/steps.go
@@ -0,0 +1,188 @@
+// Package steps decides which workers run the waiting tasks of submissions. A submission has an objective in time, and
+// earns by finishing within it.
+//
+// Package placement answers another question: which of many members' contracts may use how much over hours. It has no
+// notion of a chain of steps or of an objective of a second, and this package none of quotas and fair shares.
+//
+// Plan is pure: it reads a snapshot and returns proposals. The load pattern that each rule answers is stated with it.
+package steps
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// Size is an amount of each resource.
+type Size struct {
+	Millicores, MemoryBytes, Accelerators int64
+}
+
+// SizeOf reads the message form.
+func SizeOf(r *pb.Resources) Size {
+	return Size{r.GetMillicores(), r.GetMemoryBytes(), r.GetAccelerators()}
+}
+
+func (s Size) plus(o Size) Size {
+	return Size{s.Millicores + o.Millicores, s.MemoryBytes + o.MemoryBytes, s.Accelerators + o.Accelerators}
+}
+
+func (s Size) minus(o Size) Size {
+	return Size{s.Millicores - o.Millicores, s.MemoryBytes - o.MemoryBytes, s.Accelerators - o.Accelerators}
+}
+
+func (s Size) fits(o Size) bool {
+	return s.Millicores <= o.Millicores && s.MemoryBytes <= o.MemoryBytes && s.Accelerators <= o.Accelerators
+}
+
+// Resident is an attempt that is placed on a worker.
+type Resident struct {
+	Task    submission.Ref
+	Attempt uint32
+	Step    *pb.Step
+	// Priority of its queue; 0 goes first.
+	Priority int32
+	// Stopping is true once the attempt has been told to stop.
+	Stopping bool
+	// UsedMillicores is the last reading of what it uses, negative if there is none.
+	UsedMillicores float64
+	// DoneShare is the share of its work that is done and would be lost with it.
+	UnsavedMs int64
+}
+
+// Worker is a worker as the planner sees it.
+type Worker struct {
+	Life     submission.Life
+	Pool     string
+	Domain   string
+	Rack     string
+	Labels   []string
+	Capacity Size
+	// Usable is false if no task may be placed there now.
+	Usable bool
+	// Penalty makes the planner prefer other workers; 0 for a worker that is well.
+	Penalty   float64
+	Residents []Resident
+
+	used    Size
+	load    float64 // expected millicores in use
+	serving int     // endless tasks with a tail limit
+	perStep map[stepKey]int
+}
+
+type stepKey struct {
+	submission       string
+	occurrence, step uint32
+}
+
+func keyOf(r submission.Ref) stepKey { return stepKey{r.Submission, r.Occurrence, r.Step} }
+
+// Request is a step with waiting tasks.
+type Request struct {
+	Submission       string
+	Occurrence, Step uint32
+	Spec             *pb.Step
+	Pool             string
+	Priority         int32
+	// Waiting are the indexes of the tasks to place, with the next attempt number of each.
+	Waiting []WaitingTask
+	// ObjectiveUnixMs is when the submission should be done, WorthlessUnixMs when it no longer earns anything.
+	ObjectiveUnixMs, WorthlessUnixMs int64
+	// ChainMs is the expected time from the start of this step to the end of the submission.
+	ChainMs int64
+	// WorkMs is the work left in core-milliseconds.
+	WorkMs float64
+	// AcceptedUnixMs breaks ties.
+	AcceptedUnixMs int64
+}
+
+// WaitingTask is a task to place.
+type WaitingTask struct {
+	Index   uint32
+	Attempt uint32
+	// AvoidWorkers are workers on which the task failed or was refused before.
+	AvoidWorkers []string
+}
+
+// Start is a proposed placement.
+type Start struct {
+	Task    submission.Ref
+	Attempt uint32
+	On      submission.Life
+	// Considered is the number of workers with room.
+	Considered int
+}
+
+// Stop is a proposed eviction.
+type Stop struct {
+	Task    submission.Ref
+	Attempt uint32
+	On      submission.Life
+	// For is the submission that needs the room.
+	For string
+}
+
+// Plan is a set of proposals.
+type Plan struct {
+	Starts []Start
+	Stops  []Stop
+}
+
+// Snapshot is what a plan is made from.
+type Snapshot struct {
+	NowUnixMs int64
+	Workers   []*Worker
+	Requests  []*Request
+	// MaxStarts bounds the starts of one plan.
+	MaxStarts int
+}
+
+// Make returns the proposals for a snapshot.
+func Make(s *Snapshot) Plan {
+	p := &planning{Snapshot: s, racks: map[string][]*Worker{}}
+	for _, w := range s.Workers {
+		w.prepare()
+	}
+	slices.SortStableFunc(s.Requests, func(a, b *Request) int { return compare(a, b, s.NowUnixMs) })
+	for _, r := range s.Requests {
+		if len(p.plan.Starts) >= s.MaxStarts {
+			break
+		}
+		p.place(r)
+	}
+	return p.plan
+}
+
+// standing groups requests of one priority by what they can still earn.
+func (r *Request) standing(nowMs int64) int {
+	switch {
+	case r.Spec.GetEndless():
+		return 0
+	case nowMs+r.ChainMs <= r.ObjectiveUnixMs:
+		return 1
+	case nowMs+r.ChainMs <= r.WorthlessUnixMs:
+		return 2
+	}
+	return 3
+}
+
+// compare orders requests: by priority of the queue, then those that can still meet their objective, then those that
+// are late but earn something, then the rest; within these by the time at which the step must start. It answers a
+// burst of long submissions in front of short ones: first come first served makes all of them late.
+func compare(a, b *Request, nowMs int64) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.standing(nowMs), b.standing(nowMs)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.ObjectiveUnixMs-a.ChainMs, b.ObjectiveUnixMs-b.ChainMs); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.AcceptedUnixMs, b.AcceptedUnixMs); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Submission, b.Submission)
+}
--- a/internal/raft/identity.go
+++ b/internal/raft/identity.go
@@ -100,6 +100,15 @@
 // a voter of an open group asks to join again; an election takes about two.
 const lostTimeouts = 4
 
+// AddContacts adds VMs that may know the group.
+func (n *Node) AddContacts(vms []string) {
+	for _, vm := range vms {
+		if !slices.Contains(n.cfg.Contacts, vm) {
+			n.cfg.Contacts = append(slices.Clip(n.cfg.Contacts), vm)
+		}
+	}
+}
+
 // broadcastToVMs sends a message to every other known VM, whatever its incarnation.
 func (n *Node) broadcastToVMs(kind pb.RaftMessageType) {
 	vms := slices.Concat(n.cfg.Voters, n.cfg.Learners, n.cfg.Contacts)
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -13,6 +13,14 @@
 // Status returns the latest published status.
 func (g *Group) Status() Status { return *g.status.Load() }
 
+// AddContacts adds VM ids to ask for the group.
+func (g *Group) AddContacts(vms []string) {
+	g.host.post(func() {
+		g.cfg.Contacts = append(g.cfg.Contacts, vms...)
+		g.node.AddContacts(vms)
+	})
+}
+
 // Progress returns what this VM, as leader, knows of each member; nil if it is
 // not the leader. It is at most one tick (half a heartbeat) old.
 func (g *Group) Progress() []MemberProgress {
--- /dev/null
+++ b/internal/submission/snapshot.go
@@ -0,0 +1,120 @@
+package submission
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// Snapshot implements replica.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := &pb.SubmissionSnapshot{Config: s.config, UnixMs: s.unixMs}
+	for _, id := range slices.Sorted(maps.Keys(s.submissions)) {
+		out.Submissions = append(out.Submissions, s.submissions[id].record())
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		out.Workers = append(out.Workers, s.workers[id].PoolWorker)
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
+		out.Waves = append(out.Waves, s.waves[number])
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+func (s *Submission) record() *pb.SubmissionRecord {
+	r := &pb.SubmissionRecord{
+		Spec: s.Spec, Queue: s.Queue, State: s.State, AcceptedUnixMs: s.AcceptedUnixMs, EndedUnixMs: s.EndedUnixMs,
+		Started: s.Started, OccurrencesDone: s.OccurrencesDone, AcceptedQueue: s.AcceptedQueue,
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.Occurrences)) {
+		r.Occurrences = append(r.Occurrences, s.Occurrences[number].record(number))
+	}
+	return r
+}
+
+func (o *Occurrence) record(number uint32) *pb.OccurrenceRecord {
+	r := &pb.OccurrenceRecord{Number: number, Done: o.Done}
+	for i := range o.Steps {
+		step := &pb.StepRecord{}
+		for _, t := range o.Steps[i].Tasks {
+			step.Tasks = append(step.Tasks, &pb.TaskRecord{Attempt: t.Attempt, Worker: t.On.ID, WorkerBornUnixMs: t.On.BornUnixMs,
+				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed})
+		}
+		r.Steps = append(r.Steps, step)
+	}
+	return r
+}
+
+// Restore implements replica.StateMachine.
+func (s *State) Restore(snapshot []byte) error {
+	in := &pb.SubmissionSnapshot{}
+	if err := proto.Unmarshal(snapshot, in); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clear()
+	s.unixMs = in.GetUnixMs()
+	if in.GetConfig() != nil {
+		s.setConfig(in.GetConfig())
+	}
+	for _, p := range in.GetWorkers() {
+		s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, goneAt: s.unixMs}
+	}
+	for _, wave := range in.GetWaves() {
+		s.waves[wave.GetNumber()] = wave
+	}
+	for _, r := range in.GetSubmissions() {
+		s.restoreSubmission(r)
+	}
+	s.version++
+	return nil
+}
+
+func (s *State) restoreSubmission(r *pb.SubmissionRecord) {
+	sub := &Submission{
+		Spec: r.GetSpec(), Queue: r.GetQueue(), State: r.GetState(), AcceptedUnixMs: r.GetAcceptedUnixMs(), EndedUnixMs: r.GetEndedUnixMs(),
+		Started: r.GetStarted(), OccurrencesDone: r.GetOccurrencesDone(), AcceptedQueue: r.GetAcceptedQueue(), Occurrences: map[uint32]*Occurrence{},
+	}
+	id := sub.Spec.GetId()
+	s.submissions[id] = sub
+	if sub.Active() {
+		s.active[id] = sub
+	}
+	for _, o := range r.GetOccurrences() {
+		sub.Occurrences[o.GetNumber()] = s.restoreOccurrence(id, o)
+	}
+}
+
+func (s *State) restoreOccurrence(id string, r *pb.OccurrenceRecord) *Occurrence {
+	o := &Occurrence{Done: r.GetDone(), Steps: make([]Step, len(r.GetSteps()))}
+	for i, step := range r.GetSteps() {
+		tasks := make([]Task, len(step.GetTasks()))
+		for j, t := range step.GetTasks() {
+			tasks[j] = Task{Attempt: t.GetAttempt(), On: Life{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
+				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts()}
+			if t.GetDone() {
+				o.Steps[i].Done++
+			}
+			if !tasks[j].Placed() {
+				continue
+			}
+			o.Steps[i].Placed++
+			if w := s.workers[tasks[j].On.ID]; w != nil && w.Life() == tasks[j].On {
+				w.Attempts[Ref{Submission: id, Occurrence: r.GetNumber(), Step: uint32(i), Index: uint32(j)}] = t.GetAttempt()
+			}
+		}
+		o.Steps[i].Tasks = tasks
+	}
+	return o
+}
