Learn which filling images press on which services; place, slow and move by it

Recorded readings show that one filling image of nine presses on three of five service images, that a tail behaves as idle/(1-u), and that u swings with the service's own load. Ruled out: a linear model of the tail itself (weights fell to nothing as tails explode only near the limit), one base for an image (absorbed into the weights), readings without averaging (blamed what came after the cause).

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -13,6 +13,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/boottime"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -94,6 +95,7 @@
 	planAt   time.Duration
 	avoid    map[submission.Ref]*avoidance
 	quality  map[string]*quality
+	pressure *steps.Pressure
 	ended    []string
 	endedMu  sync.Mutex // guards ended
 }
@@ -153,6 +155,7 @@
 
 func (l *Leader) reset() {
 	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
+	l.pressure = steps.NewPressure()
 	l.avoid, l.quality = map[submission.Ref]*avoidance{}, map[string]*quality{}
 	l.queue, l.after, l.inFlight, l.dirty = nil, nil, false, false
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -89,7 +89,7 @@
 
 // snapshot collects what the planner needs.
 func (l *Leader) snapshot(now time.Duration) *steps.Snapshot {
-	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts}
+	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts, Pressure: l.pressure}
 	l.cfg.State.View(func(state *submission.State) {
 		for _, sub := range state.Active() {
 			snap.Requests = append(snap.Requests, l.requests(state, sub, snap.NowUnixMs, now)...)
@@ -118,10 +118,14 @@
 		if sub == nil {
 			continue
 		}
-		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), UsedMillicores: -1}
+		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), UsedMillicores: -1, TailRatio: -1}
 		if s != nil {
-			if figure, ok := s.figures[ref]; ok && figure.Attempt == attempt && resident.Step.GetTailLimitMs() == 0 {
-				resident.UsedMillicores = figure.Figure
+			if figure, ok := s.figures[ref]; ok && figure.Attempt == attempt {
+				if limit := resident.Step.GetTailLimitMs(); limit > 0 {
+					resident.TailRatio = figure.Figure / float64(limit)
+				} else {
+					resident.UsedMillicores = figure.Figure
+				}
 			}
 		}
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
--- /dev/null
+++ b/internal/dispatch/relief.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+const (
+	// atWork is the percent from which an endless task serves and its tail says something.
+	atWork = 100
+	// milli converts millicores.
+	milli = 1000
+)
+
+// relieve learns from the readings of a worker and slows, moves or speeds up its filling tasks.
+func (l *Leader) relieve(s *session) {
+	serving, filling := l.readings(s)
+	s.setWatch(len(serving) > 0 && len(filling) > 0)
+	fill := steps.FillCores{}
+	for _, f := range filling {
+		fill[f.Step.GetImage()] += f.Cores
+	}
+	now := l.cfg.Clock()
+	s.fill.Follow(fill, now-s.readAt)
+	s.readAt = now
+	for _, reading := range serving {
+		l.pressure.Observe(reading, s.fill)
+	}
+	if now-s.relievedAt < l.cfg.Bounds.Pace+readingSpan {
+		return // the reading covers time before the last change
+	}
+	for _, share := range steps.Relieve(l.pressure, serving, filling) {
+		s.relievedAt = l.cfg.Clock()
+		l.throttle(s, share)
+	}
+}
+
+// readingSpan is the time that a reading covers.
+const readingSpan = 500 * time.Millisecond
+
+// readings collects the endless and the filling tasks that run on a worker.
+func (l *Leader) readings(s *session) (serving []steps.Serving, filling []steps.Filling) {
+	l.cfg.State.View(func(state *submission.State) {
+		for ref, running := range s.figures {
+			sub := state.Submission(ref.Submission)
+			if sub == nil || int(ref.Step) >= len(sub.Spec.GetSteps()) {
+				continue
+			}
+			step := sub.Spec.GetSteps()[ref.Step]
+			if limit := step.GetTailLimitMs(); limit > 0 && running.Percent >= atWork {
+				serving = append(serving, steps.Serving{Task: ref, Image: step.GetImage(), Ratio: running.Figure / float64(limit)})
+			}
+			if r := l.runs[ref]; step.GetFills() && r != nil && r.attempt == running.Attempt && r.phase != stopping {
+				filling = append(filling, steps.Filling{Task: ref, Attempt: running.Attempt, Step: step, Cores: running.Figure / milli, Percent: s.shareOf(ref)})
+			}
+		}
+		for ref := range s.shares {
+			if _, ok := s.figures[ref]; !ok {
+				delete(s.shares, ref)
+			}
+		}
+	})
+	return serving, filling
+}
+
+// shareOf returns the share, in percent, at which a task may work.
+func (s *session) shareOf(ref submission.Ref) int {
+	if share, ok := s.shares[ref]; ok {
+		return share
+	}
+	return 100
+}
+
+func (l *Leader) throttle(s *session, share steps.Share) {
+	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
+		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Float64("weight", share.Weight).Bool("move", share.Move).Msg("")
+	s.shares[share.Task] = share.Percent
+	c := ThrottleCall{Target: l.target(s), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error) {
+		if err != nil {
+			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.life.ID).Err(err).Msg("")
+		}
+	})
+	if r := l.runs[share.Task]; share.Move && r != nil && r.attempt == share.Attempt {
+		l.avoidWorker(share.Task, s.life.ID)
+		l.stopRun(share.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "presses-on-service")
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
@@ -234,6 +236,8 @@
 		}
 	})
 	s.figures = figures
+	l.logFigures(s)
+	l.relieve(s)
 	for _, running := range strays {
 		l.stopStray(s, running, sent)
 	}
@@ -351,3 +355,20 @@
 	})
 	return list
 }
+
+// logFigures writes what a worker reports of its tasks, at debug level.
+func (l *Leader) logFigures(s *session) {
+	if l.log.GetLevel() > zerolog.DebugLevel {
+		return
+	}
+	l.cfg.State.View(func(state *submission.State) {
+		for ref, f := range s.figures {
+			if sub := state.Submission(ref.Submission); sub != nil {
+				step := sub.Spec.GetSteps()[ref.Step]
+				l.log.Debug().Str("event", "figure").Str("worker", s.life.ID).Str("request", ref.Submission).Uint32("task", ref.Index).Str("image", step.GetImage()).
+					Bool("endless", step.GetEndless()).Bool("fills", step.GetFills()).Int64("millicores", step.GetSize().GetMillicores()).Int64("tail_limit", step.GetTailLimitMs()).
+					Float64("percent", f.Percent).Float64("figure", f.Figure).Msg("")
+			}
+		}
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 const (
 	// holdWait is how long a worker waits for an end before it answers; the platform allows 2 s.
 	holdWait = 1500 * time.Millisecond
+	// watchWait is the same while filling tasks run beside endless ones.
+	watchWait = 600 * time.Millisecond
 	// holdSlack is added to holdWait for the answer to arrive.
 	holdSlack = 800 * time.Millisecond
 	// holdRetryMin and holdRetryMax bound the pause after a hold without an answer.
@@ -33,6 +36,9 @@
 	sequence   uint64        // of its last report
 	figures    map[submission.Ref]Running
 	shares     map[submission.Ref]int // percent that a filling task may use
+	fill       steps.FillCores        // cores that filling tasks used in the time that a reading covers
+	readAt     time.Duration          // time of the last reading
+	relievedAt time.Duration          // when filling tasks were last slowed or sped up
 
 	mu sync.Mutex // guards the fields below, which calls in progress use
 	contact
@@ -49,6 +55,14 @@
 	clockAt    time.Duration
 	granted    int64 // latest lease named in a call, on the worker's clock; 0 if none in this term
 	seenEnd    uint64
+	// watched is true while filling tasks run beside endless ones, whose readings must not be late.
+	watched bool
+}
+
+func (s *session) setWatch(watched bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watched = watched
 }
 
 func (l *Leader) openSession(w *submission.Worker) *session {
@@ -60,7 +74,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{life: w.Life(), address: w.GetAddress(), cancel: cancel, figures: map[submission.Ref]Running{},
-		shares: map[submission.Ref]int{}}
+		shares: map[submission.Ref]int{}, fill: steps.FillCores{}}
 	s.reportedAt = l.cfg.Clock()
 	l.sessions[w.GetId()] = s
 	l.log.Info().Str("event", "session-opened").Str("worker", s.life.ID).Int64("born", s.life.BornUnixMs).Str("address", s.address).Msg("")
@@ -131,8 +145,14 @@
 	pause := holdRetryMin
 	for ctx.Err() == nil {
 		sent := l.cfg.Clock()
-		c := HoldCall{Target: Target{Life: s.life, Address: s.address, Fence: term}, LeaseUntilMs: s.grant(l.lease, sent), SeenEnd: s.contactNow().seenEnd}
-		if c.LeaseUntilMs != 0 {
+		contact := s.contactNow()
+		c := HoldCall{Target: Target{Life: s.life, Address: s.address, Fence: term}, LeaseUntilMs: s.grant(l.lease, sent), SeenEnd: contact.seenEnd}
+		switch {
+		case c.LeaseUntilMs == 0:
+			// The first answer must come at once.
+		case contact.watched:
+			c.WaitMs = watchWait.Milliseconds()
+		default:
 			c.WaitMs = holdWait.Milliseconds()
 		}
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -14,8 +14,18 @@
 	fillLimit = 1.0
 	// farWeight is the cost of a place far from the data of a step, in shares of a worker's processor time.
 	farWeight = 2.0
-	// servingWeight is the cost of a filling task beside an endless one.
-	servingWeight = 0.05
+	// pressureLimit is the predicted busy share up to which filling tasks are added beside an endless one. At 0.8 its
+	// tail reaches the limit, and its own load swings.
+	pressureLimit = 0.72
+	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
+	strainLimit = 0.85
+	// harmlessWeight is the weight of a pair that does not matter: ten cores add less than its own load swings.
+	harmlessWeight = 0.015
+	// pressureWeight is the cost of what a filling task adds to the busy share of an endless one.
+	pressureWeight = 1.0
+	// mixWeight is the cost of an endless task beside those of other images. Workers with one image leave room for
+	// filling tasks that press on others only.
+	mixWeight = 0.5
 	// penaltyWeight multiplies the penalty of a worker.
 	penaltyWeight = 4.0
 )
@@ -28,7 +38,8 @@
 }
 
 func (w *Worker) prepare() {
-	w.used, w.load, w.serving, w.perStep = Size{}, 0, 0, map[stepKey]int{}
+	w.used, w.load = Size{}, 0
+	w.serving, w.fill, w.perStep = map[string]int{}, FillCores{}, map[stepKey]int{}
 	for i := range w.Residents {
 		w.count(&w.Residents[i], 1)
 	}
@@ -61,11 +72,16 @@
 	}
 	w.load += float64(sign) * expectedLoad(r.Step)
 	if r.Step.GetTailLimitMs() > 0 {
-		w.serving += sign
+		w.serving[r.Step.GetImage()] += sign
+	}
+	if r.Step.GetFills() {
+		w.fill[r.Step.GetImage()] += float64(sign) * cores(r.Step)
 	}
 	w.perStep[keyOf(r.Task)] += sign
 }
 
+func cores(step *pb.Step) float64 { return float64(step.GetSize().GetMillicores()) / 1000 }
+
 // place proposes starts for the waiting tasks of a request, all or none of a gang.
 func (p *planning) place(r *Request) {
 	if r.Spec.GetGang() {
@@ -133,18 +149,18 @@
 	var best *Worker
 	bestScore, considered := 0.0, 0
 	for _, w := range p.Workers {
-		if rack != "" && w.Rack != rack || !w.admits(r, ref, t) {
+		if rack != "" && w.Rack != rack || !p.admits(w, r, ref, t) {
 			continue
 		}
 		considered++
-		if score := w.score(r); best == nil || score < bestScore {
+		if score := p.score(w, r); best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
 	}
 	if best == nil {
 		return false
 	}
-	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, UsedMillicores: -1}
+	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, UsedMillicores: -1, TailRatio: -1}
 	best.Residents = append(best.Residents, resident)
 	best.count(&resident, 1)
 	p.plan.Starts = append(p.plan.Starts, Start{Task: ref, Attempt: t.Attempt, On: best.Life, Considered: considered})
@@ -152,7 +168,7 @@
 }
 
 // admits reports whether a task may start on w now.
-func (w *Worker) admits(r *Request, ref submission.Ref, t WaitingTask) bool {
+func (p *planning) admits(w *Worker, r *Request, ref submission.Ref, t WaitingTask) bool {
 	spec := r.Spec
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
@@ -167,20 +183,59 @@
 		return false
 	case spec.GetFills() && w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Millicores):
 		return false
+	case spec.GetFills() && !p.bears(w, spec):
+		return false
 	}
 	return true
 }
 
+// bears reports whether the endless tasks on w are expected to stay within their limits beside one more filling task.
+func (p *planning) bears(w *Worker, spec *pb.Step) bool {
+	image := spec.GetImage()
+	for i := range w.Residents {
+		r := &w.Residents[i]
+		if r.Step.GetTailLimitMs() == 0 {
+			continue
+		}
+		serving := r.Step.GetImage()
+		weight := p.Pressure.Weight(serving, image)
+		if weight <= harmlessWeight {
+			continue
+		}
+		if r.TailRatio > strainLimit || p.Pressure.Predict(r.Task, serving, w.fill)+weight*cores(spec) > pressureLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// mix returns the number of images of endless tasks on w other than image.
+func (w *Worker) mix(image string) int {
+	n := 0
+	for other, count := range w.serving {
+		if count > 0 && other != image {
+			n++
+		}
+	}
+	return n
+}
+
 // score rates a worker with room; lower is better. The terms are shares of the worker's processor time.
-func (w *Worker) score(r *Request) float64 {
+func (p *planning) score(w *Worker, r *Request) float64 {
 	spec := r.Spec
 	capacity := float64(max(1, w.Capacity.Millicores))
 	score := (w.load + expectedLoad(spec)) / capacity
 	if spec.GetDataRack() != "" && spec.GetDataRack() != w.Rack {
 		score += farWeight
 	}
+	if spec.GetTailLimitMs() > 0 {
+		// Fullest first, so that other workers stay free of endless tasks.
+		score = mixWeight*float64(w.mix(spec.GetImage())) - score
+	}
 	if spec.GetFills() {
-		score += servingWeight * float64(w.serving)
+		for serving, n := range w.serving {
+			score += pressureWeight * float64(n) * p.Pressure.Weight(serving, spec.GetImage()) * cores(spec)
+		}
 	}
 	return score + penaltyWeight*w.Penalty
 }
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -48,8 +48,8 @@
 	Stopping bool
 	// UsedMillicores is the last reading of what it uses, negative if there is none.
 	UsedMillicores float64
-	// DoneShare is the share of its work that is done and would be lost with it.
-	UnsavedMs int64
+	// TailRatio is the last reading of the tail of an endless task as a share of its limit, negative if there is none.
+	TailRatio float64
 }
 
 // Worker is a worker as the planner sees it.
@@ -67,8 +67,9 @@
 	Residents []Resident
 
 	used    Size
-	load    float64 // expected millicores in use
-	serving int     // endless tasks with a tail limit
+	load    float64        // expected millicores in use
+	serving map[string]int // endless tasks with a tail limit, by image
+	fill    FillCores
 	perStep map[stepKey]int
 }
 
@@ -137,6 +138,7 @@
 	Requests  []*Request
 	// MaxStarts bounds the starts of one plan.
 	MaxStarts int
+	Pressure  *Pressure
 }
 
 // Make returns the proposals for a snapshot.
