--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -20,7 +20,7 @@
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
 	// harmlessWeight is the weight of a pair that does not matter: ten cores add less than its own load swings.
-	harmlessWeight = 0.015
+	harmlessWeight = 0.012
 	// pressureWeight is the cost of what a filling task adds to the busy share of an endless one.
 	pressureWeight = 1.0
 	// mixWeight is the cost of an endless task beside those of other images. Workers with one image leave room for
