--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -16,7 +16,7 @@
 	farWeight = 2.0
 	// pressureLimit is the predicted busy share up to which filling tasks are added beside an endless one. At 0.8 its
 	// tail reaches the limit, and its own load swings.
-	pressureLimit = 0.72
+	pressureLimit = 0.78
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
 	// harmlessWeight is the weight of a pair that does not matter: ten cores add less than its own load swings.
--- a/internal/placement/steps/pressure.go
+++ b/internal/placement/steps/pressure.go
@@ -40,6 +40,8 @@
 	baseRate = 0.05
 	// highestBase bounds the base of a task: what it does by itself stays within its limit.
 	highestBase = 0.8
+	// peakBase is the base that a task reaches at the height of its load, which comes within the run of a filling task.
+	peakBase = 0.65
 	// leastCores keeps a reading with next to no filling work from moving weights.
 	leastCores = 1.0
 	// maxImages bounds the filling images that are told apart for one service image; further ones keep the first weight.
@@ -172,9 +174,9 @@
 // Forget drops what is known of a task that has ended.
 func (p *Pressure) Forget(task submission.Ref) { delete(p.base, task) }
 
-// Predict returns the expected busy share of an endless task beside filling tasks.
+// Predict returns the busy share that an endless task may reach beside filling tasks before these have ended.
 func (p *Pressure) Predict(task submission.Ref, image string, fill FillCores) float64 {
-	busy := p.baseOf(task)
+	busy := math.Max(peakBase, p.baseOf(task))
 	for filling, cores := range fill {
 		if w := p.Weight(image, filling); w > harmlessWeight {
 			busy += w * cores
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -32,10 +32,12 @@
 }
 
 const (
-	// reliefAt is the reading of a tail, as a share of its limit, at which filling tasks are slowed.
-	reliefAt = 0.95
+	// reliefAt is the reading of a tail, as a share of its limit, at which filling tasks that press on it are slowed.
+	reliefAt = 0.8
+	// suspectAt is the reading at which a filling task that does not seem to press is slowed as well.
+	suspectAt = 1.0
 	// resumeAt is the reading below which they may speed up again.
-	resumeAt = 0.8
+	resumeAt = 0.75
 	// resumeStep is the share, in percent, that a task regains with each good reading.
 	resumeStep = 34
 )
@@ -80,7 +82,7 @@
 				continue
 			}
 			pressing := p.Weight(s.Image, f.Step.GetImage()) > harmlessWeight
-			if !pressing && len(shares) > 0 {
+			if !pressing && (len(shares) > 0 || s.Ratio < suspectAt) {
 				break // one at a time finds a cause that is not known yet
 			}
 			excess -= press(f)
