--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -33,12 +33,34 @@
 	if now-s.relievedAt < l.cfg.Bounds.Pace+readingSpan {
 		return // the reading covers time before the last change
 	}
-	for _, share := range steps.Relieve(l.pressure, serving, filling) {
+	for _, share := range steps.Relieve(l.pressure, serving, filling, s.overFor(serving, now), l.cfg.Bounds.Harm/harmPatience) {
 		s.relievedAt = l.cfg.Clock()
 		l.throttle(s, share)
 	}
 }
 
+// harmPatience is the part of the time that a service may be harmed after which all filling tasks beside it stop.
+const harmPatience = 4
+
+// overFor returns how long some endless task of a worker has been over its limit without a break.
+func (s *session) overFor(serving []steps.Serving, now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	over := map[submission.Ref]time.Duration{}
+	for _, reading := range serving {
+		if reading.Ratio < 1 {
+			continue
+		}
+		since, ok := s.over[reading.Task]
+		if !ok {
+			since = now
+		}
+		over[reading.Task] = since
+		longest = max(longest, now-since)
+	}
+	s.over = over
+	return longest
+}
+
 // readingSpan is the time that a reading covers.
 const readingSpan = 500 * time.Millisecond
 
@@ -75,13 +97,18 @@
 	return 100
 }
 
+// unknownShare stands for the share of a task that a former leader may have slowed.
+const unknownShare = 50
+
 func (l *Leader) throttle(s *session, share steps.Share) {
 	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
 		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Float64("weight", share.Weight).Bool("move", share.Move).Msg("")
+	before := s.shareOf(share.Task)
 	s.shares[share.Task] = share.Percent
 	c := ThrottleCall{Target: l.target(s), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error) {
 		if err != nil {
+			s.shares[share.Task] = before
 			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.life.ID).Err(err).Msg("")
 		}
 	})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -256,6 +256,9 @@
 func (l *Leader) adopt(task submission.Ref, attempt uint32, on submission.Life, running bool) {
 	r := l.runs[task]
 	if r == nil || r.attempt < attempt {
+		if s := l.sessions[on.ID]; s != nil && s.life == on {
+			s.shares[task] = unknownShare
+		}
 		r = &run{on: on, attempt: attempt, orderedAt: l.cfg.Clock(), unanswered: true}
 		l.runs[task] = r
 	}
@@ -362,12 +365,16 @@
 		return
 	}
 	l.cfg.State.View(func(state *submission.State) {
+		capacity := int64(0)
+		if w := state.Workers()[s.life.ID]; w != nil {
+			capacity = w.GetCapacity().GetMillicores()
+		}
 		for ref, f := range s.figures {
 			if sub := state.Submission(ref.Submission); sub != nil {
 				step := sub.Spec.GetSteps()[ref.Step]
 				l.log.Debug().Str("event", "figure").Str("worker", s.life.ID).Str("request", ref.Submission).Uint32("task", ref.Index).Str("image", step.GetImage()).
 					Bool("endless", step.GetEndless()).Bool("fills", step.GetFills()).Int64("millicores", step.GetSize().GetMillicores()).Int64("tail_limit", step.GetTailLimitMs()).
-					Float64("percent", f.Percent).Float64("figure", f.Figure).Msg("")
+					Int64("capacity", capacity).Float64("percent", f.Percent).Float64("figure", f.Figure).Msg("")
 			}
 		}
 	})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,10 +35,11 @@
 	reportedAt time.Duration // when it last reported
 	sequence   uint64        // of its last report
 	figures    map[submission.Ref]Running
-	shares     map[submission.Ref]int // percent that a filling task may use
-	fill       steps.FillCores        // cores that filling tasks used in the time that a reading covers
-	readAt     time.Duration          // time of the last reading
-	relievedAt time.Duration          // when filling tasks were last slowed or sped up
+	shares     map[submission.Ref]int           // percent that a filling task may use
+	fill       steps.FillCores                  // cores that filling tasks used in the time that a reading covers
+	readAt     time.Duration                    // time of the last reading
+	over       map[submission.Ref]time.Duration // since when endless tasks are over their limits
+	relievedAt time.Duration                    // when filling tasks were last slowed or sped up
 
 	mu sync.Mutex // guards the fields below, which calls in progress use
 	contact
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -9,7 +9,7 @@
 
 const (
 	// servingLoad is the share of its declared processor time that an endless task is expected to use.
-	servingLoad = 0.6
+	servingLoad = 0.5
 	// fillLimit is the share of a worker's processor time up to which filling tasks are added.
 	fillLimit = 1.0
 	// farWeight is the cost of a place far from the data of a step, in shares of a worker's processor time.
@@ -197,6 +197,9 @@
 		if r.Step.GetTailLimitMs() == 0 {
 			continue
 		}
+		if r.TailRatio >= 1 {
+			return false
+		}
 		serving := r.Step.GetImage()
 		weight := p.Pressure.Weight(serving, image)
 		if weight <= harmlessWeight {
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -36,6 +37,9 @@
 	reliefAt = 0.8
 	// suspectAt is the reading at which a filling task that does not seem to press is slowed as well.
 	suspectAt = 1.0
+	// movingPress is the busy share that a task must add for it to be moved away; a lesser one is only slowed, since a
+	// move costs a stop, a restart and a new place.
+	movingPress = 0.12
 	// resumeAt is the reading below which they may speed up again.
 	resumeAt = 0.75
 	// resumeStep is the share, in percent, that a task regains with each good reading.
@@ -44,7 +48,10 @@
 
 // Relieve decides what the filling tasks of a worker may do, given readings of its endless tasks. It answers a load
 // that swings within seconds: slow down first, take away what can move without loss, speed up again in steps.
-func Relieve(p *Pressure, serving []Serving, filling []Filling) []Share {
+//
+// overFor is how long an endless task has been over its limit without a break; when that has been so for patience, the
+// cause is not known well enough and all filling tasks stop work.
+func Relieve(p *Pressure, serving []Serving, filling []Filling, overFor, patience time.Duration) []Share {
 	worst := Serving{}
 	for _, s := range serving {
 		if s.Ratio > worst.Ratio {
@@ -54,6 +61,8 @@
 	switch {
 	case len(filling) == 0:
 		return nil
+	case overFor >= patience:
+		return stopAll(filling)
 	case worst.Ratio >= reliefAt:
 		return slowDown(p, serving, filling)
 	case worst.Ratio < resumeAt:
@@ -87,7 +96,17 @@
 			}
 			excess -= press(f)
 			shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: 0, Image: f.Step.GetImage(),
-				Weight: p.Weight(s.Image, f.Step.GetImage()), Move: pressing && f.Step.GetCheckpoints()})
+				Weight: p.Weight(s.Image, f.Step.GetImage()), Move: press(f) > movingPress && f.Step.GetCheckpoints()})
+		}
+	}
+	return shares
+}
+
+func stopAll(filling []Filling) []Share {
+	var shares []Share
+	for _, f := range filling {
+		if f.Percent > 0 {
+			shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: 0, Image: f.Step.GetImage()})
 		}
 	}
 	return shares
