Count pressure as a multiple of a service's own load, in shares of the worker; leave saturated readings out

Cause: weights by core mixed workers of different size and ignored that pressure bites at the height of a service's load.

--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -9,20 +9,16 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-const (
-	// atWork is the percent from which an endless task serves and its tail says something.
-	atWork = 100
-	// milli converts millicores.
-	milli = 1000
-)
+// atWork is the percent from which an endless task serves and its tail says something.
+const atWork = 100
 
 // relieve learns from the readings of a worker and slows, moves or speeds up its filling tasks.
 func (l *Leader) relieve(s *session) {
 	serving, filling := l.readings(s)
 	s.setWatch(len(serving) > 0 && len(filling) > 0)
-	fill := steps.FillCores{}
+	fill := steps.Fill{}
 	for _, f := range filling {
-		fill[f.Step.GetImage()] += f.Cores
+		fill[f.Step.GetImage()] += f.Share
 	}
 	now := l.cfg.Clock()
 	s.fill.Follow(fill, now-s.readAt)
@@ -67,6 +63,10 @@
 // readings collects the endless and the filling tasks that run on a worker.
 func (l *Leader) readings(s *session) (serving []steps.Serving, filling []steps.Filling) {
 	l.cfg.State.View(func(state *submission.State) {
+		capacity := 1.0
+		if w := state.Workers()[s.life.ID]; w != nil {
+			capacity = max(capacity, float64(w.GetCapacity().GetMillicores()))
+		}
 		for ref, running := range s.figures {
 			sub := state.Submission(ref.Submission)
 			if sub == nil || int(ref.Step) >= len(sub.Spec.GetSteps()) {
@@ -77,7 +77,7 @@
 				serving = append(serving, steps.Serving{Task: ref, Image: step.GetImage(), Ratio: running.Figure / float64(limit)})
 			}
 			if r := l.runs[ref]; step.GetFills() && r != nil && r.attempt == running.Attempt && r.phase != stopping {
-				filling = append(filling, steps.Filling{Task: ref, Attempt: running.Attempt, Step: step, Cores: running.Figure / milli, Percent: s.shareOf(ref)})
+				filling = append(filling, steps.Filling{Task: ref, Attempt: running.Attempt, Step: step, Share: running.Figure / capacity, Percent: s.shareOf(ref)})
 			}
 		}
 		for ref := range s.shares {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -36,7 +36,7 @@
 	sequence   uint64        // of its last report
 	figures    map[submission.Ref]Running
 	shares     map[submission.Ref]int           // percent that a filling task may use
-	fill       steps.FillCores                  // cores that filling tasks used in the time that a reading covers
+	fill       steps.Fill                       // shares that filling tasks used in the time that a reading covers
 	readAt     time.Duration                    // time of the last reading
 	over       map[submission.Ref]time.Duration // since when endless tasks are over their limits
 	relievedAt time.Duration                    // when filling tasks were last slowed or sped up
@@ -75,7 +75,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{life: w.Life(), address: w.GetAddress(), cancel: cancel, figures: map[submission.Ref]Running{},
-		shares: map[submission.Ref]int{}, fill: steps.FillCores{}}
+		shares: map[submission.Ref]int{}, fill: steps.Fill{}}
 	s.reportedAt = l.cfg.Clock()
 	l.sessions[w.GetId()] = s
 	l.log.Info().Str("event", "session-opened").Str("worker", s.life.ID).Int64("born", s.life.BornUnixMs).Str("address", s.address).Msg("")
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -15,12 +15,12 @@
 	// farWeight is the cost of a place far from the data of a step, in shares of a worker's processor time.
 	farWeight = 2.0
 	// pressureLimit is the predicted busy share up to which filling tasks are added beside an endless one. At 0.8 its
-	// tail reaches the limit, and its own load swings.
+	// tail reaches the limit.
 	pressureLimit = 0.78
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
-	// harmlessWeight is the weight of a pair that does not matter: ten cores add less than its own load swings.
-	harmlessWeight = 0.012
+	// harmlessWeight is the weight of a pair that does not matter: a tenth of the worker adds less than its own load swings.
+	harmlessWeight = 1.0
 	// pressureWeight is the cost of what a filling task adds to the busy share of an endless one.
 	pressureWeight = 1.0
 	// mixWeight is the cost of an endless task beside those of other images. Workers with one image leave room for
@@ -39,7 +39,7 @@
 
 func (w *Worker) prepare() {
 	w.used, w.load = Size{}, 0
-	w.serving, w.fill, w.perStep = map[string]int{}, FillCores{}, map[stepKey]int{}
+	w.serving, w.fill, w.perStep = map[string]int{}, Fill{}, map[stepKey]int{}
 	for i := range w.Residents {
 		w.count(&w.Residents[i], 1)
 	}
@@ -75,12 +75,15 @@
 		w.serving[r.Step.GetImage()] += sign
 	}
 	if r.Step.GetFills() {
-		w.fill[r.Step.GetImage()] += float64(sign) * cores(r.Step)
+		w.fill[r.Step.GetImage()] += float64(sign) * w.share(r.Step)
 	}
 	w.perStep[keyOf(r.Task)] += sign
 }
 
-func cores(step *pb.Step) float64 { return float64(step.GetSize().GetMillicores()) / 1000 }
+// share is the part of the worker's processor time that a task uses at full speed.
+func (w *Worker) share(step *pb.Step) float64 {
+	return float64(step.GetSize().GetMillicores()) / float64(max(1, w.Capacity.Millicores))
+}
 
 // place proposes starts for the waiting tasks of a request, all or none of a gang.
 func (p *planning) place(r *Request) {
@@ -205,7 +208,7 @@
 		if weight <= harmlessWeight {
 			continue
 		}
-		if r.TailRatio > strainLimit || p.Pressure.Predict(r.Task, serving, w.fill)+weight*cores(spec) > pressureLimit {
+		if r.TailRatio > strainLimit || p.Pressure.Predict(r.Task, serving, w.fill)+peakBase*weight*w.share(spec) > pressureLimit {
 			return false
 		}
 	}
@@ -237,7 +240,7 @@
 	}
 	if spec.GetFills() {
 		for serving, n := range w.serving {
-			score += pressureWeight * float64(n) * p.Pressure.Weight(serving, spec.GetImage()) * cores(spec)
+			score += pressureWeight * float64(n) * p.Pressure.Weight(serving, spec.GetImage()) * w.share(spec)
 		}
 	}
 	return score + penaltyWeight*w.Penalty
--- a/internal/placement/steps/pressure.go
+++ b/internal/placement/steps/pressure.go
@@ -14,36 +14,51 @@
 // from late and rough readings, and changes from day to day.
 //
 // The model is a queue: an endless task that is busy for a share u of the time has a tail of idle / (1 - u), where idle
-// is its tail without load. u is a base of the task, which swings with its own load, plus a weight for each core that
-// filling tasks of an image use beside it. A reading covers the recent past, so cores are averaged over the same time.
+// is its tail without load. u is a base of the task, which swings with its own load, times one plus a weight for each
+// filling image times the share of the worker's processor time that its tasks use. A reading covers the recent past, so
+// shares are averaged over the same time.
 //
 // The weights of each service image are estimated by recursive least squares: filling images come mixed, and what one
 // does shows only against all the others.
 type Pressure struct {
-	base    map[submission.Ref]float64
+	tasks   map[submission.Ref]*servingTask
 	weights map[string]*estimate
 }
 
+// servingTask is what is known of one endless task.
+type servingTask struct {
+	base float64
+	// busy is the last reading.
+	busy float64
+}
+
 const (
 	// idleTail is the tail of an endless task without load as a share of its limit: limits are some times the idle tail.
 	idleTail = 0.2
 	// baseBefore is the busy share of an endless task before there are readings.
-	baseBefore = 0.5
-	// weightBefore and deviationBefore are the weight of a core of an unknown pair and its uncertainty.
-	weightBefore    = 0.01
-	deviationBefore = 0.05
-	// readingNoise is the deviation of a reading. Readings of one task follow each other closely and count for less.
-	readingNoise = 0.4
+	baseBefore = 0.45
+	// weightBefore and deviationBefore are the weight of an unknown pair and its uncertainty.
+	weightBefore    = 0.6
+	deviationBefore = 3.0
+	// readingNoise is the deviation of a reading.
+	readingNoise = 0.25
 	// weightDrift is the deviation by which a weight may change between two readings.
-	weightDrift = 0.0004
+	weightDrift = 0.025
 	// baseRate is the share of an error that one reading corrects in the base, which swings with the load of the task.
-	baseRate = 0.05
-	// highestBase bounds the base of a task: what it does by itself stays within its limit.
-	highestBase = 0.8
+	baseRate = 0.15
+	// lowestBase and highestBase bound the base of a task: what it does by itself stays within its limit.
+	lowestBase  = 0.1
+	highestBase = 0.75
 	// peakBase is the base that a task reaches at the height of its load, which comes within the run of a filling task.
 	peakBase = 0.65
-	// leastCores keeps a reading with next to no filling work from moving weights.
-	leastCores = 1.0
+	// saturated is the reading above which a queue builds up: the cause may be larger, and the queue outlasts it.
+	saturated = 0.9
+	// leastShare keeps a reading with next to no filling work from moving weights.
+	leastShare = 0.02
+	// negligibleShare is the average below which an image is forgotten.
+	negligibleShare = 0.001
+	// readingTime is the time constant over which the use of processor time is averaged.
+	readingTime = 700 * time.Millisecond
 	// maxImages bounds the filling images that are told apart for one service image; further ones keep the first weight.
 	maxImages = 64
 )
@@ -80,7 +95,7 @@
 // used is one filling image in a reading.
 type used struct {
 	slot  int
-	cores float64
+	share float64
 }
 
 // learn corrects the weights by the error of a reading.
@@ -88,12 +103,12 @@
 	gain := make([]float64, len(e.mean))
 	for i := range gain {
 		for _, u := range uses {
-			gain[i] += e.covariance[i][u.slot] * u.cores
+			gain[i] += e.covariance[i][u.slot] * u.share
 		}
 	}
 	variance := readingNoise * readingNoise
 	for _, u := range uses {
-		variance += gain[u.slot] * u.cores
+		variance += gain[u.slot] * u.share
 	}
 	for i := range gain {
 		e.mean[i] += gain[i] / variance * err
@@ -106,7 +121,7 @@
 
 // NewPressure returns a model without readings.
 func NewPressure() *Pressure {
-	return &Pressure{base: map[submission.Ref]float64{}, weights: map[string]*estimate{}}
+	return &Pressure{tasks: map[submission.Ref]*servingTask{}, weights: map[string]*estimate{}}
 }
 
 // Busy converts a tail, as a share of its limit, to the busy share of the task.
@@ -117,28 +132,22 @@
 	return 1 - idleTail/ratio
 }
 
-// FillCores maps the image of filling tasks to the cores that they use on a worker.
-type FillCores map[string]float64
-
-// readingTime is the time constant over which the use of cores is averaged: a queue that has built up outlasts its cause.
-const readingTime = time.Second
+// Fill maps the image of filling tasks to the share of a worker's processor time that they use.
+type Fill map[string]float64
 
-// Follow moves the averages towards the cores in use now, after the given time.
-func (f FillCores) Follow(now FillCores, elapsed time.Duration) {
-	share := 1 - math.Exp(-float64(elapsed)/float64(readingTime))
+// Follow moves the averages towards the shares in use now, after the given time.
+func (f Fill) Follow(now Fill, elapsed time.Duration) {
+	step := 1 - math.Exp(-float64(elapsed)/float64(readingTime))
 	for image := range now {
 		f[image] += 0 // so that the loop below sees it
 	}
-	for image, cores := range f {
-		if f[image] = cores + share*(now[image]-cores); f[image] < negligibleCores && now[image] == 0 {
+	for image, share := range f {
+		if f[image] = share + step*(now[image]-share); f[image] < negligibleShare && now[image] == 0 {
 			delete(f, image)
 		}
 	}
 }
 
-// negligibleCores is the average below which an image is forgotten.
-const negligibleCores = 0.05
-
 // Serving is a reading of an endless task with a tail limit.
 type Serving struct {
 	Task  submission.Ref
@@ -147,45 +156,78 @@
 	Ratio float64
 }
 
-// Observe records a reading beside filling tasks that used the given cores.
-func (p *Pressure) Observe(s Serving, fill FillCores) {
-	e := p.weights[s.Image]
-	if e == nil {
-		e = newEstimate()
-		p.weights[s.Image] = e
+// Observe records a reading beside filling tasks that used the given shares.
+func (p *Pressure) Observe(s Serving, fill Fill) {
+	e, t := p.estimate(s.Image), p.task(s.Task)
+	before := t.busy
+	t.busy = Busy(s.Ratio)
+	if before > saturated && t.busy <= before {
+		return // what is left of a queue says nothing of what presses now
 	}
-	base, squares := p.baseOf(s.Task), 0.0
-	err := Busy(s.Ratio) - base
+	predicted, squares := t.base, 0.0
 	uses := make([]used, 0, len(fill))
 	for _, image := range slices.Sorted(maps.Keys(fill)) {
-		cores := fill[image]
-		err -= p.Weight(s.Image, image) * cores
-		squares += cores * cores
+		share := fill[image]
+		predicted += t.base * p.Weight(s.Image, image) * share
+		squares += share * share
 		if slot := e.slot(image); slot >= 0 {
-			uses = append(uses, used{slot, cores})
+			uses = append(uses, used{slot, share * t.base})
 		}
 	}
-	p.base[s.Task] = math.Max(0, math.Min(highestBase, base+baseRate*err))
-	if squares >= leastCores*leastCores {
+	if t.busy > saturated && predicted > t.busy {
+		return // readings end here, the cause does not
+	}
+	err := t.busy - predicted
+	t.base = math.Max(lowestBase, math.Min(highestBase, t.base+baseRate*err*t.base/math.Max(predicted, t.base)))
+	if squares >= leastShare*leastShare {
 		e.learn(err, uses)
 	}
 }
 
-// Forget drops what is known of a task that has ended.
-func (p *Pressure) Forget(task submission.Ref) { delete(p.base, task) }
+func (p *Pressure) estimate(image string) *estimate {
+	e := p.weights[image]
+	if e == nil {
+		e = newEstimate()
+		p.weights[image] = e
+	}
+	return e
+}
+
+func (p *Pressure) task(ref submission.Ref) *servingTask {
+	t := p.tasks[ref]
+	if t == nil {
+		t = &servingTask{base: baseBefore}
+		p.tasks[ref] = t
+	}
+	return t
+}
+
+// Keep forgets all tasks but those for which f returns true.
+func (p *Pressure) Keep(f func(submission.Ref) bool) {
+	for ref := range p.tasks {
+		if !f(ref) {
+			delete(p.tasks, ref)
+		}
+	}
+}
 
 // Predict returns the busy share that an endless task may reach beside filling tasks before these have ended.
-func (p *Pressure) Predict(task submission.Ref, image string, fill FillCores) float64 {
-	busy := math.Max(peakBase, p.baseOf(task))
-	for filling, cores := range fill {
+func (p *Pressure) Predict(task submission.Ref, image string, fill Fill) float64 {
+	base := peakBase
+	if t := p.tasks[task]; t != nil {
+		base = math.Max(base, t.base)
+	}
+	busy := base
+	for filling, share := range fill {
 		if w := p.Weight(image, filling); w > harmlessWeight {
-			busy += w * cores
+			busy += base * w * share
 		}
 	}
 	return busy
 }
 
-// Weight returns what one core of filling tasks of an image adds to the busy share of an endless task.
+// Weight returns what filling tasks of an image on all of a worker's processor time add to the busy share of an endless
+// task, as a multiple of what it is without them.
 func (p *Pressure) Weight(serving, filling string) float64 {
 	if e := p.weights[serving]; e != nil {
 		if i, ok := e.index[filling]; ok {
@@ -194,10 +236,3 @@
 	}
 	return weightBefore
 }
-
-func (p *Pressure) baseOf(task submission.Ref) float64 {
-	if b, ok := p.base[task]; ok {
-		return b
-	}
-	return baseBefore
-}
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -14,7 +14,7 @@
 	Task    submission.Ref
 	Attempt uint32
 	Percent int
-	// Image and Weight say why: the image of the task, and what a core of it is taken to add to the busy share.
+	// Image and Weight say why: the image of the task, and what it is taken to add to the busy share.
 	Image  string
 	Weight float64
 	// Move is true if the task should leave the worker; it has saved its progress or will do so when it is stopped.
@@ -26,8 +26,8 @@
 	Task    submission.Ref
 	Attempt uint32
 	Step    *pb.Step
-	// Cores are in use now.
-	Cores float64
+	// Share of the worker's processor time that it uses now.
+	Share float64
 	// Percent is the share at which it may work now.
 	Percent int
 }
@@ -80,7 +80,7 @@
 			continue
 		}
 		order := slices.Clone(filling)
-		press := func(f Filling) float64 { return p.Weight(s.Image, f.Step.GetImage()) * f.Cores }
+		press := func(f Filling) float64 { return baseBefore * p.Weight(s.Image, f.Step.GetImage()) * f.Share }
 		slices.SortStableFunc(order, func(a, b Filling) int { return cmp.Compare(press(b), press(a)) })
 		excess := Busy(s.Ratio) - pressureLimit
 		for _, f := range order {
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -69,7 +69,7 @@
 	used    Size
 	load    float64        // expected millicores in use
 	serving map[string]int // endless tasks with a tail limit, by image
-	fill    FillCores
+	fill    Fill
 	perStep map[stepKey]int
 }
 
