--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -96,6 +96,7 @@
 	avoid    map[submission.Ref]*avoidance
 	quality  map[string]*quality
 	pressure *steps.Pressure
+	waits    map[stepOf]*waitRecord
 	ended    []string
 	endedMu  sync.Mutex // guards ended
 }
@@ -155,7 +156,7 @@
 
 func (l *Leader) reset() {
 	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
-	l.pressure = steps.NewPressure()
+	l.pressure, l.waits = steps.NewPressure(), map[stepOf]*waitRecord{}
 	l.avoid, l.quality = map[submission.Ref]*avoidance{}, map[string]*quality{}
 	l.queue, l.after, l.inFlight, l.dirty = nil, nil, false, false
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -65,6 +65,7 @@
 	for _, start := range plan.Starts {
 		l.queueStart(start)
 	}
+	l.logWaits(plan.Waiting, now)
 	for _, stop := range plan.Stops {
 		if r := l.runs[stop.Task]; r != nil && r.on == stop.On && r.attempt == stop.Attempt {
 			l.log.Info().Str("decision", "evict").Str("request", stop.Task.Submission).Uint32("step", stop.Task.Step).Uint32("task", stop.Task.Index).
@@ -160,12 +161,60 @@
 			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
 			r.ChainMs = steps.ChainFrom(sub.Spec, i)
 			l.waiting(r, &o.Steps[i], now)
+			r.ReadyUnixMs = unixMs - l.waited(r, now).Milliseconds()
 			list = append(list, r)
 		}
 	}
 	return list
 }
 
+// stepOf names a step of a submission.
+type stepOf struct {
+	submission       string
+	occurrence, step uint32
+}
+
+// waitRecord is how long a step has had waiting tasks without a start, and when that was last logged.
+type waitRecord struct {
+	since, seen, logged time.Duration
+}
+
+// waitForgotten is how long after a step last waited its record is dropped.
+const waitForgotten = 2 * time.Second
+
+// waitLogEvery is the least time between two lines about a step that finds no place, which bounds their number.
+const waitLogEvery = 2 * time.Second
+
+// waited returns how long a step has been waiting.
+func (l *Leader) waited(r *steps.Request, now time.Duration) time.Duration {
+	key := stepOf{r.Submission, r.Occurrence, r.Step}
+	record := l.waits[key]
+	if record == nil || now-record.seen > waitForgotten {
+		record = &waitRecord{since: now, logged: now}
+		l.waits[key] = record
+	}
+	record.seen = now
+	return now - record.since
+}
+
+// logWaits says of steps that wait for long what keeps them.
+func (l *Leader) logWaits(waits []steps.Wait, now time.Duration) {
+	for _, w := range waits {
+		record := l.waits[stepOf{w.Task.Submission, w.Task.Occurrence, w.Task.Step}]
+		if record == nil || now-record.logged < waitLogEvery {
+			continue
+		}
+		record.logged = now
+		l.log.Info().Str("decision", "waits").Str("request", w.Task.Submission).Uint32("step", w.Task.Step).Int32("priority", w.Priority).
+			Int("tasks", w.Tasks).Dur("waited_ms", now-record.since).Str("workers", w.Obstacles).Msg("")
+	}
+	for key, record := range l.waits {
+		if now-record.seen > waitForgotten {
+			delete(l.waits, key)
+		}
+	}
+}
+
 func (l *Leader) waiting(r *steps.Request, step *submission.Step, now time.Duration) {
 	attempt := uint32(0)
 	if r.Spec.GetGang() {
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -77,7 +77,7 @@
 				serving = append(serving, steps.Serving{Task: ref, Image: step.GetImage(), Ratio: running.Figure / float64(limit)})
 			}
 			if r := l.runs[ref]; step.GetFills() && r != nil && r.attempt == running.Attempt && r.phase != stopping {
-				filling = append(filling, steps.Filling{Task: ref, Attempt: running.Attempt, Step: step, Share: running.Figure / capacity, Percent: s.shareOf(ref)})
+				filling = append(filling, steps.Filling{Task: ref, Attempt: running.Attempt, Step: step, Share: running.Figure / capacity, Declared: float64(step.GetSize().GetMillicores()) / capacity, Percent: s.shareOf(ref)})
 			}
 		}
 		for ref := range s.shares {
@@ -102,7 +102,7 @@
 
 func (l *Leader) throttle(s *session, share steps.Share) {
 	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
-		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Float64("weight", share.Weight).Bool("move", share.Move).Msg("")
+		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Str("serving", share.Serving).Bool("move", share.Move).Msg("")
 	before := s.shareOf(share.Task)
 	s.shares[share.Task] = share.Percent
 	c := ThrottleCall{Target: l.target(s), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -49,7 +49,8 @@
 	// then is the end to commit once a stop is acknowledged and the attempt does not run; unspecified if its end will be listed.
 	then pb.TaskEndKind
 	// why the attempt is stopped, for the log.
-	why string
+	why      string
+	progress progress
 }
 
 func (l *Leader) forgetRun(task submission.Ref, attempt uint32) {
@@ -238,6 +239,7 @@
 	s.figures = figures
 	l.logFigures(s)
 	l.relieve(s)
+	l.watchProgress(s, l.cfg.Clock())
 	for _, running := range strays {
 		l.stopStray(s, running, sent)
 	}
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -1,7 +1,9 @@
 package steps
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -17,6 +19,9 @@
 	// pressureLimit is the predicted busy share up to which filling tasks are added beside an endless one. At 0.8 its
 	// tail reaches the limit.
 	pressureLimit = 0.78
+	// riskRate is how much pressureLimit rises with each second that a task has waited longer than patience, in seconds.
+	riskRate = 0.05
+	patience = 3.0
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
 	// harmlessWeight is the weight of a pair that does not matter: a tenth of the worker adds less than its own load swings.
@@ -151,8 +156,13 @@
 	ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
 	var best *Worker
 	bestScore, considered := 0.0, 0
+	var found [obstacles]int
 	for _, w := range p.Workers {
-		if rack != "" && w.Rack != rack || !p.admits(w, r, ref, t) {
+		if rack != "" && w.Rack != rack {
+			continue
+		}
+		if o := p.admits(w, r, ref, t); o != noObstacle {
+			found[o]++
 			continue
 		}
 		considered++
@@ -161,6 +171,7 @@
 		}
 	}
 	if best == nil {
+		p.plan.Waiting = append(p.plan.Waiting, Wait{Task: ref, Priority: r.Priority, Tasks: len(r.Waiting), Obstacles: describe(found)})
 		return false
 	}
 	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, UsedMillicores: -1, TailRatio: -1}
@@ -170,49 +181,69 @@
 	return true
 }
 
-// admits reports whether a task may start on w now.
-func (p *planning) admits(w *Worker, r *Request, ref submission.Ref, t WaitingTask) bool {
+// obstacle is why a worker does not take a task.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	notUsable
+	noRoom
+	wrongLabel
+	tooManyOfStep
+	avoided
+	busy
+	strained
+	pressed
+	obstacles // number of obstacles
+)
+
+var obstacleNames = [obstacles]string{"", "not-usable", "no-room", "label", "max-per-worker", "avoided", "busy", "service-over-limit", "presses-on-service"}
+
+// admits returns why a task may not start on w now.
+func (p *planning) admits(w *Worker, r *Request, ref submission.Ref, t WaitingTask) obstacle {
 	spec := r.Spec
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
-		return false
+		return notUsable
 	case !counted(spec).fits(w.Capacity.minus(w.used)):
-		return false
+		return noRoom
 	case spec.GetLabel() != "" && !slices.Contains(w.Labels, spec.GetLabel()):
-		return false
+		return wrongLabel
 	case spec.GetMaxPerWorker() > 0 && w.perStep[keyOf(ref)] >= int(spec.GetMaxPerWorker()):
-		return false
+		return tooManyOfStep
 	case slices.Contains(t.AvoidWorkers, w.Life.ID):
-		return false
-	case spec.GetFills() && w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Millicores):
-		return false
-	case spec.GetFills() && !p.bears(w, spec):
-		return false
+		return avoided
+	case !spec.GetFills():
+		return noObstacle
+	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Millicores):
+		return busy
 	}
-	return true
+	return p.bears(w, r)
 }
 
-// bears reports whether the endless tasks on w are expected to stay within their limits beside one more filling task.
-func (p *planning) bears(w *Worker, spec *pb.Step) bool {
-	image := spec.GetImage()
+// bears returns why the endless tasks on w may not stay within their limits beside one more filling task. The longer a
+// task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
+func (p *planning) bears(w *Worker, r *Request) obstacle {
+	waited := float64(p.NowUnixMs-r.ReadyUnixMs)/1000 - patience
+	limit := pressureLimit + riskRate*max(0, waited)
 	for i := range w.Residents {
-		r := &w.Residents[i]
-		if r.Step.GetTailLimitMs() == 0 {
+		resident := &w.Residents[i]
+		if resident.Step.GetTailLimitMs() == 0 {
 			continue
 		}
-		if r.TailRatio >= 1 {
-			return false
+		if resident.TailRatio >= 1 {
+			return strained
 		}
-		serving := r.Step.GetImage()
-		weight := p.Pressure.Weight(serving, image)
+		serving := resident.Step.GetImage()
+		weight := p.Pressure.Weight(serving, r.Spec.GetImage())
 		if weight <= harmlessWeight {
 			continue
 		}
-		if r.TailRatio > strainLimit || p.Pressure.Predict(r.Task, serving, w.fill)+peakBase*weight*w.share(spec) > pressureLimit {
-			return false
+		if resident.TailRatio > strainLimit || p.Pressure.Predict(resident.Task, serving, w.fill)+usualBase*weight*w.share(r.Spec) > limit {
+			return pressed
 		}
 	}
-	return true
+	return noObstacle
 }
 
 // mix returns the number of images of endless tasks on w other than image.
@@ -245,3 +276,14 @@
 	}
 	return score + penaltyWeight*w.Penalty
 }
+
+// describe names the obstacles that were found and the number of workers with each.
+func describe(found [obstacles]int) string {
+	var parts []string
+	for o, n := range found {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%s:%d", obstacleNames[o], n))
+		}
+	}
+	return strings.Join(parts, ",")
+}
--- a/internal/placement/steps/pressure.go
+++ b/internal/placement/steps/pressure.go
@@ -27,7 +27,8 @@
 
 // servingTask is what is known of one endless task.
 type servingTask struct {
-	base float64
+	// base follows the readings slowly, alone is what the last reading says.
+	base, alone float64
 	// busy is the last reading.
 	busy float64
 }
@@ -49,8 +50,9 @@
 	// lowestBase and highestBase bound the base of a task: what it does by itself stays within its limit.
 	lowestBase  = 0.1
 	highestBase = 0.75
-	// peakBase is the base that a task reaches at the height of its load, which comes within the run of a filling task.
-	peakBase = 0.65
+	// usualBase is the least base that placement reckons with: the load of the task rises again within the run of a
+	// filling task.
+	usualBase = 0.5
 	// saturated is the reading above which a queue builds up: the cause may be larger, and the queue outlasts it.
 	saturated = 0.9
 	// leastShare keeps a reading with next to no filling work from moving weights.
@@ -177,6 +179,7 @@
 	if t.busy > saturated && predicted > t.busy {
 		return // readings end here, the cause does not
 	}
+	t.alone = math.Min(highestBase, t.busy*t.base/predicted)
 	err := t.busy - predicted
 	t.base = math.Max(lowestBase, math.Min(highestBase, t.base+baseRate*err*t.base/math.Max(predicted, t.base)))
 	if squares >= leastShare*leastShare {
@@ -213,10 +216,7 @@
 
 // Predict returns the busy share that an endless task may reach beside filling tasks before these have ended.
 func (p *Pressure) Predict(task submission.Ref, image string, fill Fill) float64 {
-	base := peakBase
-	if t := p.tasks[task]; t != nil {
-		base = math.Max(base, t.base)
-	}
+	base := math.Max(usualBase, p.Base(task))
 	busy := base
 	for filling, share := range fill {
 		if w := p.Weight(image, filling); w > harmlessWeight {
@@ -226,6 +226,14 @@
 	return busy
 }
 
+// Base returns the busy share of an endless task without what fills beside it.
+func (p *Pressure) Base(task submission.Ref) float64 {
+	if t := p.tasks[task]; t != nil {
+		return math.Max(t.base, t.alone)
+	}
+	return baseBefore
+}
+
 // Weight returns what filling tasks of an image on all of a worker's processor time add to the busy share of an endless
 // task, as a multiple of what it is without them.
 func (p *Pressure) Weight(serving, filling string) float64 {
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -1,8 +1,7 @@
 package steps
 
 import (
-	"cmp"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -14,9 +13,8 @@
 	Task    submission.Ref
 	Attempt uint32
 	Percent int
-	// Image and Weight say why: the image of the task, and what it is taken to add to the busy share.
-	Image  string
-	Weight float64
+	// Image is that of the task, Serving that of the endless task on which it presses.
+	Image, Serving string
 	// Move is true if the task should leave the worker; it has saved its progress or will do so when it is stopped.
 	Move bool
 }
@@ -26,98 +24,78 @@
 	Task    submission.Ref
 	Attempt uint32
 	Step    *pb.Step
-	// Share of the worker's processor time that it uses now.
-	Share float64
+	// Share of the worker's processor time that it uses now, and the one that it asks for.
+	Share, Declared float64
 	// Percent is the share at which it may work now.
 	Percent int
 }
 
 const (
-	// reliefAt is the reading of a tail, as a share of its limit, at which filling tasks that press on it are slowed.
-	reliefAt = 0.8
-	// suspectAt is the reading at which a filling task that does not seem to press is slowed as well.
-	suspectAt = 1.0
-	// movingPress is the busy share that a task must add for it to be moved away; a lesser one is only slowed, since a
-	// move costs a stop, a restart and a new place.
-	movingPress = 0.12
-	// resumeAt is the reading below which they may speed up again.
-	resumeAt = 0.75
-	// resumeStep is the share, in percent, that a task regains with each good reading.
-	resumeStep = 34
+	// targetBusy is the busy share of an endless task up to which filling tasks may press on it. At 0.8 its tail reaches
+	// the limit.
+	targetBusy = 0.74
+	// overLimit is the reading of a tail, as a share of its limit, at which what presses on the task stops at once.
+	overLimit = 1.0
+	// leastChange is the change of a share, in percent, that is worth a call.
+	leastChange = 12
+	// movingBelow is the share, in percent, below which a task that saves its progress is moved away.
+	movingBelow = 25
+	// startingShare is the share of a worker that a filling task is taken to use before there is a reading.
+	startingShare = 0.05
 )
 
-// Relieve decides what the filling tasks of a worker may do, given readings of its endless tasks. It answers a load
-// that swings within seconds: slow down first, take away what can move without loss, speed up again in steps.
+// Relieve decides at which share of their speed the filling tasks of a worker may work, given readings of its endless
+// tasks. It answers load that swings within seconds: what presses on an endless task works at the share that keeps the
+// task below targetBusy, and stops while the task is over its limit.
 //
 // overFor is how long an endless task has been over its limit without a break; when that has been so for patience, the
 // cause is not known well enough and all filling tasks stop work.
 func Relieve(p *Pressure, serving []Serving, filling []Filling, overFor, patience time.Duration) []Share {
-	worst := Serving{}
-	for _, s := range serving {
-		if s.Ratio > worst.Ratio {
-			worst = s
-		}
-	}
-	switch {
-	case len(filling) == 0:
-		return nil
-	case overFor >= patience:
-		return stopAll(filling)
-	case worst.Ratio >= reliefAt:
-		return slowDown(p, serving, filling)
-	case worst.Ratio < resumeAt:
-		return speedUp(filling)
-	}
-	return nil
-}
-
-// slowDown stops the work of the filling tasks that press most on the endless tasks above reliefAt, until the
-// prediction for each of them is below pressureLimit.
-func slowDown(p *Pressure, serving []Serving, filling []Filling) []Share {
 	var shares []Share
-	for _, s := range serving {
-		if s.Ratio < reliefAt {
-			continue
+	for _, f := range filling {
+		wanted := 100
+		cause := ""
+		if overFor >= patience {
+			wanted, cause = 0, "unknown"
 		}
-		order := slices.Clone(filling)
-		press := func(f Filling) float64 { return baseBefore * p.Weight(s.Image, f.Step.GetImage()) * f.Share }
-		slices.SortStableFunc(order, func(a, b Filling) int { return cmp.Compare(press(b), press(a)) })
-		excess := Busy(s.Ratio) - pressureLimit
-		for _, f := range order {
-			if excess <= 0 {
-				break
-			}
-			if f.Percent == 0 || slices.ContainsFunc(shares, func(o Share) bool { return o.Task == f.Task }) {
-				continue
+		for _, s := range serving {
+			if percent := allowed(p, s, f, filling); percent < wanted {
+				wanted, cause = percent, s.Image
 			}
-			pressing := p.Weight(s.Image, f.Step.GetImage()) > harmlessWeight
-			if !pressing && (len(shares) > 0 || s.Ratio < suspectAt) {
-				break // one at a time finds a cause that is not known yet
-			}
-			excess -= press(f)
-			shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: 0, Image: f.Step.GetImage(),
-				Weight: p.Weight(s.Image, f.Step.GetImage()), Move: press(f) > movingPress && f.Step.GetCheckpoints()})
 		}
+		changed := wanted - f.Percent
+		if changed == 0 || changed < leastChange && changed > -leastChange && wanted != 0 && wanted != 100 {
+			continue
+		}
+		shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: wanted, Image: f.Step.GetImage(), Serving: cause,
+			Move: wanted < movingBelow && cause != "unknown" && f.Step.GetCheckpoints()})
 	}
 	return shares
 }
 
-func stopAll(filling []Filling) []Share {
-	var shares []Share
-	for _, f := range filling {
-		if f.Percent > 0 {
-			shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: 0, Image: f.Step.GetImage()})
+// allowed returns the share, in percent, at which f may work beside s: all filling tasks that press on s get the same.
+func allowed(p *Pressure, s Serving, f Filling, filling []Filling) int {
+	if p.Weight(s.Image, f.Step.GetImage()) <= harmlessWeight {
+		return 100
+	}
+	if s.Ratio >= overLimit {
+		return 0
+	}
+	pressing := 0.0
+	for _, other := range filling {
+		if w := p.Weight(s.Image, other.Step.GetImage()); w > harmlessWeight {
+			pressing += w * other.fullShare()
 		}
 	}
-	return shares
+	base := p.Base(s.Task)
+	room := targetBusy/base - 1
+	return int(100 * math.Max(0, math.Min(1, room/pressing)))
 }
 
-func speedUp(filling []Filling) []Share {
-	var shares []Share
-	for _, f := range filling {
-		if f.Percent < 100 {
-			shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: min(100, f.Percent+resumeStep)})
-		}
+// fullShare is the share of the worker that a filling task would use at full speed.
+func (f Filling) fullShare() float64 {
+	if f.Percent < leastChange || f.Share == 0 {
+		return math.Max(f.Declared, startingShare)
 	}
-	return shares
+	return math.Min(f.Declared, f.Share*100/float64(f.Percent))
 }
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -95,6 +95,8 @@
 	ChainMs int64
 	// WorkMs is the work left in core-milliseconds.
 	WorkMs float64
+	// ReadyUnixMs is since when the step has been ready with tasks waiting.
+	ReadyUnixMs int64
 	// AcceptedUnixMs breaks ties.
 	AcceptedUnixMs int64
 }
@@ -129,6 +131,18 @@
 type Plan struct {
 	Starts []Start
 	Stops  []Stop
+	// Waiting holds the first task of each request that found no place.
+	Waiting []Wait
+}
+
+// Wait says why a request stays in the queue.
+type Wait struct {
+	Task     submission.Ref
+	Priority int32
+	// Tasks is the number of tasks of the step that wait.
+	Tasks int
+	// Obstacles lists the numbers of workers by what kept the task from them.
+	Obstacles string
 }
 
 // Snapshot is what a plan is made from.
