--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -22,6 +22,8 @@
 	// riskRate is how much pressureLimit rises with each second that a task has waited longer than patience, in seconds.
 	riskRate = 0.05
 	patience = 3.0
+	// riskLimit bounds that rise.
+	riskLimit = 0.85
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
 	// harmlessWeight is the weight of a pair that does not matter: a tenth of the worker adds less than its own load swings.
@@ -225,7 +227,7 @@
 // task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
 func (p *planning) bears(w *Worker, r *Request) obstacle {
 	waited := float64(p.NowUnixMs-r.ReadyUnixMs)/1000 - patience
-	limit := pressureLimit + riskRate*max(0, waited)
+	limit := min(riskLimit, pressureLimit+riskRate*max(0, waited))
 	for i := range w.Residents {
 		resident := &w.Residents[i]
 		if resident.Step.GetTailLimitMs() == 0 {
