--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -152,6 +152,7 @@
 		if o.Done {
 			continue
 		}
+		runs := slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Placed > 0 })
 		for i := range o.Steps {
 			if o.Steps[i].Waiting() == 0 || !o.Ready(sub.Spec, i) {
 				continue
@@ -161,6 +162,7 @@
 			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
 			r.ChainMs = steps.ChainFrom(sub.Spec, i)
 			l.waiting(r, &o.Steps[i], now)
+			r.Idle = !runs
 			r.ReadyUnixMs = unixMs - l.waited(r, now).Milliseconds()
 			list = append(list, r)
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -150,6 +150,7 @@
 // attempt is stopped first.
 func (l *Leader) refused(s *session, task submission.Ref, r *run, err error) {
 	l.avoidWorker(task, s.life.ID)
+	l.takeBackGang(task, r.attempt)
 	if r.unanswered || errors.Is(err, ErrOldAttempt) {
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused")
 		return
@@ -157,6 +158,37 @@
 	l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
 }
 
+// patience is how long a start is repeated; members of a gang must all have started before the first ones give up.
+func (l *Leader) patience(task submission.Ref) time.Duration {
+	if l.isGang(task) {
+		return min(startPatience, l.cfg.Bounds.Gang/2)
+	}
+	return startPatience
+}
+
+func (l *Leader) isGang(task submission.Ref) bool {
+	gang := false
+	l.cfg.State.View(func(state *submission.State) {
+		if sub := state.Submission(task.Submission); sub != nil && int(task.Step) < len(sub.Spec.GetSteps()) {
+			gang = sub.Spec.GetSteps()[task.Step].GetGang()
+		}
+	})
+	return gang
+}
+
+// takeBackGang stops the other members of a gang of which one does not start, so that none waits alone.
+func (l *Leader) takeBackGang(task submission.Ref, attempt uint32) {
+	if !l.isGang(task) {
+		return
+	}
+	for ref, r := range l.runs {
+		same := ref.Submission == task.Submission && ref.Occurrence == task.Occurrence && ref.Step == task.Step && ref.Index != task.Index
+		if same && r.attempt == attempt && r.phase != stopping {
+			l.stopRun(ref, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "gang-incomplete")
+		}
+	}
+}
+
 // stopRun tells a worker to stop an attempt. then is the end to commit if the attempt turns out not to run.
 func (l *Leader) stopRun(task submission.Ref, r *run, then pb.TaskEndKind, why string) {
 	if r.phase != stopping {
@@ -195,8 +227,9 @@
 func (l *Leader) repeatCalls(task submission.Ref, r *run, now time.Duration) {
 	switch {
 	case r.calling:
-	case r.phase == ordered && now-r.orderedAt > startPatience:
+	case r.phase == ordered && now-r.orderedAt > l.patience(task):
 		l.avoidWorker(task, r.on.ID)
+		l.takeBackGang(task, r.attempt)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
 	case r.phase == ordered && now-r.calledAt > startRepeat:
 		l.callStart(task, r)
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -22,6 +22,9 @@
 	// riskRate is how much pressureLimit rises with each second that a task has waited longer than patience, in seconds.
 	riskRate = 0.05
 	patience = 3.0
+	// idlePatience is the wait, in seconds, after which one task of a submission of which nothing runs starts whatever it
+	// presses on. Relief slows it then.
+	idlePatience = 1.5
 	// riskLimit bounds that rise.
 	riskLimit = 0.85
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
@@ -99,7 +102,11 @@
 		return
 	}
 	for _, t := range r.Waiting {
-		if len(p.plan.Starts) >= p.MaxStarts || !p.placeTask(r, t, "") {
+		if len(p.plan.Starts) >= p.MaxStarts {
+			return
+		}
+		if !p.placeTask(r, t, "") {
+			p.makeRoom(r, t)
 			return
 		}
 	}
@@ -227,6 +234,9 @@
 // task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
 func (p *planning) bears(w *Worker, r *Request) obstacle {
 	waited := float64(p.NowUnixMs-r.ReadyUnixMs)/1000 - patience
+	if r.Idle && waited >= idlePatience-patience && !p.startsFor(r) {
+		return noObstacle
+	}
 	limit := min(riskLimit, pressureLimit+riskRate*max(0, waited))
 	for i := range w.Residents {
 		resident := &w.Residents[i]
@@ -248,6 +258,11 @@
 	return noObstacle
 }
 
+// startsFor reports whether the plan starts a task of the request's submission already.
+func (p *planning) startsFor(r *Request) bool {
+	return slices.ContainsFunc(p.plan.Starts, func(s Start) bool { return s.Task.Submission == r.Submission })
+}
+
 // mix returns the number of images of endless tasks on w other than image.
 func (w *Worker) mix(image string) int {
 	n := 0
--- /dev/null
+++ b/internal/placement/steps/evict.go
@@ -0,0 +1,111 @@
+package steps
+
+import (
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+const (
+	// maxVictims bounds the tasks that one task may displace.
+	maxVictims = 3
+	// unsavedCost is the cost of a victim that loses its work, against one that saves its progress when it is stopped.
+	unsavedCost = 4.0
+	// savedCost is the cost of a victim that resumes elsewhere.
+	savedCost = 1.0
+)
+
+// makeRoom proposes to stop less urgent tasks for a task that found no place, at most once for a request until the stops
+// have taken effect. It answers urgent work that arrives while workers are full of less urgent work. Endless tasks are
+// never displaced.
+func (p *planning) makeRoom(r *Request, t WaitingTask) {
+	if r.Spec.GetFills() || p.roomComing(r) {
+		return
+	}
+	ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
+	var best *Worker
+	var victims []int
+	lowest := 0.0
+	for _, w := range p.Workers {
+		if o := p.admits(w, r, ref, t); o != noRoom {
+			continue
+		}
+		chosen, cost := w.victims(r)
+		if len(chosen) > 0 && (best == nil || cost < lowest) {
+			best, victims, lowest = w, chosen, cost
+		}
+	}
+	for _, i := range victims {
+		v := &best.Residents[i]
+		v.Stopping = true
+		p.plan.Stops = append(p.plan.Stops, Stop{Task: v.Task, Attempt: v.Attempt, On: best.Life, For: r.Submission})
+	}
+}
+
+// roomComing reports whether a worker of the pool will have room once the stops in progress have ended.
+func (p *planning) roomComing(r *Request) bool {
+	for _, w := range p.Workers {
+		if !w.Usable || w.Pool != r.Pool {
+			continue
+		}
+		free := w.Capacity.minus(w.used)
+		stopping := false
+		for i := range w.Residents {
+			if w.Residents[i].Stopping {
+				stopping = true
+				free = free.plus(counted(w.Residents[i].Step))
+			}
+		}
+		if stopping && counted(r.Spec).fits(free) {
+			return true
+		}
+	}
+	return false
+}
+
+// victims returns the residents to stop so that a task of r fits, and their cost. It is empty if that cannot be done.
+func (w *Worker) victims(r *Request) ([]int, float64) {
+	free := w.Capacity.minus(w.used)
+	var chosen []int
+	cost := 0.0
+	for len(chosen) < maxVictims {
+		if counted(r.Spec).fits(free) {
+			return chosen, cost
+		}
+		best, lowest := -1, 0.0
+		for i := range w.Residents {
+			v := &w.Residents[i]
+			if v.Priority <= r.Priority || v.Stopping || v.Step.GetEndless() || contains(chosen, i) {
+				continue
+			}
+			if c := victimCost(v.Step); best < 0 || c < lowest {
+				best, lowest = i, c
+			}
+		}
+		if best < 0 {
+			return nil, 0
+		}
+		chosen = append(chosen, best)
+		cost += lowest
+		free = free.plus(counted(w.Residents[best].Step))
+	}
+	if counted(r.Spec).fits(free) {
+		return chosen, cost
+	}
+	return nil, 0
+}
+
+func victimCost(step *pb.Step) float64 {
+	if step.GetCheckpoints() {
+		return savedCost
+	}
+	return unsavedCost
+}
+
+func contains(list []int, x int) bool {
+	for _, y := range list {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -97,6 +97,8 @@
 	WorkMs float64
 	// ReadyUnixMs is since when the step has been ready with tasks waiting.
 	ReadyUnixMs int64
+	// Idle is true if nothing of the submission runs.
+	Idle bool
 	// AcceptedUnixMs breaks ties.
 	AcceptedUnixMs int64
 }
