--- a/cmd/lentilyard/fleet.go
+++ b/cmd/lentilyard/fleet.go
@@ -161,7 +161,8 @@
 func runControl(ctx context.Context, file string, s *pb.FleetSettings, log zerolog.Logger) error {
 	workers := platform.NewWorkers()
 	defer workers.Close()
-	c, err := control.New(control.Options{Settings: s, Caller: workers, Logger: log})
+	c, err := control.New(control.Options{Settings: s, Caller: workers, Logger: log,
+		Adviser: platform.NewAdvice(s.GetAdviceAddress()), Platform: platform.NewCloud(s.GetPlatform().GetAddress())})
 	if err != nil {
 		return err
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,6 +35,9 @@
 type Options struct {
 	Settings *pb.FleetSettings
 	Caller   dispatch.Caller
+	// Adviser and Platform are nil where the deployment has none.
+	Adviser  dispatch.Adviser
+	Platform dispatch.Platform
 	Logger   zerolog.Logger
 }
 
@@ -71,10 +74,11 @@
 		return nil, errors.Join(err, transport.Close())
 	}
 	bounds := c.settings.GetBounds()
-	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: options.Caller, Logger: c.log, Bounds: dispatch.Bounds{
-		LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
-		Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(), ReportInterval: c.settings.GetReportInterval().AsDuration(),
-	}})
+	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: options.Caller, Logger: c.log,
+		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Bounds: dispatch.Bounds{
+			LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
+			Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(), ReportInterval: c.settings.GetReportInterval().AsDuration(),
+		}})
 	c.handleCalls()
 	return c, nil
 }
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -95,6 +96,33 @@
 	Hold(ctx context.Context, c HoldCall) (HoldAnswer, error)
 }
 
+// Adviser asks the policy service which workers may run a step.
+type Adviser interface {
+	// Advise returns the tickets of the workers that may run the step, by worker id, and how long they are valid.
+	// ErrUnwell means that the service is busy; try again later.
+	Advise(ctx context.Context, step submission.Ref, workers []string) (tickets map[string]string, valid time.Duration, err error)
+}
+
+// Platform changes the VMs on which workers run.
+type Platform interface {
+	// VMs returns the VMs of all pools.
+	VMs(ctx context.Context) ([]VM, error)
+	// Upkeep begins the upkeep of a VM for a wave. Everything that runs there ends. A repeat is acknowledged.
+	Upkeep(ctx context.Context, vm string, wave uint64, holder string, fence uint64) error
+}
+
+// VM is a VM of a pool.
+type VM struct {
+	ID, Pool string
+	// Up is false while the VM is being moved or maintained, or is down.
+	Up bool
+	// Worker is the id of the worker that runs there.
+	Worker string
+}
+
+// ErrBusy means that the platform cannot carry out an order now, for instance because the VM is not up.
+var ErrBusy = errors.New("the platform cannot carry out the order now; try again later")
+
 // Errors of a Caller. All but ErrNoAnswer mean that the call had no effect, apart from the lease that a start renews.
 var (
 	ErrNoAnswer = errors.New("the worker did not answer; the call may have been or may yet be carried out")
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -30,6 +30,11 @@
 	Caller Caller
 	Logger zerolog.Logger
 	Bounds Bounds
+	// Adviser and Platform are nil where the deployment has none.
+	Adviser  Adviser
+	Platform Platform
+	// Holder names this VM in orders to the platform.
+	Holder string
 	// Clock counts suspensions of the VM. Default boottime.Now.
 	Clock func() time.Duration
 }
@@ -64,6 +69,8 @@
 	callTimeout = 900 * time.Millisecond
 	// commitTimeout bounds the wait for a commit; a leader without a quorum steps down sooner.
 	commitTimeout = 5 * time.Second
+	// tidyInterval is the time between two searches for records of what has ended.
+	tidyInterval = 5 * time.Second
 	// callWorkers bounds the calls in progress.
 	callWorkers = 256
 	// entryChanges bounds the changes in one log entry.
@@ -93,10 +100,13 @@
 	inFlight bool
 	dirty    bool
 	planAt   time.Duration
+	tidyAt   time.Duration
 	avoid    map[submission.Ref]*avoidance
 	quality  map[string]*quality
 	pressure *steps.Pressure
 	waits    map[stepOf]*waitRecord
+	advice   map[stepOf]*advised
+	waves    waveWork
 	ended    []string
 	endedMu  sync.Mutex // guards ended
 }
@@ -156,6 +166,7 @@
 
 func (l *Leader) reset() {
 	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
+	l.advice, l.waves = map[stepOf]*advised{}, waveWork{down: map[string]submission.Life{}}
 	l.pressure, l.waits = steps.NewPressure(), map[stepOf]*waitRecord{}
 	l.avoid, l.quality = map[submission.Ref]*avoidance{}, map[string]*quality{}
 	l.queue, l.after, l.inFlight, l.dirty = nil, nil, false, false
@@ -314,6 +325,12 @@
 	for ref, r := range l.runs {
 		l.repeatCalls(ref, r, now)
 	}
+	l.advanceWaves(now)
+	if now >= l.tidyAt {
+		l.tidyAt = now + tidyInterval
+		l.forgetAdvice()
+		l.forgetTasks()
+	}
 	l.dirty = true
 }
 
@@ -324,3 +341,24 @@
 	default: // the loop is busy and plans anyway
 	}
 }
+
+// forgetTasks drops what is known of tasks that have ended.
+func (l *Leader) forgetTasks() {
+	l.cfg.State.View(func(state *submission.State) {
+		alive := func(ref submission.Ref) bool {
+			sub := state.Submission(ref.Submission)
+			return sub != nil && sub.Active()
+		}
+		l.pressure.Keep(alive)
+		for ref := range l.avoid {
+			if !alive(ref) {
+				delete(l.avoid, ref)
+			}
+		}
+		for ref, r := range l.runs {
+			if w := state.Workers()[r.on.ID]; w == nil || w.Life() != r.on || w.GetGone() {
+				delete(l.runs, ref)
+			}
+		}
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -104,10 +104,28 @@
 			}
 		}
 	})
+	l.addAdvice(snap, now)
 	slices.SortFunc(snap.Workers, func(a, b *steps.Worker) int { return strings.Compare(a.Life.ID, b.Life.ID) })
 	return snap
 }
 
+// addAdvice limits requests of queues with a policy to the workers that it allows.
+func (l *Leader) addAdvice(snap *steps.Snapshot, now time.Duration) {
+	for _, r := range snap.Requests {
+		if !r.Advised {
+			continue
+		}
+		var candidates []string
+		for _, w := range snap.Workers {
+			if w.Usable && w.Pool == r.Pool {
+				candidates = append(candidates, w.Life.ID)
+			}
+		}
+		slices.Sort(candidates)
+		r.Allowed = l.allowedOn(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, candidates, now)
+	}
+}
+
 // viewWorker returns the planner's view of a worker.
 func (l *Leader) viewWorker(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
 	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Domain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(),
@@ -158,7 +176,7 @@
 				continue
 			}
 			r := &steps.Request{Submission: sub.Spec.GetId(), Occurrence: number, Step: uint32(i), Spec: sub.Spec.GetSteps()[i],
-				Pool: queue.GetPool(), Priority: queue.GetPriority(), AcceptedUnixMs: sub.AcceptedUnixMs}
+				Pool: queue.GetPool(), Priority: queue.GetPriority(), Advised: queue.GetAdvice() != nil, AcceptedUnixMs: sub.AcceptedUnixMs}
 			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
 			r.ChainMs = steps.ChainFrom(sub.Spec, i)
 			l.waiting(r, &o.Steps[i], now)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -81,6 +81,7 @@
 		known = true
 		c.Payload, c.Checkpoint = sub.Spec.GetPayload(), t.Checkpoint
 	})
+	c.Ticket = l.ticketFor(task, s.life.ID)
 	if !known || c.LeaseUntilMs == 0 {
 		return // repeatCalls tries again, or the lease runs out
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,11 +25,14 @@
 	// confirmedFor is how long a VM counts as in touch with the control VMs after an answer.
 	confirmedFor = 1500 * time.Millisecond
 	// attemptTimeout bounds one call to the leader, so that a leader that froze does not use up a request's time.
-	attemptTimeout = 1200 * time.Millisecond
+	attemptTimeout = 800 * time.Millisecond
 	// leaderPause is the pause before a leader is looked for again.
 	leaderPause = 25 * time.Millisecond
 	// leaderPatience is how long a request waits for a leader: an election takes less, and a partition longer.
-	leaderPatience = 1500 * time.Millisecond
+	leaderPatience = 900 * time.Millisecond
+	// outcomePatience is how long a request is repeated whose outcome is unknown. The caller's own repeat reaches another
+	// intake VM, which may be better connected.
+	outcomePatience = 1300 * time.Millisecond
 )
 
 // Refusals of a request that was not passed on or whose outcome is not known.
@@ -240,20 +243,24 @@
 				i.forgetLeader(vm)
 			}
 		}
-		if !uncertain && time.Since(began) > leaderPatience {
-			return nil, fmt.Errorf("%w (%s, %d attempts)", ErrNotRun, method, turn+1)
+		if waited := time.Since(began); !uncertain && waited > leaderPatience || uncertain && waited > outcomePatience {
+			return nil, gaveUp(uncertain, method, turn+1)
 		}
 		select {
 		case <-ctx.Done():
-			if uncertain {
-				return nil, fmt.Errorf("%w (%s, %d attempts)", ErrUnknown, method, turn+1)
-			}
-			return nil, fmt.Errorf("%w (%s, %d attempts)", ErrNotRun, method, turn+1)
+			return nil, gaveUp(uncertain, method, turn+1)
 		case <-time.After(leaderPause):
 		}
 	}
 }
 
+func gaveUp(uncertain bool, method string, attempts int) error {
+	if uncertain {
+		return fmt.Errorf("%w (%s, %d attempts)", ErrUnknown, method, attempts)
+	}
+	return fmt.Errorf("%w (%s, %d attempts)", ErrNotRun, method, attempts)
+}
+
 // follow turns to the leader that a VM named.
 func (i *Intake) follow(from, leader string) {
 	if leader == "" || leader == from {
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -200,13 +200,14 @@
 	wrongLabel
 	tooManyOfStep
 	avoided
+	notAllowed
 	busy
 	strained
 	pressed
 	obstacles // number of obstacles
 )
 
-var obstacleNames = [obstacles]string{"", "not-usable", "no-room", "label", "max-per-worker", "avoided", "busy", "service-over-limit", "presses-on-service"}
+var obstacleNames = [obstacles]string{"", "not-usable", "no-room", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service"}
 
 // admits returns why a task may not start on w now.
 func (p *planning) admits(w *Worker, r *Request, ref submission.Ref, t WaitingTask) obstacle {
@@ -222,6 +223,8 @@
 		return tooManyOfStep
 	case slices.Contains(t.AvoidWorkers, w.Life.ID):
 		return avoided
+	case r.Advised && !r.Allowed[w.Life.ID]:
+		return notAllowed
 	case !spec.GetFills():
 		return noObstacle
 	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Millicores):
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -97,6 +97,9 @@
 	WorkMs float64
 	// ReadyUnixMs is since when the step has been ready with tasks waiting.
 	ReadyUnixMs int64
+	// Advised is true if a policy decides which workers may run the step; Allowed are those that may.
+	Advised bool
+	Allowed map[string]bool
 	// Idle is true if nothing of the submission runs.
 	Idle bool
 	// AcceptedUnixMs breaks ties.
