--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,8 +22,8 @@
 const groupName = "submissions"
 
 const (
-	raftHeartbeat = 60 * time.Millisecond
-	raftElection  = 400 * time.Millisecond
+	raftHeartbeat = 50 * time.Millisecond
+	raftElection  = 300 * time.Millisecond
 	// snapshotEvery is the number of log entries between two snapshots; at some 200 bytes a change the log stays under
 	// 16 MB.
 	snapshotEvery = 4000
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -101,14 +101,16 @@
 	dirty    bool
 	planAt   time.Duration
 	tidyAt   time.Duration
-	avoid    map[submission.Ref]*avoidance
-	quality  map[string]*quality
-	pressure *steps.Pressure
-	waits    map[stepOf]*waitRecord
-	advice   map[stepOf]*advised
-	waves    waveWork
-	ended    []string
-	endedMu  sync.Mutex // guards ended
+	// crowdedAt is when a task was last displaced for urgent work.
+	crowdedAt time.Duration
+	avoid     map[submission.Ref]*avoidance
+	quality   map[string]*quality
+	pressure  *steps.Pressure
+	waits     map[stepOf]*waitRecord
+	advice    map[stepOf]*advised
+	waves     waveWork
+	ended     []string
+	endedMu   sync.Mutex // guards ended
 }
 
 // New returns a Leader and starts its loop. It does nothing until Lead is called.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -20,6 +20,13 @@
 	avoidFor = 3 * time.Second
 )
 
+const (
+	// crowdedFor is how long after an eviction endless tasks leave free room to urgent work.
+	crowdedFor = 4 * time.Second
+	// heldFor bounds the wait of an endless task for that reason.
+	heldFor = 2 * time.Second
+)
+
 // avoidance lists the workers that a task is kept away from.
 type avoidance struct {
 	workers map[string]time.Duration
@@ -66,6 +73,9 @@
 		l.queueStart(start)
 	}
 	l.logWaits(plan.Waiting, now)
+	if len(plan.Stops) > 0 {
+		l.crowdedAt = now
+	}
 	for _, stop := range plan.Stops {
 		if r := l.runs[stop.Task]; r != nil && r.on == stop.On && r.attempt == stop.Attempt {
 			l.log.Info().Str("decision", "evict").Str("request", stop.Task.Submission).Uint32("step", stop.Task.Step).Uint32("task", stop.Task.Index).
@@ -149,6 +159,7 @@
 		}
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Stopping = r.phase == stopping
+			resident.MayStop = r.phase == confirmedRun && (!resident.Step.GetEndless() || l.canLose(state, stepOf{ref.Submission, ref.Occurrence, ref.Step}, 1))
 		}
 		view.Residents = append(view.Residents, resident)
 	}
@@ -181,6 +192,7 @@
 			r.ChainMs = steps.ChainFrom(sub.Spec, i)
 			l.waiting(r, &o.Steps[i], now)
 			r.Idle = !runs
+			r.Held = r.Spec.GetEndless() && now-l.crowdedAt < crowdedFor && l.waited(r, now) < heldFor
 			r.ReadyUnixMs = unixMs - l.waited(r, now).Milliseconds()
 			list = append(list, r)
 		}
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -1,6 +1,8 @@
 package steps
 
 import (
+	"slices"
+
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
@@ -12,13 +14,15 @@
 	unsavedCost = 4.0
 	// savedCost is the cost of a victim that resumes elsewhere.
 	savedCost = 1.0
+	// endlessCost is the cost of an endless task, which starts again elsewhere or later.
+	endlessCost = 2.0
 )
 
 // makeRoom proposes to stop less urgent tasks for a task that found no place, at most once for a request until the stops
-// have taken effect. It answers urgent work that arrives while workers are full of less urgent work. Endless tasks are
-// never displaced.
+// have taken effect. It answers urgent work that arrives while workers are full of less urgent work, or of endless tasks
+// of its own priority, which earn less for each core-second.
 func (p *planning) makeRoom(r *Request, t WaitingTask) {
-	if r.Spec.GetFills() || p.roomComing(r) {
+	if r.Spec.GetFills() || r.Spec.GetEndless() || r.standing(p.NowUnixMs) > late || p.roomComing(r) {
 		return
 	}
 	ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
@@ -74,7 +78,7 @@
 		best, lowest := -1, 0.0
 		for i := range w.Residents {
 			v := &w.Residents[i]
-			if v.Priority <= r.Priority || v.Stopping || v.Step.GetEndless() || contains(chosen, i) {
+			if v.Stopping || !v.MayStop || !v.yields(r) || slices.Contains(chosen, i) {
 				continue
 			}
 			if c := victimCost(v.Step); best < 0 || c < lowest {
@@ -94,18 +98,17 @@
 	return nil, 0
 }
 
+// yields reports whether a resident may be displaced by r.
+func (v *Resident) yields(r *Request) bool {
+	return v.Priority > r.Priority || v.Step.GetEndless() && v.Priority == r.Priority
+}
+
 func victimCost(step *pb.Step) float64 {
+	if step.GetEndless() {
+		return endlessCost
+	}
 	if step.GetCheckpoints() {
 		return savedCost
 	}
 	return unsavedCost
 }
-
-func contains(list []int, x int) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -44,6 +44,8 @@
 	Step    *pb.Step
 	// Priority of its queue; 0 goes first.
 	Priority int32
+	// MayStop is true if the limits of its step allow it to be stopped now.
+	MayStop bool
 	// Stopping is true once the attempt has been told to stop.
 	Stopping bool
 	// UsedMillicores is the last reading of what it uses, negative if there is none.
@@ -100,6 +102,8 @@
 	// Advised is true if a policy decides which workers may run the step; Allowed are those that may.
 	Advised bool
 	Allowed map[string]bool
+	// Held is true while endless tasks leave room to urgent work that found none lately.
+	Held bool
 	// Idle is true if nothing of the submission runs.
 	Idle bool
 	// AcceptedUnixMs breaks ties.
@@ -171,22 +175,41 @@
 		if len(p.plan.Starts) >= s.MaxStarts {
 			break
 		}
+		if r.Held {
+			continue
+		}
 		p.place(r)
 	}
 	return p.plan
 }
 
-// standing groups requests of one priority by what they can still earn.
+// Standings of a request, best first.
+const (
+	// onTime requests can still meet their objective.
+	onTime = iota
+	// standingService requests are of endless tasks, which earn as long as they are at work.
+	standingService
+	// late requests still earn something.
+	late
+	hopeless
+)
+
+// chainMargin multiplies the expected time of the steps left: estimates are rough, and a loaded pool is slower.
+const chainMargin = 1.25
+
+// standing groups requests of one priority by what they can still earn. Finite work goes before endless work: it earns
+// several times as much for each core-second, and is over soon.
 func (r *Request) standing(nowMs int64) int {
+	done := nowMs + int64(chainMargin*float64(r.ChainMs))
 	switch {
 	case r.Spec.GetEndless():
-		return 0
-	case nowMs+r.ChainMs <= r.ObjectiveUnixMs:
-		return 1
-	case nowMs+r.ChainMs <= r.WorthlessUnixMs:
-		return 2
+		return standingService
+	case done <= r.ObjectiveUnixMs:
+		return onTime
+	case done <= r.WorthlessUnixMs:
+		return late
 	}
-	return 3
+	return hopeless
 }
 
 // compare orders requests: by priority of the queue, then those that can still meet their objective, then those that
