--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		shares = append(shares, Share{Task: f.Task, Attempt: f.Attempt, Percent: wanted, Image: f.Step.GetImage(), Serving: cause,
-			Move: wanted < movingBelow && overFor >= patience/2 && f.Step.GetCheckpoints()})
+			Move: wanted < movingBelow && f.Step.GetCheckpoints()})
 	}
 	return shares
 }
