--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -278,7 +278,9 @@
 	l.inFlight = true
 	ctx, term := l.ctx, l.term
 	go func() {
+		began := time.Now()
 		results, err := Commit(ctx, l.cfg.Log, changes...)
+		commitSeconds.UpdateDuration(began)
 		l.post(func() {
 			if l.term != term {
 				return
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+var (
+	startsTotal     = metrics.NewCounter("lentilyard_dispatch_starts_total")
+	stopsTotal      = metrics.NewCounter("lentilyard_dispatch_stops_total")
+	throttlesTotal  = metrics.NewCounter("lentilyard_dispatch_throttles_total")
+	evictionsTotal  = metrics.NewCounter("lentilyard_dispatch_evictions_total")
+	leasesOverTotal = metrics.NewCounter("lentilyard_dispatch_leases_over_total")
+	stalledTotal    = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
+	commitSeconds   = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
+	planSeconds     = metrics.NewHistogram("lentilyard_dispatch_plan_seconds")
+	holdSeconds     = metrics.NewHistogram("lentilyard_dispatch_hold_seconds")
+)
+
+// countEnd counts the end of a task by its kind.
+func countEnd(kind pb.TaskEndKind) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("lentilyard_dispatch_ends_total{kind=%q}", kind.String())).Inc()
+}
+
+// countCallError counts a call to a worker that failed.
+func countCallError(call string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("lentilyard_dispatch_call_errors_total{call=%q}", call)).Inc()
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -67,8 +67,9 @@
 		return
 	}
 	l.dirty, l.planAt = false, now
-	snapshot := l.snapshot(now)
-	plan := steps.Make(snapshot)
+	began := time.Now()
+	plan := steps.Make(l.snapshot(now))
+	planSeconds.UpdateDuration(began)
 	for _, start := range plan.Starts {
 		l.queueStart(start)
 	}
@@ -78,6 +79,7 @@
 	}
 	for _, stop := range plan.Stops {
 		if r := l.runs[stop.Task]; r != nil && r.on == stop.On && r.attempt == stop.Attempt {
+			evictionsTotal.Inc()
 			l.log.Info().Str("decision", "evict").Str("request", stop.Task.Submission).Uint32("step", stop.Task.Step).Uint32("task", stop.Task.Index).
 				Uint32("attempt", stop.Attempt).Str("worker", stop.On.ID).Str("for", stop.For).Msg("")
 			l.stopRun(stop.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "evicted")
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -103,6 +103,7 @@
 func (l *Leader) throttle(s *session, share steps.Share) {
 	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
 		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Str("serving", share.Serving).Bool("move", share.Move).Msg("")
+	throttlesTotal.Inc()
 	before := s.shareOf(share.Task)
 	s.shares[share.Task] = share.Percent
 	c := ThrottleCall{Target: l.target(s), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -86,6 +86,7 @@
 		return // repeatCalls tries again, or the lease runs out
 	}
 	r.calling, r.calledAt = true, l.cfg.Clock()
+	startsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
 		func(err error) { l.onStart(s, task, r, err) })
 }
@@ -122,6 +123,7 @@
 	}
 	event := l.log.Info()
 	if err != nil {
+		countCallError("start")
 		event = l.log.Warn().AnErr("error", err)
 	}
 	event.Str("decision", "start-answered").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
@@ -205,6 +207,7 @@
 	}
 	c := StopCall{Target: l.target(s), Task: task, Attempt: r.attempt}
 	r.calling, r.calledAt = true, l.cfg.Clock()
+	stopsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) },
 		func(err error) { l.onStop(s, task, r, err) })
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -156,9 +156,11 @@
 		default:
 			c.WaitMs = holdWait.Milliseconds()
 		}
+		began := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
 		answer, err := l.cfg.Caller.Hold(callCtx, c)
 		cancel()
+		holdSeconds.UpdateDuration(began)
 		if err == nil {
 			s.noteClock(answer.ClockMs, l.cfg.Clock())
 		}
@@ -214,6 +216,7 @@
 	case errors.Is(err, ErrOtherLife):
 		l.otherLife(s, "hold")
 	case l.ctx.Err() == nil:
+		countCallError("hold")
 		l.log.Warn().Str("event", "hold-failed").Str("worker", s.life.ID).Err(err).Msg("")
 	}
 }
@@ -248,6 +251,7 @@
 		highest = max(highest, e.Number)
 		l.log.Info().Str("decision", "task-ended").Str("request", e.Task.Submission).Uint32("step", e.Task.Step).Uint32("task", e.Task.Index).
 			Uint32("attempt", e.Attempt).Str("worker", s.life.ID).Str("how", e.Kind.String()).Uint64("number", e.Number).Msg("")
+		countEnd(e.Kind)
 		l.noteQuality(s.life.ID, e)
 		l.commitEnd(s, e.Task, e.Attempt, e.Kind, e.Checkpoint, func(err error) {
 			failed = failed || err != nil
@@ -311,6 +315,7 @@
 			}
 		}
 	})
+	leasesOverTotal.Inc()
 	l.log.Warn().Str("event", "lease-over").Str("worker", s.life.ID).Int("tasks", len(lost)).
 		Dur("silent_ms", now-answeredAt).Msg("the worker was not reached until its lease was over; its tasks are placed elsewhere")
 	for i, ref := range lost {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -28,6 +28,7 @@
 func (l *Leader) watchProgress(s *session, now time.Duration) {
 	stalled := l.stalledOn(s, now)
 	for _, ref := range stalled {
+		stalledTotal.Inc()
 		r := l.runs[ref]
 		l.log.Warn().Str("decision", "stalled").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).Uint32("attempt", r.attempt).
 			Str("worker", s.life.ID).Float64("percent", r.progress.percent).Dur("still_ms", now-r.progress.movedAt).Msg("the task makes no progress; it is started elsewhere")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -243,6 +243,9 @@
 				i.forgetLeader(vm)
 			}
 		}
+		if !uncertain && vm != "" && !i.Ready() {
+			return nil, gaveUp(uncertain, method, turn+1) // there has been no leader for longer than an election takes
+		}
 		if waited := time.Since(began); !uncertain && waited > leaderPatience || uncertain && waited > outcomePatience {
 			return nil, gaveUp(uncertain, method, turn+1)
 		}
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -39,7 +39,7 @@
 	// leastChange is the change of a share, in percent, that is worth a call.
 	leastChange = 12
 	// movingBelow is the share, in percent, below which a task that saves its progress is moved away.
-	movingBelow = 25
+	movingBelow = 40
 	// startingShare is the share of a worker that a filling task is taken to use before there is a reading.
 	startingShare = 0.05
 )
