--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -121,7 +121,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Leader{
 		cfg: cfg, log: cfg.Logger, lease: min(leaseWanted, cfg.Bounds.LeaseMax), events: make(chan func(), 1024),
-		pool: pond.NewPool(callWorkers), done: make(chan struct{}), stop: stop,
+		pool: pond.NewPool(callWorkers, pond.WithContext(ctx)), done: make(chan struct{}), stop: stop,
 	}
 	l.reset()
 	go l.loop(ctx)
@@ -132,7 +132,6 @@
 func (l *Leader) Close() {
 	l.stop()
 	<-l.done
-	l.pool.Stop()
 }
 
 // Term returns the term in which this VM leads, or 0.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -130,6 +130,11 @@
 		Uint32("attempt", r.attempt).Str("worker", s.life.ID).Uint64("term", l.term).Msg("")
 	if r.phase == stopping {
 		r.unanswered = r.unanswered || errors.Is(err, ErrNoAnswer)
+		if refused := err != nil && !errors.Is(err, ErrNoAnswer) && !errors.Is(err, ErrFenced); refused && !r.unanswered {
+			l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
+			return
+		}
+		l.callStop(task, r) // the stop had to wait for the answer to the start
 		return
 	}
 	switch {
@@ -153,7 +158,7 @@
 // attempt is stopped first.
 func (l *Leader) refused(s *session, task submission.Ref, r *run, err error) {
 	l.avoidWorker(task, s.life.ID)
-	l.takeBackGang(task, r.attempt)
+	l.takeBackGang(task, r.attempt, s.life.ID)
 	if r.unanswered || errors.Is(err, ErrOldAttempt) {
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused")
 		return
@@ -179,13 +184,17 @@
 	return gang
 }
 
-// takeBackGang stops the other members of a gang of which one does not start, so that none waits alone.
-func (l *Leader) takeBackGang(task submission.Ref, attempt uint32) {
+// takeBackGang stops the other members of a gang of which one does not start on a worker, so that none waits alone, and
+// keeps all of them from that worker for a while.
+func (l *Leader) takeBackGang(task submission.Ref, attempt uint32, worker string) {
 	if !l.isGang(task) {
 		return
 	}
 	for ref, r := range l.runs {
 		same := ref.Submission == task.Submission && ref.Occurrence == task.Occurrence && ref.Step == task.Step && ref.Index != task.Index
+		if same {
+			l.avoidWorker(ref, worker)
+		}
 		if same && r.attempt == attempt && r.phase != stopping {
 			l.stopRun(ref, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "gang-incomplete")
 		}
@@ -224,25 +233,55 @@
 		l.otherLife(s, "stop")
 	case err == nil:
 		r.answeredAt = l.cfg.Clock()
+		if s.figures[task].Attempt != r.attempt {
+			l.look(s) // it may not run at all, so that no end of it will be listed
+		}
 	}
 }
 
+// look reads at once what a worker runs, beside the hold that waits there.
+func (l *Leader) look(s *session) {
+	ctx := l.ctx
+	c := HoldCall{Target: l.target(s), SeenEnd: s.contactNow().seenEnd}
+	sent := l.cfg.Clock()
+	l.pool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
+		defer cancel()
+		answer, err := l.cfg.Caller.Hold(callCtx, c)
+		if err != nil {
+			return // the hold that waits reports the state of the worker
+		}
+		l.post(func() {
+			if l.ctx == ctx && l.sessions[s.life.ID] == s && (answer.BornUnixMs == 0 || answer.BornUnixMs == s.life.BornUnixMs) {
+				l.noteEnds(s, answer, func() {})
+				l.reconcile(s, sent, answer)
+			}
+		})
+	})
+}
+
 // repeatCalls sends starts and stops again that had no effect so far.
 func (l *Leader) repeatCalls(task submission.Ref, r *run, now time.Duration) {
 	switch {
 	case r.calling:
 	case r.phase == ordered && now-r.orderedAt > l.patience(task):
 		l.avoidWorker(task, r.on.ID)
-		l.takeBackGang(task, r.attempt)
+		l.takeBackGang(task, r.attempt, r.on.ID)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
 	case r.phase == ordered && now-r.calledAt > startRepeat:
 		l.callStart(task, r)
-	case r.phase == stopping && r.answeredAt < r.calledAt && now-r.calledAt > stopRepeat,
-		r.phase == stopping && now-r.calledAt > 2*stopRepeat+l.cfg.Bounds.Stop:
+	case r.phase == stopping && (r.calledAt == 0 || r.answeredAt < r.calledAt && now-r.calledAt > stopRepeat),
+		r.phase == stopping && now-r.calledAt > 2*stopRepeat+l.cfg.Bounds.Stop && l.listed(task, r):
 		l.callStop(task, r)
 	}
 }
 
+// listed reports whether the last reading of the worker shows the attempt.
+func (l *Leader) listed(task submission.Ref, r *run) bool {
+	s := l.sessions[r.on.ID]
+	return s != nil && s.life == r.on && s.figures[task].Attempt == r.attempt
+}
+
 // reconcile compares what a worker runs with what was placed there. Calls that were answered after the hold was sent
 // may be missing in its answer.
 func (l *Leader) reconcile(s *session, sent time.Duration, answer HoldAnswer) {
--- /dev/null
+++ b/internal/submission/state_test.go
@@ -0,0 +1,286 @@
+package submission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+const retentionMs = 1000
+
+// world drives a state with entries as the leader writes them.
+type world struct {
+	state  *State
+	index  uint64
+	unixMs int64
+}
+
+func newWorld() *world { return &world{state: New(retentionMs, nil), unixMs: 1_000_000} }
+
+func (w *world) apply(changes ...*pb.SubmissionChange) []Result {
+	w.index++
+	entry, err := proto.Marshal(&pb.SubmissionEntry{UnixMs: w.unixMs, Changes: changes})
+	if err != nil {
+		panic(err)
+	}
+	return w.state.Apply(w.index, 1, entry).([]Result)
+}
+
+func queueConfig(attempts uint32) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 1,
+		Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "pool", Attempts: attempts, TimeoutMs: 1}},
+		Pools:  []*pb.Pool{{Name: "pool", Guards: true}}}}}
+}
+
+func accept(id string, steps ...*pb.Step) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{
+		Spec: &pb.SubmissionSpec{Id: id, Steps: steps}, Queue: "h /p/"}}}
+}
+
+func cancelOf(id string) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Cancel{Cancel: &pb.CancelSubmission{Id: id}}}
+}
+
+func worker(id string, born int64) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: id, BornUnixMs: born, Pool: "pool", Address: "address of " + id}}}
+}
+
+func start(ref Ref, attempt uint32, id string, born int64) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Start{Start: &pb.TaskStart{Task: ref.Proto(), Attempt: attempt, Worker: id, WorkerBornUnixMs: born}}}
+}
+
+func end(ref Ref, attempt uint32, id string, born int64, kind pb.TaskEndKind) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: ref.Proto(), Attempt: attempt, Worker: id, WorkerBornUnixMs: born, Kind: kind}}}
+}
+
+func oneTask() *pb.Step { return &pb.Step{Count: 1} }
+
+const (
+	done   = pb.TaskEndKind_TASK_END_KIND_DONE
+	failed = pb.TaskEndKind_TASK_END_KIND_FAILED
+	lost   = pb.TaskEndKind_TASK_END_KIND_LOST
+)
+
+// Guards against a submission that is handed in again, after its answer was lost, and becomes a second one.
+func TestRepeatedAcceptIsOneSubmission(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.apply(queueConfig(2), worker("w", 1))
+	is.True(w.apply(accept("a", oneTask()))[0].Applied)
+	ref := Ref{Submission: "a"}
+	w.apply(start(ref, 1, "w", 1), end(ref, 1, "w", 1, done))
+	is.True(!w.apply(accept("a", oneTask()))[0].Applied)
+	is.Equal(w.state.Submission("a").Describe(), "done")
+}
+
+// Guards against a step that starts before those it waits for are finished, and against two attempts of a task at once.
+func TestStartsFollowOrderAndOnceOnly(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.apply(queueConfig(2), worker("w", 1), accept("a", oneTask(), &pb.Step{Count: 2, After: []uint32{0}}))
+	first, second := Ref{Submission: "a"}, Ref{Submission: "a", Step: 1, Index: 1}
+	is.True(!w.apply(start(second, 1, "w", 1))[0].Applied)
+	is.True(w.apply(start(first, 1, "w", 1))[0].Applied)
+	is.True(!w.apply(start(first, 2, "w", 1))[0].Applied) // attempt 1 may run
+	w.apply(end(first, 1, "w", 1, lost))
+	is.True(!w.apply(start(first, 1, "w", 1))[0].Applied) // the number must rise
+	is.True(w.apply(start(first, 2, "w", 1))[0].Applied)
+	w.apply(end(first, 2, "w", 1, done))
+	is.True(w.apply(start(second, 1, "w", 1))[0].Applied)
+	is.True(!w.apply(start(first, 3, "w", 1))[0].Applied) // done
+}
+
+// Guards against starts on a worker that drains, has left, or came back as another life.
+func TestNoStartOnLeavingWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.apply(queueConfig(2), worker("w", 1), accept("a", oneTask()))
+	draining := worker("w", 1)
+	draining.GetWorker().Draining = true
+	w.apply(draining)
+	is.True(!w.apply(start(Ref{Submission: "a"}, 1, "w", 1))[0].Applied)
+	w.apply(worker("w", 1)) // a late report from before the drain
+	is.True(!w.apply(start(Ref{Submission: "a"}, 1, "w", 1))[0].Applied)
+	w.apply(worker("w", 2))
+	is.True(!w.apply(start(Ref{Submission: "a"}, 1, "w", 1))[0].Applied)
+	is.True(w.apply(start(Ref{Submission: "a"}, 1, "w", 2))[0].Applied)
+}
+
+// Guards against tasks that stay with a life of a worker that is over, and against a late report that brings it back.
+func TestNewLifeEndsTheOldOne(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), worker("w", 1), accept("a", oneTask()), start(ref, 1, "w", 1))
+	w.apply(worker("w", 2))
+	is.True(!w.state.Task(ref).Placed())
+	is.True(!w.apply(worker("w", 1))[0].Applied)
+	is.Equal(w.state.Workers()["w"].GetBornUnixMs(), int64(2))
+	other := worker("other", 3)
+	other.GetWorker().Address = "address of w" // the address was taken over
+	w.apply(other)
+	is.True(w.state.Workers()["w"].GetGone())
+}
+
+// Guards against a submission that fails too early or too late, and against failures that are counted twice when a
+// worker lists them again.
+func TestFailuresCountOncePerAttempt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), worker("w", 1), accept("a", oneTask()), start(ref, 1, "w", 1))
+	w.apply(end(ref, 1, "w", 1, failed))
+	w.apply(end(ref, 1, "w", 1, failed)) // listed again
+	is.Equal(w.state.Submission("a").Describe(), "running")
+	w.apply(start(ref, 2, "w", 1), end(ref, 2, "w", 1, lost)) // not the task's fault
+	w.apply(start(ref, 3, "w", 1), end(ref, 3, "w", 1, failed))
+	is.Equal(w.state.Submission("a").Describe(), "failed")
+}
+
+// Guards against an end that is listed after the lease counted as over and is then forgotten.
+func TestLateEndCounts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), worker("w", 1), accept("a", oneTask()), start(ref, 1, "w", 1), end(ref, 1, "w", 1, lost))
+	w.apply(end(ref, 1, "w", 1, done))
+	is.Equal(w.state.Submission("a").Describe(), "done")
+}
+
+// Guards against a gang of which one member counts as unfinished after the others, and against failures of a gang that
+// count once for each member.
+func TestGangEndsTogether(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	gang := &pb.Step{Count: 3, Gang: true}
+	w.apply(queueConfig(2), worker("w", 1), accept("a", gang))
+	member := func(i uint32) Ref { return Ref{Submission: "a", Index: i} }
+	for i := range uint32(3) {
+		w.apply(start(member(i), 1, "w", 1))
+	}
+	w.apply(end(member(0), 1, "w", 1, failed), end(member(1), 1, "w", 1, failed), end(member(2), 1, "w", 1, pb.TaskEndKind_TASK_END_KIND_BROKEN))
+	is.Equal(w.state.Submission("a").Describe(), "running")
+	for i := range uint32(3) {
+		w.apply(start(member(i), 2, "w", 1))
+	}
+	w.apply(end(member(1), 2, "w", 1, done))
+	is.Equal(w.state.Submission("a").Describe(), "done")
+}
+
+// Guards against an endless task that counts as done, and against a cancelled submission that starts again.
+func TestEndlessRunsUntilCancelled(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(1), worker("w", 1), accept("a", &pb.Step{Count: 1, Endless: true}), start(ref, 1, "w", 1))
+	w.apply(end(ref, 1, "w", 1, failed), start(ref, 2, "w", 1), end(ref, 2, "w", 1, done))
+	is.Equal(w.state.Submission("a").Describe(), "running")
+	is.True(w.apply(cancelOf("a"))[0].Applied)
+	is.True(w.apply(cancelOf("a"))[0].Found) // a repeat is acknowledged
+	is.True(!w.apply(start(ref, 3, "w", 1))[0].Applied)
+	is.True(!w.apply(cancelOf("unknown"))[0].Found)
+}
+
+// Guards against an older or equal configuration that replaces the one in force.
+func TestHighestConfigurationStays(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	put := func(version uint64, host string) Result {
+		return w.apply(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: version, Written: []byte(host)}}})[0]
+	}
+	is.True(put(5, "five").Applied)
+	is.Equal(put(4, "four"), Result{Version: 5})
+	is.Equal(put(5, "other").Version, uint64(5))
+	is.Equal(string(w.state.Config().GetWritten()), "five")
+	is.True(put(9, "nine").Applied)
+}
+
+// Guards against state that is lost or changed by a snapshot, against two placed attempts of a task, and against counts
+// that do not match the tasks, under any sequence of entries.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld()
+		w.apply(queueConfig(2))
+		for range rapid.IntRange(20, 120).Draw(rt, "entries") {
+			w.unixMs += rapid.Int64Range(0, 50).Draw(rt, "ms")
+			w.apply(drawChange(rt))
+		}
+		checkState(rt, w.state)
+		before, err := w.state.Snapshot()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		restored := New(retentionMs, nil)
+		if err := restored.Restore(before); err != nil {
+			rt.Fatal(err)
+		}
+		checkState(rt, restored)
+		after, err := restored.Snapshot()
+		if err != nil || string(before) != string(after) {
+			rt.Fatalf("a restored state differs: %v", err)
+		}
+	})
+}
+
+func drawChange(rt *rapid.T) *pb.SubmissionChange {
+	id := fmt.Sprint("s", rapid.IntRange(0, 3).Draw(rt, "submission"))
+	ref := Ref{Submission: id, Step: rapid.Uint32Range(0, 1).Draw(rt, "step"), Index: rapid.Uint32Range(0, 2).Draw(rt, "index")}
+	name, born := fmt.Sprint("w", rapid.IntRange(0, 2).Draw(rt, "worker")), rapid.Int64Range(1, 3).Draw(rt, "born")
+	attempt := rapid.Uint32Range(1, 5).Draw(rt, "attempt")
+	switch rapid.IntRange(0, 6).Draw(rt, "kind") {
+	case 0:
+		return accept(id, &pb.Step{Count: 2}, &pb.Step{Count: 3, After: []uint32{0}, Gang: rapid.Bool().Draw(rt, "gang")})
+	case 1:
+		return cancelOf(id)
+	case 2:
+		return worker(name, born)
+	case 3, 4:
+		return start(ref, attempt, name, born)
+	}
+	kinds := []pb.TaskEndKind{done, failed, lost, pb.TaskEndKind_TASK_END_KIND_STOPPED, pb.TaskEndKind_TASK_END_KIND_BROKEN}
+	return end(ref, attempt, name, born, rapid.SampledFrom(kinds).Draw(rt, "how"))
+}
+
+func checkState(rt *rapid.T, s *State) {
+	for id, sub := range s.submissions {
+		for number, o := range sub.Occurrences {
+			for i := range o.Steps {
+				placed, finished := 0, 0
+				for j := range o.Steps[i].Tasks {
+					task := &o.Steps[i].Tasks[j]
+					if task.Placed() && task.Done {
+						rt.Fatalf("task %d of step %d of %s is done and placed", j, i, id)
+					}
+					if task.Placed() {
+						placed++
+						checkPlaced(rt, s, Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, task)
+					}
+					if task.Done {
+						finished++
+					}
+				}
+				if step := &o.Steps[i]; step.Placed != placed || step.Done != finished {
+					rt.Fatalf("step %d of %s counts %d placed and %d done instead of %d and %d", i, id, step.Placed, step.Done, placed, finished)
+				}
+			}
+		}
+		if sub.Active() != (s.active[id] != nil) {
+			rt.Fatalf("%s is active: %t, but listed: %t", id, sub.Active(), s.active[id] != nil)
+		}
+	}
+}
+
+func checkPlaced(rt *rapid.T, s *State, ref Ref, task *Task) {
+	w := s.workers[task.On.ID]
+	if w == nil || w.Life() != task.On || w.GetGone() {
+		rt.Fatalf("%v is placed on a life that is over: %v", ref, task.On)
+	}
+	if w.Attempts[ref] != task.Attempt {
+		rt.Fatalf("%v is placed with attempt %d, but its worker counts %d", ref, task.Attempt, w.Attempts[ref])
+	}
+}
