Open a log whose last mark was lost in a power failure while the batch behind it was kept

Ruled out: real corruption (the batch before and the one behind are whole and consecutive). Change: an unreadable place of a mark's size before the next batch in sequence is passed over; the mark holds no records. Test: TestUnsyncedWritesSurviveInAnyCombination, red before.

--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -131,6 +131,10 @@
 	offset := segmentHeaderSize
 	for offset < len(content) {
 		f, size, ok := decodeFrame(content[offset:], l.seed)
+		if !ok && l.isLostMark(content[offset:]) {
+			offset += frameHeaderSize
+			continue
+		}
 		if !ok {
 			return l.endOfSegment(current.name, content, offset, last, recovered)
 		}
@@ -143,6 +147,17 @@
 	return nil
 }
 
+// isLostMark reports whether an unreadable place is the mark of the last batch, with the next batch behind it. Mark and
+// next batch are made durable by one sync, so a loss of power may keep the batch and lose the mark. The mark holds no
+// records, and the number of the batch shows that none is missing.
+func (l *Log) isLostMark(content []byte) bool {
+	if len(content) <= frameHeaderSize {
+		return false
+	}
+	next, _, ok := decodeFrame(content[frameHeaderSize:], l.seed)
+	return ok && next.kind == batchFrame && next.sequence == l.sequence+1
+}
+
 func (l *Log) takeFrame(f frame, current *segment, offset int64, recovered *Recovered) error {
 	if f.kind == syncedFrame && f.sequence == l.sequence {
 		return nil
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -226,6 +226,49 @@
 	}
 }
 
+// Guards against a log that cannot be opened after a loss of power that kept the last batch and lost the mark before it:
+// both were written since the last sync, and each write may be there, missing or torn.
+func TestUnsyncedWritesSurviveInAnyCombination(t *testing.T) {
+	disk := newMemFS()
+	l, _ := openMem(t, disk)
+	if err := l.Append(recordOf(1)); err != nil {
+		t.Fatal(err)
+	}
+	name := segmentName(1)
+	markEnd := len(disk.files[name].content)
+	if err := l.Append(recordOf(2)); err != nil {
+		t.Fatal(err)
+	}
+	batchEnd := len(disk.files[name].content) - frameHeaderSize // without the mark of the second batch
+	damages := map[string]func([]byte){
+		"there":   func([]byte) {},
+		"missing": func(b []byte) { clear(b) },
+		"torn":    func(b []byte) { clear(b[len(b)/2:]) },
+	}
+	for mark, damageMark := range damages {
+		for batch, damageBatch := range damages {
+			after := disk.copied()
+			content := after.files[name].content[:batchEnd]
+			damageMark(content[markEnd-frameHeaderSize : markEnd])
+			damageBatch(content[markEnd:])
+			after.files[name].content = content
+			again, r, err := Open(after, Options{SegmentBytes: 400})
+			if err != nil {
+				t.Fatalf("mark %s, batch %s: %v", mark, batch, err)
+			}
+			if len(r.Records) == 0 || r.Records[0].Index != 1 {
+				t.Fatalf("mark %s, batch %s: the synced record is gone", mark, batch)
+			}
+			if err := again.Append(recordOf(uint64(len(r.Records) + 1))); err != nil {
+				t.Fatal(err)
+			}
+			if _, r2 := openMem(t, after.copied()); len(r2.Records) != len(r.Records)+1 {
+				t.Fatalf("mark %s, batch %s: %d records after the next append to %d", mark, batch, len(r2.Records), len(r.Records))
+			}
+		}
+	}
+}
+
 // Guards against a missing segment that goes unnoticed.
 func TestMissingSegment(t *testing.T) {
 	is := is.New(t)
