Lease workers for up to 9 s and try them again soon after a partition

Ruled out: shorter leases (a dark worker that comes back reports a new life, which frees its tasks at once; only one that never comes back takes the longer lease).

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -58,7 +58,7 @@
 const (
 	// leaseWanted is the lease that this system asks for. A longer one keeps tasks running through a partition, a
 	// shorter one frees the tasks of a dead worker sooner.
-	leaseWanted = 6 * time.Second
+	leaseWanted = 9 * time.Second
 	// clockDrift is the share by which a worker's clock may be slow, from the platform's pages.
 	clockDrift = 0.02
 	// leaseMargin is added to the time after which a lease counts as over, for calls on their way.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -20,7 +20,7 @@
 	holdSlack = 800 * time.Millisecond
 	// holdRetryMin and holdRetryMax bound the pause after a hold without an answer.
 	holdRetryMin = 100 * time.Millisecond
-	holdRetryMax = time.Second
+	holdRetryMax = 400 * time.Millisecond
 	// usableFor is how long after the last answer a worker gets new tasks.
 	usableFor = holdWait + 2*holdSlack
 )
@@ -144,13 +144,14 @@
 // since only committed ends may be forgotten by the worker.
 func (l *Leader) holdLoop(ctx context.Context, s *session, term uint64) {
 	pause := holdRetryMin
+	failed := false
 	for ctx.Err() == nil {
 		sent := l.cfg.Clock()
 		contact := s.contactNow()
 		c := HoldCall{Target: Target{Life: s.life, Address: s.address, Fence: term}, LeaseUntilMs: s.grant(l.lease, sent), SeenEnd: contact.seenEnd}
 		switch {
-		case c.LeaseUntilMs == 0:
-			// The first answer must come at once.
+		case c.LeaseUntilMs == 0 || failed:
+			// The first answer, and the first one after a partition, must come at once.
 		case contact.watched:
 			c.WaitMs = watchWait.Milliseconds()
 		default:
@@ -171,7 +172,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if err == nil {
+		failed = err != nil
+		if !failed {
 			pause = holdRetryMin
 			continue
 		}
