--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -231,9 +231,7 @@
 // Leading reports whether this VM leads, for tests and metrics.
 func (c *Control) Leading() bool { return c.leader.Term() != 0 }
 
-// errNoLeader refuses an operation that only the leader can carry out. Nothing was done.
-var errNoLeader = errors.New("no leader of the control VMs is known; retry shortly")
-
+// describe says what this VM knows of the group, for errors.
 func (c *Control) describe() string {
 	status := c.group.Status()
 	return fmt.Sprintf("role %s, leader %q, term %d", status.Role, status.Leader, status.Term)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -59,15 +59,14 @@
 	began   time.Time
 }
 
-// fleet is a set of workers and the history of what ran where.
+// workers is a set of fake workers that notes what no history may show.
 type workers struct {
-	mu       sync.Mutex
-	t        *testing.T
-	work     time.Duration
-	byID     map[string]*fakeWorker
-	done     map[submission.Ref]bool
-	together bool // two attempts of a task may run at once, which no test asks for
-	trouble  []string
+	mu      sync.Mutex
+	t       *testing.T
+	work    time.Duration
+	byID    map[string]*fakeWorker
+	done    map[submission.Ref]bool
+	trouble []string
 }
 
 func newWorkers(t *testing.T, work time.Duration, ids ...string) *workers {
