--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -52,6 +52,7 @@
 	starts   int
 	refusals int
 	throttle map[submission.Ref]int
+	tickets  []string // of the starts, in order
 }
 
 type fakeRun struct {
@@ -172,6 +173,7 @@
 	w.extend(f, c.LeaseUntilMs)
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
+	f.tickets = append(f.tickets, c.Ticket)
 	for id, other := range w.byID {
 		if other != f && other.running[c.Task] != nil {
 			w.settle(other)
@@ -278,6 +280,9 @@
 	workers *workers
 	leader  *Leader
 	start   time.Time
+	// adviser and platform are taken up by newLeader.
+	adviser  Adviser
+	platform Platform
 }
 
 func newRig(t *testing.T, work time.Duration, ids ...string) *rig {
@@ -296,7 +301,7 @@
 }
 
 func (r *rig) newLeader() {
-	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: testLogger(),
+	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: testLogger(), Adviser: r.adviser, Platform: r.platform, Holder: "vm",
 		Clock:  func() time.Duration { return time.Since(r.start) + time.Hour },
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, Harm: 4 * time.Second, Pace: 100 * time.Millisecond}})
 }
@@ -316,6 +321,7 @@
 	var f *fakeWorker
 	r.workers.change(func() { f = r.workers.byID[id] })
 	w := &pb.PoolWorker{Id: id, BornUnixMs: f.life.BornUnixMs, Pool: "pool", Address: id, FailureDomain: "d", Rack: "r",
+		Vm:       "vm-" + id,
 		Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 100}}
 	if err := r.leader.Report(context.Background(), &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())}); err != nil {
 		r.t.Fatal(err)
