--- a/internal/contract/main_test.go
+++ b/internal/contract/main_test.go
@@ -1,18 +1,9 @@
 package contract
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/lentilyard/lentilyard/internal/proptest"
 )
 
-// TestMain fixes the seed of the property tests, so that a failure can be repeated.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m) }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -141,7 +142,7 @@
 // viewWorker returns the planner's view of a worker.
 func (l *Leader) viewWorker(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
 	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Domain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(),
-		Capacity: steps.SizeOf(w.GetCapacity()), Penalty: l.penalty(w.GetId(), now)}
+		Capacity: resources.FromProto(w.GetCapacity()), Penalty: l.penalty(w.GetId(), now)}
 	s := l.sessions[w.GetId()]
 	view.Usable = w.Usable() && s != nil && s.life == w.Life() && l.usable(s, now) && !l.quarantined(w.GetId(), now)
 	for ref, attempt := range w.Attempts {
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 )
 
 // cache mirrors the workers, tasks and contracts of the domain in a form that makes decisions cheap.
@@ -101,14 +102,14 @@
 func (c *cache) upsertWorker(m *pb.Worker, now int64) {
 	w := c.worker(m.GetId())
 	before, wasReady, oldState := w.liveCapacity(), w.ready(), w.state
-	c.total = c.total.minus(w.capacity)
+	c.total = c.total.Minus(w.capacity)
 	c.moveRack(w, c.rackOf(m.GetRack()))
 	if w.epoch != m.GetEpoch() {
 		w.keepStray(func(strayUsage) bool { return false })
 	}
 	w.epoch, w.state, w.known = m.GetEpoch(), m.GetState(), true
-	w.capacity = toVector(m.GetCapacity())
-	c.total = c.total.plus(w.capacity)
+	w.capacity = resources.FromProto(m.GetCapacity())
+	c.total = c.total.Plus(w.capacity)
 	c.countReady(w, wasReady)
 	c.trackState(w, oldState, now)
 	c.feasibility.capacityChanged(c, before, w.liveCapacity(), now)
@@ -158,7 +159,7 @@
 		return
 	}
 	before, wasReady := w.liveCapacity(), w.ready()
-	c.total = c.total.minus(w.capacity)
+	c.total = c.total.Minus(w.capacity)
 	w.known, w.capacity = false, vector{}
 	c.countReady(w, wasReady)
 	delete(c.draining, w)
@@ -322,7 +323,7 @@
 	w.join(t)
 	c.countRack(t, w, 1)
 	t.contract.take(t)
-	t.charge = int64(t.size.share(c.total) / t.contract.weight / chargeUnit)
+	t.charge = int64(t.size.Share(c.total) / t.contract.weight / chargeUnit)
 	c.queue.flow(t).charge += t.charge
 	c.refresh(w)
 }
--- a/internal/placement/choice_test.go
+++ b/internal/placement/choice_test.go
@@ -20,7 +20,7 @@
 // Guards against a filter that lets a task start where it must not.
 func TestFilter(t *testing.T) {
 	own, other := &bucket{}, &bucket{}
-	ready := worker{id: "w1", known: true, state: pb.WorkerState_WORKER_STATE_READY, capacity: vector{4000, 4000, 1}}
+	ready := worker{id: "w1", known: true, state: pb.WorkerState_WORKER_STATE_READY, capacity: vector{Cores: 4000, Memory: 4000, Accelerators: 1}}
 	with := func(change func(*worker)) worker {
 		w := ready
 		change(&w)
@@ -28,7 +28,7 @@
 	}
 	probing := with(func(w *worker) { w.health.probing = true })
 	busyProbe := with(func(w *worker) { w.health.probing, w.starting = true, 1 })
-	batch := task{class: batchClass, size: vector{1000, 1000, 0}, bucket: own}
+	batch := task{class: batchClass, size: vector{Cores: 1000, Memory: 1000, Accelerators: 0}, bucket: own}
 	sized := func(v vector) task { return task{class: batchClass, size: v, bucket: own} }
 	cases := []struct {
 		name   string
@@ -37,12 +37,12 @@
 		want   bool
 	}{
 		{"room", ready, batch, true},
-		{"exact", ready, sized(vector{4000, 4000, 1}), true},
-		{"cores", ready, sized(vector{4001, 0, 0}), false},
-		{"memory", ready, sized(vector{0, 4001, 0}), false},
-		{"accelerators", ready, sized(vector{0, 0, 2}), false},
-		{"in use", with(func(w *worker) { w.used = vector{3001, 0, 0} }), batch, false},
-		{"only the used resource counts", with(func(w *worker) { w.used = vector{4000, 0, 0} }), sized(vector{0, 10, 0}), true},
+		{"exact", ready, sized(vector{Cores: 4000, Memory: 4000, Accelerators: 1}), true},
+		{"cores", ready, sized(vector{Cores: 4001, Memory: 0, Accelerators: 0}), false},
+		{"memory", ready, sized(vector{Cores: 0, Memory: 4001, Accelerators: 0}), false},
+		{"accelerators", ready, sized(vector{Cores: 0, Memory: 0, Accelerators: 2}), false},
+		{"in use", with(func(w *worker) { w.used = vector{Cores: 3001, Memory: 0, Accelerators: 0} }), batch, false},
+		{"only the used resource counts", with(func(w *worker) { w.used = vector{Cores: 4000, Memory: 0, Accelerators: 0} }), sized(vector{Cores: 0, Memory: 10, Accelerators: 0}), true},
 		{"unknown", with(func(w *worker) { w.known = false }), batch, false},
 		{"draining", with(func(w *worker) { w.state = pb.WorkerState_WORKER_STATE_DRAINING }), batch, false},
 		{"set aside", with(func(w *worker) { w.state = pb.WorkerState_WORKER_STATE_SET_ASIDE }), batch, false},
@@ -78,11 +78,11 @@
 	c.racks[rackKey{web, 1}] = 2
 	c.kindInfo[web].services = 3
 	holding := func(kind kindID, class pb.TaskClass) *worker {
-		return &worker{capacity: vector{8000, 8000, 0}, used: vector{1000, 0, 0}, rack: 0,
+		return &worker{capacity: vector{Cores: 8000, Memory: 8000, Accelerators: 0}, used: vector{Cores: 1000, Memory: 0, Accelerators: 0}, rack: 0,
 			groups: []group{{kind: kind, class: int8(class), count: 1, worsened: 1}}}
 	}
 	plain := func(change func(*worker)) *worker {
-		w := &worker{capacity: vector{8000, 8000, 0}, rack: 0}
+		w := &worker{capacity: vector{Cores: 8000, Memory: 8000, Accelerators: 0}, rack: 0}
 		change(w)
 		return w
 	}
@@ -96,9 +96,9 @@
 		{"service avoids what harms it", task{kind: web, class: serviceClass}, holding(quiet, batchClass), holding(noisy, batchClass)},
 		{"batch avoids whom it harms", task{kind: noisy, class: batchClass}, holding(quiet, batchClass), holding(web, serviceClass)},
 		{"slow neighbours are spared", task{kind: noisy, class: batchClass}, holding(web, serviceClass), slow},
-		{"packs", task{kind: quiet, class: batchClass}, plain(func(w *worker) { w.used.cores = 6000 }), plain(func(*worker) {})},
+		{"packs", task{kind: quiet, class: batchClass}, plain(func(w *worker) { w.used.Cores = 6000 }), plain(func(*worker) {})},
 		{"spreads over racks", task{kind: web, class: serviceClass}, plain(func(*worker) {}), plain(func(w *worker) { w.rack = 1 })},
-		{"spares accelerators", task{kind: quiet, class: batchClass}, plain(func(*worker) {}), plain(func(w *worker) { w.capacity.accelerators = 1 })},
+		{"spares accelerators", task{kind: quiet, class: batchClass}, plain(func(*worker) {}), plain(func(w *worker) { w.capacity.Accelerators = 1 })},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -147,7 +147,7 @@
 		size, from := draw("size"), rapid.IntRange(0, len(free)-1).Draw(t, "from")
 		want := -1
 		for i := range free {
-			if slot := (from + i) % len(free); size.fits(free[slot]) {
+			if slot := (from + i) % len(free); size.Fits(free[slot]) {
 				want = slot
 				break
 			}
@@ -172,9 +172,9 @@
 		t.Run(fmt.Sprint(c.missing), func(t *testing.T) {
 			var candidates []*task
 			for _, id := range []string{"a", "b", "c", "d", "e"} {
-				candidates = append(candidates, &task{id: id, stay: &stay{occupied: vector{cores: cores[id]}}})
+				candidates = append(candidates, &task{id: id, stay: &stay{occupied: vector{Cores: cores[id]}}})
 			}
-			chosen := fewest(candidates, vector{cores: c.missing}, func(t *task) float64 { return costs[t.id] })
+			chosen := fewest(candidates, vector{Cores: c.missing}, func(t *task) float64 { return costs[t.id] })
 			is.New(t).Equal(names(chosen), c.want)
 		})
 	}
@@ -200,10 +200,10 @@
 	is := is.New(t)
 	now := testStart
 	p := New(Config{Now: func() time.Time { return now }})
-	p.UpsertWorker(testWorker(0, resources(8000, 8000, 0)))
+	p.UpsertWorker(testWorker(0, amounts(8000, 8000, 0)))
 	p.SetContract(testContract("c1", "", 1<<40, 1<<40, 0))
 	put := func(i int, kind string, state pb.TaskState) {
-		m := testTask(i, batchClass, resources(1000, 1000, 0))
+		m := testTask(i, batchClass, amounts(1000, 1000, 0))
 		m.Spec.Kind, m.State, m.Worker, m.Attempt, m.StartedUnixMs = kind, state, "w00000", 1, now.UnixMilli()
 		p.UpsertTask(m)
 	}
--- a/internal/placement/evict.go
+++ b/internal/placement/evict.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 )
 
 const (
@@ -62,7 +63,7 @@
 
 // victimsOn returns the fewest and cheapest victims on w that make room for size, or nil.
 func (s *planning) victimsOn(w *worker, size vector, lastResort bool) *victimSet {
-	missing := size.minus(w.room().plus(s.releasing(w)))
+	missing := size.Minus(w.room().Plus(s.releasing(w)))
 	candidates := s.evictable(w, lastResort)
 	chosen := fewest(candidates, missing, s.cost)
 	if chosen == nil {
@@ -83,7 +84,7 @@
 	}
 	for _, t := range w.tasks {
 		if t.condemned || t.evicting() && s.nowMs-t.evictedAt < releasePatienceMs {
-			sum = sum.plus(t.occupied)
+			sum = sum.Plus(t.occupied)
 		}
 	}
 	return sum
@@ -110,7 +111,7 @@
 // fewest returns the fewest of candidates that together hold missing, the cheapest among equally many. Sets of more
 // than two are chosen greedily: the largest first, and the cheapest that suffices last.
 func fewest(candidates []*task, missing vector, cost func(*task) float64) []*task {
-	if missing.fits(vector{}) {
+	if missing.Fits(vector{}) {
 		return []*task{}
 	}
 	if one := cheapestOne(candidates, missing, cost); one != nil {
@@ -126,7 +127,7 @@
 	var best *task
 	bestCost := 0.0
 	for _, t := range candidates {
-		if c := cost(t); missing.fits(t.occupied) && (best == nil || c < bestCost) {
+		if c := cost(t); missing.Fits(t.occupied) && (best == nil || c < bestCost) {
 			best, bestCost = t, c
 		}
 	}
@@ -138,7 +139,7 @@
 	bestCost := 0.0
 	for i, t := range candidates {
 		for _, u := range candidates[i+1:] {
-			if !missing.fits(t.occupied.plus(u.occupied)) {
+			if !missing.Fits(t.occupied.Plus(u.occupied)) {
 				continue
 			}
 			if c := cost(t) + cost(u); best == nil || c < bestCost {
@@ -161,13 +162,13 @@
 	var chosen []*task
 	held := vector{}
 	for i, t := range candidates {
-		if last := cheapestOne(candidates[i:], missing.minus(held), cost); last != nil {
-			chosen, held = append(chosen, last), held.plus(last.occupied)
+		if last := cheapestOne(candidates[i:], missing.Minus(held), cost); last != nil {
+			chosen, held = append(chosen, last), held.Plus(last.occupied)
 			break
 		}
-		chosen, held = append(chosen, t), held.plus(t.occupied)
+		chosen, held = append(chosen, t), held.Plus(t.occupied)
 	}
-	if !missing.fits(held) {
+	if !missing.Fits(held) {
 		return nil
 	}
 	return prune(chosen, held, missing, cost)
@@ -175,16 +176,16 @@
 
 // covers is the part of missing that t holds, 0 to 3.
 func covers(t *task, missing vector) float64 {
-	return min(1, ratio(t.occupied.cores, missing.cores)) + min(1, ratio(t.occupied.memory, missing.memory)) +
-		min(1, ratio(t.occupied.accelerators, missing.accelerators))
+	return min(1, resources.Ratio(t.occupied.Cores, missing.Cores)) + min(1, resources.Ratio(t.occupied.Memory, missing.Memory)) +
+		min(1, resources.Ratio(t.occupied.Accelerators, missing.Accelerators))
 }
 
 // prune leaves out the most expensive tasks that are not needed.
 func prune(chosen []*task, held, missing vector, cost func(*task) float64) []*task {
 	slices.SortStableFunc(chosen, func(a, b *task) int { return compare(cost(b), cost(a)) })
 	return slices.DeleteFunc(chosen, func(t *task) bool {
-		rest := held.minus(t.occupied)
-		if !missing.fits(rest) {
+		rest := held.Minus(t.occupied)
+		if !missing.Fits(rest) {
 			return false
 		}
 		held = rest
@@ -240,7 +241,7 @@
 	if best == nil {
 		return blocked
 	}
-	if len(best.tasks) == 0 && size.fits(best.worker.room()) {
+	if len(best.tasks) == 0 && size.Fits(best.worker.room()) {
 		s.bind(t, best.worker, considered)
 		return placed
 	}
@@ -260,7 +261,7 @@
 			return nil
 		}
 		w := s.cache.slots[slot]
-		if size.fits(w.room().plus(s.releasing(w))) {
+		if size.Fits(w.room().Plus(s.releasing(w))) {
 			return w
 		}
 		from = (slot + 1) % s.cache.soon.leaves
@@ -308,7 +309,7 @@
 	var missing vector
 	for _, a := range t.contract.accounts() {
 		if a.limited {
-			missing = missing.max(a.used.minus(a.releasing).plus(t.size).minus(a.limit))
+			missing = missing.Max(a.used.Minus(a.releasing).Plus(t.size).Minus(a.limit))
 		}
 	}
 	lastResort := s.nowMs-t.submitted >= urgentPatienceMs
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -13,9 +13,9 @@
 	for _, c := range p.cache.quotas.contracts {
 		used, releasing := vector{}, vector{}
 		for _, t := range c.placed {
-			used = used.plus(t.size)
+			used = used.Plus(t.size)
 			if t.evicting() {
-				releasing = releasing.plus(t.size)
+				releasing = releasing.Plus(t.size)
 			}
 		}
 		if c.account.used != used || c.account.releasing != releasing {
@@ -39,17 +39,17 @@
 		groups += int32(g.count)
 	}
 	for _, u := range w.stray {
-		used = used.plus(u.size)
+		used = used.Plus(u.size)
 	}
 	for _, t := range w.tasks {
-		used = used.plus(t.occupied)
+		used = used.Plus(t.occupied)
 		charges[p.cache.queue.flow(t)] += t.charge
 		if t.evicting() {
-			releasing = releasing.plus(t.occupied)
+			releasing = releasing.Plus(t.occupied)
 		} else if t.batch() {
-			evictable = evictable.plus(t.occupied)
+			evictable = evictable.Plus(t.occupied)
 		}
-		if t.condemned || !t.size.fits(t.occupied) {
+		if t.condemned || !t.size.Fits(t.occupied) {
 			return fmt.Errorf("task %s on %s: condemned %t, occupied %v", t.id, w.id, t.condemned, t.occupied)
 		}
 	}
@@ -65,13 +65,13 @@
 
 // AccountingFaults damage the cache in ways that CheckAccounting must notice. They need one placed batch task.
 var AccountingFaults = map[string]func(p *Planner){
-	"used":      func(p *Planner) { placedTask(p).worker.used.cores++ },
-	"evictable": func(p *Planner) { placedTask(p).worker.evictable.cores-- },
-	"releasing": func(p *Planner) { placedTask(p).worker.releasing.cores++ },
+	"used":      func(p *Planner) { placedTask(p).worker.used.Cores++ },
+	"evictable": func(p *Planner) { placedTask(p).worker.evictable.Cores-- },
+	"releasing": func(p *Planner) { placedTask(p).worker.releasing.Cores++ },
 	"condemned": func(p *Planner) { placedTask(p).condemned = true },
-	"quota":     func(p *Planner) { placedTask(p).contract.account.used.cores++ },
+	"quota":     func(p *Planner) { placedTask(p).contract.account.used.Cores++ },
 	"charge":    func(p *Planner) { p.cache.queue.flow(placedTask(p)).charge++ },
-	"index":     func(p *Planner) { w := placedTask(p).worker; p.cache.free.set(w.slot, w.room().plus(vector{cores: 1})) },
+	"index":     func(p *Planner) { w := placedTask(p).worker; p.cache.free.set(w.slot, w.room().Plus(vector{Cores: 1})) },
 }
 
 func placedTask(p *Planner) *task {
--- a/internal/placement/feasible.go
+++ b/internal/placement/feasible.go
@@ -40,11 +40,11 @@
 	if before == after {
 		return
 	}
-	if !before.fits(after) {
+	if !before.Fits(after) {
 		f.shrunk = true
 		f.unsettled = now
 	}
-	if !after.fits(before) {
+	if !after.Fits(before) {
 		f.grown = true
 	}
 	if !f.seen {
@@ -129,7 +129,7 @@
 	t := b.head
 	total := vector{}
 	for m := b.head; m != nil; m = m.next {
-		if reason := c.contractRefuses(m, total.plus(m.size)); reason != "" {
+		if reason := c.contractRefuses(m, total.Plus(m.size)); reason != "" {
 			return reason, false
 		}
 		if !c.capacity.any(m.size) {
@@ -138,7 +138,7 @@
 		if t.gang == "" {
 			return "", false
 		}
-		total = total.plus(m.size)
+		total = total.Plus(m.size)
 	}
 	return c.gangRefused(b, total)
 }
@@ -156,7 +156,7 @@
 	}
 	names := [...]string{"contract", "team", "member"}
 	for i, a := range k.accounts() {
-		if a.limited && !size.fits(a.limit) {
+		if a.limited && !size.Fits(a.limit) {
 			return fmt.Sprintf("above the limit of the %s of contract %q in this domain: %s", names[i], k.name, needs(size, a.limit))
 		}
 	}
@@ -178,7 +178,7 @@
 	room := int64(0)
 	for _, w := range c.workers {
 		if w.live() {
-			room += size.copiesIn(w.capacity)
+			room += size.CopiesIn(w.capacity)
 		}
 		if room >= int64(b.count) {
 			return "", false
@@ -200,12 +200,12 @@
 // needs names the first resource in which size exceeds limit.
 func needs(size, limit vector) string {
 	switch {
-	case size.cores > limit.cores:
-		return fmt.Sprintf("needs %d millicores, the most is %d", size.cores, max(0, limit.cores))
-	case size.memory > limit.memory:
-		return fmt.Sprintf("needs %d bytes of memory, the most is %d", size.memory, max(0, limit.memory))
-	case size.accelerators > limit.accelerators:
-		return fmt.Sprintf("needs %d accelerators, the most is %d", size.accelerators, max(0, limit.accelerators))
-	}
-	return fmt.Sprintf("needs %d millicores, %d bytes of memory and %d accelerators on one worker", size.cores, size.memory, size.accelerators)
+	case size.Cores > limit.Cores:
+		return fmt.Sprintf("needs %d millicores, the most is %d", size.Cores, max(0, limit.Cores))
+	case size.Memory > limit.Memory:
+		return fmt.Sprintf("needs %d bytes of memory, the most is %d", size.Memory, max(0, limit.Memory))
+	case size.Accelerators > limit.Accelerators:
+		return fmt.Sprintf("needs %d accelerators, the most is %d", size.Accelerators, max(0, limit.Accelerators))
+	}
+	return fmt.Sprintf("needs %d millicores, %d bytes of memory and %d accelerators on one worker", size.Cores, size.Memory, size.Accelerators)
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -8,7 +8,7 @@
 
 // filter reports whether t may start on w now, given what it is expected to take.
 func filter(t *task, w *worker, size vector) bool {
-	return w.ready() && size.fits(w.room()) && keptFor(t, w) && admitsProbe(t, w) && !failedHere(t, w)
+	return w.ready() && size.Fits(w.room()) && keptFor(t, w) && admitsProbe(t, w) && !failedHere(t, w)
 }
 
 // keptFor reports whether w is not reserved, or reserved for the tasks of t's bucket.
--- a/internal/placement/history.go
+++ b/internal/placement/history.go
@@ -53,9 +53,9 @@
 		return declared
 	}
 	return vector{
-		cores:        int64(float64(declared.cores) * h.cores.upper()),
-		memory:       int64(float64(declared.memory) * h.memory.upper()),
-		accelerators: declared.accelerators,
+		Cores:        int64(float64(declared.Cores) * h.cores.upper()),
+		Memory:       int64(float64(declared.Memory) * h.memory.upper()),
+		Accelerators: declared.Accelerators,
 	}
 }
 
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -13,7 +13,7 @@
 // different workers would visit every worker.
 const visitLimit = 512
 
-var nothing = vector{-1, -1, -1}
+var nothing = vector{Cores: -1, Memory: -1, Accelerators: -1}
 
 func newIndex() *index {
 	return &index{leaves: 1, nodes: []vector{nothing, nothing}}
@@ -43,7 +43,7 @@
 	copy(nodes[x.leaves:], old)
 	x.nodes = nodes
 	for i := x.leaves - 1; i >= 1; i-- {
-		x.nodes[i] = x.nodes[2*i].max(x.nodes[2*i+1])
+		x.nodes[i] = x.nodes[2*i].Max(x.nodes[2*i+1])
 	}
 }
 
@@ -61,7 +61,7 @@
 	}
 	x.nodes[i] = free
 	for i /= 2; i >= 1; i /= 2 {
-		m := x.nodes[2*i].max(x.nodes[2*i+1])
+		m := x.nodes[2*i].Max(x.nodes[2*i+1])
 		if x.nodes[i] == m {
 			return
 		}
@@ -70,7 +70,7 @@
 }
 
 // holds reports whether some slot probably has room for size. It is exact if the resources are free on the same slot.
-func (x *index) holds(size vector) bool { return size.fits(x.nodes[1]) }
+func (x *index) holds(size vector) bool { return size.Fits(x.nodes[1]) }
 
 // find returns the first slot at or after from, wrapping around, with room for size, or -1.
 func (x *index) find(size vector, from int) int {
@@ -97,7 +97,7 @@
 
 // descend searches the subtree at node, which covers width slots from low, for the first slot at or after from.
 func (x *index) descend(node, low, width, from int, size vector, visits *int) int {
-	if low+width <= from || *visits <= 0 || !size.fits(x.nodes[node]) {
+	if low+width <= from || *visits <= 0 || !size.Fits(x.nodes[node]) {
 		return -1
 	}
 	*visits--
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -12,7 +12,7 @@
 
 var testStart = time.Unix(1_700_000_000, 0)
 
-func resources(cores, memory, accelerators int64) *pb.Resources {
+func amounts(cores, memory, accelerators int64) *pb.Resources {
 	return &pb.Resources{Millicores: cores, MemoryBytes: memory, Accelerators: accelerators}
 }
 
@@ -45,9 +45,9 @@
 // Guards against placing above capacity within one plan and against a plan that changes the cache.
 func TestPlanFillsWorkersAndChangesNothing(t *testing.T) {
 	is := is.New(t)
-	p := newTestPlanner(3, resources(4000, 4000, 0))
+	p := newTestPlanner(3, amounts(4000, 4000, 0))
 	for i := range 20 {
-		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0)))
+		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, amounts(1000, 500, 0)))
 	}
 	first := p.Plan(testStart, 100)
 	is.Equal(len(first.Placements), 12)
@@ -59,27 +59,27 @@
 // Guards against a gang that starts in part, and against a gang that blocks smaller tasks.
 func TestGangAllOrNothing(t *testing.T) {
 	is := is.New(t)
-	p := newTestPlanner(2, resources(2000, 2000, 0))
+	p := newTestPlanner(2, amounts(2000, 2000, 0))
 	for i := range 5 {
-		m := testTask(i, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0))
+		m := testTask(i, pb.TaskClass_TASK_CLASS_BATCH, amounts(1000, 500, 0))
 		m.Spec.Gang, m.Spec.GangSize = "g", 5
 		p.UpsertTask(m)
 	}
-	p.UpsertTask(testTask(9, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0)))
+	p.UpsertTask(testTask(9, pb.TaskClass_TASK_CLASS_BATCH, amounts(1000, 500, 0)))
 	plan := p.Plan(testStart, 100)
 	is.Equal(len(plan.Placements), 1)
 	is.Equal(plan.Placements[0].Task, "t000009")
-	p.UpsertWorker(testWorker(2, resources(2000, 2000, 0)))
+	p.UpsertWorker(testWorker(2, amounts(2000, 2000, 0)))
 	is.Equal(len(p.Plan(testStart, 100).Placements), 6)
 }
 
 // Guards against placements above the share of a contract that the domain grants.
 func TestQuotaShare(t *testing.T) {
 	is := is.New(t)
-	p := newTestPlanner(4, resources(8000, 8000, 0))
+	p := newTestPlanner(4, amounts(8000, 8000, 0))
 	p.SetContract(testContract("c1", "", 3000, 3000, 0))
 	for i := range 20 {
-		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0)))
+		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, amounts(1000, 500, 0)))
 	}
 	is.Equal(len(p.Plan(testStart, 100).Placements), 3)
 	p.RemoveContract("c1")
@@ -89,19 +89,19 @@
 // Guards against batch tasks that start before urgent and service tasks.
 func TestClassOrder(t *testing.T) {
 	is := is.New(t)
-	p := newTestPlanner(1, resources(1000, 1000, 0))
-	p.UpsertTask(testTask(1, pb.TaskClass_TASK_CLASS_BATCH, resources(1000, 500, 0)))
-	p.UpsertTask(testTask(2, pb.TaskClass_TASK_CLASS_SERVICE, resources(1000, 500, 0)))
-	p.UpsertTask(testTask(3, pb.TaskClass_TASK_CLASS_URGENT, resources(1000, 500, 0)))
+	p := newTestPlanner(1, amounts(1000, 1000, 0))
+	p.UpsertTask(testTask(1, pb.TaskClass_TASK_CLASS_BATCH, amounts(1000, 500, 0)))
+	p.UpsertTask(testTask(2, pb.TaskClass_TASK_CLASS_SERVICE, amounts(1000, 500, 0)))
+	p.UpsertTask(testTask(3, pb.TaskClass_TASK_CLASS_URGENT, amounts(1000, 500, 0)))
 	plan := p.Plan(testStart, 100)
 	is.Equal(len(plan.Placements), 1)
 	is.Equal(plan.Placements[0].Task, "t000003")
 }
 
 func benchmarkPlan(b *testing.B, workers int) {
-	p := newTestPlanner(workers, resources(32000, 125<<30, 4))
+	p := newTestPlanner(workers, amounts(32000, 125<<30, 4))
 	for i := range 2000 {
-		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, resources(int64(100+i%7*10), 1<<20, 0)))
+		p.UpsertTask(testTask(i, pb.TaskClass_TASK_CLASS_BATCH, amounts(int64(100+i%7*10), 1<<20, 0)))
 	}
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -18,22 +18,22 @@
 }
 
 func (a *account) allows(size vector) bool {
-	return !a.limited || a.used.plus(size).fits(a.limit)
+	return !a.limited || a.used.Plus(size).Fits(a.limit)
 }
 
 // allowsSoon is like allows once the evictions in progress have ended.
 func (a *account) allowsSoon(size vector) bool {
-	return !a.limited || a.used.minus(a.releasing).plus(size).fits(a.limit)
+	return !a.limited || a.used.Minus(a.releasing).Plus(size).Fits(a.limit)
 }
 
 func (a *account) add(o *account) {
-	a.used = a.used.plus(o.used)
-	a.releasing = a.releasing.plus(o.releasing)
+	a.used = a.used.Plus(o.used)
+	a.releasing = a.releasing.Plus(o.releasing)
 }
 
 func (a *account) subtract(o *account) {
-	a.used = a.used.minus(o.used)
-	a.releasing = a.releasing.minus(o.releasing)
+	a.used = a.used.Minus(o.used)
+	a.releasing = a.releasing.Minus(o.releasing)
 }
 
 // contract is the quota of one contract. Its usage also counts for its team and its member.
@@ -68,7 +68,7 @@
 // expectRelease counts (sign 1) or stops counting (sign -1) t as usage that ends soon.
 func (c *contract) expectRelease(t *task, sign int64) {
 	for _, a := range c.accounts() {
-		a.releasing = a.releasing.plus(t.size.times(sign))
+		a.releasing = a.releasing.Plus(t.size.Times(sign))
 	}
 }
 
@@ -84,7 +84,7 @@
 
 func (c *contract) take(t *task) {
 	for _, a := range c.accounts() {
-		a.used = a.used.plus(t.size)
+		a.used = a.used.Plus(t.size)
 	}
 	if t.batch() {
 		c.tasksUsed++
@@ -95,7 +95,7 @@
 
 func (c *contract) release(t *task) {
 	for _, a := range c.accounts() {
-		a.used = a.used.minus(t.size)
+		a.used = a.used.Minus(t.size)
 	}
 	if t.batch() {
 		c.tasksUsed--
@@ -137,7 +137,7 @@
 	c.weight = max(1, float64(w.GetTerms().GetWeight()))
 	c.urgent = w.GetTerms().GetUrgent()
 	l := r.GetResolved()
-	limit := vector{l.GetMillicores(), l.GetMemoryBytes(), l.GetAccelerators()}
+	limit := vector{Cores: l.GetMillicores(), Memory: l.GetMemoryBytes(), Accelerators: l.GetAccelerators()}
 	c.account.limit, c.account.limited = limit, true
 	c.tasks = l.GetTasks()
 	c.known, c.withdrawn = true, false
@@ -179,9 +179,9 @@
 		return
 	}
 	if c.team != "" {
-		c.teamAccount.limit = c.teamAccount.limit.minus(c.account.limit)
+		c.teamAccount.limit = c.teamAccount.limit.Minus(c.account.limit)
 	} else {
-		c.memberAccount.limit = c.memberAccount.limit.minus(c.account.limit)
+		c.memberAccount.limit = c.memberAccount.limit.Minus(c.account.limit)
 		c.memberAccount.limited = c.memberAccount.limit != vector{}
 	}
 }
@@ -202,9 +202,9 @@
 		return
 	}
 	if c.team != "" {
-		c.teamAccount.limit = c.teamAccount.limit.plus(c.account.limit)
+		c.teamAccount.limit = c.teamAccount.limit.Plus(c.account.limit)
 	} else {
-		c.memberAccount.limit = c.memberAccount.limit.plus(c.account.limit)
+		c.memberAccount.limit = c.memberAccount.limit.Plus(c.account.limit)
 		c.memberAccount.limited = true
 	}
 }
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -35,7 +35,7 @@
 			return
 		}
 		s.cache.reserve(w, b)
-		held += int(size.copiesIn(w.reach()))
+		held += int(size.CopiesIn(w.reach()))
 	}
 }
 
@@ -47,7 +47,7 @@
 	}
 	for _, w := range s.cache.reserved {
 		if w.reserved == b {
-			n += int(size.copiesIn(w.reach()))
+			n += int(size.CopiesIn(w.reach()))
 		}
 	}
 	return n
@@ -61,7 +61,7 @@
 		if w.reserved != nil {
 			return
 		}
-		if wait := size.minus(w.room()).share(w.capacity); best == nil || wait < bestWait {
+		if wait := size.Minus(w.room()).Share(w.capacity); best == nil || wait < bestWait {
 			best, bestWait = w, wait
 		}
 	})
@@ -73,7 +73,7 @@
 func (s *planning) dropReservations() {
 	for i := len(s.cache.reserved) - 1; i >= 0; i-- {
 		w := s.cache.reserved[i]
-		if !w.ready() || !s.cache.demand(w.reserved.head).fits(w.reach()) || !s.aged(w.reserved.head) {
+		if !w.ready() || !s.cache.demand(w.reserved.head).Fits(w.reach()) || !s.aged(w.reserved.head) {
 			s.cache.unreserve(i)
 		}
 	}
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -32,7 +32,7 @@
 		here, all := p.cache.racks[rackKey{t.kind, w.rack}], p.cache.kindInfo[t.kind].services
 		s += rackWeight * float64(here) / float64(all+1)
 	}
-	if t.size.accelerators == 0 && w.capacity.accelerators > 0 {
+	if t.size.Accelerators == 0 && w.capacity.Accelerators > 0 {
 		s += acceleratorWeight
 	}
 	return s
@@ -47,7 +47,7 @@
 
 // leftover is the share of w that remains free with t on it, 0 to 1. Small values pack tightly.
 func leftover(t *task, w *worker) float64 {
-	return 1 - w.used.plus(t.size).share(w.capacity)
+	return 1 - w.used.Plus(t.size).Share(w.capacity)
 }
 
 // predictedHarm is the weighted slow-down of t by its neighbours and of the neighbours by t.
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -48,7 +49,7 @@
 }
 
 func (w *Worker) prepare() {
-	w.used, w.load = Size{}, 0
+	w.used, w.load = resources.Vector{}, 0
 	w.serving, w.fill, w.perStep = map[string]int{}, Fill{}, map[stepKey]int{}
 	for i := range w.Residents {
 		w.count(&w.Residents[i], 1)
@@ -56,10 +57,10 @@
 }
 
 // counted is what a task takes of the capacity of a worker.
-func counted(step *pb.Step) Size {
-	size := SizeOf(step.GetSize())
+func counted(step *pb.Step) resources.Vector {
+	size := resources.FromProto(step.GetSize())
 	if step.GetFills() {
-		size.Millicores = 0
+		size.Cores = 0
 	}
 	return size
 }
@@ -76,9 +77,9 @@
 func (w *Worker) count(r *Resident, sign int) {
 	size := counted(r.Step)
 	if sign > 0 {
-		w.used = w.used.plus(size)
+		w.used = w.used.Plus(size)
 	} else {
-		w.used = w.used.minus(size)
+		w.used = w.used.Minus(size)
 	}
 	w.load += float64(sign) * expectedLoad(r.Step)
 	if r.Step.GetTailLimitMs() > 0 {
@@ -92,7 +93,7 @@
 
 // share is the part of the worker's processor time that a task uses at full speed.
 func (w *Worker) share(step *pb.Step) float64 {
-	return float64(step.GetSize().GetMillicores()) / float64(max(1, w.Capacity.Millicores))
+	return float64(step.GetSize().GetMillicores()) / float64(max(1, w.Capacity.Cores))
 }
 
 // place proposes starts for the waiting tasks of a request, all or none of a gang.
@@ -215,7 +216,7 @@
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
 		return notUsable
-	case !counted(spec).fits(w.Capacity.minus(w.used)):
+	case !counted(spec).Fits(w.Capacity.Minus(w.used)):
 		return noRoom
 	case spec.GetLabel() != "" && !slices.Contains(w.Labels, spec.GetLabel()):
 		return wrongLabel
@@ -227,7 +228,7 @@
 		return notAllowed
 	case !spec.GetFills():
 		return noObstacle
-	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Millicores):
+	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Cores):
 		return busy
 	}
 	return p.bears(w, r)
@@ -280,7 +281,7 @@
 // score rates a worker with room; lower is better. The terms are shares of the worker's processor time.
 func (p *planning) score(w *Worker, r *Request) float64 {
 	spec := r.Spec
-	capacity := float64(max(1, w.Capacity.Millicores))
+	capacity := float64(max(1, w.Capacity.Cores))
 	score := (w.load + expectedLoad(spec)) / capacity
 	if spec.GetDataRack() != "" && spec.GetDataRack() != w.Rack {
 		score += farWeight
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -51,15 +51,15 @@
 		if !w.Usable || w.Pool != r.Pool {
 			continue
 		}
-		free := w.Capacity.minus(w.used)
+		free := w.Capacity.Minus(w.used)
 		stopping := false
 		for i := range w.Residents {
 			if w.Residents[i].Stopping {
 				stopping = true
-				free = free.plus(counted(w.Residents[i].Step))
+				free = free.Plus(counted(w.Residents[i].Step))
 			}
 		}
-		if stopping && counted(r.Spec).fits(free) {
+		if stopping && counted(r.Spec).Fits(free) {
 			return true
 		}
 	}
@@ -68,11 +68,11 @@
 
 // victims returns the residents to stop so that a task of r fits, and their cost. It is empty if that cannot be done.
 func (w *Worker) victims(r *Request) ([]int, float64) {
-	free := w.Capacity.minus(w.used)
+	free := w.Capacity.Minus(w.used)
 	var chosen []int
 	cost := 0.0
 	for len(chosen) < maxVictims {
-		if counted(r.Spec).fits(free) {
+		if counted(r.Spec).Fits(free) {
 			return chosen, cost
 		}
 		best, lowest := -1, 0.0
@@ -90,9 +90,9 @@
 		}
 		chosen = append(chosen, best)
 		cost += lowest
-		free = free.plus(counted(w.Residents[best].Step))
+		free = free.Plus(counted(w.Residents[best].Step))
 	}
-	if counted(r.Spec).fits(free) {
+	if counted(r.Spec).Fits(free) {
 		return chosen, cost
 	}
 	return nil, 0
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -12,31 +12,10 @@
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-// Size is an amount of each resource.
-type Size struct {
-	Millicores, MemoryBytes, Accelerators int64
-}
-
-// SizeOf reads the message form.
-func SizeOf(r *pb.Resources) Size {
-	return Size{r.GetMillicores(), r.GetMemoryBytes(), r.GetAccelerators()}
-}
-
-func (s Size) plus(o Size) Size {
-	return Size{s.Millicores + o.Millicores, s.MemoryBytes + o.MemoryBytes, s.Accelerators + o.Accelerators}
-}
-
-func (s Size) minus(o Size) Size {
-	return Size{s.Millicores - o.Millicores, s.MemoryBytes - o.MemoryBytes, s.Accelerators - o.Accelerators}
-}
-
-func (s Size) fits(o Size) bool {
-	return s.Millicores <= o.Millicores && s.MemoryBytes <= o.MemoryBytes && s.Accelerators <= o.Accelerators
-}
-
 // Resident is an attempt that is placed on a worker.
 type Resident struct {
 	Task    submission.Ref
@@ -61,14 +40,14 @@
 	Domain   string
 	Rack     string
 	Labels   []string
-	Capacity Size
+	Capacity resources.Vector
 	// Usable is false if no task may be placed there now.
 	Usable bool
 	// Penalty makes the planner prefer other workers; 0 for a worker that is well.
 	Penalty   float64
 	Residents []Resident
 
-	used    Size
+	used    resources.Vector
 	load    float64        // expected millicores in use
 	serving map[string]int // endless tasks with a tail limit, by image
 	fill    Fill
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -18,7 +19,7 @@
 
 func newWorker(id string, cores int64) *Worker {
 	return &Worker{Life: submission.Life{ID: id, BornUnixMs: 1}, Pool: "pool", Rack: "r1", Usable: true,
-		Capacity: Size{Millicores: cores * 1000, MemoryBytes: 128 * gigabyte}}
+		Capacity: resources.Vector{Cores: cores * 1000, Memory: 128 * gigabyte}}
 }
 
 func step(cores int64, change func(*pb.Step)) *pb.Step {
@@ -97,7 +98,7 @@
 			w.Rack = rack
 			workers = append(workers, w)
 		}
-		workers[0].Capacity.Millicores = 8000
+		workers[0].Capacity.Cores = 8000
 		return workers
 	}
 	is.Equal(len(plan(racks(), gang(16)).Starts), 0) // one worker is too small, so none starts
@@ -177,18 +178,18 @@
 			specs[r.Submission] = r.Spec
 		}
 		started := map[submission.Ref]bool{}
-		used, perStep, whole := map[string]Size{}, map[string]int{}, map[string]int{}
+		used, perStep, whole := map[string]resources.Vector{}, map[string]int{}, map[string]int{}
 		for _, s := range p.Starts {
 			if started[s.Task] {
 				rt.Fatalf("%v is started twice", s.Task)
 			}
 			started[s.Task] = true
-			used[s.On.ID] = used[s.On.ID].plus(counted(specs[s.Task.Submission]))
+			used[s.On.ID] = used[s.On.ID].Plus(counted(specs[s.Task.Submission]))
 			perStep[s.Task.Submission+s.On.ID]++
 			whole[s.Task.Submission]++
 		}
 		for _, w := range workers {
-			if !used[w.Life.ID].fits(w.Capacity) {
+			if !used[w.Life.ID].Fits(w.Capacity) {
 				rt.Fatalf("%s has %v of %v", w.Life.ID, used[w.Life.ID], w.Capacity)
 			}
 			for id, spec := range specs {
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/resources"
 )
 
 // task is the part of a task's state that placement needs.
@@ -95,7 +96,7 @@
 	return &task{
 		id: m.GetId(), member: s.GetMember(), contract: c.quotas.contract(s.GetContract()),
 		kind: c.kindOf(s.GetMember(), s.GetKind()), class: normalClass(s.GetClass()),
-		size: toVector(s.GetResources()), gang: s.GetGang(), gangSize: int32(s.GetGangSize()),
+		size: resources.FromProto(s.GetResources()), gang: s.GetGang(), gangSize: int32(s.GetGangSize()),
 		submitted: m.GetSubmittedUnixMs(), expected: s.GetExpectedRunMs(),
 	}
 }
--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -150,7 +150,7 @@
 	}
 	var largest *task
 	for _, u := range w.tasks {
-		if u.batch() && !u.evicting() && !s.protected(u) && (largest == nil || u.size.cores > largest.size.cores) {
+		if u.batch() && !u.evicting() && !s.protected(u) && (largest == nil || u.size.Cores > largest.size.Cores) {
 			largest = u
 		}
 	}
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -54,21 +54,21 @@
 func (c *cache) freshMs() int64 { return c.config.UsageFreshness.Milliseconds() }
 
 func measuredSize(s *pb.UsageSample) vector {
-	return vector{cores: max(0, s.GetMillicores()), memory: max(0, s.GetMemoryBytes())}
+	return vector{Cores: max(0, s.GetMillicores()), Memory: max(0, s.GetMemoryBytes())}
 }
 
 // measure takes over the usage of a placed task. Samples that arrive out of order or too late do not replace it.
 func (c *cache) measure(t *task, s *pb.UsageSample, taken, now int64) {
 	size := measuredSize(s)
 	sizes := &c.kindInfo[t.kind].sizes
-	sizes.memory.add(size.memory, t.size.memory)
+	sizes.memory.add(size.Memory, t.size.Memory)
 	if t.throttle.shareAt(taken) == 1 {
-		sizes.cores.add(size.cores, t.size.cores)
+		sizes.cores.add(size.Cores, t.size.Cores)
 	}
 	if taken <= t.measuredAt || now-taken > c.freshMs() {
 		return
 	}
-	size.accelerators = t.size.accelerators
+	size.Accelerators = t.size.Accelerators
 	t.measured, t.measuredAt = size, taken
 	c.recharge(t, now)
 }
@@ -79,7 +79,7 @@
 	if t.measuredAt == 0 || t.running == 0 || now-t.running < ownUsageAfterMs {
 		size = c.demand(t)
 	}
-	size = size.max(t.measured)
+	size = size.Max(t.measured)
 	if size == t.occupied {
 		return
 	}
@@ -122,14 +122,14 @@
 	for i := range w.stray {
 		old := &w.stray[i]
 		if old.task == u.task && old.attempt == u.attempt {
-			w.used = w.used.minus(old.size).plus(u.size)
+			w.used = w.used.Minus(old.size).Plus(u.size)
 			*old = u
 			return
 		}
 	}
 	if len(w.stray) < maxStray {
 		w.stray = append(w.stray, u)
-		w.used = w.used.plus(u.size)
+		w.used = w.used.Plus(u.size)
 	}
 }
 
@@ -143,7 +143,7 @@
 		if keep(u) {
 			return false
 		}
-		w.used = w.used.minus(u.size)
+		w.used = w.used.Minus(u.size)
 		return true
 	})
 }
--- a/internal/placement/worker.go
+++ b/internal/placement/worker.go
@@ -57,7 +57,7 @@
 }
 
 // room is the capacity that is not in use. It may be negative.
-func (w *worker) room() vector { return w.capacity.minus(w.used) }
+func (w *worker) room() vector { return w.capacity.Minus(w.used) }
 
 // free returns what the index offers to tasks of any class.
 func (w *worker) free() vector {
@@ -72,7 +72,7 @@
 	if !w.ready() || w.health.probing {
 		return nothing
 	}
-	return w.room().plus(w.releasing).plus(w.evictable)
+	return w.room().Plus(w.releasing).Plus(w.evictable)
 }
 
 // soon returns what will be free once the evictions in progress have ended.
@@ -80,7 +80,7 @@
 	if !w.ready() || w.health.probing || w.releasing == (vector{}) {
 		return nothing
 	}
-	return w.room().plus(w.releasing)
+	return w.room().Plus(w.releasing)
 }
 
 func (w *worker) liveCapacity() vector {
@@ -123,12 +123,12 @@
 
 // bear adds (sign 1) or takes away (sign -1) what t holds.
 func (w *worker) bear(t *task, sign int64) {
-	held := t.occupied.times(sign)
-	w.used = w.used.plus(held)
+	held := t.occupied.Times(sign)
+	w.used = w.used.Plus(held)
 	switch {
 	case t.evicting():
-		w.releasing = w.releasing.plus(held)
+		w.releasing = w.releasing.Plus(held)
 	case t.batch():
-		w.evictable = w.evictable.plus(held)
+		w.evictable = w.evictable.Plus(held)
 	}
 }
--- a/internal/raft/open_test.go
+++ b/internal/raft/open_test.go
@@ -63,15 +63,7 @@
 	}
 	cut.frozen = true // calm thaws everything, so that rounds are played here
 	for range 400 {
-		for _, p := range s.vms {
-			s.tick(p)
-			s.sync(p)
-		}
-		queue := s.messages
-		s.messages = nil
-		for _, m := range queue {
-			s.deliver(m)
-		}
+		s.round()
 	}
 	is.True(!s.votersAre("a", "b", "c", "d"))
 	is.True(s.calm(400, func() bool { return s.votersAre("a", "b", "c", "d") }))
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -300,19 +300,7 @@
 		}
 	}
 	for range rounds {
-		for _, p := range s.vms {
-			s.tick(p)
-			s.sync(p)
-			s.restartStale(p)
-		}
-		queue := s.messages
-		s.messages = nil
-		for _, m := range queue {
-			s.deliver(m)
-		}
-		for _, p := range s.vms {
-			s.sync(p)
-		}
+		s.round()
 		if s.violation != nil || until() {
 			return true
 		}
@@ -320,6 +308,23 @@
 	return until()
 }
 
+// round lets a tick pass everywhere and delivers every message in between.
+func (s *sim) round() {
+	for _, p := range s.vms {
+		s.tick(p)
+		s.sync(p)
+		s.restartStale(p)
+	}
+	queue := s.messages
+	s.messages = nil
+	for _, m := range queue {
+		s.deliver(m)
+	}
+	for _, p := range s.vms {
+		s.sync(p)
+	}
+}
+
 // restartStale discards the state of a node that was told that its disk is older.
 func (s *sim) restartStale(p *process) {
 	if p.node == nil || !p.node.Status().StaleDisk {
