--- a/internal/placement/choice_test.go
+++ b/internal/placement/choice_test.go
@@ -137,7 +137,7 @@
 		x := newIndex()
 		var free []vector
 		draw := func(name string) vector {
-			return vector{rapid.Int64Range(0, 5).Draw(t, name), rapid.Int64Range(0, 5).Draw(t, name), rapid.Int64Range(0, 2).Draw(t, name)}
+			return vector{Cores: rapid.Int64Range(0, 5).Draw(t, name), Memory: rapid.Int64Range(0, 5).Draw(t, name), Accelerators: rapid.Int64Range(0, 2).Draw(t, name)}
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "slots") {
 			slot := x.add()
