--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -77,7 +77,7 @@
 	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: options.Caller, Logger: c.log,
 		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Bounds: dispatch.Bounds{
 			LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
-			Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(), ReportInterval: c.settings.GetReportInterval().AsDuration(),
+			Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(),
 		}})
 	c.handleCalls()
 	return c, nil
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -51,8 +51,6 @@
 	Harm time.Duration
 	// Pace is the time until a changed share takes effect.
 	Pace time.Duration
-	// ReportInterval is the time between two reports of a worker.
-	ReportInterval time.Duration
 }
 
 const (
@@ -324,6 +322,7 @@
 	now := l.cfg.Clock()
 	for _, s := range l.sessions {
 		l.checkLease(s, now)
+		l.checkSilence(s, now)
 	}
 	for ref, r := range l.runs {
 		l.repeatCalls(ref, r, now)
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -95,6 +95,22 @@
 	})
 }
 
+// Guards against workers that are gone for good and are called for ever, and against one that comes back after a long
+// partition and is never used again.
+func TestSilentWorkerComesBack(t *testing.T) {
+	play(t, time.Second, []string{"a"}, func(is *is.I, r *rig) {
+		r.workers.change(func() { r.workers.byID["a"].cut = true })
+		time.Sleep(90 * time.Second)
+		r.submit("s", 1, nil)
+		r.workers.change(func() { r.workers.byID["a"].cut = false })
+		time.Sleep(3 * time.Second)
+		is.Equal(r.describe("s"), "queued") // it is not called any more
+		r.report("a", 2)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.describe("s"), "done")
+	})
+}
+
 // Guards against a new leader that starts again what runs, or forgets what runs and never notes its end.
 func TestNewLeaderTakesOverWhatRuns(t *testing.T) {
 	play(t, 3*time.Second, []string{"a", "b"}, func(is *is.I, r *rig) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -271,8 +271,6 @@
 type quality struct {
 	// failures are the times at which tasks of distinct submissions failed there.
 	failures   map[string]time.Duration
-	successAt  time.Duration
-	refusedAt  time.Duration
 	quarantine time.Duration // until when it gets no tasks
 }
 
@@ -302,7 +300,6 @@
 	q, now := l.qualityOf(worker), l.cfg.Clock()
 	switch e.Kind {
 	case pb.TaskEndKind_TASK_END_KIND_DONE:
-		q.successAt = now
 		clear(q.failures)
 	case pb.TaskEndKind_TASK_END_KIND_FAILED:
 		l.avoidWorker(e.Task, worker)
@@ -321,7 +318,6 @@
 
 func (l *Leader) noteRefusal(worker string, err error) {
 	q, now := l.qualityOf(worker), l.cfg.Clock()
-	q.refusedAt = now
 	if errors.Is(err, ErrUnwell) {
 		q.quarantine = max(q.quarantine, now+unwellFor)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -53,6 +53,9 @@
 		}
 	}
 	if known != nil && !changes(known, r.GetWorker()) {
+		if s == nil {
+			l.syncSession(life.ID)
+		}
 		done(nil)
 		return
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -325,6 +325,18 @@
 	}
 }
 
+// silentFor is how long after its last sign of life a worker is called no more.
+const silentFor = time.Minute
+
+// checkSilence ends the session with a worker that neither reports nor answers. Its lease has been over for long; a later
+// report of the same life opens a new session.
+func (l *Leader) checkSilence(s *session, now time.Duration) {
+	if now-max(s.reportedAt, s.contactNow().answeredAt) > silentFor {
+		l.log.Warn().Str("event", "worker-silent").Str("worker", s.life.ID).Msg("the worker is called no more until it reports again")
+		l.closeSession(s)
+	}
+}
+
 // usable reports whether the worker of a session may get new tasks.
 func (l *Leader) usable(s *session, now time.Duration) bool {
 	c := s.contactNow()
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -44,8 +44,7 @@
 // planning is the state of one plan.
 type planning struct {
 	*Snapshot
-	racks map[string][]*Worker
-	plan  Plan
+	plan Plan
 }
 
 func (w *Worker) prepare() {
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -145,7 +145,7 @@
 
 // Make returns the proposals for a snapshot.
 func Make(s *Snapshot) Plan {
-	p := &planning{Snapshot: s, racks: map[string][]*Worker{}}
+	p := &planning{Snapshot: s}
 	for _, w := range s.Workers {
 		w.prepare()
 	}
