Drop readings and a field of the planner that nothing uses; state the wait of an idle submission directly

The planner kept the processor time in use of each task and the failure domain of each worker and read neither. The condition for an idle submission subtracted patience on both sides. No behaviour changes: the package tests pass unchanged but for the dropped field.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -141,7 +141,7 @@
 
 // viewWorker returns the planner's view of a worker.
 func (l *Leader) viewWorker(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
-	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Domain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(),
+	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Rack: w.GetRack(), Labels: w.GetLabels(),
 		Capacity: resources.FromProto(w.GetCapacity()), Penalty: l.penalty(w.GetId(), now)}
 	s := l.sessions[w.GetId()]
 	view.Usable = w.Usable() && s != nil && s.life == w.Life() && l.usable(s, now) && !l.quarantined(w.GetId(), now)
@@ -150,13 +150,11 @@
 		if sub == nil {
 			continue
 		}
-		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), UsedMillicores: -1, TailRatio: -1}
+		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), TailRatio: -1}
 		if s != nil {
 			if figure, ok := s.figures[ref]; ok && figure.Attempt == attempt {
 				if limit := resident.Step.GetTailLimitMs(); limit > 0 {
 					resident.TailRatio = figure.Figure / float64(limit)
-				} else {
-					resident.UsedMillicores = figure.Figure
 				}
 			}
 		}
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -183,7 +183,7 @@
 		p.plan.Waiting = append(p.plan.Waiting, Wait{Task: ref, Priority: r.Priority, Tasks: len(r.Waiting), Obstacles: describe(found)})
 		return false
 	}
-	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, UsedMillicores: -1, TailRatio: -1}
+	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: -1}
 	best.Residents = append(best.Residents, resident)
 	best.count(&resident, 1)
 	p.plan.Starts = append(p.plan.Starts, Start{Task: ref, Attempt: t.Attempt, On: best.Life, Considered: considered})
@@ -236,11 +236,11 @@
 // bears returns why the endless tasks on w may not stay within their limits beside one more filling task. The longer a
 // task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
 func (p *planning) bears(w *Worker, r *Request) obstacle {
-	waited := float64(p.NowUnixMs-r.ReadyUnixMs)/1000 - patience
-	if r.Idle && waited >= idlePatience-patience && !p.startsFor(r) {
+	waited := float64(p.NowUnixMs-r.ReadyUnixMs) / 1000
+	if r.Idle && waited >= idlePatience && !p.startsFor(r) {
 		return noObstacle
 	}
-	limit := min(riskLimit, pressureLimit+riskRate*max(0, waited))
+	limit := min(riskLimit, pressureLimit+riskRate*max(0, waited-patience))
 	for i := range w.Residents {
 		resident := &w.Residents[i]
 		if resident.Step.GetTailLimitMs() == 0 {
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -27,8 +27,6 @@
 	MayStop bool
 	// Stopping is true once the attempt has been told to stop.
 	Stopping bool
-	// UsedMillicores is the last reading of what it uses, negative if there is none.
-	UsedMillicores float64
 	// TailRatio is the last reading of the tail of an endless task as a share of its limit, negative if there is none.
 	TailRatio float64
 }
@@ -37,7 +35,6 @@
 type Worker struct {
 	Life     submission.Life
 	Pool     string
-	Domain   string
 	Rack     string
 	Labels   []string
 	Capacity resources.Vector
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -136,7 +136,7 @@
 		lasting := step(8, func(s *pb.Step) { s.Endless = true })
 		for i := range 4 {
 			w.Residents = append(w.Residents, Resident{Task: submission.Ref{Submission: "lasting", Index: uint32(i)}, Attempt: 1, Step: lasting,
-				MayStop: mayStop, UsedMillicores: -1, TailRatio: -1})
+				MayStop: mayStop, TailRatio: -1})
 		}
 		return w
 	}
