--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -14,6 +14,7 @@
 // run is one execution of an attempt as seen on the worker. An execution that did not end has no end.
 type run struct {
 	worker     string
+	process    string
 	id         standin.AttemptID
 	size       *pb.Resources
 	resume     *pb.Checkpoint
@@ -38,7 +39,7 @@
 		switch e := event.(type) {
 		case standin.Action:
 			if e.Op == pb.WorkerOp_WORKER_OP_START {
-				h.started(&run{worker: worker, id: e.ID, size: e.Spec.GetResources(), resume: e.Resume, start: time.Now()}, process)
+				h.started(&run{worker: worker, process: process, id: e.ID, size: e.Spec.GetResources(), resume: e.Resume, start: time.Now()}, process)
 			}
 		case *pb.AttemptReport:
 			if r := h.open[process][standin.AttemptID{Task: e.GetTask(), Attempt: e.GetAttempt()}]; r != nil && domain.Gone(e.GetEvent()) {
@@ -67,6 +68,11 @@
 	}
 }
 
+// String names the process and the times of a run, so that a failure can be compared with the faults drawn.
+func (r *run) String() string {
+	return fmt.Sprintf("%s from %s to %s", r.process, r.start.Format(time.TimeOnly+".000"), r.end.Format(time.TimeOnly+".000"))
+}
+
 func (r *run) overlaps(o *run) bool {
 	return (o.end.IsZero() || r.start.Before(o.end)) && (r.end.IsZero() || o.start.Before(r.end))
 }
@@ -93,10 +99,10 @@
 	for _, r := range h.runs {
 		for _, o := range byTask[r.id.Task] {
 			if r.overlaps(o) {
-				return fmt.Errorf("P2: attempt %d on %s and attempt %d on %s of task %s overlap", o.id.Attempt, o.worker, r.id.Attempt, r.worker, r.id.Task)
+				return fmt.Errorf("P2: attempt %d on %s and attempt %d on %s of task %s overlap: %s and %s", o.id.Attempt, o.worker, r.id.Attempt, r.worker, r.id.Task, o, r)
 			}
 			if r.id == o.id {
-				return fmt.Errorf("P2: attempt %d of task %s is executed twice", r.id.Attempt, r.id.Task)
+				return fmt.Errorf("P2: attempt %d of task %s is executed twice: %s and %s", r.id.Attempt, r.id.Task, o, r)
 			}
 		}
 		byTask[r.id.Task] = append(byTask[r.id.Task], r)
--- a/internal/leader/sim_test.go
+++ b/internal/leader/sim_test.go
@@ -296,7 +296,8 @@
 			_, _ = n.node(address).leader.Register(context.WithoutCancel(ctx), proto.CloneOf(q))
 		})
 	}
-	return carry(ctx, n, q.GetWorker().GetId(), q, n.node(address).leader.Register)
+	// A message in flight does not change when its sender prepares the next one.
+	return carry(ctx, n, q.GetWorker().GetId(), proto.CloneOf(q), n.node(address).leader.Register)
 }
 
 // Heartbeat implements standin.WorkerTransport.
--- a/internal/standin/fence.go
+++ b/internal/standin/fence.go
@@ -18,7 +18,8 @@
 	killPercent = 95
 )
 
-// tombstoneLeases is how long an ended attempt is remembered. No answer to an older heartbeat is accepted.
+// tombstoneLeases is how long an ended attempt is remembered once its end is acknowledged: the leader sends its start
+// until it knows the end, and no answer to an older heartbeat is accepted.
 const tombstoneLeases = 3
 
 // AttemptID is the fencing token of a run.
@@ -312,8 +313,15 @@
 
 // forget drops tombstones that no acceptable answer can refer to any more.
 func (f *Fence) forget() {
+	unacknowledged := map[string]bool{}
+	for _, r := range f.reports {
+		unacknowledged[r.GetTask()] = true
+	}
 	for task, seen := range f.seen {
-		if f.now().Sub(seen.touched) > tombstoneLeases*f.lease && !f.runsTask(task) {
+		switch {
+		case unacknowledged[task] || f.runsTask(task):
+			seen.touched = f.now()
+		case f.now().Sub(seen.touched) > tombstoneLeases*f.lease:
 			delete(f.seen, task)
 		}
 	}
--- a/internal/standin/fence_test.go
+++ b/internal/standin/fence_test.go
@@ -243,3 +243,30 @@
 	message, _ := f.fence.Heartbeat("w")
 	is.Equal(message.GetReports()[0].GetEvent(), pb.AttemptEvent_ATTEMPT_EVENT_REFUSED)
 }
+
+// Guards against a second execution of an attempt whose end has not reached the leader for longer than tombstones last:
+// the leader goes on sending its start.
+func TestEndedAttemptIsRememberedUntilItsEndIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	f := newFenceSim()
+	id := AttemptID{"t", 1}
+	start := &pb.WorkerHeartbeatAnswer{LeaseMs: fenceLease.Milliseconds(), Commands: []*pb.WorkerCommand{
+		{Op: pb.WorkerOp_WORKER_OP_START, Task: id.Task, Attempt: id.Attempt, Term: 1, Index: 1, Spec: &pb.TaskSpec{}}}}
+	poll := func(answer *pb.WorkerHeartbeatAnswer) []Action {
+		_, sent := f.fence.Heartbeat("w")
+		return f.fence.Answer(sent, answer)
+	}
+	is.Equal(len(poll(start)), 1)
+	f.fence.Report(&pb.AttemptReport{Task: id.Task, Attempt: id.Attempt, Event: pb.AttemptEvent_ATTEMPT_EVENT_FINISHED})
+	f.now = f.now.Add((tombstoneLeases + 1) * fenceLease)
+	is.Equal(len(poll(start)), 0) // forgets tombstones that are old enough
+	is.Equal(len(poll(start)), 0) // must not start the attempt again
+
+	late, sent := f.fence.Heartbeat("w")
+	is.Equal(len(late.GetReports()), 1)
+	f.fence.Answer(sent, &pb.WorkerHeartbeatAnswer{LeaseMs: fenceLease.Milliseconds(), ReportsCommitted: true})
+	is.Equal(len(poll(start)), 0) // an answer made before the commit may arrive after it
+	f.now = f.now.Add((tombstoneLeases + 1) * fenceLease)
+	poll(&pb.WorkerHeartbeatAnswer{LeaseMs: fenceLease.Milliseconds()})
+	is.Equal(len(f.fence.seen), 0) // in the end it is forgotten
+}
