--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -20,6 +20,7 @@
 	mu    sync.Mutex
 	state *submission.State
 	index uint64
+	term  uint64
 }
 
 func (f *fakeLog) Propose(_ context.Context, entry []byte) (any, error) {
@@ -27,7 +28,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.index++
-	return f.state.Apply(f.index, 1, entry), nil
+	return f.state.Apply(f.index, f.term, entry), nil
 }
 
 func (f *fakeLog) ReadBarrier(context.Context) error { return nil }
@@ -306,6 +307,14 @@
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, Harm: 4 * time.Second, Pace: 100 * time.Millisecond}})
 }
 
+// lead makes the leader lead in a term, in which the log then commits.
+func (r *rig) lead(term uint64) {
+	r.log.mu.Lock()
+	r.log.term = term
+	r.log.mu.Unlock()
+	r.leader.Lead(term)
+}
+
 func (r *rig) commit(changes ...*pb.SubmissionChange) {
 	entry, err := proto.Marshal(&pb.SubmissionEntry{UnixMs: time.Now().UnixMilli(), Changes: changes})
 	if err != nil {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -276,7 +276,7 @@
 	ctx, term := l.ctx, l.term
 	go func() {
 		began := time.Now()
-		results, err := Commit(ctx, l.cfg.Log, changes...)
+		results, err := commitEntry(ctx, l.cfg.Log, &pb.SubmissionEntry{Changes: changes, DecidedTerm: term})
 		commitSeconds.UpdateDuration(began)
 		l.post(func() {
 			if l.term != term {
@@ -295,9 +295,15 @@
 	}()
 }
 
-// Commit proposes changes as one entry and returns their results. Errors are those of replica.Group.Propose.
+// Commit proposes changes that hold in any term as one entry and returns their results. Errors are those of
+// replica.Group.Propose.
 func Commit(ctx context.Context, log Log, changes ...*pb.SubmissionChange) ([]submission.Result, error) {
-	entry, err := proto.Marshal(&pb.SubmissionEntry{UnixMs: time.Now().UnixMilli(), Changes: changes})
+	return commitEntry(ctx, log, &pb.SubmissionEntry{Changes: changes})
+}
+
+func commitEntry(ctx context.Context, log Log, e *pb.SubmissionEntry) ([]submission.Result, error) {
+	e.UnixMs = time.Now().UnixMilli()
+	entry, err := proto.Marshal(e)
 	if err != nil {
 		return nil, fmt.Errorf("encode changes: %w", err)
 	}
@@ -307,11 +313,14 @@
 	if err != nil {
 		return nil, err
 	}
-	results, ok := result.([]submission.Result)
-	if !ok {
-		return nil, fmt.Errorf("apply changes: %v", result)
+	switch r := result.(type) {
+	case []submission.Result:
+		return r, nil
+	case error:
+		return nil, fmt.Errorf("apply changes: %w", r)
+	default:
+		return nil, fmt.Errorf("apply changes: result of type %T", result)
 	}
-	return results, nil
 }
 
 // tick looks for leases that are over and for calls to repeat.
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -16,7 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, work, ids...)
 		defer r.finish()
-		r.leader.Lead(5)
+		r.lead(5)
 		synctest.Wait()
 		for _, id := range ids {
 			r.report(id, 1)
@@ -118,7 +118,7 @@
 		time.Sleep(time.Second)
 		r.leader.Close()
 		r.newLeader()
-		r.leader.Lead(6)
+		r.lead(6)
 		time.Sleep(3 * time.Second)
 		is.Equal(r.describe("s"), "done")
 		is.Equal(r.workers.byID["a"].starts+r.workers.byID["b"].starts, 4)
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -41,7 +41,7 @@
 		r.leader.Close()
 		r.adviser = &fakeAdviser{}
 		r.newLeader()
-		r.leader.Lead(6)
+		r.lead(6)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
 			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
 			Pools:  []*pb.Pool{{Name: "pool"}}}}})
@@ -104,7 +104,7 @@
 		r.leader.Close()
 		r.platform = platform
 		r.newLeader()
-		r.leader.Lead(6)
+		r.lead(6)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c", "vm-gone"}, MaxAtOnce: 1}}})
 		waveDone := func() bool {
 			done := false
@@ -128,7 +128,7 @@
 		r.leader.Close()
 		r.platform = platform
 		r.newLeader()
-		r.leader.Lead(6)
+		r.lead(6)
 		r.submit("s", 3, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 2 })
 		time.Sleep(time.Second)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
--- a/internal/domain/result.go
+++ b/internal/domain/result.go
@@ -67,6 +67,8 @@
 var (
 	ErrStaleEpoch = &errs.Error{Code: "stale-epoch", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
 		Message: "the worker has registered again since", Remedy: "register the worker again"}
+	ErrStaleTerm = &errs.Error{Code: "stale-term", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
+		Message: "another leader may have renewed the leases since", Remedy: "none; the present leader counts the leases"}
 	ErrPlacement = &errs.Error{Code: "placement-refused", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
 		Message: "the placement no longer fits the state", Remedy: "plan again"}
 	ErrNotRunning = &errs.Error{Code: "not-running", Status: http.StatusConflict, Outcome: errs.OutcomeNotRun,
--- a/internal/domain/state_test.go
+++ b/internal/domain/state_test.go
@@ -252,6 +252,19 @@
 	is.Equal(len(a.task(1).GetSpec().GetPayload()), 0)
 }
 
+// Guards against a loss that is proposed late: a VM that led, was held up while another leader renewed the leases, and
+// leads again must not take back what runs under the renewed leases.
+func TestLossDecidedInAFormerTerm(t *testing.T) {
+	is, a := started(t)
+	held := lost("w1", 1)
+	held.GetWorkerLost().Term = a.state.term + 1
+	is.True(errors.Is(a.apply(held).Err, ErrStaleTerm))
+	is.True(a.task(1).GetState() != pb.TaskState_TASK_STATE_QUEUED)
+	held.GetWorkerLost().Term = a.state.term
+	is.Equal(a.apply(held).Err, nil)
+	is.Equal(a.task(1).GetState(), pb.TaskState_TASK_STATE_QUEUED)
+}
+
 // Guards against stale placements, half-placed gangs, and one refusal that spoils a batch.
 func TestPlacementsAreChecked(t *testing.T) {
 	is, a := started(t)
--- a/internal/domain/worker.go
+++ b/internal/domain/worker.go
@@ -186,6 +186,9 @@
 }
 
 func (s *State) workerLost(c *pb.WorkerLost) Result {
+	if c.GetTerm() != 0 && c.GetTerm() != s.term {
+		return Result{Err: ErrStaleTerm.With("worker %s was silent in term %d, this is term %d", c.GetWorker(), c.GetTerm(), s.term)}
+	}
 	w, err := s.current(c.GetWorker(), c.GetEpoch())
 	if err != nil {
 		return Result{Err: err}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -44,26 +44,29 @@
 // loseSilent proposes the loss of every worker that has been silent for longer than leaseWait.
 func (l *Leader) loseSilent(ctx context.Context) {
 	var waiting sync.WaitGroup
-	for _, w := range l.silent(time.Now()) {
-		waiting.Go(func() { l.lose(ctx, w) })
+	workers, term := l.silent(time.Now())
+	for _, w := range workers {
+		waiting.Go(func() { l.lose(ctx, w, term) })
 	}
 	waiting.Wait()
 }
 
-func (l *Leader) lose(ctx context.Context, w *pb.Worker) {
+// lose proposes the loss of a worker, valid in the term in which its lease clock ran out: the proposal may be held up
+// until this VM leads again, after another leader has renewed the leases.
+func (l *Leader) lose(ctx context.Context, w *pb.Worker, term uint64) {
 	l.config.Logger.Warn().Str("domain", l.config.Domain).Str("worker", w.GetId()).Uint64("epoch", w.GetEpoch()).Msg("worker lost")
 	_, err := l.proposer.propose(ctx, &pb.DomainCommand{Command: &pb.DomainCommand_WorkerLost{
-		WorkerLost: &pb.WorkerLost{Worker: w.GetId(), Epoch: w.GetEpoch()}}})
+		WorkerLost: &pb.WorkerLost{Worker: w.GetId(), Epoch: w.GetEpoch(), Term: term}}})
 	l.logFailure("lose worker", err)
 }
 
-// silent returns the workers whose lease clock has run out and stops renewing their leases.
-func (l *Leader) silent(now time.Time) []*pb.Worker {
+// silent returns the workers whose lease clock has run out, and the term, and stops renewing their leases.
+func (l *Leader) silent(now time.Time) ([]*pb.Worker, uint64) {
 	workers := l.view().Workers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.leading {
-		return nil
+		return nil, 0
 	}
 	var lost []*pb.Worker
 	for _, w := range workers {
@@ -76,7 +79,7 @@
 			lost = append(lost, w)
 		}
 	}
-	return lost
+	return lost, l.term
 }
 
 // startSession starts the lease clock of a worker that has just registered.
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -6,6 +6,8 @@
 package submission
 
 import (
+	"errors"
+	"fmt"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -190,12 +192,19 @@
 	Version uint64
 }
 
-// Apply implements replica.StateMachine. It returns a []Result with one element for each change.
-func (s *State) Apply(_, _ uint64, entry []byte) any {
+// ErrStaleTerm is the result of an entry that a leader decided on in an earlier term.
+var ErrStaleTerm = errors.New("the changes were decided on in an earlier term; the present leader decides again")
+
+// Apply implements replica.StateMachine. It returns a []Result with one element for each change, or an error if nothing
+// was changed: the entry cannot be decoded, or ErrStaleTerm.
+func (s *State) Apply(_, term uint64, entry []byte) any {
 	decoded := &pb.SubmissionEntry{}
 	if err := proto.Unmarshal(entry, decoded); err != nil {
 		return err // the same on all VMs, since all apply the same bytes
 	}
+	if decided := decoded.GetDecidedTerm(); decided != 0 && decided != term {
+		return fmt.Errorf("%w: decided in term %d, committed in term %d", ErrStaleTerm, decided, term)
+	}
 	s.mu.Lock()
 	s.unixMs = max(s.unixMs, decoded.GetUnixMs())
 	results := make([]Result, len(decoded.GetChanges()))
--- a/internal/submission/state_test.go
+++ b/internal/submission/state_test.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -284,3 +285,21 @@
 		rt.Fatalf("%v is placed with attempt %d, but its worker counts %d", ref, task.Attempt, w.Attempts[ref])
 	}
 }
+
+// Guards against an end by lease that is proposed late: a VM that led, was held up while another leader renewed the
+// lease, and leads again must not place the task a second time.
+func TestEntryDecidedInAFormerTermChangesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), worker("w1", 1), accept("a", &pb.Step{Count: 1}), start(ref, 1, "w1", 1))
+	entry, err := proto.Marshal(&pb.SubmissionEntry{UnixMs: w.unixMs, DecidedTerm: 1,
+		Changes: []*pb.SubmissionChange{end(ref, 1, "w1", 1, pb.TaskEndKind_TASK_END_KIND_LOST)}})
+	is.NoErr(err)
+	refused, ok := w.state.Apply(w.index+1, 3, entry).(error)
+	is.True(ok && errors.Is(refused, ErrStaleTerm))
+	is.True(w.state.Task(ref).Placed())
+	results, ok := w.state.Apply(w.index+2, 1, entry).([]Result)
+	is.True(ok && results[0].Applied)
+	is.True(!w.state.Task(ref).Placed())
+}
