--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -97,7 +97,7 @@
 	after    []func(result submission.Result, err error)
 	inFlight bool
 	dirty    bool
-	planAt   time.Duration
+	planAt   time.Duration // not before this is the next plan made
 	tidyAt   time.Duration
 	// crowdedAt is when a task was last displaced for urgent work.
 	crowdedAt time.Duration
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,9 @@
 const (
 	// planInterval is the least time between two plans; what arrives meanwhile is planned together.
 	planInterval = 4 * time.Millisecond
+	// planRest is the least time between two plans as a multiple of what the last one took, so that planning leaves time
+	// for calls when the backlog is long.
+	planRest = 3
 	// maxStarts bounds the starts of one plan, and with it the log entry.
 	maxStarts = 256
 	// avoidFor is how long a worker that refused a task is not offered that task again.
@@ -64,13 +67,14 @@
 // plan proposes starts and stops for the present state and queues what is to be committed.
 func (l *Leader) plan() {
 	now := l.cfg.Clock()
-	if !l.dirty || now-l.planAt < planInterval {
+	if !l.dirty || now < l.planAt {
 		return
 	}
-	l.dirty, l.planAt = false, now
+	l.dirty = false
 	began := time.Now()
 	plan := steps.Make(l.snapshot(now))
 	planSeconds.UpdateDuration(began)
+	l.planAt = now + max(planInterval, planRest*time.Since(began))
 	for _, start := range plan.Starts {
 		l.queueStart(start)
 	}
@@ -151,6 +155,9 @@
 			continue
 		}
 		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), TailRatio: -1}
+		if s != nil && resident.Step.GetFills() {
+			resident.Slowed = 1 - float64(s.shareOf(ref))/fullSpeed
+		}
 		if s != nil {
 			if figure, ok := s.figures[ref]; ok && figure.Attempt == attempt {
 				if limit := resident.Step.GetTailLimitMs(); limit > 0 {
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -89,12 +89,15 @@
 	return serving, filling
 }
 
+// fullSpeed is the share, in percent, of a task that is not slowed.
+const fullSpeed = 100
+
 // shareOf returns the share, in percent, at which a task may work.
 func (s *session) shareOf(ref submission.Ref) int {
 	if share, ok := s.shares[ref]; ok {
 		return share
 	}
-	return 100
+	return fullSpeed
 }
 
 // unknownShare stands for the share of a task that a former leader may have slowed.
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -1,18 +1,10 @@
 package steps
 
 import (
-	"fmt"
 	"slices"
-	"strings"
-
-	"github.com/lentilyard/lentilyard/internal/pb"
-	"github.com/lentilyard/lentilyard/internal/resources"
-	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 const (
-	// servingLoad is the share of its declared processor time that an endless task is expected to use.
-	servingLoad = 0.5
 	// fillLimit is the share of a worker's processor time up to which filling tasks are added.
 	fillLimit = 1.0
 	// farWeight is the cost of a place far from the data of a step, in shares of a worker's processor time.
@@ -45,54 +37,9 @@
 type planning struct {
 	*Snapshot
 	plan Plan
-}
-
-func (w *Worker) prepare() {
-	w.used, w.load = resources.Vector{}, 0
-	w.serving, w.fill, w.perStep = map[string]int{}, Fill{}, map[stepKey]int{}
-	for i := range w.Residents {
-		w.count(&w.Residents[i], 1)
-	}
-}
-
-// counted is what a task takes of the capacity of a worker.
-func counted(step *pb.Step) resources.Vector {
-	size := resources.FromProto(step.GetSize())
-	if step.GetFills() {
-		size.Cores = 0
-	}
-	return size
-}
-
-// expectedLoad is the processor time that a task is expected to use, in millicores.
-func expectedLoad(step *pb.Step) float64 {
-	load := float64(step.GetSize().GetMillicores())
-	if step.GetEndless() {
-		return servingLoad * load
-	}
-	return load
-}
-
-func (w *Worker) count(r *Resident, sign int) {
-	size := counted(r.Step)
-	if sign > 0 {
-		w.used = w.used.Plus(size)
-	} else {
-		w.used = w.used.Minus(size)
-	}
-	w.load += float64(sign) * expectedLoad(r.Step)
-	if r.Step.GetTailLimitMs() > 0 {
-		w.serving[r.Step.GetImage()] += sign
-	}
-	if r.Step.GetFills() {
-		w.fill[r.Step.GetImage()] += float64(sign) * w.share(r.Step)
-	}
-	w.perStep[keyOf(r.Task)] += sign
-}
-
-// share is the part of the worker's processor time that a task uses at full speed.
-func (w *Worker) share(step *pb.Step) float64 {
-	return float64(step.GetSize().GetMillicores()) / float64(max(1, w.Capacity.Cores))
+	// started holds the submissions of which the plan starts a task.
+	started map[string]bool
+	full    fullness
 }
 
 // place proposes starts for the waiting tasks of a request, all or none of a gang.
@@ -101,17 +48,34 @@
 		p.placeGang(r)
 		return
 	}
+	if why, ok := p.full.covers(p, r); ok {
+		p.waits(r, r.Waiting[0], why)
+		p.makeRoom(r, r.Waiting[0])
+		return
+	}
+	ahead := p.goesAhead(r)
+	found := p.search(r, "")
 	for _, t := range r.Waiting {
 		if len(p.plan.Starts) >= p.MaxStarts {
 			return
 		}
-		if !p.placeTask(r, t, "") {
+		if !p.placeTask(r, t, found) {
+			p.full.note(p, r, t, found)
+			p.waits(r, t, describe(found.obstacles))
 			p.makeRoom(r, t)
 			return
 		}
+		if ahead {
+			ahead = false
+			found = p.search(r, "")
+		}
 	}
 }
 
+func (p *planning) waits(r *Request, t WaitingTask, why string) {
+	p.plan.Waiting = append(p.plan.Waiting, Wait{Task: r.ref(t), Priority: r.Priority, Tasks: len(r.Waiting), Obstacles: why})
+}
+
 // placeGang places all members or none. If distance between racks slows the gang, it tries to keep it in one rack.
 func (p *planning) placeGang(r *Request) {
 	if len(r.Waiting) < int(r.Spec.GetCount()) {
@@ -123,9 +87,10 @@
 	}
 	for _, rack := range racks {
 		before := len(p.plan.Starts)
+		found := p.search(r, rack)
 		placed := 0
 		for _, t := range r.Waiting {
-			if !p.placeTask(r, t, rack) {
+			if !p.placeTask(r, t, found) {
 				break
 			}
 			placed++
@@ -134,6 +99,9 @@
 			return
 		}
 		p.withdraw(before)
+		if rack == racks[len(racks)-1] {
+			p.waits(r, r.Waiting[placed], describe(found.obstacles))
+		}
 	}
 }
 
@@ -154,129 +122,27 @@
 		i := slices.IndexFunc(p.Workers, func(w *Worker) bool { return w.Life == s.On })
 		w := p.Workers[i]
 		last := len(w.Residents) - 1
-		w.count(&w.Residents[last], -1)
+		w.remove(&w.Residents[last])
 		w.Residents = w.Residents[:last]
 	}
 	p.plan.Starts = p.plan.Starts[:n]
 }
 
-// placeTask proposes a start of one task, in a rack if one is given. It returns false if no worker has room.
-func (p *planning) placeTask(r *Request, t WaitingTask, rack string) bool {
-	ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
-	var best *Worker
-	bestScore, considered := 0.0, 0
-	var found [obstacles]int
-	for _, w := range p.Workers {
-		if rack != "" && w.Rack != rack {
-			continue
-		}
-		if o := p.admits(w, r, ref, t); o != noObstacle {
-			found[o]++
-			continue
-		}
-		considered++
-		if score := p.score(w, r); best == nil || score < bestScore {
-			best, bestScore = w, score
-		}
-	}
-	if best == nil {
-		p.plan.Waiting = append(p.plan.Waiting, Wait{Task: ref, Priority: r.Priority, Tasks: len(r.Waiting), Obstacles: describe(found)})
+// placeTask proposes a start of one task on the best worker of a search. It returns false if none takes it.
+func (p *planning) placeTask(r *Request, t WaitingTask, found *search) bool {
+	c, ok := found.take(t)
+	if !ok {
 		return false
 	}
-	resident := Resident{Task: ref, Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: -1}
-	best.Residents = append(best.Residents, resident)
-	best.count(&resident, 1)
-	p.plan.Starts = append(p.plan.Starts, Start{Task: ref, Attempt: t.Attempt, On: best.Life, Considered: considered})
+	w := c.worker
+	w.Residents = append(w.Residents, Resident{Task: r.ref(t), Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: noReading})
+	w.add(&w.Residents[len(w.Residents)-1])
+	p.plan.Starts = append(p.plan.Starts, Start{Task: r.ref(t), Attempt: t.Attempt, On: w.Life, Considered: found.considered()})
+	p.started[r.Submission] = true
+	p.offer(found, r, w, c.position)
 	return true
 }
 
-// obstacle is why a worker does not take a task.
-type obstacle int
-
-const (
-	noObstacle obstacle = iota
-	notUsable
-	noRoom
-	wrongLabel
-	tooManyOfStep
-	avoided
-	notAllowed
-	busy
-	strained
-	pressed
-	obstacles // number of obstacles
-)
-
-var obstacleNames = [obstacles]string{"", "not-usable", "no-room", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service"}
-
-// admits returns why a task may not start on w now.
-func (p *planning) admits(w *Worker, r *Request, ref submission.Ref, t WaitingTask) obstacle {
-	spec := r.Spec
-	switch {
-	case !w.Usable || w.Pool != r.Pool:
-		return notUsable
-	case !counted(spec).Fits(w.Capacity.Minus(w.used)):
-		return noRoom
-	case spec.GetLabel() != "" && !slices.Contains(w.Labels, spec.GetLabel()):
-		return wrongLabel
-	case spec.GetMaxPerWorker() > 0 && w.perStep[keyOf(ref)] >= int(spec.GetMaxPerWorker()):
-		return tooManyOfStep
-	case slices.Contains(t.AvoidWorkers, w.Life.ID):
-		return avoided
-	case r.Advised && !r.Allowed[w.Life.ID]:
-		return notAllowed
-	case !spec.GetFills():
-		return noObstacle
-	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Cores):
-		return busy
-	}
-	return p.bears(w, r)
-}
-
-// bears returns why the endless tasks on w may not stay within their limits beside one more filling task. The longer a
-// task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
-func (p *planning) bears(w *Worker, r *Request) obstacle {
-	waited := float64(p.NowUnixMs-r.ReadyUnixMs) / 1000
-	if r.Idle && waited >= idlePatience && !p.startsFor(r) {
-		return noObstacle
-	}
-	limit := min(riskLimit, pressureLimit+riskRate*max(0, waited-patience))
-	for i := range w.Residents {
-		resident := &w.Residents[i]
-		if resident.Step.GetTailLimitMs() == 0 {
-			continue
-		}
-		if resident.TailRatio >= 1 {
-			return strained
-		}
-		serving := resident.Step.GetImage()
-		weight := p.Pressure.Weight(serving, r.Spec.GetImage())
-		if weight <= harmlessWeight {
-			continue
-		}
-		if resident.TailRatio > strainLimit || p.Pressure.Predict(resident.Task, serving, w.fill)+usualBase*weight*w.share(r.Spec) > limit {
-			return pressed
-		}
-	}
-	return noObstacle
-}
-
-// startsFor reports whether the plan starts a task of the request's submission already.
-func (p *planning) startsFor(r *Request) bool {
-	return slices.ContainsFunc(p.plan.Starts, func(s Start) bool { return s.Task.Submission == r.Submission })
-}
-
-// mix returns the number of images of endless tasks on w other than image.
-func (w *Worker) mix(image string) int {
-	n := 0
-	for other, count := range w.serving {
-		if count > 0 && other != image {
-			n++
-		}
-	}
-	return n
-}
-
 // score rates a worker with room; lower is better. The terms are shares of the worker's processor time.
 func (p *planning) score(w *Worker, r *Request) float64 {
 	spec := r.Spec
@@ -290,20 +156,10 @@
 		score = mixWeight*float64(w.mix(spec.GetImage())) - score
 	}
 	if spec.GetFills() {
-		for serving, n := range w.serving {
-			score += pressureWeight * float64(n) * p.Pressure.Weight(serving, spec.GetImage()) * w.share(spec)
+		for i := range w.services {
+			s := &w.services[i]
+			score += pressureWeight * float64(s.tasks) * p.Pressure.Weight(s.image, spec.GetImage()) * w.share(spec)
 		}
 	}
 	return score + penaltyWeight*w.Penalty
 }
-
-// describe names the obstacles that were found and the number of workers with each.
-func describe(found [obstacles]int) string {
-	var parts []string
-	for o, n := range found {
-		if n > 0 {
-			parts = append(parts, fmt.Sprintf("%s:%d", obstacleNames[o], n))
-		}
-	}
-	return strings.Join(parts, ",")
-}
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
-	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 const (
@@ -25,12 +24,11 @@
 	if r.Spec.GetFills() || r.Spec.GetEndless() || r.standing(p.NowUnixMs) > late || p.roomComing(r) {
 		return
 	}
-	ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
 	var best *Worker
 	var victims []int
 	lowest := 0.0
 	for _, w := range p.Workers {
-		if o := p.admits(w, r, ref, t); o != noRoom {
+		if p.admits(w, r) != noRoom || slices.Contains(t.AvoidWorkers, w.Life.ID) {
 			continue
 		}
 		chosen, cost := w.victims(r)
--- a/internal/placement/steps/pressure.go
+++ b/internal/placement/steps/pressure.go
@@ -214,18 +214,6 @@
 	}
 }
 
-// Predict returns the busy share that an endless task may reach beside filling tasks before these have ended.
-func (p *Pressure) Predict(task submission.Ref, image string, fill Fill) float64 {
-	base := math.Max(usualBase, p.Base(task))
-	busy := base
-	for filling, share := range fill {
-		if w := p.Weight(image, filling); w > harmlessWeight {
-			busy += base * w * share
-		}
-	}
-	return busy
-}
-
 // Base returns the busy share of an endless task without what fills beside it.
 func (p *Pressure) Base(task submission.Ref) float64 {
 	if t := p.tasks[task]; t != nil {
@@ -244,3 +232,11 @@
 	}
 	return weightBefore
 }
+
+// pressing returns Weight, or 0 if the pair does not matter.
+func (p *Pressure) pressing(serving, filling string) float64 {
+	if w := p.Weight(serving, filling); w > harmlessWeight {
+		return w
+	}
+	return 0
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -27,10 +27,15 @@
 	MayStop bool
 	// Stopping is true once the attempt has been told to stop.
 	Stopping bool
-	// TailRatio is the last reading of the tail of an endless task as a share of its limit, negative if there is none.
+	// Slowed is the part of its speed that a filling task may not use now, 0 at full speed.
+	Slowed float64
+	// TailRatio is the last reading of the tail of an endless task as a share of its limit, or noReading.
 	TailRatio float64
 }
 
+// noReading stands for the tail of an endless task before there is a reading.
+const noReading = -1
+
 // Worker is a worker as the planner sees it.
 type Worker struct {
 	Life     submission.Life
@@ -44,11 +49,12 @@
 	Penalty   float64
 	Residents []Resident
 
-	used    resources.Vector
-	load    float64        // expected millicores in use
-	serving map[string]int // endless tasks with a tail limit, by image
-	fill    Fill
-	perStep map[stepKey]int
+	used     resources.Vector
+	load     float64   // expected millicores in use
+	services []service // endless tasks with a tail limit
+	fill     Fill      // share of processor time by image
+	perStep  map[stepKey]int
+	pressure *Pressure
 }
 
 type stepKey struct {
@@ -86,6 +92,12 @@
 	AcceptedUnixMs int64
 }
 
+func (r *Request) key() stepKey { return stepKey{r.Submission, r.Occurrence, r.Step} }
+
+func (r *Request) ref(t WaitingTask) submission.Ref {
+	return submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: t.Index}
+}
+
 // WaitingTask is a task to place.
 type WaitingTask struct {
 	Index   uint32
@@ -147,9 +159,9 @@
 
 // Make returns the proposals for a snapshot.
 func Make(s *Snapshot) Plan {
-	p := &planning{Snapshot: s}
+	p := &planning{Snapshot: s, started: map[string]bool{}, full: fullness{}}
 	for _, w := range s.Workers {
-		w.prepare()
+		w.prepare(s.Pressure)
 	}
 	order := s.Order
 	if order == nil {
