--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/lentilyard/lentilyard/internal/dispatch"
 	"github.com/lentilyard/lentilyard/internal/fleet"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/relay"
 	"github.com/lentilyard/lentilyard/internal/replica"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
@@ -50,6 +51,7 @@
 	group     *replica.Group
 	state     *submission.State
 	leader    *dispatch.Leader
+	relay     *relay.Relay
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -73,8 +75,11 @@
 	if err := c.openGroup(); err != nil {
 		return nil, errors.Join(err, transport.Close())
 	}
+	c.relay = relay.New(relay.Config{ID: c.settings.GetId(), FailureDomain: c.settings.GetFailureDomain(), Local: options.Caller,
+		Messenger: transport, Logger: c.log, Spread: c.manyWorkers})
+	transport.Handle(relay.Channel, c.relay.Handle)
 	bounds := c.settings.GetBounds()
-	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: options.Caller, Logger: c.log,
+	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: c.relay, Logger: c.log,
 		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Bounds: dispatch.Bounds{
 			LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
 			Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(),
@@ -135,6 +140,7 @@
 	}
 	c.running.Go(c.followRole)
 	c.running.Go(c.followMembers)
+	c.running.Go(c.announce)
 	return nil
 }
 
@@ -162,6 +168,7 @@
 func (c *Control) Close() error {
 	c.cancel()
 	c.leader.Close()
+	c.relay.Close()
 	err := c.host.Close()
 	c.running.Wait()
 	return errors.Join(err, c.transport.Close())
@@ -216,6 +223,26 @@
 	}
 }
 
+// spreadFrom is the number of workers from which the leader has other control VMs make its calls. A leader with 66 workers
+// uses a fifth of its processor (docs/CAPACITY.md), and calls by way of another VM arrive some ms later.
+const spreadFrom = 100
+
+func (c *Control) manyWorkers() bool { return c.leader.Workers() >= spreadFrom }
+
+// announce tells the leader that this VM makes calls for it.
+func (c *Control) announce() {
+	ticker := time.NewTicker(relay.AnnounceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.relay.Announce(c.group.Status().Leader)
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
 // members returns the ids of the VMs in the group.
 func (c *Control) members() []string {
 	status := c.group.Status()
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -16,7 +16,9 @@
 type Target struct {
 	Life    submission.Life
 	Address string
-	Fence   uint64
+	// FailureDomain is that of the worker.
+	FailureDomain string
+	Fence         uint64
 }
 
 // StartCall asks a worker to start an attempt.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -107,6 +108,7 @@
 	waits     map[stepOf]*waitRecord
 	advice    map[stepOf]*advised
 	waves     waveWork
+	workers   atomic.Int64 // sessions, for readers outside the loop
 	ended     []string
 	endedMu   sync.Mutex // guards ended
 }
@@ -139,6 +141,9 @@
 	return l.term
 }
 
+// Workers returns the number of workers that this VM calls.
+func (l *Leader) Workers() int { return int(l.workers.Load()) }
+
 // Lead begins to lead in a term. The state must contain everything committed before the term.
 func (l *Leader) Lead(term uint64) { l.post(func() { l.begin(term) }) }
 
@@ -189,6 +194,7 @@
 		if l.leads() {
 			l.advance()
 		}
+		l.workers.Store(int64(len(l.sessions)))
 	}
 }
 
@@ -247,13 +253,14 @@
 
 var errResigned = errors.New("this VM no longer leads; ask the new leader")
 
-// advance sends what waits to be committed, or plans if nothing does.
+// advance plans and sends what waits to be committed. It plans also while ends wait: on hundreds of workers there is
+// always one. All starts of a plan go into the next entry, since the next plan must see them.
 func (l *Leader) advance() {
 	l.stopEnded()
 	if l.inFlight {
 		return
 	}
-	if len(l.queue) == 0 {
+	if len(l.queue) <= entryChanges-maxStarts {
 		l.plan()
 	}
 	if len(l.queue) > 0 {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -111,7 +111,7 @@
 }
 
 func (l *Leader) target(s *session) Target {
-	return Target{Life: s.life, Address: s.address, Fence: l.term}
+	return Target{Life: s.life, Address: s.address, FailureDomain: s.domain, Fence: l.term}
 }
 
 func (l *Leader) onStart(s *session, task submission.Ref, r *run, err error) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -29,6 +29,7 @@
 type session struct {
 	life    submission.Life
 	address string
+	domain  string // failure domain
 	cancel  context.CancelFunc
 
 	// Owned by the loop.
@@ -74,7 +75,7 @@
 		l.closeSession(old)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	s := &session{life: w.Life(), address: w.GetAddress(), cancel: cancel, figures: map[submission.Ref]Running{},
+	s := &session{life: w.Life(), address: w.GetAddress(), domain: w.GetFailureDomain(), cancel: cancel, figures: map[submission.Ref]Running{},
 		shares: map[submission.Ref]int{}, fill: steps.Fill{}}
 	s.reportedAt = l.cfg.Clock()
 	l.sessions[w.GetId()] = s
@@ -148,7 +149,7 @@
 	for ctx.Err() == nil {
 		sent := l.cfg.Clock()
 		contact := s.contactNow()
-		c := HoldCall{Target: Target{Life: s.life, Address: s.address, Fence: term}, LeaseUntilMs: s.grant(l.lease, sent), SeenEnd: contact.seenEnd}
+		c := HoldCall{Target: Target{Life: s.life, Address: s.address, FailureDomain: s.domain, Fence: term}, LeaseUntilMs: s.grant(l.lease, sent), SeenEnd: contact.seenEnd}
 		switch {
 		case c.LeaseUntilMs == 0 || failed:
 			// The first answer, and the first one after a partition, must come at once.
--- /dev/null
+++ b/internal/relay/agent.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/dispatch"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// defaultTimeout bounds a call that names no timeout.
+const defaultTimeout = time.Second
+
+// make makes a call for another VM. A call whose time is over, for instance since this VM was suspended, is not made: it
+// could undo a later one.
+func (r *Relay) make(from string, c *pb.RelayCall, arrived time.Duration) {
+	timeout := defaultTimeout
+	if c.GetTimeoutMs() > 0 {
+		timeout = time.Duration(c.GetTimeoutMs()) * time.Millisecond
+	}
+	left := arrived + timeout - r.cfg.Clock()
+	if left <= 0 {
+		expiredTotal.Inc()
+		return
+	}
+	madeTotal.Inc()
+	ctx, cancel := context.WithTimeout(r.ctx, left)
+	defer cancel()
+	answer := r.carryOut(ctx, c)
+	answer.Id, answer.Process = c.GetId(), c.GetProcess()
+	r.enqueue(from, nil, answer)
+}
+
+func (r *Relay) carryOut(ctx context.Context, c *pb.RelayCall) *pb.RelayAnswer {
+	target := dispatch.Target{Life: submission.Life{ID: c.GetWorker(), BornUnixMs: c.GetWorkerBornUnixMs()}, Address: c.GetAddress(), Fence: c.GetFence()}
+	var clock int64
+	var err error
+	switch call := c.GetCall().(type) {
+	case *pb.RelayCall_Start:
+		s := call.Start
+		clock, err = r.cfg.Local.Start(ctx, dispatch.StartCall{Target: target, Task: submission.RefOf(s.GetTask()), Attempt: s.GetAttempt(),
+			Payload: s.GetPayload(), Checkpoint: s.GetCheckpoint(), LeaseUntilMs: s.GetLeaseUntilMs(), Ticket: s.GetTicket()})
+	case *pb.RelayCall_Stop:
+		clock, err = r.cfg.Local.Stop(ctx, dispatch.StopCall{Target: target, Task: submission.RefOf(call.Stop.GetTask()), Attempt: call.Stop.GetAttempt()})
+	case *pb.RelayCall_Throttle:
+		t := call.Throttle
+		clock, err = r.cfg.Local.Throttle(ctx, dispatch.ThrottleCall{Target: target, Task: submission.RefOf(t.GetTask()), Attempt: t.GetAttempt(), Percent: int(t.GetPercent())})
+	case *pb.RelayCall_Hold:
+		h := call.Hold
+		answer, err := r.cfg.Local.Hold(ctx, dispatch.HoldCall{Target: target, LeaseUntilMs: h.GetLeaseUntilMs(), SeenEnd: h.GetSeenEnd(), WaitMs: int64(h.GetWaitMs())})
+		return answerToHold(answer, err)
+	default:
+		err = dispatch.ErrMalformed
+	}
+	answer := answerOf(err)
+	answer.ClockMs = clock
+	return answer
+}
