--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -12,9 +12,9 @@
 // defaultTimeout bounds a call that names no timeout.
 const defaultTimeout = time.Second
 
-// make makes a call for another VM. A call whose time is over, for instance since this VM was suspended, is not made: it
+// perform makes a call for another VM. A call whose time is over, for instance since this VM was suspended, is not made: it
 // could undo a later one.
-func (r *Relay) make(from string, c *pb.RelayCall, arrived time.Duration) {
+func (r *Relay) perform(from string, c *pb.RelayCall, arrived time.Duration) {
 	timeout := defaultTimeout
 	if c.GetTimeoutMs() > 0 {
 		timeout = time.Duration(c.GetTimeoutMs()) * time.Millisecond
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -80,7 +80,8 @@
 	to := r.route(c.Target)
 	if to == "" {
 		clock, err := r.cfg.Local.Start(ctx, c)
-		return clock, r.noteLocal(c.Target, err)
+		r.noteFailure(c.Target, err)
+		return clock, err
 	}
 	a, err := r.call(ctx, to, c.Target, &pb.RelayCall{Call: &pb.RelayCall_Start{Start: &pb.RelayStart{Task: c.Task.Proto(), Attempt: c.Attempt,
 		Payload: c.Payload, Checkpoint: c.Checkpoint, LeaseUntilMs: c.LeaseUntilMs, Ticket: c.Ticket}}})
@@ -92,7 +93,8 @@
 	to := r.route(c.Target)
 	if to == "" {
 		clock, err := r.cfg.Local.Stop(ctx, c)
-		return clock, r.noteLocal(c.Target, err)
+		r.noteFailure(c.Target, err)
+		return clock, err
 	}
 	a, err := r.call(ctx, to, c.Target, &pb.RelayCall{Call: &pb.RelayCall_Stop{Stop: &pb.RelayStop{Task: c.Task.Proto(), Attempt: c.Attempt}}})
 	return a.GetClockMs(), err
@@ -103,7 +105,8 @@
 	to := r.route(c.Target)
 	if to == "" {
 		clock, err := r.cfg.Local.Throttle(ctx, c)
-		return clock, r.noteLocal(c.Target, err)
+		r.noteFailure(c.Target, err)
+		return clock, err
 	}
 	a, err := r.call(ctx, to, c.Target, &pb.RelayCall{Call: &pb.RelayCall_Throttle{Throttle: &pb.RelayThrottle{Task: c.Task.Proto(),
 		Attempt: c.Attempt, Percent: uint32(c.Percent)}}})
@@ -115,7 +118,8 @@
 	to := r.route(c.Target)
 	if to == "" {
 		answer, err := r.cfg.Local.Hold(ctx, c)
-		return answer, r.noteLocal(c.Target, err)
+		r.noteFailure(c.Target, err)
+		return answer, err
 	}
 	a, err := r.call(ctx, to, c.Target, &pb.RelayCall{Call: &pb.RelayCall_Hold{Hold: &pb.RelayHold{LeaseUntilMs: c.LeaseUntilMs,
 		SeenEnd: c.SeenEnd, WaitMs: uint32(c.WaitMs)}}})
@@ -124,13 +128,3 @@
 	}
 	return holdAnswerOf(a), nil
 }
-
-// noteLocal notes a worker that this VM does not reach itself, so that an agent is tried next.
-func (r *Relay) noteLocal(t dispatch.Target, err error) error {
-	if errors.Is(err, dispatch.ErrNoAnswer) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.tries[t.Life.ID]++
-	}
-	return err
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	suspectFor = 2 * time.Second
 	// agentCalls bounds the calls that an agent makes at the same time; most are long polls, one for each worker.
 	agentCalls = 1024
+	// maxTries bounds the workers of which failed calls are remembered; beyond it all are forgotten.
+	maxTries = 10_000
 )
 
 var (
@@ -122,7 +125,7 @@
 	r.heard(from, m.GetFailureDomain())
 	arrived := r.cfg.Clock()
 	for _, c := range m.GetCalls() {
-		r.pool.Submit(func() { r.make(from, c, arrived) })
+		r.pool.Submit(func() { r.perform(from, c, arrived) })
 	}
 	for _, a := range m.GetAnswers() {
 		r.answered(a)
@@ -186,31 +189,35 @@
 	r.enqueue(to, c, nil)
 	select {
 	case a := <-done:
-		return a, r.outcome(t, a)
+		err := errorOf(a)
+		r.noteFailure(t, err)
+		return a, err
 	case <-ctx.Done():
 		r.silent(to, t, c.Id, sent)
 		return nil, fmt.Errorf("%w: by way of %s: %w", dispatch.ErrNoAnswer, to, ctx.Err())
 	}
 }
 
-// outcome converts the outcome of a call and notes a worker that an agent does not reach.
-func (r *Relay) outcome(t dispatch.Target, a *pb.RelayAnswer) error {
-	err := errorOf(a)
-	if a.GetOutcome() == pb.RelayOutcome_RELAY_OUTCOME_NO_ANSWER {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.tries[t.Life.ID]++
+// noteFailure notes a worker that did not answer, so that it is called another way next time.
+func (r *Relay) noteFailure(t dispatch.Target, err error) {
+	if !errors.Is(err, dispatch.ErrNoAnswer) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.tries) >= maxTries {
+		clear(r.tries)
 	}
-	return err
+	r.tries[t.Life.ID]++
 }
 
 // silent notes a call without an answer. The agent is passed over for a while unless it was heard since.
 func (r *Relay) silent(to string, t dispatch.Target, id uint64, sent time.Duration) {
 	silentTotal.Inc()
+	r.noteFailure(t, dispatch.ErrNoAnswer)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.waiting, id)
-	r.tries[t.Life.ID]++
 	if a := r.agents[to]; a != nil && a.heardAt < sent {
 		a.suspectUntil = r.cfg.Clock() + suspectFor
 		r.cfg.Logger.Warn().Str("event", "agent-silent").Str("vm", to).Str("worker", t.Life.ID).Msg("other VMs make its calls for a while")
