--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,7 @@
 	stopsTotal      = metrics.NewCounter("lentilyard_dispatch_stops_total")
 	throttlesTotal  = metrics.NewCounter("lentilyard_dispatch_throttles_total")
 	evictionsTotal  = metrics.NewCounter("lentilyard_dispatch_evictions_total")
+	movesTotal      = metrics.NewCounter("lentilyard_dispatch_moves_total")
 	leasesOverTotal = metrics.NewCounter("lentilyard_dispatch_leases_over_total")
 	stalledTotal    = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
 	commitSeconds   = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -82,6 +82,9 @@
 	if len(plan.Stops) > 0 {
 		l.crowdedAt = now
 	}
+	for _, move := range plan.Moves {
+		l.moveRun(move)
+	}
 	for _, stop := range plan.Stops {
 		if r := l.runs[stop.Task]; r != nil && r.on == stop.On && r.attempt == stop.Attempt {
 			evictionsTotal.Inc()
@@ -92,6 +95,19 @@
 	}
 }
 
+// moveRun stops a filling task for which another worker has a place.
+func (l *Leader) moveRun(move steps.Move) {
+	r := l.runs[move.Task]
+	if r == nil || r.on != move.On || r.attempt != move.Attempt {
+		return
+	}
+	movesTotal.Inc()
+	l.log.Info().Str("decision", "move").Str("request", move.Task.Submission).Uint32("step", move.Task.Step).Uint32("task", move.Task.Index).
+		Uint32("attempt", move.Attempt).Str("worker", move.On.ID).Msg("")
+	l.avoidWorker(move.Task, move.On.ID)
+	l.stopRun(move.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "presses-on-service")
+}
+
 func (l *Leader) queueStart(start steps.Start) {
 	change := &pb.TaskStart{Task: start.Task.Proto(), Attempt: start.Attempt, Worker: start.On.ID, WorkerBornUnixMs: start.On.BornUnixMs}
 	l.change(&pb.SubmissionChange{Change: &pb.SubmissionChange_Start{Start: change}}, func(result submission.Result, err error) {
@@ -112,7 +128,7 @@
 		for _, sub := range state.Active() {
 			snap.Requests = append(snap.Requests, l.requests(state, sub, snap.NowUnixMs, now)...)
 		}
-		if len(snap.Requests) == 0 {
+		if len(snap.Requests) == 0 && !l.someLeave() {
 			return
 		}
 		for _, w := range state.Workers() {
@@ -167,6 +183,7 @@
 		}
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Stopping = r.phase == stopping
+			resident.Leaves = r.leaves && r.phase == confirmedRun
 			resident.MayStop = r.phase == confirmedRun && (!resident.Step.GetEndless() || l.canLose(state, stepOf{ref.Submission, ref.Occurrence, ref.Step}, 1))
 		}
 		view.Residents = append(view.Residents, resident)
@@ -174,6 +191,16 @@
 	return view
 }
 
+// someLeave reports whether a filling task should work elsewhere.
+func (l *Leader) someLeave() bool {
+	for _, r := range l.runs {
+		if r.leaves {
+			return true
+		}
+	}
+	return false
+}
+
 // requests returns the steps of a submission that have waiting tasks whose turn has come.
 func (l *Leader) requests(state *submission.State, sub *submission.Submission, unixMs int64, now time.Duration) []*steps.Request {
 	var list []*steps.Request
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
@@ -116,8 +115,7 @@
 			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.life.ID).Err(err).Msg("")
 		}
 	})
-	if r := l.runs[share.Task]; share.Move && r != nil && r.attempt == share.Attempt {
-		l.avoidWorker(share.Task, s.life.ID)
-		l.stopRun(share.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "presses-on-service")
+	if r := l.runs[share.Task]; r != nil && r.attempt == share.Attempt {
+		r.leaves = share.Move
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -46,6 +46,8 @@
 	answeredAt time.Duration // of the start
 	// then is the end to commit once a stop is acknowledged and the attempt does not run; unspecified if its end will be listed.
 	then pb.TaskEndKind
+	// leaves is true while the task should work on another worker.
+	leaves bool
 	// why the attempt is stopped, for the log.
 	why      string
 	progress progress
--- a/internal/placement/steps/relief.go
+++ b/internal/placement/steps/relief.go
@@ -15,7 +15,8 @@
 	Percent int
 	// Image is that of the task, Serving that of the endless task on which it presses.
 	Image, Serving string
-	// Move is true if the task should leave the worker; it has saved its progress or will do so when it is stopped.
+	// Move is true if the task should leave the worker once another one has a place for it; it saves its progress when it is
+	// stopped.
 	Move bool
 }
 
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -27,6 +27,8 @@
 	MayStop bool
 	// Stopping is true once the attempt has been told to stop.
 	Stopping bool
+	// Leaves is true for a filling task that should work elsewhere, since it presses on a service beside it.
+	Leaves bool
 	// Slowed is the part of its speed that a filling task may not use now, 0 at full speed.
 	Slowed float64
 	// TailRatio is the last reading of the tail of an endless task as a share of its limit, or noReading.
@@ -124,10 +126,18 @@
 	For string
 }
 
+// Move is a proposed stop of a filling task for which another worker has a place.
+type Move struct {
+	Task    submission.Ref
+	Attempt uint32
+	On      submission.Life
+}
+
 // Plan is a set of proposals.
 type Plan struct {
 	Starts []Start
 	Stops  []Stop
+	Moves  []Move
 	// Waiting holds the first task of each request that found no place.
 	Waiting []Wait
 }
@@ -167,6 +177,7 @@
 	if order == nil {
 		order = ByObjective
 	}
+	p.move()
 	slices.SortStableFunc(s.Requests, func(a, b *Request) int { return order(a, b, s.NowUnixMs) })
 	for _, r := range s.Requests {
 		if len(p.plan.Starts) >= s.MaxStarts {
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -304,3 +304,64 @@
 		})
 	}
 }
+
+// Guards against filling tasks that are stopped with nowhere to go: under a full pool each then waits in the queue, or
+// presses on the next service. The load is a worker whose service is pressed on, beside one that is free or is not.
+func TestFillingTasksMoveOnlyToAPlace(t *testing.T) {
+	service := step(4, func(s *pb.Step) { s.Endless, s.TailLimitMs, s.Image = true, 50, "service" })
+	filling := step(4, func(s *pb.Step) { s.Fills, s.Checkpoints, s.Image = true, true, "filling" })
+	resident := func(id string, spec *pb.Step) Resident {
+		return Resident{Task: submission.Ref{Submission: id}, Attempt: 1, Step: spec, TailRatio: noReading}
+	}
+	for _, c := range []struct {
+		name  string
+		other func(*Worker)
+		moves int
+	}{
+		{"a place without services", func(*Worker) {}, 1},
+		{"another service over its limit", func(w *Worker) {
+			over := resident("other", service)
+			over.TailRatio = 1.1
+			w.Residents = append(w.Residents, over)
+		}, 0},
+		{"no memory left", func(w *Worker) { w.Capacity.Memory = 0 }, 0},
+		{"not usable", func(w *Worker) { w.Usable = false }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			pressed, other := newWorker("pressed", 32), newWorker("other", 32)
+			leaving := resident("f", filling)
+			leaving.Leaves, leaving.Slowed = true, 1
+			pressed.Residents = append(pressed.Residents, resident("s", service), leaving)
+			c.other(other)
+			p := plan([]*Worker{pressed, other})
+			is.Equal(len(p.Moves), c.moves)
+			for _, m := range p.Moves {
+				is.Equal(m, Move{leaving.Task, 1, pressed.Life})
+			}
+		})
+	}
+}
+
+// Guards against more moves than there are places: each move keeps its place within a plan.
+func TestMovesKeepTheirPlaces(t *testing.T) {
+	is := is.New(t)
+	filling := step(16, func(s *pb.Step) { s.Fills, s.Checkpoints, s.Image = true, true, "filling" })
+	pressed, other := newWorker("pressed", 64), newWorker("other", 32)
+	for i := range 4 {
+		pressed.Residents = append(pressed.Residents, Resident{Task: submission.Ref{Submission: fmt.Sprint("f", i)}, Attempt: 1, Step: filling, Leaves: true, TailRatio: noReading})
+	}
+	is.Equal(len(plan([]*Worker{pressed, other}).Moves), 2)
+}
+
+// Guards against a search that answers for requests that ask for less, or may risk more, than the one that found no place.
+func TestFullnessCoversOnlyAsMuch(t *testing.T) {
+	is := is.New(t)
+	w := newWorker("w", 8)
+	w.Residents = append(w.Residents, Resident{Task: submission.Ref{Submission: "r"}, Attempt: 1, Step: step(4, nil), TailRatio: noReading})
+	large, small := request("large", 1, step(6, nil)), request("small", 1, step(3, nil))
+	p := plan([]*Worker{w}, large, request("larger", 1, step(7, nil)), small)
+	is.Equal(placesOf(p), map[string]int{"w": 1})
+	is.Equal(p.Starts[0].Task.Submission, "small")
+	is.Equal(len(p.Waiting), 2)
+}
