--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -50,18 +50,18 @@
 // bears returns why the endless tasks on w may not stay within their limits beside one more filling task. The longer a
 // task waits, the more is risked: relief slows it if it presses, which is better than not starting it at all.
 func (p *planning) bears(w *Worker, r *Request) obstacle {
-	if p.goesAhead(r) {
-		return noObstacle
-	}
-	limit := p.riskOf(r)
+	ahead, limit := p.goesAhead(r), p.riskOf(r)
 	for i := range w.services {
 		s := &w.services[i]
 		if s.tasks == 0 {
 			continue
 		}
-		if s.ratio >= 1 {
+		if s.ratio >= overLimit {
 			return strained
 		}
+		if ahead {
+			continue
+		}
 		weight := p.Pressure.pressing(s.image, r.Spec.GetImage())
 		if weight == 0 {
 			continue
@@ -73,9 +73,10 @@
 	return noObstacle
 }
 
-// goesAhead reports whether one task of an idle submission starts whatever it presses on.
+// goesAhead reports whether one task of an idle submission starts even if it presses on a service that is within its limit.
+// In a busy pool it waits its turn: many submissions that go ahead would press on all services.
 func (p *planning) goesAhead(r *Request) bool {
-	return r.Idle && p.waited(r) >= idlePatience && !p.started[r.Submission]
+	return r.Idle && p.waited(r) >= idlePatience && !p.started[r.Submission] && p.usage[r.Pool] < busyPool
 }
 
 // riskOf returns the predicted busy share of an endless task up to which a filling task of r may start beside it.
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -15,9 +15,12 @@
 	// riskRate is how much pressureLimit rises with each second that a task has waited longer than patience, in seconds.
 	riskRate = 0.05
 	patience = 3.0
-	// idlePatience is the wait, in seconds, after which one task of a submission of which nothing runs starts whatever it
-	// presses on. Relief slows it then.
+	// idlePatience is the wait, in seconds, after which one task of a submission of which nothing runs starts even if it
+	// presses on a service. Relief slows it then.
 	idlePatience = 1.5
+	// busyPool is the share of a pool in use from which no submission goes ahead; callers are owed a start while under
+	// half is in use.
+	busyPool = 0.6
 	// riskLimit bounds that rise.
 	riskLimit = 0.85
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
@@ -39,6 +42,8 @@
 	plan Plan
 	// started holds the submissions of which the plan starts a task.
 	started map[string]bool
+	// usage is the share of the processor time of each pool that is taken or expected to be used.
+	usage map[string]float64
 	full    fullness
 }
 
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -120,3 +120,23 @@
 	}
 	return n
 }
+
+// poolUsage returns the share of the processor time of each pool that is taken by tasks or expected to be used, whichever is
+// more.
+func poolUsage(workers []*Worker) map[string]float64 {
+	type sum struct{ taken, capacity float64 }
+	pools := map[string]sum{}
+	for _, w := range workers {
+		if w.Usable {
+			s := pools[w.Pool]
+			s.taken += math.Max(float64(w.used.Cores), w.load)
+			s.capacity += float64(w.Capacity.Cores)
+			pools[w.Pool] = s
+		}
+	}
+	usage := map[string]float64{}
+	for pool, s := range pools {
+		usage[pool] = s.taken / math.Max(1, s.capacity)
+	}
+	return usage
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -173,6 +173,7 @@
 	for _, w := range s.Workers {
 		w.prepare(s.Pressure)
 	}
+	p.usage = poolUsage(s.Workers)
 	order := s.Order
 	if order == nil {
 		order = ByObjective
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -365,3 +365,31 @@
 	is.Equal(p.Starts[0].Task.Submission, "small")
 	is.Equal(len(p.Waiting), 2)
 }
+
+// Guards against submissions that go ahead after a wait and all land on the worker whose service is over its limit: its
+// filling tasks are slowed, so that it looks idle, and each newcomer keeps the service over its limit. Seen on trouble-1 of
+// hanbit-yard with seed 3, where twenty tasks in a row kept one service over its limit for 4 s.
+func TestIdleSubmissionsKeepOffStrainedWorkers(t *testing.T) {
+	is := is.New(t)
+	service := step(4, func(s *pb.Step) { s.Endless, s.TailLimitMs, s.Image = true, 50, "service" })
+	filling := step(4, func(s *pb.Step) { s.Fills, s.Image = true, "filling" })
+	pressure := NewPressure()
+	pressure.estimate("service").slot("filling")
+	pressure.weights["service"].mean[0] = 8
+	make := func(ratios ...float64) Plan {
+		s := &Snapshot{NowUnixMs: 10_000, MaxStarts: 10, Pressure: pressure}
+		for i, ratio := range ratios {
+			w := newWorker(fmt.Sprint("w", i), 16)
+			w.Residents = []Resident{{Task: submission.Ref{Submission: fmt.Sprint("service", i)}, Attempt: 1, Step: service, TailRatio: ratio}}
+			s.Workers = append(s.Workers, w)
+		}
+		idle := request("idle", 2, filling)
+		idle.Idle, idle.ReadyUnixMs = true, 5000
+		s.Requests = []*Request{idle}
+		return Make(s)
+	}
+	is.Equal(placesOf(make(1.2, 0.9)), map[string]int{"w1": 1}) // one goes ahead, where the service is within its limit
+	is.Equal(len(make(1.2, 1.1).Starts), 0)
+	service.Size.Millicores = 12_000
+	is.Equal(len(make(1.2, 0.9).Starts), 0) // three quarters of the pool are taken: it waits its turn
+}
