--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -12,7 +12,8 @@
 const (
 	noObstacle obstacle = iota
 	notUsable
-	noRoom
+	noCores
+	noMemory // nor accelerators
 	wrongLabel
 	tooManyOfStep
 	avoided
@@ -20,10 +21,11 @@
 	busy
 	strained
 	pressed
+	kept
 	obstacles // number of obstacles
 )
 
-var obstacleNames = [obstacles]string{"", "not-usable", "no-room", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service"}
+var obstacleNames = [obstacles]string{"", "not-usable", "no-cores", "no-memory", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service", "kept-for-service"}
 
 // admits returns why no task of r may start on w now.
 func (p *planning) admits(w *Worker, r *Request) obstacle {
@@ -31,14 +33,18 @@
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
 		return notUsable
+	case counted(spec).Cores > w.Capacity.Cores-w.used.Cores:
+		return noCores
 	case !counted(spec).Fits(w.Capacity.Minus(w.used)):
-		return noRoom
+		return noMemory
 	case spec.GetLabel() != "" && !slices.Contains(w.Labels, spec.GetLabel()):
 		return wrongLabel
 	case spec.GetMaxPerWorker() > 0 && w.perStep[r.key()] >= int(spec.GetMaxPerWorker()):
 		return tooManyOfStep
 	case r.Advised && !r.Allowed[w.Life.ID]:
 		return notAllowed
+	case !spec.GetFills() && w.keptFor != "" && w.keptFor != r.Submission:
+		return kept
 	case !spec.GetFills():
 		return noObstacle
 	case w.load+expectedLoad(spec) > fillLimit*float64(w.Capacity.Cores):
--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -44,7 +44,9 @@
 	started map[string]bool
 	// usage is the share of the processor time of each pool that is taken or expected to be used.
 	usage map[string]float64
-	full    fullness
+	full  fullness
+	// kept is the number of workers on which cores are kept free.
+	kept int
 }
 
 // place proposes starts for the waiting tasks of a request, all or none of a gang.
@@ -54,8 +56,7 @@
 		return
 	}
 	if why, ok := p.full.covers(p, r); ok {
-		p.waits(r, r.Waiting[0], why)
-		p.makeRoom(r, r.Waiting[0])
+		p.noPlace(r, r.Waiting[0], why)
 		return
 	}
 	ahead := p.goesAhead(r)
@@ -66,8 +67,7 @@
 		}
 		if !p.placeTask(r, t, found) {
 			p.full.note(p, r, t, found)
-			p.waits(r, t, describe(found.obstacles))
-			p.makeRoom(r, t)
+			p.noPlace(r, t, describe(found.obstacles))
 			return
 		}
 		if ahead {
@@ -77,6 +77,13 @@
 	}
 }
 
+// noPlace deals with a task that found no place.
+func (p *planning) noPlace(r *Request, t WaitingTask, why string) {
+	p.waits(r, t, why)
+	p.keepRoom(r)
+	p.makeRoom(r, t)
+}
+
 func (p *planning) waits(r *Request, t WaitingTask, why string) {
 	p.plan.Waiting = append(p.plan.Waiting, Wait{Task: r.ref(t), Priority: r.Priority, Tasks: len(r.Waiting), Obstacles: why})
 }
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -28,7 +28,7 @@
 	var victims []int
 	lowest := 0.0
 	for _, w := range p.Workers {
-		if p.admits(w, r) != noRoom || slices.Contains(t.AvoidWorkers, w.Life.ID) {
+		if o := p.admits(w, r); o != noCores && o != noMemory || slices.Contains(t.AvoidWorkers, w.Life.ID) {
 			continue
 		}
 		chosen, cost := w.victims(r)
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -22,7 +22,7 @@
 
 // prepare sums up what is on the worker.
 func (w *Worker) prepare(pressure *Pressure) {
-	w.used, w.load, w.pressure = resources.Vector{}, 0, pressure
+	w.used, w.load, w.pressure, w.keptFor = resources.Vector{}, 0, pressure, ""
 	w.services, w.fill, w.perStep = w.services[:0], Fill{}, map[stepKey]int{}
 	for i := range w.Residents {
 		w.add(&w.Residents[i])
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -57,6 +57,8 @@
 	fill     Fill      // share of processor time by image
 	perStep  map[stepKey]int
 	pressure *Pressure
+	// keptFor is the submission of an overdue endless task for which cores are kept free; empty if there is none.
+	keptFor string
 }
 
 type stepKey struct {
@@ -194,8 +196,10 @@
 
 // Standings of a request, best first.
 const (
+	// overdueService requests are of endless tasks that have waited for long: their callers get no answers.
+	overdueService = iota
 	// onTime requests can still meet their objective.
-	onTime = iota
+	onTime
 	// standingService requests are of endless tasks, which earn as long as they are at work.
 	standingService
 	// late requests still earn something.
@@ -206,11 +210,21 @@
 // chainMargin multiplies the expected time of the steps left: estimates are rough, and a loaded pool is slower.
 const chainMargin = 1.25
 
+// overdueAfterMs is how long an endless task may wait while finite work goes first. The platform counts one that does not
+// run for 6 s as lost.
+const overdueAfterMs = 3500
+
+func (r *Request) overdue(nowMs int64) bool {
+	return r.Spec.GetEndless() && nowMs-r.ReadyUnixMs >= overdueAfterMs
+}
+
 // standing groups requests of one priority by what they can still earn. Finite work goes before endless work: it earns
 // several times as much for each core-second, and is over soon.
 func (r *Request) standing(nowMs int64) int {
 	done := nowMs + int64(chainMargin*float64(r.ChainMs))
 	switch {
+	case r.overdue(nowMs):
+		return overdueService
 	case r.Spec.GetEndless():
 		return standingService
 	case done <= r.ObjectiveUnixMs:
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -393,3 +394,42 @@
 	service.Size.Millicores = 12_000
 	is.Equal(len(make(1.2, 0.9).Starts), 0) // three quarters of the pool are taken: it waits its turn
 }
+
+// Guards against lasting tasks that wait for ever in a pool full of short ones: what one of those frees is too small and goes
+// to the next one. Seen on trouble-1 of szikes-prod-grown, where a watch did not run for 17 s (LOST). The load is 8 workers
+// of 16 cores with tasks of 5 cores that end after 0.6 s each, more of them than fit, and one lasting task of 12 cores.
+func TestLastingTaskGetsRoomAmongShortOnes(t *testing.T) {
+	short, lasting := step(5, func(s *pb.Step) { s.EstimateMs = 600 }), step(12, func(s *pb.Step) { s.Endless = true })
+	var workers []*Worker
+	for i := range 8 {
+		workers = append(workers, newWorker(fmt.Sprint("w", i), 16))
+	}
+	ends := map[submission.Ref]int64{}
+	rng := rand.New(rand.NewPCG(20261204, 3))
+	for now := int64(0); now < 6000; now += 20 {
+		for _, w := range workers {
+			w.Residents = slices.DeleteFunc(w.Residents, func(r Resident) bool { return ends[r.Task] <= now })
+		}
+		s := &Snapshot{NowUnixMs: now, Workers: workers, MaxStarts: 100, Pressure: NewPressure()}
+		watch := request("watch", 1, lasting)
+		watch.ReadyUnixMs = 1000
+		for i := range 8 {
+			check := request(fmt.Sprint("check", now, i), 1, short)
+			check.ObjectiveUnixMs, check.WorthlessUnixMs, check.ReadyUnixMs = now+2000, now+6000, now
+			s.Requests = append(s.Requests, check)
+		}
+		if now >= 1000 {
+			s.Requests = append(s.Requests, watch)
+		}
+		for _, start := range Make(s).Starts {
+			ends[start.Task] = now + 400 + rng.Int64N(400)
+			if start.Task.Submission == "watch" {
+				if now > 5000 {
+					t.Fatalf("the lasting task started after %d ms", now-1000)
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("the lasting task never started")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -218,8 +218,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.waiting, id)
-	if a := r.agents[to]; a != nil && a.heardAt < sent {
-		a.suspectUntil = r.cfg.Clock() + suspectFor
+	a, now := r.agents[to], r.cfg.Clock()
+	if a == nil || a.heardAt >= sent {
+		return
+	}
+	known := now < a.suspectUntil
+	a.suspectUntil = now + suspectFor
+	if !known {
 		r.cfg.Logger.Warn().Str("event", "agent-silent").Str("vm", to).Str("worker", t.Life.ID).Msg("other VMs make its calls for a while")
 	}
 }
