--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/dispatch"
 	"github.com/lentilyard/lentilyard/internal/fleet"
@@ -80,10 +81,11 @@
 	transport.Handle(relay.Channel, c.relay.Handle)
 	bounds := c.settings.GetBounds()
 	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: c.relay, Logger: c.log,
-		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Bounds: dispatch.Bounds{
+		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Handover: c.handOver, Bounds: dispatch.Bounds{
 			LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
 			Harm: bounds.GetHarm().AsDuration(), Pace: bounds.GetPace().AsDuration(),
 		}})
+	transport.Handle(learntChannel, c.learnt)
 	c.handleCalls()
 	return c, nil
 }
@@ -243,6 +245,31 @@
 	}
 }
 
+// learntChannel carries what the leader has learnt to the other control VMs.
+const learntChannel = "learnt"
+
+func (c *Control) handOver(model *pb.PressureModel) {
+	payload, err := proto.Marshal(model)
+	if err != nil {
+		c.log.Error().Str("event", "encode-failed").Str("channel", learntChannel).Err(err).Msg("the next leader learns again")
+		return
+	}
+	for _, vm := range c.members() {
+		if vm != c.settings.GetId() {
+			c.transport.Send(vm, learntChannel, payload)
+		}
+	}
+}
+
+func (c *Control) learnt(from string, payload []byte) {
+	model := &pb.PressureModel{}
+	if err := proto.Unmarshal(payload, model); err != nil {
+		c.log.Warn().Str("event", "malformed-message").Str("channel", learntChannel).Str("from", from).Err(err).Msg("")
+		return
+	}
+	c.leader.Learnt(model)
+}
+
 // members returns the ids of the VMs in the group.
 func (c *Control) members() []string {
 	status := c.group.Status()
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -34,6 +34,8 @@
 	// Adviser and Platform are nil where the deployment has none.
 	Adviser  Adviser
 	Platform Platform
+	// Handover passes what the leader has learnt to the other control VMs, which call Learnt; nil if there are none.
+	Handover func(*pb.PressureModel)
 	// Holder names this VM in orders to the platform.
 	Holder string
 	// Clock counts suspensions of the VM. Default boottime.Now.
@@ -68,6 +70,8 @@
 	callTimeout = 900 * time.Millisecond
 	// commitTimeout bounds the wait for a commit; a leader without a quorum steps down sooner.
 	commitTimeout = 5 * time.Second
+	// handoverInterval is the time between two copies of what the leader has learnt.
+	handoverInterval = 2 * time.Second
 	// tidyInterval is the time between two searches for records of what has ended.
 	tidyInterval = 5 * time.Second
 	// callWorkers bounds the calls in progress.
@@ -86,8 +90,9 @@
 	done   chan struct{}
 	stop   context.CancelFunc
 
-	mu   sync.Mutex // guards term and leading for readers outside the loop
-	term uint64     // 0 while this VM does not lead
+	mu     sync.Mutex // guards term for readers outside the loop, and learnt
+	term   uint64     // 0 while this VM does not lead
+	learnt *pb.PressureModel
 
 	ctx      context.Context // of the current term
 	cancel   context.CancelFunc
@@ -100,6 +105,8 @@
 	dirty    bool
 	planAt   time.Duration // not before this is the next plan made
 	tidyAt   time.Duration
+	// handedAt is when what was learnt was last handed to the other control VMs.
+	handedAt time.Duration
 	// crowdedAt is when a task was last displaced for urgent work.
 	crowdedAt time.Duration
 	avoid     map[submission.Ref]*avoidance
@@ -147,6 +154,13 @@
 // Lead begins to lead in a term. The state must contain everything committed before the term.
 func (l *Leader) Lead(term uint64) { l.post(func() { l.begin(term) }) }
 
+// Learnt takes what the present leader has learnt. This VM starts from it when it leads next.
+func (l *Leader) Learnt(model *pb.PressureModel) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learnt = model
+}
+
 // Resign ends the work of the leader, whatever the term.
 func (l *Leader) Resign() { l.post(l.end) }
 
@@ -221,6 +235,7 @@
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.since = l.cfg.Clock()
 	l.setTerm(term)
+	l.takeLearnt()
 	l.dirty = true
 	l.log.Info().Str("event", "leading").Uint64("term", term).Msg("this VM leads and calls the workers")
 	l.cfg.State.View(func(s *submission.State) {
@@ -245,6 +260,28 @@
 	l.setTerm(0)
 }
 
+// takeLearnt starts from what the former leader has learnt.
+func (l *Leader) takeLearnt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.learnt != nil {
+		l.pressure.Import(l.learnt)
+		l.log.Info().Str("event", "learnt").Int("pairs", len(l.learnt.GetPairs())).Msg("continues with the pressure that the former leader has learnt")
+	}
+}
+
+// handOver sends what this leader has learnt to the other control VMs, and keeps it for its own next term.
+func (l *Leader) handOver(now time.Duration) {
+	if l.cfg.Handover == nil || now-l.handedAt < handoverInterval {
+		return
+	}
+	l.handedAt = now
+	if model := l.pressure.Export(); len(model.GetPairs()) > 0 {
+		l.cfg.Handover(model)
+		l.Learnt(model)
+	}
+}
+
 func (l *Leader) setTerm(term uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -344,6 +381,7 @@
 		l.repeatCalls(ref, r, now)
 	}
 	l.advanceWaves(now)
+	l.handOver(now)
 	if now >= l.tidyAt {
 		l.tidyAt = now + tidyInterval
 		l.forgetAdvice()
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -433,3 +433,22 @@
 	}
 	t.Fatal("the lasting task never started")
 }
+
+// Guards against a new leader that learns for seconds again which images press on which, while services are over their limits.
+func TestHandedOverPressure(t *testing.T) {
+	is := is.New(t)
+	old := NewPressure()
+	fill := Fill{"heavy": 0.2}
+	for i := range 40 {
+		ref := submission.Ref{Submission: fmt.Sprint("s", i%4)}
+		old.Observe(Serving{Task: ref, Image: "service", Ratio: idleTail / (1 - 0.45*(1+5*fill["heavy"]*float64(i%2)))}, Fill{"heavy": 0.2 * float64(i%2)})
+	}
+	learnt := old.Weight("service", "heavy")
+	is.True(learnt > 2)
+	next := NewPressure()
+	next.Import(old.Export())
+	is.Equal(next.Weight("service", "heavy"), learnt)
+	is.Equal(next.Export().String(), old.Export().String())
+	next.Import(&pb.PressureModel{Pairs: []*pb.PressurePair{{Service: "service", Filling: "heavy", Weight: 0}}}) // says nothing
+	is.Equal(next.Weight("service", "heavy"), learnt)
+}
