--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -125,7 +125,8 @@
 // ErrBusy means that the platform cannot carry out an order now, for instance because the VM is not up.
 var ErrBusy = errors.New("the platform cannot carry out the order now; try again later")
 
-// Errors of a Caller. All but ErrNoAnswer mean that the call had no effect, apart from the lease that a start renews.
+// Errors of a Caller. All but ErrNoAnswer and ErrUnwell mean that the call had no effect, apart from the lease that a start
+// renews.
 var (
 	ErrNoAnswer = errors.New("the worker did not answer; the call may have been or may yet be carried out")
 	// ErrFenced means that a newer leader has called the worker.
@@ -136,7 +137,7 @@
 	ErrLeaseOver = errors.New("the lease in the call is over on the worker's clock; read the clock and try again")
 	ErrNoRoom    = errors.New("the worker has no room for the task; place it elsewhere")
 	ErrNoTicket  = errors.New("the policy service's ticket is missing or has run out; ask for a new one")
-	// ErrUnwell means that the worker refuses work because it is not well.
+	// ErrUnwell means that the worker says it refuses work because it is not well. It may have carried out the call.
 	ErrUnwell = errors.New("the worker is not well; place the task elsewhere")
 	// ErrOtherLife means that the worker at the address is another life.
 	ErrOtherLife = errors.New("the address belongs to another life of a worker")
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -50,6 +50,7 @@
 	stuck    bool                      // tasks make no progress
 	failing  bool                      // every task fails at once
 	noRoom   bool
+	shedding bool // starts are carried out and answered as refused
 	starts   int
 	refusals int
 	throttle map[submission.Ref]int
@@ -150,6 +151,9 @@
 	}
 	err = w.begin(f, c)
 	silent := f.silent
+	if f.shedding && err == nil {
+		err = ErrUnwell
+	}
 	w.mu.Unlock()
 	if silent {
 		return 0, w.wait(ctx, ErrNoAnswer)
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -56,6 +56,17 @@
 	})
 }
 
+// Guards against a task that runs twice because a worker carried a start out and answered that it is not well. Seen on
+// deploy/days/flap.toml at hanbit-yard-grown with seeds 2 and 3 (TWICE).
+func TestRefusalOfAnUnwellWorkerIsNotTrusted(t *testing.T) {
+	play(t, time.Second, []string{"a", "b"}, func(is *is.I, r *rig) {
+		r.workers.change(func() { r.workers.byID["a"].shedding = true })
+		r.submit("s", 4, nil)
+		time.Sleep(5 * time.Second)
+		is.Equal(r.describe("s"), "done")
+	})
+}
+
 // Guards against tasks of a worker that is cut off and runs on: they may start elsewhere only when its lease is over.
 func TestCutOffWorkerLosesItsTasksAfterTheLease(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/dispatch/relief.go
+++ b/internal/dispatch/relief.go
@@ -99,19 +99,18 @@
 	return fullSpeed
 }
 
-// unknownShare stands for the share of a task that a former leader may have slowed.
+// unknownShare stands for the share of a task that a call without a clear answer, or a former leader, may have slowed.
 const unknownShare = 50
 
 func (l *Leader) throttle(s *session, share steps.Share) {
 	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
 		Uint32("attempt", share.Attempt).Str("worker", s.life.ID).Int("percent", share.Percent).Str("image", share.Image).Str("serving", share.Serving).Bool("move", share.Move).Msg("")
 	throttlesTotal.Inc()
-	before := s.shareOf(share.Task)
 	s.shares[share.Task] = share.Percent
 	c := ThrottleCall{Target: l.target(s), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error) {
 		if err != nil {
-			s.shares[share.Task] = before
+			s.shares[share.Task] = unknownShare // it may have been carried out
 			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.life.ID).Err(err).Msg("")
 		}
 	})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -39,7 +39,7 @@
 	phase   runPhase
 	// calling is true while a start or stop is in progress.
 	calling bool
-	// unanswered is true if a start had no answer, so that it may be carried out late.
+	// unanswered is true if a start had no answer to rely on, so that it may have been or may yet be carried out.
 	unanswered bool
 	orderedAt  time.Duration
 	calledAt   time.Duration
@@ -128,8 +128,9 @@
 	}
 	event.Str("decision", "start-answered").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
 		Uint32("attempt", r.attempt).Str("worker", s.life.ID).Uint64("term", l.term).Msg("")
+	// A worker that is not well may have carried out what it refuses.
+	r.unanswered = r.unanswered || errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrUnwell)
 	if r.phase == stopping {
-		r.unanswered = r.unanswered || errors.Is(err, ErrNoAnswer)
 		if refused := err != nil && !errors.Is(err, ErrNoAnswer) && !errors.Is(err, ErrFenced); refused && !r.unanswered {
 			l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
 			return
@@ -140,13 +141,11 @@
 	switch {
 	case err == nil:
 		r.phase, r.answeredAt = confirmedRun, l.cfg.Clock()
-	case errors.Is(err, ErrNoAnswer):
-		r.unanswered = true
 	case errors.Is(err, ErrFenced):
 		l.end()
 	case errors.Is(err, ErrOtherLife):
 		l.otherLife(s, "start")
-	case errors.Is(err, ErrLeaseOver):
+	case errors.Is(err, ErrNoAnswer), errors.Is(err, ErrLeaseOver):
 		// Repeated with a fresh reading of the clock.
 	default:
 		l.noteRefusal(s.life.ID, err)
