--- a/internal/placement/steps/choose.go
+++ b/internal/placement/steps/choose.go
@@ -1,8 +1,6 @@
 package steps
 
-import (
-	"slices"
-)
+import "slices"
 
 const (
 	// fillLimit is the share of a worker's processor time up to which filling tasks are added.
@@ -15,14 +13,14 @@
 	// riskRate is how much pressureLimit rises with each second that a task has waited longer than patience, in seconds.
 	riskRate = 0.05
 	patience = 3.0
+	// riskLimit bounds that rise.
+	riskLimit = 0.85
 	// idlePatience is the wait, in seconds, after which one task of a submission of which nothing runs starts even if it
 	// presses on a service. Relief slows it then.
 	idlePatience = 1.5
 	// busyPool is the share of a pool in use from which no submission goes ahead; callers are owed a start while under
 	// half is in use.
 	busyPool = 0.6
-	// riskLimit bounds that rise.
-	riskLimit = 0.85
 	// strainLimit is the reading of a tail above which a worker gets no filling task that presses on it.
 	strainLimit = 0.85
 	// harmlessWeight is the weight of a pair that does not matter: a tenth of the worker adds less than its own load swings.
