--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,171 @@
+// Command soak runs the real programs as processes on this machine, with emulated workers, callers and an operator, harms
+// them from outside and checks what the system promises.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/alitto/pond/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/emulator"
+)
+
+// errBroken is returned after a run that broke a promise.
+var errBroken = errors.New("promises were broken; see the lines above and the logs of the run")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app := kingpin.New("soak", "Harms a running deployment and checks what it promises.")
+	app.HelpFlag.Short('h')
+	c := &commands{ctx: ctx}
+	app.Flag("binary", "Program under test.").Default("target/lentilyard").StringVar(&c.binary)
+	app.Flag("folder", "Folder for settings, state and logs.").Default(filepath.Join(os.TempDir(), "lentilyard-soak")).StringVar(&c.folder)
+	app.Flag("controls", "Control VMs.").Default("3").IntVar(&c.size.Controls)
+	app.Flag("intakes", "Intake VMs.").Default("2").IntVar(&c.size.Intakes)
+	app.Flag("workers", "Workers.").Default("9").IntVar(&c.size.Workers)
+	app.Flag("width", "Factor on the tasks of each step.").Default("1").IntVar(&c.size.Width)
+	app.Flag("report-interval", "Time between two reports of a worker.").Default("400ms").DurationVar(&c.reportInterval)
+	app.Flag("rate", "Submissions a second.").Default("12").Float64Var(&c.rate)
+	app.Flag("length", "Time for which faults come.").Default("20s").DurationVar(&c.length)
+	app.Flag("slot", "Second number of the loopback addresses of the first run; runs at the same time need different ones.").Default("20").IntVar(&c.slot)
+	seeds := app.Command("seeds", "Run seeds with faults, a line for each.").Action(c.seeds)
+	seeds.Flag("from", "First seed; 0 draws one from the time.").Default("1").Uint64Var(&c.from)
+	seeds.Flag("count", "Number of seeds.").Default("1").IntVar(&c.count)
+	seeds.Flag("parallel", "Runs at the same time.").Default(fmt.Sprint(max(1, runtime.NumCPU()/3))).IntVar(&c.parallel)
+	seeds.Flag("sabotage", "Break a promise on purpose, to see that it is noticed.").StringVar((*string)(&c.sabotage))
+	experiment := app.Command("experiment", "Run one load and write a report with plots.").Action(c.experiment)
+	experiment.Flag("seed", "Seed of load and faults.").Default("1").Uint64Var(&c.from)
+	experiment.Flag("direct", "Leave out the proxies in front of workers, for thousands of them without faults.").BoolVar(&c.direct)
+	experiment.Flag("faults", "Let faults come.").BoolVar(&c.faults)
+	experiment.Flag("report", "File of the report.").Default("report.html").StringVar(&c.report)
+	plan := app.Command("plan", "Print the faults of a seed.").Action(c.plan)
+	plan.Flag("seed", "Seed.").Default("1").Uint64Var(&c.from)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// commands holds the flags of all commands.
+type commands struct {
+	ctx             context.Context
+	binary, folder  string
+	size            emulator.Size
+	rate            float64
+	reportInterval  time.Duration
+	length          time.Duration
+	from            uint64
+	count, parallel int
+	sabotage        emulator.Sabotage
+	faults, direct  bool
+	slot            int
+	report          string
+}
+
+// run returns the run of a seed. slot separates runs that go on at the same time.
+func (c *commands) run(seed uint64, slot int) (*emulator.Run, error) {
+	folder := filepath.Join(c.folder, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(folder); err != nil {
+		return nil, fmt.Errorf("clear the folder of an earlier run: %w", err)
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("folder of the run: %w", err)
+	}
+	log, err := os.Create(filepath.Join(folder, "soak.log"))
+	if err != nil {
+		return nil, fmt.Errorf("log of the run: %w", err)
+	}
+	return &emulator.Run{Seed: seed, Length: c.length, Log: zerolog.New(log).With().Timestamp().Logger(),
+		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, Sabotage: c.sabotage}}, nil
+}
+
+func (c *commands) seeds(*kingpin.ParseContext) error {
+	if c.from == 0 {
+		c.from = uint64(time.Now().Unix())
+	}
+	slots := make(chan int, c.parallel)
+	for i := range c.parallel {
+		slots <- c.slot + i
+	}
+	pool := pond.NewResultPool[error](c.parallel)
+	group := pool.NewGroup()
+	for i := range c.count {
+		group.Submit(func() error {
+			slot := <-slots
+			defer func() { slots <- slot }()
+			return c.one(c.from+uint64(i), slot)
+		})
+	}
+	results, err := group.Wait()
+	return errors.Join(append(results, err)...)
+}
+
+// one plays a seed and prints its line and the promises that it broke.
+func (c *commands) one(seed uint64, slot int) error {
+	run, err := c.run(seed, slot)
+	if err != nil {
+		return err
+	}
+	result, err := run.Do(c.ctx)
+	if err != nil {
+		fmt.Printf("seed=%d error=%q\n", seed, err)
+		return fmt.Errorf("seed %d: %w", seed, err)
+	}
+	s := result.Stats
+	fmt.Printf("seed=%d broken=%d faults=%d submitted=%d accepted=%d refused=%d done=%d cancelled=%d starts=%d finished=%d failed=%d stopped=%d lost=%d configs=%d ready=%.1fs finished_after=%.1fs\n",
+		seed, len(result.Violations), len(result.Faults), s.Submitted, s.Accepted, s.Refused, s.Done, s.Cancelled, s.Starts, s.Finished, s.Failed, s.Stopped, s.Lost,
+		s.Configs, result.Ready.Seconds(), result.Finished.Seconds())
+	for _, v := range result.Violations {
+		fmt.Printf("seed=%d %v\n", seed, v)
+	}
+	if len(result.Violations) > 0 {
+		return fmt.Errorf("seed %d: %w", seed, errBroken)
+	}
+	return nil
+}
+
+func (c *commands) experiment(*kingpin.ParseContext) error {
+	run, err := c.run(c.from, c.slot)
+	if err != nil {
+		return err
+	}
+	if !c.faults {
+		run.Faults = []emulator.Fault{}
+	}
+	result, err := run.Do(c.ctx)
+	if err != nil {
+		return err
+	}
+	file, err := os.Create(c.report)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer file.Close()
+	if err := emulator.WriteReport(file, run.Options, result); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	fmt.Printf("%s: %d promises broken, median until the first start %v, 99%% %v\n", c.report, len(result.Violations),
+		emulator.Quantile(result.Series.Start, 0.5), emulator.Quantile(result.Series.Start, 0.99))
+	if len(result.Violations) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func (c *commands) plan(*kingpin.ParseContext) error {
+	for _, f := range emulator.Plan(c.from, c.size, c.length) {
+		fmt.Println(f)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/soak_test.go
@@ -0,0 +1,146 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// binary is the program under test, built once.
+var binary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "lentilyard-emulator-")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(folder, "lentilyard")
+	out, err := exec.Command("go", "build", "-o", file, "github.com/lentilyard/lentilyard/cmd/lentilyard").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return file, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if file, err := binary(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(file))
+	}
+	os.Exit(code)
+}
+
+// atOnce bounds the deployments that run at the same time.
+var atOnce = make(chan struct{}, 3)
+
+// play plays a run in a small deployment. Each slot must be used once.
+func play(t *testing.T, slot int, r Run) *Result {
+	t.Helper()
+	atOnce <- struct{}{}
+	defer func() { <-atOnce }()
+	file, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Options.Binary, r.Folder, r.Slot = file, t.TempDir(), slot
+	r.Size, r.Rate, r.Log = Size{Controls: 3, Intakes: 2, Workers: 9}, 15, zerolog.Nop()
+	result, err := r.Do(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// regressions are seeds that once failed, with the cause.
+var regressions = []struct {
+	seed   uint64
+	length time.Duration
+	cause  string
+}{}
+
+// Guards against each broken promise that faults of a short plan can bring about.
+func TestSoak(t *testing.T) {
+	seeds := map[uint64]time.Duration{1: 8 * time.Second, 2: 8 * time.Second, 3: 8 * time.Second, 4: 8 * time.Second}
+	for _, r := range regressions {
+		seeds[r.seed] = r.length
+	}
+	for seed, length := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			result := play(t, 100+int(seed)%100, Run{Seed: seed, Length: length})
+			for _, v := range result.Violations {
+				t.Error(v)
+			}
+			t.Logf("%+v", result.Stats)
+		})
+	}
+}
+
+// Guards against a checker that would not notice a broken promise: each is broken once on purpose.
+func TestSabotageIsNoticed(t *testing.T) {
+	for i, c := range []struct {
+		sabotage Sabotage
+		promise  Promise
+	}{
+		{SabotageOnce, PromiseOnce}, {SabotageOrder, PromiseOrder}, {SabotageState, PromiseState}, {SabotageBudget, PromiseBudget},
+		{SabotageAsked, PromiseAsked}, {SabotagePlace, PromisePlace}, {SabotageRefused, PromiseRefused}, {SabotageCancelled, PromiseCancelled},
+		{SabotageKept, PromiseKept}, {SabotageConfig, PromiseConfig}, {SabotageAnswered, PromiseAnswered}, {SabotageRuns, PromiseRuns},
+		{SabotageReady, PromiseReady},
+	} {
+		t.Run(string(c.sabotage), func(t *testing.T) {
+			t.Parallel()
+			result := play(t, 60+i, Run{Seed: 1, Length: 5 * time.Second, Faults: []Fault{}, FinishBound: 3 * time.Second, Options: Options{Sabotage: c.sabotage}})
+			found := map[Promise]bool{}
+			for _, v := range result.Violations {
+				found[v.Promise] = true
+			}
+			if !found[c.promise] {
+				t.Errorf("sabotage %q broke %v, not %s", c.sabotage, found, c.promise)
+			}
+		})
+	}
+}
+
+// Guards against violations that are noted in a deployment without faults.
+func TestCalmRunBreaksNothing(t *testing.T) {
+	t.Parallel()
+	result := play(t, 90, Run{Seed: 1, Length: 4 * time.Second, Faults: []Fault{}})
+	for _, v := range result.Violations {
+		t.Error(v)
+	}
+	is := is.New(t)
+	is.True(result.Stats.Done > 0)
+	is.Equal(result.Stats.Lost, 0)
+	var page strings.Builder
+	is.NoErr(WriteReport(&page, Options{}, result))
+	is.True(strings.Count(page.String(), "<svg") == 2)
+}
+
+// Guards against a plan that changes from run to run, that wipes more disks than the settings allow, or that leaves a
+// kind of fault out.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	size := Size{Controls: 3, Intakes: 2, Workers: 9}
+	seen := map[FaultKind]bool{}
+	for seed := range uint64(60) {
+		plan := Plan(seed, size, 20*time.Second)
+		is.Equal(plan, Plan(seed, size, 20*time.Second))
+		wipes := 0
+		for i, f := range plan {
+			seen[f.Kind] = true
+			if f.Kind == FaultWipe {
+				wipes++
+			}
+			is.True(i == 0 || plan[i-1].At <= f.At)
+		}
+		is.True(wipes <= 1)
+	}
+	is.Equal(len(seen), len(kindWeights))
+}
