--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -111,6 +111,7 @@
 	crowdedAt time.Duration
 	avoid     map[submission.Ref]*avoidance
 	unsure    map[submission.Ref]*unsureRun
+	views     map[string]*steps.Worker // of the last plan, by worker
 	quality   map[string]*quality
 	pressure  *steps.Pressure
 	waits     map[stepOf]*waitRecord
@@ -188,7 +189,7 @@
 	l.advice, l.waves = map[stepOf]*advised{}, waveWork{down: map[string]submission.Life{}}
 	l.pressure, l.waits = steps.NewPressure(), map[stepOf]*waitRecord{}
 	l.avoid, l.quality = map[submission.Ref]*avoidance{}, map[string]*quality{}
-	l.unsure = map[submission.Ref]*unsureRun{}
+	l.unsure, l.views = map[submission.Ref]*unsureRun{}, map[string]*steps.Worker{}
 	l.queue, l.after, l.inFlight, l.dirty = nil, nil, false, false
 }
 
@@ -416,6 +417,11 @@
 				delete(l.avoid, ref)
 			}
 		}
+		for id := range l.views {
+			if state.Workers()[id] == nil {
+				delete(l.views, id)
+			}
+		}
 		for ref, r := range l.runs {
 			if w := state.Workers()[r.on.ID]; w == nil || w.Life() != r.on || w.GetGone() {
 				delete(l.runs, ref)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -159,10 +159,16 @@
 	}
 }
 
-// viewWorker returns the planner's view of a worker.
+// viewWorker returns the planner's view of a worker. It lasts until the next plan, which takes its memory: views of
+// thousands of workers several times a second would keep the garbage collector busy.
 func (l *Leader) viewWorker(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
-	view := &steps.Worker{Life: w.Life(), Pool: w.GetPool(), Rack: w.GetRack(), Labels: w.GetLabels(),
-		Capacity: resources.FromProto(w.GetCapacity()), Penalty: l.penalty(w.GetId(), now)}
+	view := l.views[w.GetId()]
+	if view == nil {
+		view = &steps.Worker{}
+		l.views[w.GetId()] = view
+	}
+	view.Life, view.Pool, view.Rack, view.Labels = w.Life(), w.GetPool(), w.GetRack(), w.GetLabels()
+	view.Capacity, view.Penalty, view.Residents = resources.FromProto(w.GetCapacity()), l.penalty(w.GetId(), now), view.Residents[:0]
 	s := l.sessions[w.GetId()]
 	view.Usable = w.Usable() && s != nil && s.life == w.Life() && l.usable(s, now) && !l.quarantined(w.GetId(), now) && !l.takesOver(s)
 	for ref, attempt := range w.Attempts {
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -23,7 +23,9 @@
 // prepare sums up what is on the worker.
 func (w *Worker) prepare(pressure *Pressure) {
 	w.used, w.load, w.pressure, w.keptFor = resources.Vector{}, 0, pressure, ""
-	w.services, w.fill, w.perStep = w.services[:0], Fill{}, map[stepKey]int{}
+	w.services = w.services[:0]
+	clear(w.fill)
+	clear(w.perStep)
 	for i := range w.Residents {
 		w.add(&w.Residents[i])
 	}
@@ -53,7 +55,7 @@
 func (w *Worker) add(r *Resident) {
 	w.used = w.used.Plus(counted(r.Step))
 	w.load += r.load()
-	w.perStep[keyOf(r.Task)]++
+	w.count(r, 1)
 	if r.Step.GetTailLimitMs() > 0 {
 		w.addServing(r)
 	}
@@ -66,7 +68,7 @@
 func (w *Worker) remove(r *Resident) {
 	w.used = w.used.Minus(counted(r.Step))
 	w.load -= r.load()
-	w.perStep[keyOf(r.Task)]--
+	w.count(r, -1)
 	if r.Step.GetTailLimitMs() > 0 {
 		w.serviceOf(r.Step.GetImage()).tasks--
 	}
@@ -75,6 +77,17 @@
 	}
 }
 
+// count follows the tasks of steps that limit them.
+func (w *Worker) count(r *Resident, n int) {
+	if r.Step.GetMaxPerWorker() == 0 {
+		return
+	}
+	if w.perStep == nil {
+		w.perStep = map[stepKey]int{}
+	}
+	w.perStep[keyOf(r.Task)] += n
+}
+
 func (w *Worker) addServing(r *Resident) {
 	s := w.serviceOf(r.Step.GetImage())
 	s.tasks++
@@ -99,6 +112,9 @@
 
 func (w *Worker) addFill(step *pb.Step, sign float64) {
 	share := sign * w.share(step)
+	if w.fill == nil {
+		w.fill = Fill{}
+	}
 	w.fill[step.GetImage()] += share
 	for i := range w.services {
 		w.services[i].pressure += w.pressure.pressing(w.services[i].image, step.GetImage()) * share
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -52,10 +52,10 @@
 	Residents []Resident
 
 	used     resources.Vector
-	load     float64   // expected millicores in use
-	services []service // endless tasks with a tail limit
-	fill     Fill      // share of processor time by image
-	perStep  map[stepKey]int
+	load     float64         // expected millicores in use
+	services []service       // endless tasks with a tail limit
+	fill     Fill            // share of processor time by image
+	perStep  map[stepKey]int // of steps that limit their tasks on a worker
 	pressure *Pressure
 	// keptFor is the submission of an overdue endless task for which cores are kept free; empty if there is none.
 	keptFor string
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -452,3 +452,18 @@
 	next.Import(&pb.PressureModel{Pairs: []*pb.PressurePair{{Service: "service", Filling: "heavy", Weight: 0}}}) // says nothing
 	is.Equal(next.Weight("service", "heavy"), learnt)
 }
+
+// Guards against a view of a worker that keeps something of the plan before: its memory is used again.
+func TestViewIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	limited := func() *Request {
+		return request("s", 4, step(1, func(s *pb.Step) { s.MaxPerWorker, s.Fills, s.Image = 2, true, "heavy" }))
+	}
+	used := newWorker("w", 8)
+	r := limited()
+	used.Residents = append(used.Residents, Resident{Task: submission.Ref{Submission: "s", Index: 9}, Attempt: 1, Step: r.Spec})
+	is.Equal(len(plan([]*Worker{used}, r).Starts), 1)
+	used.Residents = used.Residents[:0]
+	is.Equal(plan([]*Worker{used}, limited()), plan([]*Worker{newWorker("w", 8)}, limited()))
+	is.Equal(used.fill, Fill{"heavy": 2 * used.share(r.Spec)})
+}
