--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilyard/lentilyard/internal/netfault"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/platform"
 )
@@ -117,7 +118,7 @@
 	if err := v.writeSettings(seeds); err != nil {
 		return err
 	}
-	front, err := newTCPProxy(fmt.Sprintf("%s:%d", v.id, port), fmt.Sprintf("%s:%d", v.listens, port))
+	front, err := netfault.NewProxy(fmt.Sprintf("%s:%d", v.id, port), fmt.Sprintf("%s:%d", v.listens, port))
 	if err != nil {
 		return err
 	}
@@ -129,25 +130,25 @@
 // connect puts a relay in front of each VM, with a link for each other VM.
 func (d *Deployment) connect() error {
 	for _, v := range d.vms {
-		links := map[netip.Addr]*link{}
+		v.links = map[netip.Addr]*netfault.Link{}
 		for _, other := range d.vms {
 			if other != v {
-				links[netip.MustParseAddr(other.listens)] = newLink()
+				v.links[netip.MustParseAddr(other.listens)] = netfault.NewLink()
 			}
 		}
-		relay, err := newUDPRelay(fmt.Sprintf("%s:%d", v.id, peerPort), fmt.Sprintf("%s:%d", v.listens, peerPort), links)
+		relay, err := netfault.NewRelay(fmt.Sprintf("%s:%d", v.id, peerPort), fmt.Sprintf("%s:%d", v.listens, peerPort), func(from netip.Addr) *netfault.Link { return v.links[from] })
 		if err != nil {
 			return err
 		}
-		v.peerLinks = relay
+		v.relay = relay
 	}
 	return nil
 }
 
 // setPair sets what happens to packets between two VMs: dropped from a to b, from b to a, and delayed.
 func setPair(a, b *vm, cutAB, cutBA bool, delay time.Duration) {
-	b.peerLinks.links[netip.MustParseAddr(a.listens)].set(linkState{cutTo: cutAB, cutFrom: cutBA, delay: delay})
-	a.peerLinks.links[netip.MustParseAddr(b.listens)].set(linkState{cutTo: cutBA, cutFrom: cutAB, delay: delay})
+	b.links[netip.MustParseAddr(a.listens)].Set(netfault.State{CutTo: cutAB, CutFrom: cutBA, Delay: delay})
+	a.links[netip.MustParseAddr(b.listens)].Set(netfault.State{CutTo: cutBA, CutFrom: cutAB, Delay: delay})
 }
 
 func (d *Deployment) controls() []*vm { return d.vms[:d.options.Size.Controls] }
@@ -158,15 +159,15 @@
 	d.cancel()
 	for _, v := range d.vms {
 		v.kill()
-		v.front.close()
-		if v.peerLinks != nil {
-			v.peerLinks.close()
+		v.front.Close()
+		if v.relay != nil {
+			v.relay.Close()
 		}
 	}
 	for _, h := range d.hosts {
 		h.crash()
 		if h.proxy != nil {
-			h.proxy.close()
+			h.proxy.Close()
 		}
 	}
 	d.work.Wait()
@@ -181,8 +182,8 @@
 	guards  bool
 	domain  int
 	listens string
-	address string    // that others know
-	proxy   *tcpProxy // nil if there is none
+	address string          // that others know
+	proxy   *netfault.Proxy // nil if there is none
 	peer    *platform.Peer
 
 	mu     sync.Mutex
@@ -215,11 +216,11 @@
 	}
 	h.address = h.listens
 	if !o.Direct {
-		proxy, err := newTCPProxy(fmt.Sprintf("%s:%d", o.address(blockWorkers, i), workerPort), h.listens)
+		proxy, err := netfault.NewProxy(fmt.Sprintf("%s:%d", o.address(blockWorkers, i), workerPort), h.listens)
 		if err != nil {
 			return err
 		}
-		h.proxy, h.address = proxy, proxy.listener.Addr().String()
+		h.proxy, h.address = proxy, proxy.Addr()
 	}
 	d.hosts = append(d.hosts, h)
 	return h.begin("")
@@ -246,7 +247,7 @@
 	if h.index%3 == 0 {
 		l.slow = slowClock
 	}
-	l.heldUp = func() bool { return h.proxy != nil && h.proxy.harmedSince(time.Now().Add(-settleTime)) }
+	l.heldUp = func() bool { return h.proxy != nil && h.proxy.HarmedSince(time.Now().Add(-settleTime)) }
 	h.life, h.end = l, end
 	h.server = &http.Server{Handler: platform.WorkerHandler(id, l)}
 	h.state = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: l.born.UnixMilli(), Pool: h.pool, Address: h.address,
@@ -336,7 +337,7 @@
 	}
 	for i := range h.d.controls() {
 		v := h.d.controls()[(h.index+i)%len(h.d.controls())]
-		candidates = append(candidates, v.front.listener.Addr().String())
+		candidates = append(candidates, v.front.Addr())
 	}
 	for _, c := range candidates {
 		next, err := h.peer.Report(ctx, c, report)
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/netfault"
 )
 
 // FaultKind names a fault or a planned change.
@@ -252,20 +254,20 @@
 }
 
 // injectLink harms the connections through a proxy.
-func (d *Deployment) injectLink(ctx context.Context, f Fault, p *tcpProxy) {
+func (d *Deployment) injectLink(ctx context.Context, f Fault, p *netfault.Proxy) {
 	switch f.Kind {
 	case FaultResetFront, FaultResetWorker:
-		p.reset()
+		p.Reset()
 		return
 	case FaultSilentFront, FaultSilentWorker:
-		p.set(linkState{cutTo: true, cutFrom: true})
+		p.Set(netfault.State{CutTo: true, CutFrom: true})
 	case FaultMuteWorker:
-		p.set(linkState{cutFrom: true})
+		p.Set(netfault.State{CutFrom: true})
 	default:
-		p.set(linkState{delay: f.delay()})
+		p.Set(netfault.State{Delay: f.delay()})
 	}
 	sleep(ctx, f.For)
-	p.set(linkState{})
+	p.Set(netfault.State{})
 }
 
 func (d *Deployment) injectWorker(ctx context.Context, f Fault, h *host) error {
@@ -298,9 +300,9 @@
 func (d *Deployment) heal() error {
 	for _, v := range d.vms {
 		v.signal(syscall.SIGCONT, false)
-		v.front.set(linkState{})
-		for _, l := range v.peerLinks.links {
-			l.set(linkState{})
+		v.front.Set(netfault.State{})
+		for _, l := range v.links {
+			l.Set(netfault.State{})
 		}
 		v.limitFiles(false)
 		if err := v.start(); err != nil {
@@ -309,7 +311,7 @@
 	}
 	for _, h := range d.hosts {
 		if h.proxy != nil {
-			h.proxy.set(linkState{})
+			h.proxy.Set(netfault.State{})
 		}
 		if err := h.begin(""); err != nil {
 			return err
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -179,7 +179,7 @@
 	defer cancel()
 	sent := time.Now()
 	harmless := v.undisturbed(sent)
-	err := f(ctx, v.front.listener.Addr().String())
+	err := f(ctx, v.front.Addr())
 	var status *platform.ErrStatus
 	if err != nil && !errors.As(err, &status) && ctx.Err() == nil && time.Since(sent) > lossSlack && harmless && v.undisturbed(sent) {
 		c.load.checker.Break(PromiseAnswered, "%s of %s at %s was broken off after %v: %v", what, c.spec.GetId(), v.id, time.Since(sent), err)
@@ -286,7 +286,7 @@
 	for try := 0; ctx.Err() == nil; try++ {
 		callCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 		v := l.d.controls()[(int(version)+try)%len(l.d.controls())]
-		err := l.peer.PutConfig(callCtx, v.front.listener.Addr().String(), config(version))
+		err := l.peer.PutConfig(callCtx, v.front.Addr(), config(version))
 		cancel()
 		var status *platform.ErrStatus
 		switch {
@@ -307,7 +307,7 @@
 	invalid.Queues[0].Pool = "unknown"
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := l.peer.PutConfig(ctx, l.d.controls()[int(version)%len(l.d.controls())].front.listener.Addr().String(), invalid); err == nil {
+	if err := l.peer.PutConfig(ctx, l.d.controls()[int(version)%len(l.d.controls())].front.Addr(), invalid); err == nil {
 		l.checker.ConfigAcked(version, false)
 	}
 }
@@ -317,7 +317,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	acked := l.checker.ConfigAckedNow()
-	c, err := l.peer.GetConfig(ctx, l.d.controls()[control].front.listener.Addr().String())
+	c, err := l.peer.GetConfig(ctx, l.d.controls()[control].front.Addr())
 	if err != nil {
 		return 0
 	}
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/lentilyard/lentilyard/internal/netfault"
 )
 
 // vm is a VM of the system: its settings, its folder and the process that runs there.
@@ -25,9 +28,10 @@
 	settings   string
 	binary     string
 	checker    *Checker
-	front      *tcpProxy // callers or workers and the operator
+	front      *netfault.Proxy // callers or workers and the operator
 	ready      string
-	peerLinks  *udpRelay
+	relay      *netfault.Relay               // packets of the other VMs
+	links      map[netip.Addr]*netfault.Link // by the address from which the other VM sends
 	firstStart bool
 
 	mu       sync.Mutex
@@ -57,7 +61,7 @@
 func (v *vm) undisturbed(t time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.disturbances == 0 && v.disturbedAt.Before(t) && !v.front.harmedSince(t)
+	return v.disturbances == 0 && v.disturbedAt.Before(t) && !v.front.HarmedSince(t)
 }
 
 // process is one process of a VM.
--- a/internal/emulator/link.go
+++ b/internal/netfault/netfault.go
@@ -1,4 +1,6 @@
-package emulator
+// Package netfault passes TCP connections and UDP packets on and harms them: it cuts them one way or both, delays and
+// resets them. The processes at both ends notice what they would notice of such a network.
+package netfault
 
 import (
 	"errors"
@@ -11,28 +13,30 @@
 	"time"
 )
 
-// linkState is what a fault does to a link. The zero value passes everything at once.
-type linkState struct {
-	// cutTo and cutFrom drop what goes to and comes from the listener; the other side notices nothing.
-	cutTo, cutFrom bool
-	delay          time.Duration
+// State is what a fault does to a link. The zero value passes everything at once.
+type State struct {
+	// CutTo and CutFrom drop what goes to and comes from the listener; the other side notices nothing.
+	CutTo, CutFrom bool
+	Delay          time.Duration
 }
 
-// link holds the state that all connections through a proxy share.
-type link struct {
+// Link holds the state that all connections through a proxy, or all packets from one sender, share.
+type Link struct {
 	mu        sync.Mutex
-	state     linkState
+	state     State
 	harmedAt  time.Time // end of the last harm
 	changed   chan struct{}
 	closeOpen func()
 }
 
-func newLink() *link { return &link{changed: make(chan struct{})} }
+// NewLink returns a link that passes everything.
+func NewLink() *Link { return &Link{changed: make(chan struct{})} }
 
-func (l *link) set(s linkState) {
+// Set changes what happens to the link from now on.
+func (l *Link) Set(s State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state != (linkState{}) {
+	if l.state != (State{}) {
 		l.harmedAt = time.Now()
 	}
 	l.state = s
@@ -40,14 +44,14 @@
 	l.changed = make(chan struct{})
 }
 
-func (l *link) now() (linkState, <-chan struct{}) {
+func (l *Link) now() (State, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state, l.changed
 }
 
-// reset breaks all open connections.
-func (l *link) reset() {
+// Reset breaks all open connections of a proxy.
+func (l *Link) Reset() {
 	l.mu.Lock()
 	l.harmedAt = time.Now()
 	closeOpen := l.closeOpen
@@ -55,51 +59,60 @@
 	closeOpen()
 }
 
-// harmedSince reports whether a fault acts on the link, or did after t.
-func (l *link) harmedSince(t time.Time) bool {
+// HarmedSince reports whether a fault acts on the link, or did after t.
+func (l *Link) HarmedSince(t time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state != (linkState{}) || l.harmedAt.After(t)
+	return l.state != (State{}) || l.harmedAt.After(t)
 }
 
 // pass waits until data may go on in the given direction. It returns false when the link drops it.
-func (l *link) pass(to bool) bool {
+func (l *Link) pass(to bool) bool {
 	state, _ := l.now()
-	time.Sleep(state.delay)
-	return !(to && state.cutTo || !to && state.cutFrom)
+	time.Sleep(state.Delay)
+	return !(to && state.CutTo || !to && state.CutFrom)
 }
 
-// tcpProxy passes connections to a target. What a cut link would drop waits until the link is whole, as a sender repeats
+// Proxy passes TCP connections to a target. What a cut link would drop waits until the link is whole, as a sender repeats
 // it, or until the connection ends.
-type tcpProxy struct {
-	*link
+type Proxy struct {
+	*Link
 	listener net.Listener
 	target   string
-	breakOff atomic.Bool // close connections in place of passing answers, for sabotage
+	breakOff atomic.Int64 // see BreakOff
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
 	done chan struct{}
 }
 
-func newTCPProxy(listen, target string) (*tcpProxy, error) {
+// NewProxy listens on an address and passes connections to a target.
+func NewProxy(listen, target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &tcpProxy{link: newLink(), listener: listener, target: target, open: map[net.Conn]struct{}{}, done: make(chan struct{})}
+	p := &Proxy{Link: NewLink(), listener: listener, target: target, open: map[net.Conn]struct{}{}, done: make(chan struct{})}
 	p.closeOpen = p.resetAll
 	go p.accept()
 	return p, nil
 }
 
-func (p *tcpProxy) close() {
+// Addr returns the address on which the proxy listens.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Close ends the proxy and resets its connections.
+func (p *Proxy) Close() {
 	close(p.done)
 	_ = p.listener.Close()
 	p.resetAll()
 }
 
-func (p *tcpProxy) resetAll() {
+// BreakOff makes the proxy close connections after a pause in place of passing an answer, and does not count that as harm;
+// 0 ends it.
+func (p *Proxy) BreakOff(pause time.Duration) { p.breakOff.Store(int64(pause)) }
+
+func (p *Proxy) resetAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.open {
@@ -110,7 +123,7 @@
 	}
 }
 
-func (p *tcpProxy) keep(c net.Conn, open bool) {
+func (p *Proxy) keep(c net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if open {
@@ -120,7 +133,7 @@
 	}
 }
 
-func (p *tcpProxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		front, err := p.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -134,7 +147,7 @@
 	}
 }
 
-func (p *tcpProxy) serve(front net.Conn) {
+func (p *Proxy) serve(front net.Conn) {
 	defer front.Close()
 	p.keep(front, true)
 	defer p.keep(front, false)
@@ -157,7 +170,7 @@
 }
 
 // wait returns once the link passes data in the direction, or false when the proxy ends.
-func (p *tcpProxy) wait(to bool) bool {
+func (p *Proxy) wait(to bool) bool {
 	for {
 		_, changed := p.now()
 		if p.pass(to) {
@@ -171,12 +184,12 @@
 	}
 }
 
-func (p *tcpProxy) copy(to, from net.Conn, forward bool) {
+func (p *Proxy) copy(to, from net.Conn, forward bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if !forward && p.breakOff.Load() {
-			time.Sleep(2 * lossSlack)
+		if pause := p.breakOff.Load(); !forward && pause > 0 {
+			time.Sleep(time.Duration(pause))
 			_ = to.Close()
 			return
 		}
@@ -197,19 +210,20 @@
 	}
 }
 
-// udpRelay stands at the address of a VM and passes the packets of the other VMs, with one link for each of them. A cut
-// link drops packets.
-type udpRelay struct {
+// Relay passes UDP packets to a target. A cut link drops packets.
+type Relay struct {
 	front  *net.UDPConn
 	target *net.UDPAddr
-	links  map[netip.Addr]*link // by the address from which the other VM sends
+	link   func(from netip.Addr) *Link
 
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*net.UDPConn
 	ended bool
 }
 
-func newUDPRelay(listen, target string, links map[netip.Addr]*link) (*udpRelay, error) {
+// NewRelay listens on an address and passes packets to a target. link returns the link of a sender, or nil if nothing
+// harms its packets.
+func NewRelay(listen, target string, link func(from netip.Addr) *Link) (*Relay, error) {
 	to, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
@@ -222,12 +236,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	r := &udpRelay{front: front, target: to, links: links, flows: map[netip.AddrPort]*net.UDPConn{}}
+	r := &Relay{front: front, target: to, link: link, flows: map[netip.AddrPort]*net.UDPConn{}}
 	go r.forward()
 	return r, nil
 }
 
-func (r *udpRelay) close() {
+// Addr returns the address on which the relay listens.
+func (r *Relay) Addr() string { return r.front.LocalAddr().String() }
+
+// Close ends the relay.
+func (r *Relay) Close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended = true
@@ -240,7 +258,7 @@
 // maxPacket is the longest UDP packet.
 const maxPacket = 65536
 
-func (r *udpRelay) forward() {
+func (r *Relay) forward() {
 	buffer := make([]byte, maxPacket)
 	for {
 		n, source, err := r.front.ReadFromUDPAddrPort(buffer)
@@ -250,7 +268,7 @@
 		if err != nil {
 			continue
 		}
-		l := r.links[source.Addr().Unmap()]
+		l := r.link(source.Addr().Unmap())
 		if back := r.flow(source, l); back != nil {
 			send(l, true, buffer[:n], func(packet []byte) { _, _ = back.Write(packet) })
 		}
@@ -258,23 +276,23 @@
 }
 
 // send passes a packet on, later on a slow link, and drops it on a cut one.
-func send(l *link, to bool, packet []byte, write func([]byte)) {
+func send(l *Link, to bool, packet []byte, write func([]byte)) {
 	if l == nil {
 		write(packet)
 		return
 	}
 	state, _ := l.now()
 	switch {
-	case to && state.cutTo || !to && state.cutFrom:
-	case state.delay > 0:
+	case to && state.CutTo || !to && state.CutFrom:
+	case state.Delay > 0:
 		kept := append([]byte(nil), packet...)
-		time.AfterFunc(state.delay, func() { write(kept) })
+		time.AfterFunc(state.Delay, func() { write(kept) })
 	default:
 		write(packet)
 	}
 }
 
-func (r *udpRelay) flow(source netip.AddrPort, l *link) *net.UDPConn {
+func (r *Relay) flow(source netip.AddrPort, l *Link) *net.UDPConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if back := r.flows[source]; back != nil {
@@ -292,7 +310,7 @@
 	return back
 }
 
-func (r *udpRelay) backward(back *net.UDPConn, source netip.AddrPort, l *link) {
+func (r *Relay) backward(back *net.UDPConn, source netip.AddrPort, l *Link) {
 	buffer := make([]byte, maxPacket)
 	for {
 		n, err := back.Read(buffer)
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -67,7 +67,7 @@
 	config []string            // config voters
 	timing string              // YAML of timing
 	extra  []*process
-	relays map[string]*relay // by "from to", empty without relays
+	relays map[string]pairLink // by "from to", empty without relays
 }
 
 // threeDomains has one entry VM with a disk in each of three domains.
@@ -97,7 +97,7 @@
 }
 
 func newDeployment(t testing.TB) *deployment {
-	return &deployment{t: t, folder: t.TempDir(), voters: make(map[string][]string), relays: make(map[string]*relay)}
+	return &deployment{t: t, folder: t.TempDir(), voters: make(map[string][]string), relays: make(map[string]pairLink)}
 }
 
 func (d *deployment) addVM(id, domain string, disk bool) {
--- a/internal/systemtest/relay_test.go
+++ b/internal/systemtest/relay_test.go
@@ -1,21 +1,15 @@
 package systemtest
 
 import (
-	"net"
-	"sync"
-	"sync/atomic"
-)
+	"net/netip"
 
-// relay passes UDP packets from one entry VM to another until it is cut. A cut
-// relay drops packets without any sign to either side.
-type relay struct {
-	front *net.UDPConn
-	to    *net.UDPAddr
-	cut   atomic.Bool
+	"github.com/lentilyard/lentilyard/internal/netfault"
+)
 
-	mu      sync.Mutex
-	flows   map[string]*net.UDPConn // by source address
-	stopped bool
+// pairLink is the relay from one entry VM to another, and what happens to its packets.
+type pairLink struct {
+	*netfault.Relay
+	*netfault.Link
 }
 
 // useRelays puts a relay between each ordered pair of entry VMs. Call it before start.
@@ -23,16 +17,25 @@
 	for _, from := range d.vms {
 		for _, to := range d.vms {
 			if from != to {
-				d.relays[from.id+" "+to.id] = newRelay(d, to.peer)
+				d.relays[from.id+" "+to.id] = d.newRelay(to.peer)
 			}
 		}
 	}
 }
 
+// newRelay returns a relay to an address.
+func (d *deployment) newRelay(target string) pairLink {
+	link := netfault.NewLink()
+	relay, err := netfault.NewRelay("127.0.0.1:0", target, func(netip.Addr) *netfault.Link { return link })
+	d.must(err)
+	d.t.Cleanup(relay.Close)
+	return pairLink{relay, link}
+}
+
 // peerAddress is where from reaches to.
 func (d *deployment) peerAddress(from, to *vm) string {
 	if r, found := d.relays[from.id+" "+to.id]; found {
-		return r.front.LocalAddr().String()
+		return r.Addr()
 	}
 	return to.peer
 }
@@ -42,73 +45,8 @@
 	for _, a := range d.vms {
 		for _, b := range d.vms {
 			if a != b && (a.domain == domain) != (b.domain == domain) {
-				d.relays[a.id+" "+b.id].cut.Store(cut)
+				d.relays[a.id+" "+b.id].Set(netfault.State{CutTo: cut, CutFrom: cut})
 			}
 		}
 	}
 }
-
-func newRelay(d *deployment, target string) *relay {
-	to, err := net.ResolveUDPAddr("udp", target)
-	d.must(err)
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	d.must(err)
-	r := &relay{front: front, to: to, flows: make(map[string]*net.UDPConn)}
-	d.t.Cleanup(r.close)
-	go r.forward()
-	return r
-}
-
-func (r *relay) close() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stopped = true
-	r.front.Close()
-	for _, back := range r.flows {
-		back.Close()
-	}
-}
-
-func (r *relay) forward() {
-	buffer := make([]byte, 65536)
-	for {
-		n, source, err := r.front.ReadFromUDP(buffer)
-		if err != nil {
-			return
-		}
-		if r.cut.Load() {
-			continue
-		}
-		if back := r.flow(source); back != nil {
-			_, _ = back.Write(buffer[:n])
-		}
-	}
-}
-
-func (r *relay) flow(source *net.UDPAddr) *net.UDPConn {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if back, found := r.flows[source.String()]; found {
-		return back
-	}
-	back, err := net.DialUDP("udp", nil, r.to)
-	if err != nil || r.stopped {
-		return nil
-	}
-	r.flows[source.String()] = back
-	go r.backward(back, source)
-	return back
-}
-
-func (r *relay) backward(back *net.UDPConn, source *net.UDPAddr) {
-	buffer := make([]byte, 65536)
-	for {
-		n, err := back.Read(buffer)
-		if err != nil {
-			return
-		}
-		if !r.cut.Load() {
-			_, _ = r.front.WriteToUDP(buffer[:n], source)
-		}
-	}
-}
