--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -389,6 +389,7 @@
 		l.tidyAt = now + tidyInterval
 		l.forgetAdvice()
 		l.forgetTasks()
+		l.forgetUnsure(now)
 		for id := range l.sessions { // a worker that took over the address of another has ended its life
 			l.closeStale(id)
 		}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -276,3 +276,17 @@
 		is.Equal(reborn.starts, 0)
 	})
 }
+
+// Guards against tasks that are kept in memory, and looked through with each plan, because the next life of their worker
+// never came.
+func TestUnsureAttemptsAreForgotten(t *testing.T) {
+	play(t, time.Second, []string{"a"}, func(is *is.I, r *rig) {
+		left := make(chan int, 1)
+		r.leader.post(func() {
+			r.leader.unsure[submission.Ref{Submission: "gone"}] = &unsureRun{former: submission.Life{ID: "x"}, attempt: 1, since: r.leader.cfg.Clock()}
+		})
+		time.Sleep(unsureFor + tidyInterval + time.Second)
+		r.leader.post(func() { left <- len(r.leader.unsure) })
+		is.Equal(<-left, 0)
+	})
+}
--- a/internal/dispatch/unsure.go
+++ b/internal/dispatch/unsure.go
@@ -39,14 +39,26 @@
 // mayStart reports whether no life of a worker can still start an earlier attempt of the task.
 func (l *Leader) mayStart(task submission.Ref, now time.Duration) bool {
 	u := l.unsure[task]
-	if u == nil {
-		return true
-	}
-	if s := l.sessions[u.former.ID]; (s == nil || s.life == u.former) && now-u.since > unsureFor {
+	if u != nil && l.outOfDate(u, now) {
 		delete(l.unsure, task)
 		return true
 	}
-	return false
+	return u == nil
+}
+
+// outOfDate reports whether no new life has come in time.
+func (l *Leader) outOfDate(u *unsureRun, now time.Duration) bool {
+	s := l.sessions[u.former.ID]
+	return (s == nil || s.life == u.former) && now-u.since > unsureFor
+}
+
+// forgetUnsure drops what is out of date, also for tasks that wait no more.
+func (l *Leader) forgetUnsure(now time.Duration) {
+	for ref, u := range l.unsure {
+		if l.outOfDate(u, now) {
+			delete(l.unsure, ref)
+		}
+	}
 }
 
 // takesOver reports whether the life of a session may run attempts of its former life, which would take its room.
