--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -67,13 +68,20 @@
 	return result
 }
 
-// regressions are the faults of seeds that once failed, in a denser form, with the cause.
+// regressions are the faults of seeds that once failed, where it helps in a denser form, with the cause.
 var regressions = []struct {
 	name, cause string
 	seed        uint64
 	faults      []Fault
 }{
 	{"reuse", "a worker that came back under its id carried out a start meant for its former life (once)", 16, reuseOften()},
+	{"stop-without-leader", "an intake VM that was stopped while there was no leader broke off the requests that waited for one (answered)", 43, firstFaults(43, 9*time.Second)},
+}
+
+// firstFaults returns the faults of a seed of 25 s that come within a time.
+func firstFaults(seed uint64, within time.Duration) []Fault {
+	plan := Plan(seed, Size{Controls: 3, Intakes: 2, Workers: 9}, 25*time.Second)
+	return slices.DeleteFunc(plan, func(f Fault) bool { return f.At > within })
 }
 
 // reuseOften makes workers come back under their ids all the time.
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -24,6 +24,8 @@
 type HTTPServer struct {
 	*http.Server
 	listener net.Listener
+	// giveUp cancels the contexts of all requests.
+	giveUp context.CancelFunc
 }
 
 // Listen binds the address of an HTTP server. field names the setting in errors.
@@ -32,9 +34,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w; choose a free address of this VM", field, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleHTTP, MaxHeaderBytes: maxHeaderBytes,
+	requests, giveUp := context.WithCancel(context.Background())
+	server := &http.Server{Handler: handler, BaseContext: func(net.Listener) context.Context { return requests }, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleHTTP, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(log.Level(zerolog.DebugLevel).With().Str("event", "http").Logger(), "", 0)}
-	return &HTTPServer{Server: server, listener: listener}, nil
+	return &HTTPServer{Server: server, listener: listener, giveUp: giveUp}, nil
 }
 
 // Run serves until the server is shut down.
@@ -45,10 +48,17 @@
 	return nil
 }
 
-// Finish ends idle connections and waits for requests in progress, at most for the given time.
+// lastAnswers is the part of the time of Finish in which requests that still wait are answered.
+const lastAnswers = 0.25
+
+// Finish ends idle connections and waits for requests in progress, at most for the given time. Near its end the contexts
+// of requests that still wait are cancelled, so that their callers get an answer instead of a broken connection.
 func (s *HTTPServer) Finish(limit time.Duration, log zerolog.Logger) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	last := time.AfterFunc(time.Duration(float64(limit)*(1-lastAnswers)), s.giveUp)
+	defer last.Stop()
+	defer s.giveUp()
 	if err := s.Shutdown(ctx); err != nil {
 		log.Warn().Str("event", "shutdown-timeout").Err(err).Msg("requests were still in progress")
 		_ = s.Close()
