--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -87,17 +87,6 @@
 	}
 }
 
-// Report passes a report of a worker to the leader and returns the leader's id.
-func (c *Control) Report(ctx context.Context, r *pb.PoolReport) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
-	defer cancel()
-	answer := &pb.IntakeAnswer{}
-	if err := c.onLeader(ctx, fleet.MethodReport, r, answer); err != nil {
-		return "", err
-	}
-	return answer.GetLeader(), nil
-}
-
 // PutConfig commits a configuration. One that is not newer than the one in force is acknowledged and changes nothing.
 func (c *Control) PutConfig(ctx context.Context, config *pb.ServiceConfig) error {
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,7 @@
 	state     *submission.State
 	leader    *dispatch.Leader
 	relay     *relay.Relay
+	reports   reports
 
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -134,7 +134,14 @@
 	if err := c.leader.Report(ctx, r); err != nil {
 		return c.notLeader()
 	}
-	return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_OK, Leader: c.settings.GetId()}
+	next := ""
+	if c.manyWorkers() {
+		next = c.relay.AgentFor(r.GetWorker().GetId(), r.GetWorker().GetFailureDomain())
+	}
+	if next == "" {
+		next = c.settings.GetId()
+	}
+	return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_OK, Leader: next}
 }
 
 func (c *Control) putConfig(ctx context.Context, config *pb.ServiceConfig) *pb.IntakeAnswer {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -388,6 +388,9 @@
 		l.tidyAt = now + tidyInterval
 		l.forgetAdvice()
 		l.forgetTasks()
+		for id := range l.sessions { // a worker that took over the address of another has ended its life
+			l.closeStale(id)
+		}
 	}
 	l.dirty = true
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -52,7 +52,7 @@
 			s.noteClock(r.GetClockMs(), l.cfg.Clock())
 		}
 	}
-	if known != nil && !changes(known, r.GetWorker()) {
+	if known != nil && !Changes(known, r.GetWorker()) {
 		if s == nil {
 			l.syncSession(life.ID)
 		}
@@ -73,8 +73,8 @@
 	return found
 }
 
-// changes reports whether a report says something new about a worker.
-func changes(known, now *pb.PoolWorker) bool {
+// Changes reports whether a report says something new about a worker.
+func Changes(known, now *pb.PoolWorker) bool {
 	stated := proto.CloneOf(now)
 	stated.Draining = stated.GetDraining() || known.GetDraining() && known.GetBornUnixMs() == now.GetBornUnixMs()
 	return !proto.Equal(known, stated)
@@ -96,19 +96,27 @@
 
 // syncSession opens or closes the session with a worker so that it matches the state.
 func (l *Leader) syncSession(id string) {
-	var over []string
 	l.cfg.State.View(func(state *submission.State) {
 		if w := state.Workers()[id]; w != nil && !w.GetGone() {
 			l.openSession(w)
 		}
-		for other, s := range l.sessions {
-			if w := state.Workers()[other]; w == nil || w.GetGone() || w.Life() != s.life {
-				over = append(over, other)
-			}
-		}
 	})
-	for _, other := range over {
-		l.closeSession(l.sessions[other])
+	l.closeStale(id)
+}
+
+// closeStale closes the session with a worker if the life that it is with is over.
+func (l *Leader) closeStale(id string) {
+	s := l.sessions[id]
+	if s == nil {
+		return
+	}
+	stale := false
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[id]
+		stale = w == nil || w.GetGone() || w.Life() != s.life
+	})
+	if stale {
+		l.closeSession(s)
 	}
 }
 
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -53,6 +53,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	work    sync.WaitGroup
+	// reporter sends the reports of all workers.
+	reporter *platform.Peer
 }
 
 // hostsPerBlock is the number of addresses that a block of the loopback network gives to workers.
@@ -74,6 +76,7 @@
 func Start(o Options, checker *Checker) (*Deployment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{options: o, checker: checker, ctx: ctx, cancel: cancel}
+	d.reporter = &platform.Peer{Client: &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: reportConnections}}}
 	var seeds []string
 	for i := range o.Size.Controls {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", o.address(blockVMs, i), controlPort))
@@ -206,7 +209,7 @@
 func (d *Deployment) addHost(i int) error {
 	o := d.options
 	h := &host{d: d, index: i, pool: poolGuarded, guards: true, domain: i % domains, listens: fmt.Sprintf("%s:%d", o.address(blockWorkersReal, i), workerPort),
-		peer: &platform.Peer{Client: &http.Client{Timeout: time.Second}}}
+		peer: d.reporter}
 	if i%3 == 2 {
 		h.pool, h.guards = poolTrusting, false
 	}
@@ -280,6 +283,8 @@
 }
 
 const (
+	// reportConnections is the number of open connections that the reports of all workers keep to each control VM.
+	reportConnections = 128
 	// reportInterval is the time between two reports of a worker.
 	reportInterval = 400 * time.Millisecond
 	// drainTime is how long a worker goes on after its drain was acknowledged.
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -25,7 +25,7 @@
 		return
 	}
 	madeTotal.Inc()
-	ctx, cancel := context.WithTimeout(r.ctx, left)
+	ctx, cancel := context.WithTimeout(r.ctx, max(left-answerSlack, left/2))
 	defer cancel()
 	answer := r.carryOut(ctx, c)
 	answer.Id, answer.Process = c.GetId(), c.GetProcess()
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -15,8 +15,9 @@
 // Choose returns which agent calls a worker, or "" for the leader itself, after a number of failed tries.
 //
 // Agents in the worker's failure domain come first, each with its share of the workers, so that calls cross domains once
-// and a worker keeps its connections when the leader changes. The leader, which has most to do, is next, then the others:
-// they help when the domain's own agents are gone or do not reach the worker.
+// and a worker keeps its connections when the leader changes. The leader is next, then the others, for workers that the
+// domain's own agents do not reach. In a domain without agents the others come first and the leader, which has most to
+// do, last.
 func Choose(alive []Agent, worker, failureDomain string, tries int) string {
 	var near, far []string
 	for _, a := range alive {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,10 +35,15 @@
 	aliveFor = time.Second
 	// suspectFor is how long an agent gets no calls after it left one without an answer.
 	suspectFor = 2 * time.Second
-	// agentCalls bounds the calls that an agent makes at the same time; most are long polls, one for each worker.
-	agentCalls = 1024
-	// maxTries bounds the workers of which failed calls are remembered; beyond it all are forgotten.
-	maxTries = 10_000
+	// agentCalls bounds the calls that an agent makes at the same time, and with it their memory. Most are long polls, one
+	// for each worker; the target size gives an agent 2,000 workers.
+	agentCalls = 8192
+	// detourFor is how long a worker that was not reached is called by way of another VM before the first way is tried again.
+	detourFor = 20 * time.Second
+	// forgetAfter is how long after its last message an agent is forgotten.
+	forgetAfter = time.Minute
+	// answerSlack is the part of a call's time that an agent leaves for its answer to reach the leader.
+	answerSlack = 50 * time.Millisecond
 )
 
 var (
@@ -80,10 +85,18 @@
 	lastID  uint64
 	waiting map[uint64]chan<- *pb.RelayAnswer
 	agents  map[string]*agent
-	tries   map[string]int // failed calls by worker
+	detours map[string]*detour // by worker
 	batches map[string]*batch
 }
 
+// detour is how a worker is called that was not reached.
+type detour struct {
+	tries int // ways that have failed
+	// unheard is true after a call without any answer, which may as well be lost.
+	unheard bool
+	since   time.Duration
+}
+
 // agent is another control VM as this one has heard of it.
 type agent struct {
 	failureDomain string
@@ -100,7 +113,7 @@
 	_, _ = rand.Read(process[:]) // never fails
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Relay{cfg: cfg, process: binary.NativeEndian.Uint64(process[:]), ctx: ctx, cancel: cancel, pool: pond.NewPool(agentCalls, pond.WithContext(ctx)),
-		waiting: map[uint64]chan<- *pb.RelayAnswer{}, agents: map[string]*agent{}, tries: map[string]int{}, batches: map[string]*batch{}}
+		waiting: map[uint64]chan<- *pb.RelayAnswer{}, agents: map[string]*agent{}, detours: map[string]*detour{}, batches: map[string]*batch{}}
 }
 
 // Close ends all calls that are made for other VMs.
@@ -133,12 +146,19 @@
 func (r *Relay) heard(from, failureDomain string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.cfg.Clock()
 	a := r.agents[from]
 	if a == nil {
+		for id, other := range r.agents {
+			if now-other.heardAt > forgetAfter {
+				delete(r.agents, id)
+				delete(r.batches, id)
+			}
+		}
 		a = &agent{}
 		r.agents[from] = a
 	}
-	a.failureDomain, a.heardAt = failureDomain, r.cfg.Clock()
+	a.failureDomain, a.heardAt = failureDomain, now
 }
 
 func (r *Relay) answered(a *pb.RelayAnswer) {
