Forecast the load of services, and throttle filling tasks from their start

Change: the load of a service is followed over all its tasks with an alpha-beta filter; an error of a prediction is divided between load and weights by their variances. Placement and throttles look ahead. A start of a filling task is followed at once by the throttles that it needs. Placement weighs how many services a task would put over their limit. Readings are ordered by task: their order came from a map, so that runs of one build differed.

TestPressureDistinguishesImages gives readings their times, which the model now needs; its check is unchanged.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -56,6 +56,7 @@
 	starts            int                       // number of starts carried out
 	refusals          int                       // number of starts refused for lack of room
 	throttle          map[submission.Ref]int    // last speed limit of each task, in percent
+	serving           string                    // submission whose tasks serve requests and never end
 	tickets           []string                  // tickets of the starts, in order
 }
 
@@ -99,7 +100,7 @@
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_STOPPED)
 		case f.failing:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_FAILED)
-		case !f.stalled && now.Sub(run.began) >= w.work:
+		case !f.stalled && ref.Submission != f.serving && now.Sub(run.began) >= w.work:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_DONE)
 			w.done[ref] = true
 		}
@@ -276,6 +277,9 @@
 		if !f.stalled {
 			percent = 100 * float64(time.Since(run.began)) / float64(w.work)
 		}
+		if ref.Submission == f.serving {
+			percent = servingPercent
+		}
 		answer.Running = append(answer.Running, Running{Task: ref, Attempt: run.attempt, Percent: percent, Figure: 1000})
 	}
 	return answer, len(answer.Ended) > 0
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -146,6 +146,9 @@
 	switch {
 	case err == nil:
 		r.phase, r.answeredAt = phaseRunning, l.cfg.Clock()
+		if l.fills(task) {
+			l.throttleStarted(s)
+		}
 	case errors.Is(err, ErrFenced):
 		l.endTerm()
 	case errors.Is(err, ErrOtherIncarnation):
@@ -181,14 +184,16 @@
 
 func (l *Leader) isGang(task submission.Ref) bool {
 	gang := false
-	l.cfg.State.View(func(state *submission.State) {
-		if sub := state.Submission(task.Submission); sub != nil && int(task.Step) < len(sub.Spec.GetSteps()) {
-			gang = sub.Spec.GetSteps()[task.Step].GetGang()
-		}
-	})
+	l.cfg.State.View(func(state *submission.State) { gang = stepOf(state, task).GetGang() })
 	return gang
 }
 
+func (l *Leader) fills(task submission.Ref) bool {
+	fills := false
+	l.cfg.State.View(func(state *submission.State) { fills = stepOf(state, task).GetFills() })
+	return fills
+}
+
 // stopGang stops the other members of a gang if one member did not start on a worker, because they cannot work without
 // it. None of them is placed on that worker for the next avoidFor.
 func (l *Leader) stopGang(task submission.Ref, attempt uint32, worker string) {
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
@@ -14,25 +16,24 @@
 // adjustThrottling updates the pressure model with the readings of a worker. It then adjusts the speed of the filling tasks
 // there, or marks them to be moved, to keep the services within their latency limits.
 func (l *Leader) adjustThrottling(s *session) {
+	now := l.cfg.Clock()
+	elapsed := now - s.readAt
+	s.readAt = now
+	l.forgetSpeedLimits(s)
 	serving, filling := l.readings(s)
 	s.setFastPolling(len(serving) > 0 && len(filling) > 0)
 	fill := steps.CPUShares{}
 	for _, f := range filling {
 		fill[f.Step.GetImage()] += f.Share
 	}
-	now := l.cfg.Clock()
-	s.fill.Update(fill, now-s.readAt)
-	s.readAt = now
+	s.fill.Update(fill, elapsed)
 	for _, reading := range serving {
 		l.pressure.Observe(reading, s.fill)
 	}
 	if now-s.throttledAt < l.cfg.Bounds.ThrottleDelay+readingSpan {
 		return // the reading includes time before the last speed change took effect
 	}
-	for _, share := range steps.ComputeThrottles(l.pressure, serving, filling, s.overLimitFor(serving, now), l.cfg.Bounds.MaxOverLimit/overLimitDivisor) {
-		s.throttledAt = l.cfg.Clock()
-		l.throttle(s, share)
-	}
+	l.throttleAll(s, steps.ComputeThrottles(l.pressure, serving, filling, s.overLimitFor(serving, now), l.cfg.Bounds.MaxOverLimit/overLimitDivisor))
 }
 
 // overLimitDivisor divides Bounds.MaxOverLimit. After that part of it, all filling tasks on the worker of a service that is still over
@@ -61,35 +62,71 @@
 // readingSpan is the period that one reading covers.
 const readingSpan = 500 * time.Millisecond
 
-// readings returns the latest readings of the services with a latency limit, and of the filling tasks, on a worker.
+// readings returns the latest readings of the services with a latency limit on a worker, and the filling tasks that work there.
+// Both are ordered by task.
 func (l *Leader) readings(s *session) (serving []steps.ServiceReading, filling []steps.FillingTask) {
 	l.cfg.State.View(func(state *submission.State) {
-		capacity := 1.0
-		if w := state.Workers()[s.incarnation.ID]; w != nil {
-			capacity = max(capacity, float64(w.GetCapacity().GetMillicores()))
+		w := state.Workers()[s.incarnation.ID]
+		if w == nil {
+			return
 		}
 		for ref, running := range s.running {
-			sub := state.Submission(ref.Submission)
-			if sub == nil || int(ref.Step) >= len(sub.Spec.GetSteps()) {
-				continue
-			}
-			step := sub.Spec.GetSteps()[ref.Step]
-			if limit := step.GetTailLimitMs(); limit > 0 && running.Percent >= servingPercent {
-				serving = append(serving, steps.ServiceReading{Task: ref, Image: step.GetImage(), Ratio: running.Figure / float64(limit)})
-			}
-			if r := l.runs[ref]; step.GetFills() && r != nil && r.attempt == running.Attempt && r.phase != phaseStopping {
-				filling = append(filling, steps.FillingTask{Task: ref, Attempt: running.Attempt, Step: step, Share: running.Figure / capacity, Declared: float64(step.GetSize().GetMillicores()) / capacity, Percent: s.speedLimit(ref)})
+			if step := stepOf(state, ref); step.GetTailLimitMs() > 0 && running.Percent >= servingPercent {
+				serving = append(serving, steps.ServiceReading{Task: ref, Image: step.GetImage(), Ratio: running.Figure / float64(step.GetTailLimitMs()), At: s.readAt})
 			}
 		}
-		for ref := range s.speedLimits {
-			if _, ok := s.running[ref]; !ok {
-				delete(s.speedLimits, ref)
+		for ref, attempt := range w.Attempts {
+			if step := stepOf(state, ref); step.GetFills() && l.worksOn(s, ref, attempt) {
+				filling = append(filling, s.fillingTask(ref, attempt, step, float64(max(1, w.GetCapacity().GetMillicores()))))
 			}
 		}
 	})
+	slices.SortFunc(serving, func(a, b steps.ServiceReading) int { return a.Task.Compare(b.Task) })
+	slices.SortFunc(filling, func(a, b steps.FillingTask) int { return a.Task.Compare(b.Task) })
 	return serving, filling
 }
 
+// stepOf returns the step of a task, or nil if the task is unknown.
+func stepOf(state *submission.State, ref submission.Ref) *pb.Step {
+	sub := state.Submission(ref.Submission)
+	if sub == nil || int(ref.Step) >= len(sub.Spec.GetSteps()) {
+		return nil
+	}
+	return sub.Spec.GetSteps()[ref.Step]
+}
+
+// worksOn reports whether the worker of a session runs an attempt, by its last answer to a hold or since it acknowledged the
+// start, and has not been told to stop it.
+func (l *Leader) worksOn(s *session, ref submission.Ref, attempt uint32) bool {
+	r := l.runs[ref]
+	return r != nil && r.on == s.incarnation && r.attempt == attempt && r.phase == phaseRunning
+}
+
+// fillingTask describes a filling task on a worker with the given capacity in millicores. Share is 0 if the worker has not listed
+// the attempt yet.
+func (s *session) fillingTask(ref submission.Ref, attempt uint32, step *pb.Step, capacity float64) steps.FillingTask {
+	task := steps.FillingTask{Task: ref, Attempt: attempt, Step: step, Declared: float64(step.GetSize().GetMillicores()) / capacity, Percent: s.speedLimit(ref)}
+	if running, ok := s.running[ref]; ok && running.Attempt == attempt {
+		task.Share = running.Figure / capacity
+	}
+	return task
+}
+
+// throttleStarted throttles the filling tasks of a worker on which one of them has just started, by the last readings of the
+// services there. It is meant for a full pool: until the next reading, a new task would slow down the services at full speed.
+func (l *Leader) throttleStarted(s *session) {
+	if serving, filling := l.readings(s); len(serving) > 0 {
+		l.throttleAll(s, steps.ComputeThrottles(l.pressure, serving, filling, 0, l.cfg.Bounds.MaxOverLimit))
+	}
+}
+
+func (l *Leader) throttleAll(s *session, throttles []steps.Throttle) {
+	for _, t := range throttles {
+		s.throttledAt = l.cfg.Clock()
+		l.throttle(s, t)
+	}
+}
+
 // fullSpeed is the speed limit, in percent, of a task that is not throttled.
 const fullSpeed = 100
 
@@ -101,6 +138,16 @@
 	return fullSpeed
 }
 
+// forgetSpeedLimits drops the speed limits of tasks that the worker neither lists nor is to run.
+func (l *Leader) forgetSpeedLimits(s *session) {
+	for ref := range s.speedLimits {
+		_, listed := s.running[ref]
+		if r := l.runs[ref]; !listed && (r == nil || r.on != s.incarnation) {
+			delete(s.speedLimits, ref)
+		}
+	}
+}
+
 // assumedSpeedLimit is the assumed speed limit, in percent, of a task that may have been throttled by a failed call or by a
 // previous leader.
 const assumedSpeedLimit = 50
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -70,11 +70,12 @@
 		if bypass {
 			continue
 		}
-		weight := p.Pressure.effectiveWeight(s.image, r.Spec.GetImage())
-		if weight == 0 {
+		weight := p.Pressure.assumedWeight(s.image, r.Spec.GetImage())
+		if weight <= strongWeight {
 			continue
 		}
-		if s.ratio > maxTailRatio || s.base*(1+s.pressure)+minPlacementBase*weight*w.cpuShare(r.Spec) > limit {
+		pressure := s.pressure + weight*w.cpuShare(r.Spec)
+		if s.base*(1+pressure) > limit {
 			return slowsService
 		}
 	}
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -14,7 +14,8 @@
 type serviceGroup struct {
 	image string
 	tasks int
-	// base is the highest utilization of its tasks without filling tasks, ratio their highest tail ratio.
+	// base is the highest utilization of its tasks without filling tasks within the placementHorizon, ratio their highest
+	// tail ratio now.
 	base, ratio float64
 	// pressure is what the filling tasks on the worker add to the utilization, as a multiple of base.
 	pressure float64
@@ -91,7 +92,7 @@
 func (w *Worker) addService(r *Resident) {
 	s := w.serviceOf(r.Step.GetImage())
 	s.tasks++
-	s.base = math.Max(s.base, math.Max(minPlacementBase, w.pressure.Base(r.Task)))
+	s.base = math.Max(s.base, math.Max(w.pressure.Base(r.Task, 0), w.pressure.Base(r.Task, placementHorizon)))
 	s.ratio = math.Max(s.ratio, r.TailRatio)
 }
 
@@ -104,7 +105,7 @@
 	}
 	s := serviceGroup{image: image, ratio: noReading}
 	for filling, share := range w.fill {
-		s.pressure += w.pressure.effectiveWeight(image, filling) * share
+		s.pressure += w.pressure.assumedWeight(image, filling) * share
 	}
 	w.services = append(w.services, s)
 	return &w.services[len(w.services)-1]
@@ -117,7 +118,7 @@
 	}
 	w.fill[step.GetImage()] += share
 	for i := range w.services {
-		w.services[i].pressure += w.pressure.effectiveWeight(w.services[i].image, step.GetImage()) * share
+		w.services[i].pressure += w.pressure.assumedWeight(w.services[i].image, step.GetImage()) * share
 	}
 }
 
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -1,13 +1,23 @@
 package steps
 
-import "slices"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// maxExpectedLoad is the expected CPU use, as a share of the capacity of a worker, up to which filling tasks are added.
 	maxExpectedLoad = 1.0
+	// placementHorizon is how far ahead the load of a service must leave room for a filling task that is placed beside it.
+	placementHorizon = 2 * time.Second
+	// limitUtilization is the utilization of a service at which its tail latency reaches the limit.
+	limitUtilization = 1 - idleTailRatio
+	// predictionSpread is the scale of the logistic distribution of the errors of predicted utilizations.
+	predictionSpread = 0.03
 	// utilizationLimit is the predicted utilization of a service up to which filling tasks are added to its worker. At a
 	// utilization of 0.8 its tail latency reaches the limit.
-	utilizationLimit = 0.78
+	utilizationLimit = 0.82
 	// utilizationLimitRate is how much that limit rises for each second that a task waits beyond utilizationLimitDelay.
 	utilizationLimitRate = 0.05
 	// utilizationLimitDelay is the wait, in seconds, after which the limit starts to rise.
@@ -20,19 +30,14 @@
 	// busyPoolUsage is the usage of a pool from which idle submissions no longer start a task that slows down a service.
 	// Callers must get a start while less than half of the pool is in use.
 	busyPoolUsage = 0.6
-	// maxTailRatio is the tail ratio of a service above which its worker gets no more filling tasks that slow it down.
-	maxTailRatio = 0.85
-	// negligibleWeight is the weight up to which a pair of images is ignored. At this weight, filling tasks on a tenth of
-	// the worker add less to the utilization of a service than its own load swings.
-	negligibleWeight = 1.0
 )
 
 // Factors of the terms of score.
 const (
 	// remoteDataCost is the cost of a worker outside the rack that holds the input of the step.
 	remoteDataCost = 2.0
-	// pressureCost multiplies the relative increase of the utilization of a service that a filling task causes.
-	pressureCost = 1.0
+	// overLimitCost is the cost of a service that a filling task puts over its tail limit.
+	overLimitCost = 1.0
 	// mixedImagesCost is the cost of placing a service on a worker for each other service image there. A worker with
 	// services of one image has room for filling tasks that slow down other images only.
 	mixedImagesCost = 0.5
@@ -175,8 +180,16 @@
 	if spec.GetFills() {
 		for i := range w.services {
 			s := &w.services[i]
-			score += pressureCost * float64(s.tasks) * p.Pressure.Weight(s.image, spec.GetImage()) * w.cpuShare(spec)
+			utilization := s.base * (1 + s.pressure)
+			added := s.base * p.Pressure.assumedWeight(s.image, spec.GetImage()) * w.cpuShare(spec)
+			score += overLimitCost * float64(s.tasks) * (overLimitProbability(utilization+added) - overLimitProbability(utilization))
 		}
 	}
 	return score + penaltyCost*w.Penalty
 }
+
+// overLimitProbability returns how likely a service exceeds its tail limit at a predicted utilization. Predictions for the
+// next seconds are off by some hundredths.
+func overLimitProbability(utilization float64) float64 {
+	return 1 / (1 + math.Exp((limitUtilization-utilization)/predictionSpread))
+}
--- a/internal/placement/steps/pressure.go
+++ b/internal/placement/steps/pressure.go
@@ -15,49 +15,34 @@
 //
 // The model of a service is a queue: at a utilization u its tail latency is idle / (1 - u), where idle is its tail latency
 // without load. u is a base times 1 + the sum of weight * share over the filling images on the worker. The base is the
-// utilization without filling tasks and swings with the load of the service; share is the share of the worker's CPU time
-// that the tasks of an image use. A reading covers the recent past, so shares are averaged over the same time.
+// utilization without filling tasks and swings with the load of the service, see loadTrend; share is the share of the
+// worker's CPU time that the tasks of an image use. A reading covers the recent past, so shares are averaged over the same time.
 //
 // The weights of each service image are estimated by recursive least squares: several filling images run at the same
 // time, and the effect of one shows only after the effects of all others are taken into account.
 type Pressure struct {
-	tasks   map[submission.Ref]*serviceState
-	weights map[string]*weightEstimates // by service image
-}
-
-// serviceState is what is known of one service task.
-type serviceState struct {
-	// base is the smoothed estimate of the utilization without filling tasks, lastBase that from the last reading alone.
-	base, lastBase float64
-	// utilization is the last reading.
-	utilization float64
+	// utilizations holds the last reading of each service task.
+	utilizations map[submission.Ref]float64
+	trends       map[stepKey]*loadTrend
+	weights      map[string]*weightEstimates // by service image
 }
 
 const (
 	// idleTailRatio is the tail ratio of a service without load: limits are a few times the idle tail latency.
 	idleTailRatio = 0.2
-	// initialBase is the base of a service without readings.
-	initialBase = 0.45
 	// initialWeight and initialDeviation are the weight of an unknown pair of images and its standard deviation.
 	initialWeight    = 0.6
 	initialDeviation = 3.0
 	// readingNoise is the standard deviation of a reading.
-	readingNoise = 0.25
+	readingNoise = 0.06
 	// weightDrift is the standard deviation of the change of a weight between two readings.
 	weightDrift = 0.025
-	// baseRate is the share of the prediction error by which one reading corrects the base.
-	baseRate = 0.15
-	// minBase and maxBase bound the base: a service without filling tasks stays within its tail limit.
-	minBase = 0.1
-	maxBase = 0.75
-	// minPlacementBase is the least base that placement assumes: the load of a service that is low now rises again while a
-	// filling task runs.
-	minPlacementBase = 0.5
+	// minWeight is the least weight that decisions assume. Filling tasks of every image slow down a service a little, which
+	// counts while its load is at its peak.
+	minWeight = 0.1
 	// saturated is the utilization above which a queue builds up. A reading above it does not show how large the overload
 	// is, and stays high after the overload has ended, until the queue is drained.
 	saturated = 0.9
-	// minShare is the least CPU share of the filling tasks at which a reading corrects weights.
-	minShare = 0.02
 	// negligibleShare is the average CPU share below which an image without running tasks is dropped.
 	negligibleShare = 0.001
 	// averagingTime is the time constant of the average of CPU shares.
@@ -102,30 +87,44 @@
 	scaledShare float64
 }
 
-// update corrects the weights by the prediction error of a reading.
-func (e *weightEstimates) update(err float64, uses []imageUse) {
-	gain := make([]float64, len(e.mean))
-	for i := range gain {
+// gains returns the covariance of each weight with the predicted utilization.
+func (e *weightEstimates) gains(uses []imageUse) []float64 {
+	gains := make([]float64, len(e.mean))
+	for i := range gains {
 		for _, u := range uses {
-			gain[i] += e.covariance[i][u.slot] * u.scaledShare
+			gains[i] += e.covariance[i][u.slot] * u.scaledShare
 		}
 	}
-	variance := readingNoise * readingNoise
+	return gains
+}
+
+// variance returns the variance that the weights cause in the predicted utilization.
+func (e *weightEstimates) variance(uses []imageUse) float64 {
+	gains, variance := e.gains(uses), 0.0
 	for _, u := range uses {
-		variance += gain[u.slot] * u.scaledShare
+		variance += gains[u.slot] * u.scaledShare
 	}
-	for i := range gain {
-		e.mean[i] += gain[i] / variance * err
-		for j := range gain {
-			e.covariance[i][j] -= gain[i] * gain[j] / variance
+	return variance
+}
+
+// update corrects the weights by the prediction error of a reading. otherVariance is the variance of the error that is not
+// caused by the weights.
+func (e *weightEstimates) update(err float64, uses []imageUse, otherVariance float64) {
+	gains, variance := e.gains(uses), otherVariance+e.variance(uses)
+	for i := range gains {
+		e.mean[i] += gains[i] / variance * err
+		for j := range gains {
+			e.covariance[i][j] -= gains[i] * gains[j] / variance
 		}
-		e.covariance[i][i] += weightDrift * weightDrift
+	}
+	for _, u := range uses {
+		e.covariance[u.slot][u.slot] += weightDrift * weightDrift
 	}
 }
 
 // NewPressure returns a model without readings.
 func NewPressure() *Pressure {
-	return &Pressure{tasks: map[submission.Ref]*serviceState{}, weights: map[string]*weightEstimates{}}
+	return &Pressure{utilizations: map[submission.Ref]float64{}, trends: map[stepKey]*loadTrend{}, weights: map[string]*weightEstimates{}}
 }
 
 // Utilization converts the tail ratio of a service to its utilization.
@@ -158,36 +157,37 @@
 	Image string
 	// Ratio is its tail latency divided by its limit.
 	Ratio float64
+	// At is when it was read, by a monotonic clock.
+	At time.Duration
 }
 
 // Observe learns from a reading of a service. fill holds the CPU shares that filling tasks on its worker used during the
 // reading.
 func (p *Pressure) Observe(s ServiceReading, fill CPUShares) {
-	e, t := p.estimatesFor(s.Image), p.stateOf(s.Task)
-	before := t.utilization
-	t.utilization = Utilization(s.Ratio)
-	if before > saturated && t.utilization <= before {
+	e, trend := p.estimatesFor(s.Image), p.trendOf(s.Task)
+	before, utilization := p.utilizations[s.Task], Utilization(s.Ratio)
+	p.utilizations[s.Task] = utilization
+	if before > saturated && utilization <= before {
 		return // the rest of a queue is drained: the reading does not show the present load
 	}
-	predicted, squares := t.base, 0.0
+	base := trend.after(trend.gap(s.At))
+	factor := 1.0
 	uses := make([]imageUse, 0, len(fill))
 	for _, image := range slices.Sorted(maps.Keys(fill)) {
-		share := fill[image]
-		predicted += t.base * p.Weight(s.Image, image) * share
-		squares += share * share
+		factor += p.Weight(s.Image, image) * fill[image]
 		if slot := e.slot(image); slot >= 0 {
-			uses = append(uses, imageUse{slot, share * t.base})
+			uses = append(uses, imageUse{slot, fill[image] * base})
 		}
 	}
-	if t.utilization > saturated && predicted > t.utilization {
+	predicted := base * factor
+	if utilization > saturated && predicted > utilization {
 		return // readings saturate here, so a higher prediction is no error
 	}
-	t.lastBase = math.Min(maxBase, t.utilization*t.base/predicted)
-	err := t.utilization - predicted
-	t.base = math.Max(minBase, math.Min(maxBase, t.base+baseRate*err*t.base/math.Max(predicted, t.base)))
-	if squares >= minShare*minShare {
-		e.update(err, uses)
-	}
+	// The error is divided between the weights and the load by how uncertain each of them is.
+	err, loadVariance := utilization-predicted, factor*factor*trend.variance(s.At)
+	weightVariance := e.variance(uses)
+	trend.correct(err/factor, loadVariance/(loadVariance+weightVariance+readingNoise*readingNoise), s.At)
+	e.update(err, uses, loadVariance+readingNoise*readingNoise)
 }
 
 func (p *Pressure) estimatesFor(image string) *weightEstimates {
@@ -199,29 +199,28 @@
 	return e
 }
 
-func (p *Pressure) stateOf(ref submission.Ref) *serviceState {
-	t := p.tasks[ref]
+// trendOf returns the trend of the service that a task belongs to and adds it if necessary.
+func (p *Pressure) trendOf(task submission.Ref) *loadTrend {
+	t := p.trends[keyOf(task)]
 	if t == nil {
-		t = &serviceState{base: initialBase}
-		p.tasks[ref] = t
+		t = &loadTrend{}
+		p.trends[keyOf(task)] = t
 	}
 	return t
 }
 
 // Keep drops the state of all service tasks for which f returns false. It keeps the weights.
 func (p *Pressure) Keep(f func(submission.Ref) bool) {
-	for ref := range p.tasks {
-		if !f(ref) {
-			delete(p.tasks, ref)
-		}
-	}
+	maps.DeleteFunc(p.utilizations, func(ref submission.Ref, _ float64) bool { return !f(ref) })
+	maps.DeleteFunc(p.trends, func(key stepKey, _ *loadTrend) bool {
+		return !f(submission.Ref{Submission: key.submission, Occurrence: key.occurrence, Step: key.step})
+	})
 }
 
-// Base returns the utilization of a service without filling tasks: the higher one of the smoothed estimate and that from
-// the last reading.
-func (p *Pressure) Base(task submission.Ref) float64 {
-	if t := p.tasks[task]; t != nil {
-		return math.Max(t.base, t.lastBase)
+// Base returns the utilization of a service without filling tasks that is expected some time after its last reading.
+func (p *Pressure) Base(task submission.Ref, ahead time.Duration) float64 {
+	if t := p.trends[keyOf(task)]; t != nil {
+		return t.after(ahead)
 	}
 	return initialBase
 }
@@ -237,10 +236,7 @@
 	return initialWeight
 }
 
-// effectiveWeight returns Weight, or 0 if the weight is negligible.
-func (p *Pressure) effectiveWeight(serving, filling string) float64 {
-	if w := p.Weight(serving, filling); w > negligibleWeight {
-		return w
-	}
-	return 0
+// assumedWeight returns Weight, but at least minWeight.
+func (p *Pressure) assumedWeight(serving, filling string) float64 {
+	return math.Max(minWeight, p.Weight(serving, filling))
 }
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -252,7 +252,8 @@
 				now = CPUShares{fmt.Sprint("f", rng.IntN(6)): 0.08 + 0.1*rng.Float64(), fmt.Sprint("f", rng.IntN(6)): 0.08 + 0.1*rng.Float64()}
 			}
 			fill.Update(now, 500*time.Millisecond)
-			p.Observe(ServiceReading{Task: s.ref, Image: s.image, Ratio: s.tailRatio(float64(reading)/2, serving, now, 0.1*rng.NormFloat64())}, fill)
+			p.Observe(ServiceReading{Task: s.ref, Image: s.image, Ratio: s.tailRatio(float64(reading)/2, serving, now, 0.1*rng.NormFloat64()),
+				At: time.Duration(reading) * 500 * time.Millisecond}, fill)
 		}
 	}
 	wrong := 0
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -6,6 +6,7 @@
 package submission
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"sync"
@@ -26,6 +27,12 @@
 	return &pb.TaskRef{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index}
 }
 
+// Compare orders tasks by submission, occurrence, step and index.
+func (r Ref) Compare(other Ref) int {
+	return cmp.Or(cmp.Compare(r.Submission, other.Submission), cmp.Compare(r.Occurrence, other.Occurrence),
+		cmp.Compare(r.Step, other.Step), cmp.Compare(r.Index, other.Index))
+}
+
 // RefOf converts a protobuf message to a Ref.
 func RefOf(p *pb.TaskRef) Ref {
 	return Ref{Submission: p.GetSubmission(), Occurrence: p.GetOccurrence(), Step: p.GetStep(), Index: p.GetIndex()}
