Keep control VMs running on a dropped batch and on a task of an unknown step

Answers of workers name steps that were used as indexes without a check: at log level debug one such answer ended the leader. Change: flush ignores a batch that is gone and logs it; tasks of unknown steps have no step (stepOf), in the log of readings and in findStalled.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -303,10 +303,11 @@
 	// adviser and platform are passed to the leader by newLeader.
 	adviser  Adviser
 	platform Platform
+	logger   zerolog.Logger
 }
 
 func newHarness(t *testing.T, work time.Duration, ids ...string) *harness {
-	r := &harness{t: t, workers: newFakeWorkers(t, work, ids...), start: time.Now()}
+	r := &harness{t: t, workers: newFakeWorkers(t, work, ids...), start: time.Now(), logger: testLogger()}
 	r.state = submission.New(time.Minute.Milliseconds(), func(ended []string) {
 		if r.leader != nil && len(ended) > 0 {
 			r.leader.SubmissionsEnded(ended)
@@ -321,7 +322,7 @@
 }
 
 func (r *harness) newLeader() {
-	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: testLogger(), Adviser: r.adviser, Platform: r.platform, Holder: "vm",
+	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: r.logger, Adviser: r.adviser, Platform: r.platform, Holder: "vm",
 		Clock:  func() time.Duration { return time.Since(r.start) + time.Hour },
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond}})
 }
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -188,8 +188,7 @@
 			capacity = w.GetCapacity().GetMillicores()
 		}
 		for ref, f := range s.running {
-			if sub := state.Submission(ref.Submission); sub != nil {
-				step := sub.Spec.GetSteps()[ref.Step]
+			if step := stepOf(state, ref); step != nil {
 				l.log.Debug().Str("event", "figure").Str("worker", s.incarnation.ID).Str("request", ref.Submission).Uint32("task", ref.Index).Str("image", step.GetImage()).
 					Bool("endless", step.GetEndless()).Bool("fills", step.GetFills()).Int64("millicores", step.GetSize().GetMillicores()).Int64("tail_limit", step.GetTailLimitMs()).
 					Int64("capacity", capacity).Float64("percent", f.Percent).Float64("figure", f.Figure).Msg("")
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -47,11 +47,10 @@
 	var stalled []submission.Ref
 	l.cfg.State.View(func(state *submission.State) {
 		for ref, running := range s.running {
-			r, sub := l.runs[ref], state.Submission(ref.Submission)
-			if r == nil || sub == nil || r.attempt != running.Attempt || r.phase != phaseRunning || sub.Spec.GetSteps()[ref.Step].GetEndless() {
+			r, step := l.runs[ref], stepOf(state, ref)
+			if r == nil || step == nil || r.attempt != running.Attempt || r.phase != phaseRunning || step.GetEndless() {
 				continue
 			}
-			step := sub.Spec.GetSteps()[ref.Step]
 			// Lack of progress is no fault in a filling task without processor time, a throttled task, or a gang waiting for members.
 			starved := step.GetFills() && running.Figure < minCPUUse*float64(step.GetSize().GetMillicores())
 			if running.Percent != r.progress.percent || r.progress.changedAt == 0 || starved || step.GetGang() || s.speedLimit(ref) < 100 {
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -56,10 +56,15 @@
 	}
 }
 
-// flush sends the current batch of a VM.
+// flush sends the current batch of a VM. There is none if recordAgent has dropped the VM since the batch was begun.
 func (r *Relay) flush(to string) {
 	r.mu.Lock()
 	b := r.batches[to]
+	if b == nil {
+		r.mu.Unlock()
+		r.cfg.Logger.Info().Str("event", "batch-dropped").Str("vm", to).Msg("the VM has not announced itself for long; the calls to it get no answer")
+		return
+	}
 	message := b.message
 	message.FailureDomain = r.cfg.FailureDomain
 	b.message, b.bytes = &pb.RelayMessage{}, 0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -355,3 +355,19 @@
 		is.Equal(len(agentCaller.recorded()), before+1)
 	})
 }
+
+// Guards against a control VM that ends with a nil dereference: the batch for an agent that was silent for long was dropped
+// while the timer that sends it was running.
+func TestBatchForForgottenAgentIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, leader, _, _ := newLeaderAndAgent(t)
+		defer n.close()
+		time.Sleep(agentRetention + time.Second)
+		sent := n.messages()
+		leader.enqueue("agent", &pb.RelayCall{}, nil)
+		leader.recordAgent("other", "d")
+		time.Sleep(2 * batchDelay)
+		is.Equal(n.messages(), sent)
+	})
+}
