Let the task of an unknown step run until a reading lists it

Cause: as committed in the test ended both tasks before the first reading after their start, so it passed without the change too. Change: the tasks run for 3 s. Result: red on the code before (index out of range [9] with length 1), green on it.

--- a/internal/dispatch/throttle_test.go
+++ b/internal/dispatch/throttle_test.go
@@ -45,7 +45,7 @@
 
 // Guards against a leader that ends because a worker lists a task of a step that its submission does not have.
 func TestTaskOfUnknownStepIsNoFault(t *testing.T) {
-	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+	withHarness(t, 3*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.leader.Close()
 		r.logger = zerolog.New(io.Discard).Level(zerolog.DebugLevel)
 		r.newLeader()
@@ -54,7 +54,7 @@
 		r.workers.update(func() {
 			r.workers.byID["a"].running[submission.Ref{Submission: "s", Step: 9, Index: 9}] = &fakeRun{attempt: 1, began: time.Now()}
 		})
-		time.Sleep(4 * time.Second)
+		time.Sleep(8 * time.Second)
 		is.Equal(r.describe("s"), "done")
 		is.Equal(r.running("a"), 0)
 	})
