--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -295,7 +295,8 @@
 	drainGracePeriod = 2 * time.Second
 )
 
-// drainAndStop drains the worker, announces that it leaves and ends it, as a planned stop does.
+// drainAndStop drains the worker, ends it and reports that it has left, as a planned stop does. Its tasks end first: once the
+// report is acknowledged, they may run elsewhere.
 func (h *host) drainAndStop() {
 	h.mu.Lock()
 	if h.incarnation != nil {
@@ -311,8 +312,8 @@
 	h.mu.Lock()
 	state := h.reportState
 	h.mu.Unlock()
-	h.send(h.d.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
 	h.crash()
+	h.send(h.d.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
 }
 
 // report sends reports until ctx ends.
--- /dev/null
+++ b/internal/emulator/deployment_test.go
@@ -0,0 +1,38 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/netfault"
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/platform"
+)
+
+// Guards against a worker that reports that it has left while its tasks still run: the system may start them elsewhere at
+// once, which the soak reports as a task in two places (soak seed 1 beside load).
+func TestWorkerEndsItsTasksBeforeItLeaves(t *testing.T) {
+	is := is.New(t)
+	h := &host{client: &platform.APIClient{Client: http.DefaultClient}, server: &http.Server{}}
+	running := make(chan bool, 1)
+	control := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			running <- h.currentIncarnation() != nil
+		}
+	}))
+	defer control.Close()
+	proxy, err := netfault.NewProxy("127.0.0.1:0", control.Listener.Addr().String())
+	is.NoErr(err)
+	defer proxy.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	h.d = &Deployment{options: Options{Size: Size{Controls: 1}}, vms: []*vm{{clientProxy: proxy}}, ctx: ctx}
+	h.incarnation, h.cancel = newIncarnation(&incarnation{id: "w", checker: NewChecker()}), func() {}
+	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: "w", BornUnixMs: 1}}
+	h.drainAndStop()
+	is.Equal(<-running, false)
+}
