Order the platform only on a fresh confirmation, and wait after a hand-over

A leader that was suspended between its last contact with the quorum and the order sent it after its successor's. Where the platform does not check fencing tokens (Cimientos), it carries out both. Change: an order goes out only after a quorum has confirmed the leadership since, and not if orderTimeout has passed since it was asked, by a clock that counts suspension. What is left: a suspension between that check and the write to the socket.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -86,7 +86,7 @@
 	c.leader = dispatch.New(dispatch.Config{State: c.state, Log: c.group, Caller: c.relay, Logger: c.log,
 		Adviser: options.Adviser, Platform: options.Platform, Holder: c.settings.GetId(), Handover: c.broadcastModel, Bounds: dispatch.Bounds{
 			LeaseMax: bounds.GetLeaseMax().AsDuration(), Stop: bounds.GetStop().AsDuration(), Gang: bounds.GetGang().AsDuration(),
-			MaxOverLimit: bounds.GetHarm().AsDuration(), ThrottleDelay: bounds.GetPace().AsDuration(),
+			MaxOverLimit: bounds.GetHarm().AsDuration(), ThrottleDelay: bounds.GetPace().AsDuration(), HolderLease: bounds.GetHolderLease().AsDuration(),
 		}})
 	transport.Handle(modelChannel, c.receiveModel)
 	c.registerHandlers()
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -21,6 +21,8 @@
 	state *submission.State
 	index uint64
 	term  uint64
+	// barrier, if set, is called by ReadBarrier.
+	barrier func() error
 }
 
 func (f *fakeLog) Propose(_ context.Context, entry []byte) (any, error) {
@@ -31,7 +33,15 @@
 	return f.state.Apply(f.index, f.term, entry), nil
 }
 
-func (f *fakeLog) ReadBarrier(context.Context) error { return nil }
+func (f *fakeLog) ReadBarrier(context.Context) error {
+	if f.barrier != nil {
+		return f.barrier()
+	}
+	return nil
+}
+
+// testHolderLease is Bounds.HolderLease in tests.
+const testHolderLease = 3 * time.Second
 
 // fakeWorker simulates a worker: tasks run under a lease, calls with an old fencing token are refused, and ends stay listed
 // until they are acknowledged.
@@ -324,7 +334,7 @@
 func (r *harness) newLeader() {
 	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: r.logger, Adviser: r.adviser, Platform: r.platform, Holder: "vm",
 		Clock:  func() time.Duration { return time.Since(r.start) + time.Hour },
-		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond}})
+		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond, HolderLease: testHolderLease}})
 }
 
 // lead sets the term of the log and makes the leader lead in it.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -55,6 +55,8 @@
 	MaxOverLimit time.Duration
 	// ThrottleDelay is the time from a throttle call until the task works at the new speed.
 	ThrottleDelay time.Duration
+	// HolderLease is the time that must pass between an order of one leader to the platform and one of the next.
+	HolderLease time.Duration
 }
 
 const (
@@ -250,6 +252,7 @@
 				l.openSession(w)
 			}
 		}
+		l.waves.mayOrderAt = l.firstOrderAt(len(s.Waves()) > 0)
 	})
 }
 
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -63,6 +63,7 @@
 	ordered []string        // VMs whose maintenance was ordered, in order
 	maxDown int             // highest number of VMs that were down at the same time
 	fences  map[uint64]bool // fencing tokens of the orders
+	last    time.Time       // time of the last order
 }
 
 func (f *fakePlatform) VMs(context.Context) ([]VM, error) {
@@ -79,7 +80,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := vm[len("vm-"):]
-	f.down[id], f.fences[fence] = true, true
+	f.down[id], f.fences[fence], f.last = true, true, time.Now()
 	f.ordered = append(f.ordered, vm)
 	f.maxDown = max(f.maxDown, len(f.down))
 	restarted := newFakeWorkers(f.harness.t, time.Second, id).byID[id]
@@ -121,6 +122,49 @@
 	})
 }
 
+// Guards against two leaders that order the platform at the same time: a platform that does not check fencing tokens carries
+// out both orders. The previous leader may have sent its last order just before the new term.
+func TestNextLeaderWaitsBeforeItOrders(t *testing.T) {
+	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+		r.leader.Close()
+		r.platform = platform
+		r.newLeader()
+		r.lead(6)
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+		time.Sleep(time.Second)
+		is.Equal(platform.ordered, []string{"vm-a"})
+		r.lead(7)
+		began := time.Now()
+		time.Sleep(time.Minute)
+		is.Equal(platform.ordered, []string{"vm-a", "vm-b", "vm-c"})
+		is.True(!platform.last.Before(began.Add(testHolderLease + orderTimeout)))
+		is.Equal(platform.fences, map[uint64]bool{6: true, 7: true})
+	})
+}
+
+// Guards against an order by a leader that was suspended after it had last heard from its quorum: the next leader may order
+// by then. Answers of the quorum that take longer than an order may wait have the same effect as a suspension.
+func TestLeaderOrdersNothingOnAnOldConfirmation(t *testing.T) {
+	for name, late := range map[string]error{"late answer": nil, "no answer": context.DeadlineExceeded} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+				platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+				r.leader.Close()
+				r.platform = platform
+				r.newLeader()
+				r.log.barrier = func() error { time.Sleep(orderTimeout); return late }
+				r.lead(6)
+				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
+				time.Sleep(10 * time.Second)
+				is.Equal(len(platform.ordered), 0)
+				r.leader.Close()
+				time.Sleep(orderTimeout) // until the last answer of the quorum
+			})
+		})
+	}
+}
+
 // Guards against maintenance that makes more tasks of a step unavailable than the step allows.
 func TestWaveRespectsMaxUnavailable(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,23 +14,39 @@
 const (
 	// waveInterval is the interval at which the leader checks for VMs to maintain.
 	waveInterval = 500 * time.Millisecond
-	// orderTimeout bounds the calls to the platform of one check or one order.
+	// orderTimeout bounds the calls to the platform of one check or one order, and the time for which the leader may act on a
+	// confirmation of its leadership.
 	orderTimeout = 2 * time.Second
 )
 
+// errOrderExpired means that an order was not sent, because too much time had passed since the leadership was confirmed.
+var errOrderExpired = errors.New("the leadership was confirmed too long ago; the order is made again if this VM still leads")
+
 // waveState is the state of maintenance waves. A wave is an operator's order to maintain a list of VMs, with a limit on how
 // many of them may be down at a time. The event loop owns the state.
 type waveState struct {
 	calling   bool          // a call to the platform is in progress
 	nextCheck time.Duration // earliest time of the next check
+	// mayOrderAt is the earliest time of an order in this term.
+	mayOrderAt time.Duration
 	// down maps each VM whose maintenance this leader has ordered to the worker incarnation that ran there.
 	down map[string]submission.Incarnation
 }
 
+// firstOrderAt returns the earliest time of an order in a term that begins now. Platforms that do not check fencing tokens
+// carry out an order of the previous leader, which may be on its way for orderTimeout after that leader was last confirmed.
+// The wait is not needed if there were no waves before the term.
+func (l *Leader) firstOrderAt(wavesBefore bool) time.Duration {
+	if !wavesBefore {
+		return 0
+	}
+	return l.termStart + orderTimeout + l.cfg.Bounds.HolderLease
+}
+
 // advanceWaves lists the platform's VMs and continues the unfinished wave with the lowest number. A VM under maintenance
 // counts as down until a new worker incarnation on it has registered.
 func (l *Leader) advanceWaves(now time.Duration) {
-	if l.waves.calling || now < l.waves.nextCheck || l.cfg.Platform == nil {
+	if l.waves.calling || now < max(l.waves.nextCheck, l.waves.mayOrderAt) || l.cfg.Platform == nil {
 		return
 	}
 	l.waves.nextCheck = now + waveInterval
@@ -181,9 +198,9 @@
 	l.waves.calling = true
 	ctx, term := l.ctx, l.term
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		err := l.cfg.Platform.Upkeep(callCtx, vm, wave.GetNumber(), l.cfg.Holder, term)
+		err := l.orderConfirmed(ctx, func(ctx context.Context) error {
+			return l.cfg.Platform.Upkeep(ctx, vm, wave.GetNumber(), l.cfg.Holder, term)
+		})
 		l.post(func() {
 			if l.ctx != ctx {
 				return
@@ -201,6 +218,21 @@
 	}()
 }
 
+// orderConfirmed sends an order to the platform after a quorum has confirmed that this VM leads. It sends nothing if this VM
+// was suspended or delayed so long since it asked the quorum that another leader may order by now.
+func (l *Leader) orderConfirmed(ctx context.Context, send func(context.Context) error) error {
+	asked := l.cfg.Clock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := l.cfg.Log.ReadBarrier(ctx); err != nil {
+		return fmt.Errorf("confirm the leadership before an order: %w", err)
+	}
+	if l.cfg.Clock()-asked >= orderTimeout {
+		return errOrderExpired
+	}
+	return send(ctx)
+}
+
 // commitUpkeepBegun commits that the maintenance of a VM has begun or is not needed.
 func (l *Leader) commitUpkeepBegun(wave *pb.Wave, vm, why string) {
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_WaveProgress{WaveProgress: &pb.WaveProgress{Number: wave.GetNumber(), Vm: vm}}}
