Let the next leader know which starts a returned worker may have carried out

Cause: soak (once): two tasks were started again after they had finished. Log: term 3 starts attempt 1 on i-1-2, whose answers are lost; i-1-2 restarts under its id and carries the start out; term 3 logs decision=unsure; term 4 begins and, as that knowledge was in the memory of the old leader only, places attempt 2 on i-4-1 in the same second in which the end of attempt 1 is committed. A leader takes over those tasks as uncertain, and when it finds a worker replaced also counts attempts that it has never tracked. Result: TestNextLeaderKnowsStartsOfPreviousIncarnation, red before (a task runs on a and on b), green after.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -252,6 +252,7 @@
 				l.openSession(w)
 			}
 		}
+		l.takeOverUncertainStarts(s)
 		l.waves.mayOrderAt = l.firstOrderAt(len(s.Waves()) > 0)
 	})
 }
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -253,6 +253,28 @@
 	})
 }
 
+// Guards against the same across a change of the leader: the next one did not know which starts the new incarnation may have
+// carried out. Found by the soak test (seed 1796400714, reuse-worker and a pause of the leader).
+func TestNextLeaderKnowsStartsOfPreviousIncarnation(t *testing.T) {
+	withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+		restarted := newFakeWorkers(t, 2*time.Second, "a").byID["a"]
+		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation, restarted.stopTime = 77, true, 150*time.Millisecond
+		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+		time.Sleep(100 * time.Millisecond)
+		r.submit("s", 6, nil)
+		time.Sleep(300 * time.Millisecond)
+		restarted.born = time.Now()
+		r.workers.update(func() { r.workers.byID["a"] = restarted })
+		time.Sleep(1200 * time.Millisecond)
+		is.True(r.running("a") > 0) // the new incarnation has carried out the repeated start
+		r.lead(6)
+		time.Sleep(200 * time.Millisecond)
+		r.report("a", 1)
+		time.Sleep(8 * time.Second)
+		is.Equal(r.describe("s"), "done")
+	})
+}
+
 // Guards against ends of a new incarnation that are lost because a hold meant for the previous incarnation acknowledges ends
 // with the same numbers. Found by the soak test (budget, and a task that was started after it had finished).
 func TestEndsOfRestartedWorkerAreNotLost(t *testing.T) {
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -24,16 +24,63 @@
 	revokedAt time.Duration
 }
 
-// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor.
+// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
+// those that the incarnation has listed to this leader.
 func (l *Leader) recordUncertainStarts(previous submission.Incarnation) {
-	now := l.cfg.Clock()
 	for ref, r := range l.runs {
 		if r.on == previous && !r.wasListed {
-			l.uncertainStarts[ref] = &uncertainStart{previous: previous, attempt: r.attempt, since: now}
-			l.log.Info().Str("decision", "unsure").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
-				Uint32("attempt", r.attempt).Str("worker", previous.ID).Msg("the next incarnation of the worker may have started the attempt")
+			l.addUncertainStart(ref, r.attempt, previous)
 		}
 	}
+	l.cfg.State.View(func(state *submission.State) {
+		if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
+			for ref, attempt := range w.Attempts {
+				l.addUntracked(ref, attempt, previous)
+			}
+		}
+		forEachLost(state, func(ref submission.Ref, t *submission.Task) {
+			if t.LostOn == previous {
+				l.addUntracked(ref, t.Attempt, previous)
+			}
+		})
+	})
+}
+
+// addUntracked records an attempt unless this leader has tracked it and knows better.
+func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
+	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
+		l.addUncertainStart(task, attempt, previous)
+	}
+}
+
+func (l *Leader) addUncertainStart(task submission.Ref, attempt uint32, previous submission.Incarnation) {
+	if u := l.uncertainStarts[task]; u != nil && u.attempt >= attempt {
+		return
+	}
+	l.uncertainStarts[task] = &uncertainStart{previous: previous, attempt: attempt, since: l.cfg.Clock()}
+	l.log.Info().Str("decision", "unsure").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
+		Uint32("attempt", attempt).Str("worker", previous.ID).Msg("the next incarnation of the worker may have started the attempt")
+}
+
+// forEachLost calls f for each waiting task whose last attempt was on a worker incarnation that has gone.
+func forEachLost(state *submission.State, f func(submission.Ref, *submission.Task)) {
+	for id, sub := range state.Active() {
+		for number, o := range sub.Occurrences {
+			for i := range o.Steps {
+				for j := range o.Steps[i].Tasks {
+					if t := &o.Steps[i].Tasks[j]; t.LostOn != (submission.Incarnation{}) {
+						f(submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, t)
+					}
+				}
+			}
+		}
+	}
+}
+
+// takeOverUncertainStarts records the waiting tasks whose last attempt was on a worker incarnation that has gone. The previous
+// leader may have known that such an attempt cannot run any more; this one does not.
+func (l *Leader) takeOverUncertainStarts(state *submission.State) {
+	forEachLost(state, func(ref submission.Ref, t *submission.Task) { l.addUncertainStart(ref, t.Attempt, t.LostOn) })
 }
 
 // mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake.
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -61,7 +61,7 @@
 	if t.Done || t.Placed() || c.GetAttempt() <= t.Attempt {
 		return false
 	}
-	t.Attempt, t.On = c.GetAttempt(), w.Incarnation()
+	t.Attempt, t.On, t.LostOn = c.GetAttempt(), w.Incarnation(), Incarnation{}
 	step.Placed++
 	sub.Started = true
 	w.Attempts[ref] = t.Attempt
@@ -125,7 +125,7 @@
 		step.Placed--
 		t.On = Incarnation{}
 	}
-	t.Done, t.Checkpoint = true, ""
+	t.Done, t.Checkpoint, t.LostOn = true, "", Incarnation{}
 	step.Done++
 }
 
@@ -200,6 +200,9 @@
 	for _, ref := range refs {
 		s.end(&pb.TaskEnd{Task: ref.Proto(), Attempt: w.Attempts[ref], Worker: incarnation.ID, WorkerBornUnixMs: incarnation.BornUnixMs,
 			Kind: pb.TaskEndKind_TASK_END_KIND_LOST})
+		if t := s.Task(ref); t != nil && !t.Done && !t.Placed() {
+			t.LostOn = incarnation
+		}
 	}
 	w.Gone, w.goneAt = true, s.unixMs
 	return true
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -48,7 +48,7 @@
 		step := &pb.StepRecord{}
 		for _, t := range o.Steps[i].Tasks {
 			step.Tasks = append(step.Tasks, &pb.TaskRecord{Attempt: t.Attempt, Worker: t.On.ID, WorkerBornUnixMs: t.On.BornUnixMs,
-				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed})
+				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs})
 		}
 		r.Steps = append(r.Steps, step)
 	}
@@ -102,7 +102,7 @@
 		tasks := make([]Task, len(step.GetTasks()))
 		for j, t := range step.GetTasks() {
 			tasks[j] = Task{Attempt: t.GetAttempt(), On: Incarnation{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
-				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts()}
+				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts(), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()}}
 			if t.GetDone() {
 				o.Steps[i].Done++
 			}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -52,6 +52,9 @@
 	// On is the worker incarnation that the current attempt is placed on; the zero value while the task waits or is done.
 	On   Incarnation
 	Done bool
+	// LostOn is the worker incarnation that went while the last attempt was placed on it; the zero value otherwise and once
+	// the task is placed again. A later incarnation of the worker may still carry out the start of that attempt.
+	LostOn Incarnation
 	// Checkpoint is the last saved progress, from which the next attempt resumes.
 	Checkpoint string
 	// failed lists the attempts that ended in failure.
