emulator: start for the first time once

The platform sets that value only when the whole system starts with empty disks. Change: once the deployment is ready, the settings of its control VMs say that it has started before. Result: TestControlVMsStartForTheFirstTimeOnce.

--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -153,6 +153,18 @@
 	a.links[netip.MustParseAddr(b.listenAddress)].Set(netfault.State{CutTo: cutBA, CutFrom: cutAB, Delay: delay})
 }
 
+// endFirstStart changes the settings of the control VMs, which say from now on that the deployment has started before. A VM
+// that loses its disk would otherwise bootstrap a group of its own if it cannot reach the others.
+func (d *Deployment) endFirstStart() error {
+	for _, v := range d.controls() {
+		v.firstStart = false
+		if err := v.writeSettings(d.seeds(-1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Deployment) controls() []*vm { return d.vms[:d.options.Size.Controls] }
 func (d *Deployment) intakes() []*vm  { return d.vms[d.options.Size.Controls:] }
 
--- a/internal/emulator/deployment_test.go
+++ b/internal/emulator/deployment_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,3 +39,21 @@
 	h.drainAndStop()
 	is.Equal(<-running, false)
 }
+
+// Guards against a control VM that loses its disk and bootstraps a group of its own, since its settings still say that the
+// deployment starts for the first time (soak seed 1796400710: the VM never returned the configuration).
+func TestControlVMsStartForTheFirstTimeOnce(t *testing.T) {
+	is := is.New(t)
+	v := &vm{id: "127.0.0.1", role: "control", listenAddress: "127.0.0.1", folder: t.TempDir(), firstStart: true}
+	v.settings = filepath.Join(v.folder, "settings.yaml")
+	d := &Deployment{options: Options{Size: Size{Controls: 1}}, vms: []*vm{v}}
+	firstStart := func() bool {
+		text, err := os.ReadFile(v.settings)
+		is.NoErr(err)
+		return strings.Contains(string(text), "firstStart: true")
+	}
+	is.NoErr(v.writeSettings(d.seeds(-1)))
+	is.True(firstStart())
+	is.NoErr(d.endFirstStart())
+	is.True(!firstStart())
+}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -82,6 +82,9 @@
 	if err := l.awaitStart(ctx); err != nil {
 		return nil, err
 	}
+	if err := d.endFirstStart(); err != nil {
+		return nil, err
+	}
 	if r.Faults == nil {
 		r.Faults = Plan(r.Seed, r.Size, r.Length)
 	}
--- a/internal/placement/steps/interference_test.go
+++ b/internal/placement/steps/interference_test.go
@@ -27,10 +27,10 @@
 	// informed gives the model the true weights and loads, which bounds what better estimates could add.
 	informed bool
 
-	left                                      map[string]int // unfinished tasks of each filling submission
-	due                                       map[string]int64
-	serviceSeconds, overSeconds               float64
-	fillingWorth, maxFillingWorth, serviceMax float64
+	left                          map[string]int // unfinished tasks of each filling submission
+	due                           map[string]int64
+	serviceSeconds, overSeconds   float64
+	fillingWorth, maxFillingWorth float64
 }
 
 type simulatedWorker struct {
