--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -97,6 +99,13 @@
 	return nil
 }
 
+// history returns the VMs whose maintenance was ordered, the time of the last order and the fencing tokens.
+func (f *fakePlatform) history() (vms []string, last time.Time, fences map[uint64]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.ordered), f.last, maps.Clone(f.fences)
+}
+
 // Guards against more VMs down for maintenance than a wave allows, against a VM that is maintained twice, and against a wave
 // that never completes or counts as done too early.
 func TestWaveKeepsToItsLimit(t *testing.T) {
@@ -133,13 +142,15 @@
 		r.lead(6)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
 		time.Sleep(time.Second)
-		is.Equal(platform.ordered, []string{"vm-a"})
+		vms, _, _ := platform.history()
+		is.Equal(vms, []string{"vm-a"})
 		r.lead(7)
 		began := time.Now()
 		time.Sleep(time.Minute)
-		is.Equal(platform.ordered, []string{"vm-a", "vm-b", "vm-c"})
-		is.True(!platform.last.Before(began.Add(testHolderLease + orderTimeout)))
-		is.Equal(platform.fences, map[uint64]bool{6: true, 7: true})
+		vms, last, fences := platform.history()
+		is.Equal(vms, []string{"vm-a", "vm-b", "vm-c"})
+		is.True(!last.Before(began.Add(testHolderLease + orderTimeout)))
+		is.Equal(fences, map[uint64]bool{6: true, 7: true})
 	})
 }
 
@@ -157,7 +168,8 @@
 				r.lead(6)
 				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
 				time.Sleep(10 * time.Second)
-				is.Equal(len(platform.ordered), 0)
+				vms, _, _ := platform.history()
+				is.Equal(len(vms), 0)
 				r.leader.Close()
 				time.Sleep(orderTimeout) // until the last answer of the quorum
 			})
