--- a/internal/placement/steps/throttle.go
+++ b/internal/placement/steps/throttle.go
@@ -42,7 +42,8 @@
 	throttleHorizon = time.Second
 	// overLimit is the tail ratio of a service from which the filling tasks that slow it down are stopped at once.
 	overLimit = 1.0
-	// strongWeight is the weight from which a filling task is stopped at once beside a service over its limit.
+	// strongWeight is the weight above which filling tasks are throttled for a service, or not placed beside it. Delaying
+	// weaker ones would cost their callers more than it gains for the service.
 	strongWeight = 1.0
 	// minChange is the least change of speed, in percent of full speed, that is worth a call to the worker.
 	minChange = 12
