--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -115,7 +115,8 @@
 	lastEviction    time.Duration
 	avoid           map[submission.Ref]*avoidedWorkers
 	uncertainStarts map[submission.Ref]*uncertainStart
-	views           map[string]*steps.Worker // planner views by worker id, reused by each plan
+	lastRuns        map[submission.Ref]time.Duration // when each endless task was last known to run
+	views           map[string]*steps.Worker         // planner views by worker id, reused by each plan
 	health          map[string]*workerHealth
 	pressure        *steps.Pressure
 	waits           map[stepKey]*waitRecord
@@ -195,6 +196,7 @@
 	l.pressure, l.waits = steps.NewPressure(), map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
+	l.lastRuns = map[submission.Ref]time.Duration{}
 	l.pendingChanges, l.callbacks, l.inFlight, l.dirty = nil, nil, false, false
 }
 
@@ -426,6 +428,11 @@
 				delete(l.avoid, ref)
 			}
 		}
+		for ref := range l.lastRuns {
+			if !alive(ref) {
+				delete(l.lastRuns, ref)
+			}
+		}
 		for id := range l.views {
 			if state.Workers()[id] == nil {
 				delete(l.views, id)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	commitSeconds   = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
 	planSeconds     = metrics.NewHistogram("lentilyard_dispatch_plan_seconds")
 	holdSeconds     = metrics.NewHistogram("lentilyard_dispatch_hold_seconds")
+	// outageSeconds holds the times from the last run of an endless task until it starts again.
+	outageSeconds = metrics.NewHistogram("lentilyard_dispatch_endless_outage_seconds")
 )
 
 // countEnd counts the end of a task by its kind.
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -47,6 +47,7 @@
 		}
 	})
 	s.running = reported
+	l.recordListed(s, l.cfg.Clock())
 	l.logReadings(s)
 	l.adjustThrottling(s)
 	l.restartStalled(s, l.cfg.Clock())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -130,6 +130,8 @@
 	if err != nil {
 		countCallError("start")
 		event = l.log.Warn().AnErr("error", err)
+	} else if away := l.recordStarted(task, r.attempt); away > 0 {
+		event = event.Dur("away_ms", away)
 	}
 	event.Str("decision", "start-answered").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
 		Uint32("attempt", r.attempt).Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("")
