--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -61,8 +61,9 @@
 
 const (
 	// targetLease is the length of the leases that the leader requests. A longer lease keeps tasks running through a longer
-	// partition; a shorter one lets the tasks of a dead worker restart sooner.
-	targetLease = 9 * time.Second
+	// partition; a shorter one lets the tasks of a dead worker restart sooner. It leaves time to restart an endless task
+	// within the 9 s after its last run that the platform allows.
+	targetLease = 8 * time.Second
 	// clockDrift is the fraction by which a worker's clock may run slow, as documented by the platform.
 	clockDrift = 0.02
 	// leaseMargin is added before a lease counts as expired, because calls may still be in transit.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -18,7 +18,9 @@
 	fastHoldWait = 600 * time.Millisecond
 	// holdSlack is the time allowed for a hold in addition to the wait on the worker.
 	holdSlack = 800 * time.Millisecond
-	// holdRetryMin and holdRetryMax bound the backoff after a failed hold.
+	// reconnectInterval is the interval between two holds while a worker with a lease does not answer.
+	reconnectInterval = 400 * time.Millisecond
+	// holdRetryMin and holdRetryMax bound the backoff after a failed hold to a worker without a lease.
 	holdRetryMin = 100 * time.Millisecond
 	holdRetryMax = 400 * time.Millisecond
 	// usableWindow is how long after its last answered hold a worker still gets new tasks.
@@ -161,42 +163,35 @@
 	return s.leaseState
 }
 
+// holdResult is the result of a hold that was sent at the given time.
+type holdResult struct {
+	sent   time.Duration
+	answer HoldAnswer
+	err    error
+}
+
 // holdLoop polls a worker until ctx ends, which renews its lease and collects the ends of attempts. The event loop handles
 // each answer before the next call is made, since a call may acknowledge only ends that are committed.
 func (l *Leader) holdLoop(ctx context.Context, s *session, term uint64) {
 	pause := holdRetryMin
 	for ctx.Err() == nil {
-		sent := l.cfg.Clock()
 		lease := s.leaseSnapshot()
-		c := HoldCall{Target: Target{Incarnation: s.incarnation, Address: s.address, FailureDomain: s.domain, Fence: term}, SeenEnd: lease.acknowledgedEnd()}
-		if !lease.identityUncertain {
-			c.LeaseUntilMs = s.grantLease(l.lease, sent)
-		}
-		switch {
-		case c.LeaseUntilMs == 0:
-			// Do not wait: without a lease, for example at first contact or after a partition, the state is needed at once.
-		case lease.fastPolling:
-			c.WaitMs = fastHoldWait.Milliseconds()
-		default:
-			c.WaitMs = holdWait.Milliseconds()
-		}
-		began := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
-		answer, err := l.cfg.Caller.Hold(callCtx, c)
-		cancel()
-		holdSeconds.UpdateDuration(began)
-		s.setIdentityUncertain(err != nil)
-		if err == nil {
-			s.recordClock(answer.ClockMs, l.cfg.Clock())
+		reconnecting := lease.identityUncertain && lease.confirmed && !lease.expired
+		result := holdResult{}
+		if reconnecting {
+			result = l.reconnect(ctx, s, term)
+		} else {
+			result = l.hold(ctx, s, l.nextHold(s, term))
 		}
+		s.setIdentityUncertain(result.err != nil)
 		handled := make(chan struct{})
-		l.post(func() { l.onHold(s, sent, answer, err, func() { close(handled) }) })
+		l.post(func() { l.onHold(s, result, func() { close(handled) }) })
 		select {
 		case <-handled:
 		case <-ctx.Done():
 			return
 		}
-		if err == nil {
+		if result.err == nil || reconnecting {
 			pause = holdRetryMin
 			continue
 		}
@@ -209,17 +204,91 @@
 	}
 }
 
+// nextHold returns the next hold of a session. It renews the lease unless another incarnation may receive the call.
+func (l *Leader) nextHold(s *session, term uint64) HoldCall {
+	lease := s.leaseSnapshot()
+	c := HoldCall{Target: Target{Incarnation: s.incarnation, Address: s.address, FailureDomain: s.domain, Fence: term}, SeenEnd: lease.acknowledgedEnd()}
+	if !lease.identityUncertain {
+		c.LeaseUntilMs = s.grantLease(l.lease, l.cfg.Clock())
+	}
+	switch {
+	case c.LeaseUntilMs == 0:
+		// Do not wait: without a lease, for example at first contact or after a partition, the state is needed at once.
+	case lease.fastPolling:
+		c.WaitMs = fastHoldWait.Milliseconds()
+	default:
+		c.WaitMs = holdWait.Milliseconds()
+	}
+	return c
+}
+
+// hold makes a hold and records the reading of the worker's clock in its answer.
+func (l *Leader) hold(ctx context.Context, s *session, c HoldCall) holdResult {
+	sent, began := l.cfg.Clock(), time.Now()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
+	defer cancel()
+	answer, err := l.cfg.Caller.Hold(ctx, c)
+	holdSeconds.UpdateDuration(began)
+	if err == nil {
+		s.recordClock(answer.ClockMs, l.cfg.Clock())
+	}
+	return holdResult{sent, answer, err}
+}
+
+// reconnect repeats the hold after a failed one at reconnectInterval, without waiting for the calls before it, until a call
+// succeeds or fails. A partition leaves calls hanging that were made before its end, and the lease may be over before they
+// time out.
+func (l *Leader) reconnect(ctx context.Context, s *session, term uint64) holdResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticker := time.NewTicker(reconnectInterval)
+	defer ticker.Stop()
+	results := make(chan holdResult, 1+holdSlack/reconnectInterval)
+	for {
+		go func() {
+			result := l.hold(ctx, s, l.nextHold(s, term))
+			select {
+			case results <- result:
+			case <-ctx.Done():
+			}
+		}()
+		if result, ok := firstResult(ctx, results, ticker.C); ok {
+			return result
+		}
+	}
+}
+
+// firstResult returns the first result before the next tick, but a success rather than ErrNoAnswer. It returns false if all
+// calls are still in progress by then.
+func firstResult(ctx context.Context, results <-chan holdResult, tick <-chan time.Time) (holdResult, bool) {
+	failed, ok := holdResult{}, false
+	for {
+		select {
+		case result := <-results:
+			if !errors.Is(result.err, ErrNoAnswer) {
+				return result, true
+			}
+			failed, ok = result, true
+		case <-tick:
+			return failed, ok
+		case <-ctx.Done():
+			return holdResult{err: ErrNoAnswer}, true
+		}
+	}
+}
+
 // onHold handles the result of a hold. It calls done once the next hold may be sent.
-func (l *Leader) onHold(s *session, sent time.Duration, answer HoldAnswer, err error, done func()) {
+func (l *Leader) onHold(s *session, result holdResult, done func()) {
 	if l.sessions[s.incarnation.ID] != s {
 		done()
 		return
 	}
-	if err != nil {
-		l.holdFailed(s, err)
+	if result.err != nil {
+		l.holdFailed(s, result.err)
 		done()
 		return
 	}
+	sent, answer := result.sent, result.answer
 	if answer.BornUnixMs != 0 && answer.BornUnixMs != s.incarnation.BornUnixMs {
 		l.recordUncertainStarts(s.incarnation)
 		l.onWorkerReplaced(s, "hold")
