--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// Guards against an endless task that is evicted as soon as it runs again, and so does not serve after a long outage.
+func TestEndlessTaskServesAfterOutage(t *testing.T) {
+	withService(t, func(is *is.I, r *harness) {
+		r.lose("a")
+		r.awaitService()
+		for n := range 4 {
+			r.submit(fmt.Sprint("short-", n), 4, nil)
+			time.Sleep(500 * time.Millisecond)
+			is.True(r.serves("b"))
+		}
+	})
+}
+
 // submitShortTasks keeps the workers busy with short tasks that are on time, until stop is closed.
 func (r *harness) submitShortTasks(stop chan struct{}) {
 	const interval = 800 * time.Millisecond
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,6 +29,8 @@
 	evictionCooldown = 4 * time.Second
 	// maxEndlessWait bounds how long an endless task waits for that reason.
 	maxEndlessWait = 2 * time.Second
+	// minEndlessRun is how long an attempt of an endless task runs before it may be evicted.
+	minEndlessRun = 4 * time.Second
 )
 
 // avoidedWorkers lists the workers on which a task is not to be placed for a while.
@@ -192,13 +194,19 @@
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Stopping = r.phase == phaseStopping
 			resident.ShouldMove = r.shouldMove && r.phase == phaseRunning
-			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() || l.canStop(state, stepKey{ref.Submission, ref.Occurrence, ref.Step}, 1))
+			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() || l.mayEvictEndless(state, ref, r, now))
 		}
 		view.Residents = append(view.Residents, resident)
 	}
 	return view
 }
 
+// mayEvictEndless reports whether the running attempt of an endless task may be evicted: it has run for a while, and its step can do
+// without the task.
+func (l *Leader) mayEvictEndless(state *submission.State, task submission.Ref, r *run, now time.Duration) bool {
+	return now-r.trackedSince >= minEndlessRun && l.canStop(state, stepKey{task.Submission, task.Occurrence, task.Step}, 1)
+}
+
 // anyShouldMove reports whether any filling task should move to another worker.
 func (l *Leader) anyShouldMove() bool {
 	for _, r := range l.runs {
