--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -135,6 +135,7 @@
 		if len(snap.Requests) == 0 && !l.anyShouldMove() {
 			return
 		}
+		snap.Expected = l.expectedRequests(state, now)
 		for _, w := range state.Workers() {
 			if !w.GetGone() {
 				snap.Workers = append(snap.Workers, l.workerView(state, w, now))
@@ -246,9 +247,10 @@
 				continue
 			}
 			r.Idle = !runs
-			r.Deferred = r.Spec.GetEndless() && now-l.lastEviction < evictionCooldown && l.waited(r, now) < maxEndlessWait
+			waited := max(l.waited(r, now), l.longestOutage(r, now))
+			r.Deferred = r.Spec.GetEndless() && now-l.lastEviction < evictionCooldown && waited < maxEndlessWait
 			r.WorkMs = float64(len(r.Waiting)) * float64(r.Spec.GetEstimateMs()) * float64(r.Spec.GetSize().GetMillicores()) / 1000
-			r.ReadyUnixMs = unixMs - l.waited(r, now).Milliseconds()
+			r.ReadyUnixMs = unixMs - waited.Milliseconds()
 			list = append(list, r)
 		}
 	}
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -90,7 +90,9 @@
 // rules allow it.
 func (p *planner) handleUnplaced(r *Request, t WaitingTask, why string) {
 	p.addWait(r, t, why)
-	p.reserveWorker(r)
+	if r.overdue(p.NowUnixMs) {
+		p.reserveWorker(r)
+	}
 	p.preempt(r, t)
 }
 
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -92,7 +92,8 @@
 	CriticalPathMs int64
 	// WorkMs is the work of the waiting tasks in core-milliseconds.
 	WorkMs float64
-	// ReadyUnixMs is the time since which tasks of the step have been ready and waiting.
+	// ReadyUnixMs is the time since which tasks of the step have been ready and waiting. Endless tasks that ran before have
+	// been waiting since their last run.
 	ReadyUnixMs int64
 	// Advised is true if the placement policy of the queue decides which workers may run the step; Allowed holds their
 	// IDs.
@@ -169,6 +170,8 @@
 	NowUnixMs int64
 	Workers   []*Worker
 	Requests  []*Request
+	// Expected holds endless tasks that still count as running on a lost worker but will have to be placed soon.
+	Expected []*Request
 	// MaxStarts bounds the starts of one plan.
 	MaxStarts int
 	Pressure  *Pressure
@@ -191,6 +194,9 @@
 		order = ByObjective
 	}
 	p.proposeMoves()
+	for _, r := range s.Expected {
+		p.reserveWorker(r)
+	}
 	slices.SortStableFunc(s.Requests, func(a, b *Request) int { return order(a, b, s.NowUnixMs) })
 	for _, r := range s.Requests {
 		if len(p.plan.Starts) >= s.MaxStarts {
