--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -323,6 +323,7 @@
 			r.leader.SubmissionsEnded(ended)
 		}
 	})
+	r.state.SetClock(r.clock)
 	r.log = &fakeLog{state: r.state}
 	r.newLeader()
 	r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 1,
@@ -333,10 +334,12 @@
 
 func (r *harness) newLeader() {
 	r.leader = New(Config{State: r.state, Log: r.log, Caller: r.workers, Logger: r.logger, Adviser: r.adviser, Platform: r.platform, Holder: "vm",
-		Clock:  func() time.Duration { return time.Since(r.start) + time.Hour },
+		Clock:  r.clock,
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond, HolderLease: testHolderLease}})
 }
 
+func (r *harness) clock() time.Duration { return time.Since(r.start) + time.Hour }
+
 // lead sets the term of the log and makes the leader lead in it.
 func (r *harness) lead(term uint64) {
 	r.log.mu.Lock()
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -79,6 +79,35 @@
 	}
 }
 
+// Guards against the same if the next leader does not lead for long either.
+func TestThirdLeaderDoesNotExtendOutageOfLostWorker(t *testing.T) {
+	withService(t, func(is *is.I, r *harness) {
+		const between = 2 * time.Second
+		time.Sleep(between)
+		r.lose("a")
+		r.lead(6) // the worker was not recorded as silent yet
+		time.Sleep(between)
+		r.lead(7)
+		leaseOfSecondTerm := previousLeaderTimeout + maxOutage
+		is.True(between+r.awaitService() < leaseOfSecondTerm)
+	})
+}
+
+// Guards against a task that runs twice because a new leader relies on a silence that has ended: its worker has got leases since.
+func TestEndedSilenceDoesNotShortenLease(t *testing.T) {
+	withService(t, func(is *is.I, r *harness) {
+		r.lose("a")
+		time.Sleep(3 * time.Second)
+		r.workers.update(func() { r.workers.byID["a"].unreachable = false })
+		time.Sleep(3 * time.Second)
+		r.lose("a")
+		r.lead(6)
+		time.Sleep(5 * time.Second)
+		is.True(r.serves("a")) // its lease is not over, and the harness reports a second run
+		r.awaitService()
+	})
+}
+
 // Guards against an endless task that is evicted as soon as it runs again, and so does not serve after a long outage.
 func TestEndlessTaskServesAfterOutage(t *testing.T) {
 	withService(t, func(is *is.I, r *harness) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -20,6 +20,8 @@
 	holdSlack = 800 * time.Millisecond
 	// reconnectInterval is the interval between two holds while a worker with a lease does not answer.
 	reconnectInterval = 400 * time.Millisecond
+	// recordWait replaces holdWait until it is committed that a silent worker answers again.
+	recordWait = 50 * time.Millisecond
 	// holdRetryMin and holdRetryMax bound the backoff after a failed hold to a worker without a lease.
 	holdRetryMin = 100 * time.Millisecond
 	holdRetryMax = 400 * time.Millisecond
@@ -43,6 +45,7 @@
 	readAt         time.Duration                    // when fill was last updated
 	overLimitSince map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
 	throttledAt    time.Duration                    // when the speed of a filling task was last changed
+	endingSilence  bool                             // the end of the silence is being committed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
@@ -61,6 +64,11 @@
 	seenEnd      uint64        // number of the last committed end
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
+	// silent is true while the worker is or may be recorded as silent. No lease is granted then.
+	silent bool
+	// recordedLeaseOver is when the leases that previous leaders granted to a silent worker are over, 0 if they did not record it
+	// as silent.
+	recordedLeaseOver time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
 	fastPolling bool
 }
@@ -98,6 +106,9 @@
 	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), cancel: cancel, running: map[submission.Ref]Running{},
 		speedLimits: map[submission.Ref]int{}, fill: steps.CPUShares{}}
 	s.reportedAt = l.cfg.Clock()
+	if over, silent := w.LeaseOver(); silent {
+		s.silent, s.recordedLeaseOver = true, over
+	}
 	l.sessions[w.GetId()] = s
 	l.log.Info().Str("event", "session-opened").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).Str("address", s.address).Msg("")
 	go l.holdLoop(ctx, s, l.term)
@@ -135,7 +146,7 @@
 func (s *session) grantLease(lease, now time.Duration) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clockMs == 0 || !s.confirmed || s.expired || now-s.answeredAt > grantWindow {
+	if s.clockMs == 0 || !s.confirmed || s.expired || s.silent || now-s.answeredAt > grantWindow {
 		return 0
 	}
 	until := s.clockMs + lease.Milliseconds()
@@ -212,6 +223,8 @@
 		c.LeaseUntilMs = s.grantLease(l.lease, l.cfg.Clock())
 	}
 	switch {
+	case lease.silent && lease.confirmed && !lease.identityUncertain:
+		c.WaitMs = recordWait.Milliseconds()
 	case c.LeaseUntilMs == 0:
 		// Do not wait: without a lease, for example at first contact or after a partition, the state is needed at once.
 	case lease.fastPolling:
@@ -295,6 +308,7 @@
 		done()
 		return
 	}
+	l.endSilence(s)
 	if s.recordAnswer(sent, l.lease) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
 	}
@@ -311,6 +325,7 @@
 	case errors.Is(err, ErrOtherIncarnation):
 		l.onWorkerReplaced(s, "hold")
 	case l.ctx.Err() == nil:
+		l.beginSilence(s)
 		countCallError("hold")
 		l.log.Warn().Str("event", "hold-failed").Str("worker", s.incarnation.ID).Err(err).Msg("")
 	}
@@ -381,6 +396,9 @@
 // leaseExpiry returns the time from which the lease has certainly expired on the worker's clock.
 func (l *Leader) leaseExpiry(c leaseState) time.Duration {
 	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - clockDrift)) }
+	if !c.confirmed && c.recordedLeaseOver > 0 {
+		return c.recordedLeaseOver
+	}
 	if !c.confirmed {
 		// A previous leader may have granted leases until it noticed the end of its term.
 		return l.termStart + previousLeaderTimeout + slow(l.lease) + leaseMargin
@@ -434,5 +452,5 @@
 // usable reports whether the worker of a session is reachable and may get new tasks.
 func (l *Leader) usable(s *session, now time.Duration) bool {
 	c := s.leaseSnapshot()
-	return c.confirmed && !c.expired && now-c.answeredAt < usableWindow
+	return c.confirmed && !c.expired && !c.silent && now-c.answeredAt < usableWindow
 }
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -208,6 +208,18 @@
 	return true
 }
 
+// setSilence records whether an incarnation of a worker is silent.
+func (s *State) setSilence(c *pb.WorkerSilence) bool {
+	w := s.workers[c.GetId()]
+	if w == nil || w.GetBornUnixMs() != c.GetBornUnixMs() || w.GetGone() {
+		return false
+	}
+	if w.Silence = nil; c.GetSilent() {
+		w.Silence, w.silenceApplied = c, s.clock()
+	}
+	return true
+}
+
 // configure replaces the configuration if the new one has a higher version.
 func (s *State) configure(c *pb.ServiceConfig) Result {
 	if s.config != nil && c.GetVersion() <= s.config.GetVersion() {
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -20,6 +20,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		out.Workers = append(out.Workers, s.workers[id].PoolWorker)
+		if silence := s.workers[id].Silence; silence != nil {
+			out.Silences = append(out.Silences, silence)
+		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
 		out.Waves = append(out.Waves, s.waves[number])
@@ -71,6 +74,9 @@
 	for _, p := range in.GetWorkers() {
 		s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, goneAt: s.unixMs}
 	}
+	for _, silence := range in.GetSilences() {
+		s.setSilence(silence)
+	}
 	for _, wave := range in.GetWaves() {
 		s.waves[wave.GetNumber()] = wave
 	}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -10,9 +10,11 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilyard/lentilyard/internal/boottime"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -152,7 +154,17 @@
 	*pb.PoolWorker
 	// Attempts holds the numbers of the attempts that may be running on the worker.
 	Attempts map[Ref]uint32
-	goneAt   int64 // in Unix ms
+	// Silence is set while the worker is recorded as silent.
+	Silence *pb.WorkerSilence
+	// silenceApplied is when this VM applied the silence. It is local to the VM and decides nothing in the state machine.
+	silenceApplied time.Duration
+	goneAt         int64 // in Unix ms
+}
+
+// LeaseOver returns when all leases granted to a silent worker are over, by the clock of the state. It returns false if the worker
+// is not recorded as silent.
+func (w *Worker) LeaseOver() (time.Duration, bool) {
+	return w.silenceApplied + time.Duration(w.Silence.GetLeaseRestMs())*time.Millisecond, w.Silence != nil
 }
 
 // Incarnation returns the identity of this incarnation.
@@ -180,16 +192,20 @@
 	// endedByEntry lists the submissions that were ended by the entry being applied.
 	endedByEntry []string
 	changed      func(ended []string)
+	clock        func() time.Duration
 }
 
 // New returns an empty state. Ended submissions are kept for retentionMs. If changed is not nil, Apply calls it after each
 // entry with the submissions that the entry ended. changed must not block.
 func New(retentionMs int64, changed func(ended []string)) *State {
-	s := &State{retentionMs: retentionMs, changed: changed}
+	s := &State{retentionMs: retentionMs, changed: changed, clock: boottime.Now}
 	s.clear()
 	return s
 }
 
+// SetClock replaces the clock by which silences are timed, which is boottime.Now. It must be called before the first entry.
+func (s *State) SetClock(clock func() time.Duration) { s.clock = clock }
+
 func (s *State) clear() {
 	s.config = nil
 	s.queues, s.pools = map[string]*pb.Queue{}, map[string]*pb.Pool{}
@@ -258,6 +274,8 @@
 		return Result{Applied: s.addWave(c.Wave)}
 	case *pb.SubmissionChange_WaveProgress:
 		return Result{Applied: s.progressWave(c.WaveProgress)}
+	case *pb.SubmissionChange_Silence:
+		return Result{Applied: s.setSilence(c.Silence)}
 	}
 	return Result{}
 }
