--- a/internal/dispatch/outage.go
+++ b/internal/dispatch/outage.go
@@ -62,7 +62,7 @@
 }
 
 // expectedRequests returns a request for each endless step with a task on a silent worker whose lease will soon be over.
-func (l *Leader) expectedRequests(state *submission.State, now time.Duration) []*steps.Request {
+func (l *Leader) expectedRequests(state *submission.State, unixMs int64, now time.Duration) []*steps.Request {
 	expected := map[stepKey]*steps.Request{}
 	for id, s := range l.sessions {
 		w := state.Workers()[id]
@@ -73,7 +73,8 @@
 			sub, step := state.Submission(ref.Submission), stepOf(state, ref)
 			if sub != nil && sub.Active() && step.GetEndless() {
 				expected[stepKey{ref.Submission, ref.Occurrence, ref.Step}] = &steps.Request{Submission: ref.Submission, Occurrence: ref.Occurrence,
-					Step: ref.Step, Spec: step, Pool: state.QueueOf(sub).GetPool(), AcceptedUnixMs: sub.AcceptedUnixMs}
+					Step: ref.Step, Spec: step, Pool: state.QueueOf(sub).GetPool(), AcceptedUnixMs: sub.AcceptedUnixMs,
+					ReadyUnixMs: unixMs - l.outage(ref, now).Milliseconds()}
 			}
 		}
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -135,7 +135,7 @@
 		if len(snap.Requests) == 0 && !l.anyShouldMove() {
 			return
 		}
-		snap.Expected = l.expectedRequests(state, now)
+		snap.Expected = l.expectedRequests(state, snap.NowUnixMs, now)
 		for _, w := range state.Workers() {
 			if !w.GetGone() {
 				snap.Workers = append(snap.Workers, l.workerView(state, w, now))
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -44,7 +44,7 @@
 		return maxPerWorkerReached
 	case r.Advised && !r.Allowed[w.Incarnation.ID]:
 		return excludedByPolicy
-	case !spec.GetFills() && w.reservedFor != "" && w.reservedFor != r.Submission:
+	case !spec.GetFills() && w.reservedFor != "" && !r.overdue(p.NowUnixMs):
 		return reservedForService
 	case !spec.GetFills():
 		return noObstacle
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -23,7 +23,7 @@
 
 // prepare computes the sums over the residents of the worker.
 func (w *Worker) prepare(pressure *Pressure) {
-	w.used, w.load, w.pressure, w.reservedFor = resources.Vector{}, 0, pressure, ""
+	w.used, w.usedByEndless, w.load, w.pressure, w.reservedFor = resources.Vector{}, resources.Vector{}, 0, pressure, ""
 	w.services = w.services[:0]
 	clear(w.fill)
 	clear(w.perStep)
@@ -55,6 +55,9 @@
 
 func (w *Worker) add(r *Resident) {
 	w.used = w.used.Plus(reservedSize(r.Step))
+	if r.Step.GetEndless() {
+		w.usedByEndless = w.usedByEndless.Plus(reservedSize(r.Step))
+	}
 	w.load += r.load()
 	w.count(r, 1)
 	if r.Step.GetTailLimitMs() > 0 {
@@ -68,6 +71,9 @@
 // remove subtracts the resident that was added last from the sums.
 func (w *Worker) remove(r *Resident) {
 	w.used = w.used.Minus(reservedSize(r.Step))
+	if r.Step.GetEndless() {
+		w.usedByEndless = w.usedByEndless.Minus(reservedSize(r.Step))
+	}
 	w.load -= r.load()
 	w.count(r, -1)
 	if r.Step.GetTailLimitMs() > 0 {
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -90,9 +90,7 @@
 // rules allow it.
 func (p *planner) handleUnplaced(r *Request, t WaitingTask, why string) {
 	p.addWait(r, t, why)
-	if r.overdue(p.NowUnixMs) {
-		p.reserveWorker(r)
-	}
+	p.reserveWorker(r)
 	p.preempt(r, t)
 }
 
--- a/internal/placement/steps/reserve.go
+++ b/internal/placement/steps/reserve.go
@@ -5,16 +5,24 @@
 // maxReservedShare bounds the share of the workers that are reserved in one plan. One worker may always be reserved.
 const maxReservedShare = 0.05
 
-// reserveWorker reserves the worker with the most free cores for the endless tasks of r: other submissions start no more
-// tasks there except filling tasks, until an endless task fits. It is meant for a pool that is full of short tasks: each
-// that ends makes room for another short task, but never for a larger endless one. A reservation lasts for one plan.
+// reserveExpected reserves workers for the tasks that will soon have to be placed.
+func (p *planner) reserveExpected() {
+	for _, r := range p.Expected {
+		p.reserveWorker(r)
+	}
+}
+
+// reserveWorker reserves a worker for the overdue endless tasks of r: only overdue endless tasks and filling tasks start there,
+// until one of r fits. Of the workers that have room once their short tasks have ended, it is the one with the most free
+// cores. It is meant for a pool that is full of short tasks: each that ends makes room for another short task, but never
+// for a larger endless one. A reservation lasts for one plan.
 func (p *planner) reserveWorker(r *Request) {
-	if float64(p.reservedWorkers) >= max(1, maxReservedShare*float64(len(p.Workers))) {
+	if !r.overdue(p.NowUnixMs) || float64(p.reservedWorkers) >= max(1, maxReservedShare*float64(len(p.Workers))) {
 		return
 	}
 	var best *Worker
 	for _, w := range p.Workers {
-		if !w.Usable || w.Pool != r.Pool || w.reservedFor != "" || !reservedSize(r.Spec).Fits(w.Capacity) ||
+		if !w.Usable || w.Pool != r.Pool || w.reservedFor != "" || !reservedSize(r.Spec).Fits(w.Capacity.Minus(w.usedByEndless)) ||
 			r.Spec.GetLabel() != "" && !slices.Contains(w.Labels, r.Spec.GetLabel()) {
 			continue
 		}
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -108,7 +108,9 @@
 type unplacedSize struct {
 	size             resources.Vector
 	utilizationLimit float64
-	why              string // obstacles, as in Wait
+	// overdue is true if the task could also have started on reserved workers.
+	overdue bool
+	why     string // obstacles, as in Wait
 }
 
 func (r *Request) unplacedKey() unplacedKey {
@@ -125,7 +127,7 @@
 	if len(t.AvoidWorkers) > 0 || r.Advised || r.Spec.GetMaxPerWorker() > 0 {
 		return
 	}
-	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), formatObstacles(found.obstacles)}
+	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), r.overdue(p.NowUnixMs), formatObstacles(found.obstacles)}
 	u[r.unplacedKey()] = append(u[r.unplacedKey()], n)
 }
 
@@ -136,7 +138,7 @@
 	}
 	size := resources.FromProto(r.Spec.GetSize())
 	for _, n := range u[r.unplacedKey()] {
-		if n.size.Fits(size) && (!r.Spec.GetFills() || p.utilizationLimitFor(r) <= n.utilizationLimit) {
+		if n.size.Fits(size) && (n.overdue || !r.overdue(p.NowUnixMs)) && (!r.Spec.GetFills() || p.utilizationLimitFor(r) <= n.utilizationLimit) {
 			return n.why, true
 		}
 	}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -59,12 +59,14 @@
 	Penalty   float64
 	Residents []Resident
 
-	used     resources.Vector // reserved by the residents
-	load     float64          // expected CPU use in millicores
-	services []serviceGroup
-	fill     CPUShares       // CPU shares of the filling tasks at full speed
-	perStep  map[stepKey]int // number of tasks of each step with MaxPerWorker
-	pressure *Pressure
+	used resources.Vector // reserved by the residents
+	// usedByEndless is reserved by the residents that do not end by themselves.
+	usedByEndless resources.Vector
+	load          float64 // expected CPU use in millicores
+	services      []serviceGroup
+	fill          CPUShares       // CPU shares of the filling tasks at full speed
+	perStep       map[stepKey]int // number of tasks of each step with MaxPerWorker
+	pressure      *Pressure
 	// reservedFor is the submission of the overdue endless task for which the worker is reserved, or empty.
 	reservedFor string
 }
@@ -194,14 +196,16 @@
 		order = ByObjective
 	}
 	p.proposeMoves()
-	for _, r := range s.Expected {
-		p.reserveWorker(r)
-	}
 	slices.SortStableFunc(s.Requests, func(a, b *Request) int { return order(a, b, s.NowUnixMs) })
+	expectedReserved := false
 	for _, r := range s.Requests {
 		if len(p.plan.Starts) >= s.MaxStarts {
 			break
 		}
+		if !expectedReserved && !r.overdue(s.NowUnixMs) {
+			expectedReserved = true
+			p.reserveExpected()
+		}
 		if r.Deferred {
 			continue
 		}
@@ -254,7 +258,7 @@
 }
 
 // ByObjective orders requests by the priority of their queue, then by tier, then by the latest time at which the step
-// can start to meet the objective. It is meant for a burst of long submissions ahead of short ones, all of which would
+// can start to meet the objective; overdue endless tasks by how long they have waited. It is meant for a burst of long submissions ahead of short ones, all of which would
 // be late if the first to come were the first to be served. Ties go to the submission that was accepted first.
 func ByObjective(a, b *Request, nowMs int64) int {
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
@@ -263,6 +267,9 @@
 	if c := cmp.Compare(a.tier(nowMs), b.tier(nowMs)); c != 0 {
 		return c
 	}
+	if a.overdue(nowMs) && a.ReadyUnixMs != b.ReadyUnixMs {
+		return cmp.Compare(a.ReadyUnixMs, b.ReadyUnixMs)
+	}
 	if c := cmp.Compare(a.ObjectiveUnixMs-a.CriticalPathMs, b.ObjectiveUnixMs-b.CriticalPathMs); c != 0 {
 		return c
 	}
