--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -60,6 +60,8 @@
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
+	stopUnanswered    bool                      // stops do not arrive
+	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
 	stopTime          time.Duration             // how long a stop takes
@@ -224,6 +226,9 @@
 func (w *fakeWorkers) Stop(ctx context.Context, c StopCall) (int64, error) {
 	w.mu.Lock()
 	f, err := w.receive(c.Target)
+	if f != nil && f.stopUnanswered {
+		f, err = nil, ErrNoAnswer
+	}
 	if err == nil && f.dropAnswers {
 		err = ErrNoAnswer
 	}
@@ -258,7 +263,7 @@
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
 		}
 		answer, ready := w.hold(f, c)
-		answerLost := f.dropAnswers
+		answerLost := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0
 		w.mu.Unlock()
 		if answerLost {
 			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -19,7 +19,9 @@
 	previous submission.Incarnation
 	attempt  uint32
 	since    time.Duration
-	// calling is true while the stop call to the new incarnation is in progress. revokedAt is when that call was acknowledged.
+	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told.
+	in *session
+	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
 	calling   bool
 	revokedAt time.Duration
 }
@@ -127,6 +129,9 @@
 		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation {
 			continue
 		}
+		if u.in != s {
+			u.in, u.calling, u.revokedAt = s, false, 0
+		}
 		switch {
 		case u.revokedAt == 0 && !u.calling:
 			l.revoke(s, ref, u)
--- /dev/null
+++ b/internal/dispatch/uncertain_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+func endless(s *pb.Step) { s.Endless = true }
+
+// restart replaces a worker by a new incarnation with the same id, which carries out calls meant for the previous one.
+func (r *harness) restart(id string, born int64, change func(*fakeWorker)) *fakeWorker {
+	f := newFakeWorkers(r.t, r.workers.work, id).byID[id]
+	f.incarnation.BornUnixMs, f.ignoreIncarnation = born, true
+	change(f)
+	r.workers.update(func() { r.workers.byID[id] = f })
+	return f
+}
+
+// uncertainAt places an endless task on worker a, whose start gets no answer, and registers a second incarnation of a.
+func (r *harness) uncertainAt(change func(*fakeWorker)) {
+	r.report("a", 1)
+	time.Sleep(100 * time.Millisecond)
+	r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+	r.submit("s", 1, endless)
+	time.Sleep(300 * time.Millisecond)
+	r.restart("a", 77, change)
+	r.report("a", 1)
+}
+
+// Guards against an endless task that never starts again because its worker restarts twice, and the second restart comes while
+// the stop of an uncertain start is on its way to the first new incarnation.
+func TestSecondRestartDoesNotStrandTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		r.workers.update(func() { r.workers.byID["a"] = newFakeWorkers(t, time.Minute, "a").byID["a"] })
+		r.uncertainAt(func(f *fakeWorker) { f.stopUnanswered = true })
+		time.Sleep(300 * time.Millisecond) // the stop to the first new incarnation is in progress
+		r.restart("a", 78, func(*fakeWorker) {})
+		r.report("a", 1)
+		time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+		is.Equal(r.running("a"), 1)
+	})
+}
+
+// Guards against a task that runs twice because the stop of an uncertain start was acknowledged by one incarnation, while a
+// later one, which has not been told, carries the start out.
+func TestRevocationHoldsForOneIncarnation(t *testing.T) {
+	withHarness(t, time.Minute, []string{"b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"] = newFakeWorkers(t, time.Minute, "a").byID["a"] })
+		r.leader.post(func() {
+			now := r.leader.cfg.Clock()
+			r.leader.uncertainStarts[submission.Ref{Submission: "s"}] = &uncertainStart{previous: submission.Incarnation{ID: "a", BornUnixMs: 1}, attempt: 1, since: now}
+		})
+		first := r.restart("a", 77, func(f *fakeWorker) { f.mutedByStop = true })
+		r.report("a", 1)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(first.revokedAttempt(r, "s"), uint32(1))
+		second := r.restart("a", 78, func(*fakeWorker) {})
+		r.report("a", 1)
+		time.Sleep(time.Second)
+		is.Equal(second.revokedAttempt(r, "s"), uint32(1))
+	})
+}
+
+func (f *fakeWorker) revokedAttempt(r *harness, id string) uint32 {
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	return f.revoked[submission.Ref{Submission: id}]
+}
