--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -95,10 +95,20 @@
 	return u == nil
 }
 
-// expired reports whether uncertainStartTimeout has passed and no session with a new incarnation is open.
+// expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call
+// has arrived by now, and if a new incarnation has registered, its lease is over.
 func (l *Leader) expired(u *uncertainStart, now time.Duration) bool {
+	lastStart := u.since + uncertainStartTimeout
+	if now <= lastStart {
+		return false
+	}
 	s := l.sessions[u.previous.ID]
-	return (s == nil || s.incarnation == u.previous) && now-u.since > uncertainStartTimeout
+	if s == nil || s.incarnation == u.previous {
+		return true
+	}
+	// The lease in the call is on the clock of the previous incarnation; the new one shortens it to LeaseMax at most.
+	longest := time.Duration(float64(l.cfg.Bounds.LeaseMax)/(1-clockDrift)) + leaseMargin
+	return now > max(lastStart+longest, l.leaseExpiry(s.leaseSnapshot()))
 }
 
 // cleanUpUncertainStarts removes the records that are out of date, including those of tasks that no longer wait.
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -72,3 +72,22 @@
 	defer r.workers.mu.Unlock()
 	return f.revoked[submission.Ref{Submission: id}]
 }
+
+// Guards against an endless task that waits for a minute, until the session closes, because the new incarnation of its worker
+// falls silent at once. It may hold the task only for a delayed call and the longest lease that a worker accepts.
+func TestSilentNewIncarnationDoesNotStrandTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"] = newFakeWorkers(t, time.Minute, "a").byID["a"] })
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		r.uncertainAt(func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(3500 * time.Millisecond)
+		r.workers.update(func() { // the worst case: a delayed call is carried out now, with the longest lease on a slow clock
+			f := r.workers.byID["a"]
+			f.running[submission.Ref{Submission: "s"}] = &fakeRun{attempt: 1, began: time.Now()}
+			f.lease = time.Now().Add(10200 * time.Millisecond)
+			r.workers.byID["b"].noRoom = false
+		})
+		time.Sleep(uncertainStartTimeout + 8*time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
