--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -70,14 +70,21 @@
 	}
 	bypass := p.bypassesPressure(r)
 	found := p.search(r, "")
+	handled := false
 	for _, t := range r.Waiting {
 		if len(p.plan.Starts) >= p.MaxStarts {
 			return
 		}
 		if !p.placeTask(r, t, found) {
 			p.unplaced.record(p, r, t, found)
-			p.handleUnplaced(r, t, formatObstacles(found.obstacles))
-			return
+			if !handled {
+				handled = true
+				p.handleUnplaced(r, t, formatObstacles(found.obstacles))
+			}
+			if len(found.candidates) == 0 {
+				return
+			}
+			continue // the task avoids the workers with room; others of the step may not
 		}
 		if bypass {
 			bypass = false
