--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -21,6 +21,8 @@
 	state *submission.State
 	index uint64
 	term  uint64
+	// err, if set, is what Propose returns without committing anything.
+	err error
 	// barrier, if set, is called by ReadBarrier.
 	barrier func() error
 }
@@ -29,10 +31,20 @@
 	time.Sleep(6 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.err != nil {
+		return nil, f.err
+	}
 	f.index++
 	return f.state.Apply(f.index, f.term, entry), nil
 }
 
+// failing makes the following calls of Propose return err, or succeed if it is nil.
+func (f *fakeLog) failing(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
+
 func (f *fakeLog) ReadBarrier(context.Context) error {
 	if f.barrier != nil {
 		return f.barrier()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -41,6 +41,7 @@
 	readAt         time.Duration                    // when fill was last updated
 	overLimitSince map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
 	throttledAt    time.Duration                    // when the speed of a filling task was last changed
+	lossesPending  int                              // number of attempts whose loss is being committed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
@@ -323,14 +324,15 @@
 // previousLeaderTimeout is how long a leader may continue after it has lost its quorum: twice the election timeout.
 const previousLeaderTimeout = 1200 * time.Millisecond
 
-// checkLease commits the attempts on a worker as lost once its lease has expired, so that the tasks restart elsewhere.
+// checkLease commits the attempts on a worker as lost while its lease counts as expired, so that the tasks restart elsewhere.
+// It commits again if a commit fails, and attempts whose placement is committed only after the lease has expired.
 func (l *Leader) checkLease(s *session, now time.Duration) {
 	s.mu.Lock()
 	over := !s.expired && now >= l.leaseExpiry(s.leaseState)
 	s.expired = s.expired || over
-	answeredAt := s.answeredAt
+	expired, answeredAt := s.expired, s.answeredAt
 	s.mu.Unlock()
-	if !over {
+	if !expired || s.lossesPending > 0 {
 		return
 	}
 	var lost []submission.Ref
@@ -342,11 +344,16 @@
 			}
 		}
 	})
-	leasesOverTotal.Inc()
-	l.log.Warn().Str("event", "lease-over").Str("worker", s.incarnation.ID).Int("tasks", len(lost)).
-		Dur("silent_ms", now-answeredAt).Msg("the worker's lease expired before the worker was reached; its tasks are placed on other workers")
+	if over {
+		leasesOverTotal.Inc()
+	}
+	if over || len(lost) > 0 {
+		l.log.Warn().Str("event", "lease-over").Str("worker", s.incarnation.ID).Int("tasks", len(lost)).
+			Dur("silent_ms", now-answeredAt).Msg("the worker's lease expired before the worker was reached; its tasks are placed on other workers")
+	}
+	s.lossesPending = len(lost)
 	for i, ref := range lost {
-		l.commitEnd(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint, nil)
+		l.commitEnd(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint, func(error) { s.lossesPending-- })
 	}
 }
 
