--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -109,6 +109,8 @@
 	dirty          bool                                        // a new plan has been requested
 	nextPlan       time.Duration                               // earliest time of the next plan
 	nextCleanup    time.Duration                               // earliest time of the next removal of old records
+	// uncommittedGone holds the worker incarnations that are gone and whose commit of this has failed.
+	uncommittedGone []submission.Incarnation
 	// lastHandover is when the pressure model was last sent to the other control VMs.
 	lastHandover time.Duration
 	// lastEviction is when a plan last evicted a task to make room for urgent work.
@@ -195,7 +197,7 @@
 	l.pressure, l.waits = steps.NewPressure(), map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
-	l.pendingChanges, l.callbacks, l.inFlight, l.dirty = nil, nil, false, false
+	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
 
 func (l *Leader) loop(ctx context.Context) {
@@ -391,6 +393,11 @@
 	for ref, r := range l.runs {
 		l.retryCalls(ref, r, now)
 	}
+	gone := l.uncommittedGone
+	l.uncommittedGone = nil
+	for _, incarnation := range gone {
+		l.commitWorkerGone(incarnation)
+	}
 	l.advanceWaves(now)
 	l.sendPressureModel(now)
 	if now >= l.nextCleanup {
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -26,3 +26,24 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against the tasks of a replaced incarnation that stay placed on it for ever because the commit that it has gone failed
+// once, and its successor never registers.
+func TestFailedCommitDoesNotStrandTasksOfReplacedWorker(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		r.submit("s", 1, endless)
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("a"), 1)
+		r.log.failing(errors.New("no quorum for a moment"))
+		r.workers.update(func() {
+			r.workers.byID["b"].noRoom = false
+			r.workers.byID["a"].incarnation.ID = "other" // another worker answers at the address
+			clear(r.workers.byID["a"].running)
+		})
+		time.Sleep(2 * time.Second)
+		r.log.failing(nil)
+		time.Sleep(7 * time.Second) // the rule allows 9 s without a run
+		is.Equal(r.running("b"), 1)
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -255,9 +255,16 @@
 	l.closeSession(s)
 }
 
+// commitWorkerGone commits that a worker incarnation is gone. If the commit fails, the next tick repeats it: nothing else
+// would end the attempts on a worker without a session.
 func (l *Leader) commitWorkerGone(incarnation submission.Incarnation) {
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: incarnation.ID, BornUnixMs: incarnation.BornUnixMs}}}
-	l.queueChange(change, func(_ submission.Result, err error) { l.logCommitFailure("worker-gone", incarnation.ID, err) })
+	l.queueChange(change, func(_ submission.Result, err error) {
+		l.logCommitFailure("worker-gone", incarnation.ID, err)
+		if err != nil {
+			l.uncommittedGone = append(l.uncommittedGone, incarnation)
+		}
+	})
 }
 
 func (l *Leader) logCommitFailure(what, id string, err error) {
