--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -72,6 +72,7 @@
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
+	unavailable       bool                      // starts are refused with ErrUnavailable
 	stopUnanswered    bool                      // stops do not arrive
 	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
@@ -203,6 +204,8 @@
 		return ErrOldAttempt
 	case c.LeaseUntilMs <= f.clockMs(time.Now()):
 		return ErrLeaseOver
+	case f.unavailable:
+		return ErrUnavailable
 	case f.noRoom:
 		f.refusals++
 		return ErrNoRoom
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -54,7 +54,7 @@
 		l.stopUnexpected(s, running, sent)
 	}
 	for _, ref := range missing {
-		l.handleMissing(s, ref, sent)
+		l.handleMissing(s, ref, sent, answer.ClockMs)
 	}
 	l.resolveUncertainStarts(s, sent)
 }
@@ -84,8 +84,9 @@
 	}
 }
 
-// handleMissing handles a placed attempt that a worker lists neither as running nor as ended.
-func (l *Leader) handleMissing(s *session, task submission.Ref, sent time.Duration) {
+// handleMissing handles a placed attempt that a worker lists neither as running nor as ended. clockMs is the worker's clock at
+// that time.
+func (l *Leader) handleMissing(s *session, task submission.Ref, sent time.Duration, clockMs int64) {
 	r := l.runs[task]
 	if r == nil || r.on != s.incarnation || r.calling {
 		return
@@ -98,7 +99,9 @@
 			l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, "not-listed")
 		}
 	case phaseStopping:
-		if r.answeredAt > 0 && r.answeredAt < sent && r.calledAt <= r.answeredAt {
+		stopped := r.answeredAt > 0 && r.answeredAt < sent && r.calledAt <= r.answeredAt
+		tooLate := r.startUntilMs > 0 && clockMs > r.startUntilMs
+		if stopped || tooLate {
 			kind := r.endKind
 			if kind == pb.TaskEndKind_TASK_END_KIND_UNSPECIFIED {
 				kind = pb.TaskEndKind_TASK_END_KIND_STOPPED
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -47,3 +47,14 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against a task that stays placed on a sick worker, which answers neither starts nor stops but holds, for as long as the
+// worker is sick. The lease in the start is short, so that a later hold shows that the start cannot be carried out any more.
+func TestSickWorkerDoesNotKeepTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.submit("s", 1, endless)
+		time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+		is.Equal(r.running("b"), 1)
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -44,9 +44,12 @@
 	// outcomeUnknown is true if the result of some start call is unknown, so that the worker may have carried it out or may still
 	// do so.
 	outcomeUnknown bool
-	trackedSince   time.Duration // when the leader began to track the attempt
-	calledAt       time.Duration // time of the last start or stop call
-	answeredAt     time.Duration // when a start or stop was last acknowledged
+	// startUntilMs is the latest end of a lease in a start call, on the worker's clock; 0 if this leader has sent none. The worker
+	// refuses a start that arrives later.
+	startUntilMs int64
+	trackedSince time.Duration // when the leader began to track the attempt
+	calledAt     time.Duration // time of the last start or stop call
+	answeredAt   time.Duration // when a start or stop was last acknowledged
 	// endKind is the kind of end to commit if a stop is acknowledged and the worker lists the attempt neither as running nor as
 	// ended.
 	endKind pb.TaskEndKind
@@ -89,7 +92,7 @@
 	if !known || c.LeaseUntilMs == 0 {
 		return // retryCalls tries again until the start times out or the worker's lease expires
 	}
-	r.calling, r.calledAt = true, l.cfg.Clock()
+	r.calling, r.calledAt, r.startUntilMs = true, l.cfg.Clock(), max(r.startUntilMs, c.LeaseUntilMs)
 	startsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
 		func(err error) { l.onStart(s, task, r, err) })
