--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -100,6 +100,7 @@
 
 type unplacedKey struct {
 	pool, label string
+	fills       bool
 	// image is set for filling tasks only: where they fit depends on which services they slow down.
 	image string
 }
@@ -112,17 +113,17 @@
 }
 
 func (r *Request) unplacedKey() unplacedKey {
-	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel()}
-	if r.Spec.GetFills() {
+	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel(), fills: r.Spec.GetFills()}
+	if key.fills {
 		key.image = r.Spec.GetImage()
 	}
 	return key
 }
 
 // record adds the size of a task that no worker could take. It ignores tasks that may not run on all workers with room,
-// since another task of that size may find one.
+// since another task of that size may find one, for example on a worker that is reserved for its submission.
 func (u unplacedSizes) record(p *planner, r *Request, t WaitingTask, found *searchResult) {
-	if len(t.AvoidWorkers) > 0 || r.Advised || r.Spec.GetMaxPerWorker() > 0 {
+	if len(t.AvoidWorkers) > 0 || r.Advised || r.Spec.GetMaxPerWorker() > 0 || found.obstacles[reservedForService] > 0 {
 		return
 	}
 	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), formatObstacles(found.obstacles)}
--- a/internal/placement/steps/strand_test.go
+++ b/internal/placement/steps/strand_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // Guards against a task of a step that keeps the others of the step waiting, although there is room for them, because it avoids
@@ -20,3 +21,35 @@
 	is.Equal(len(p.Waiting), 1)
 	is.Equal(p.Waiting[0].Task.Index, uint32(0))
 }
+
+// Guards against a task that is not tried, although a worker has room for it, because a smaller one of another kind found none in
+// the same plan: a filling task needs processor time but reserves none, and a worker may be reserved for one submission only.
+func TestUnplacedSizeRulesOutOnlyItsKind(t *testing.T) {
+	busy := func(reserved int64) *Worker {
+		w := newWorker("w", 8)
+		for _, step := range []*pb.Step{newStep(reserved, nil), newStep(8, func(s *pb.Step) { s.Fills = true })} {
+			w.Residents = append(w.Residents, Resident{Task: submission.Ref{Submission: "r"}, Attempt: 1, Step: step, TailRatio: noReading})
+		}
+		return w
+	}
+	fill := func(s *pb.Step) { s.Fills = true }
+	endless := func(s *pb.Step) { s.Endless = true }
+	t.Run("endless after filling", func(t *testing.T) {
+		p := plan([]*Worker{busy(1)}, newRequest("filling", 1, newStep(2, fill)), newRequest("watch", 1, newStep(2, endless)))
+		is.New(t).Equal(placesOf(p), map[string]int{"w": 1})
+	})
+	t.Run("filling after finite", func(t *testing.T) {
+		w := newWorker("w", 8)
+		w.Residents = append(w.Residents, Resident{Task: submission.Ref{Submission: "r"}, Attempt: 1, Step: newStep(7, func(s *pb.Step) { s.Endless = true }), TailRatio: noReading})
+		p := plan([]*Worker{w}, newRequest("a", 1, newStep(2, nil)), newRequest("filling", 1, newStep(2, fill)))
+		is.New(t).Equal(placesOf(p), map[string]int{"w": 1})
+	})
+	t.Run("reserved for the submission", func(t *testing.T) {
+		w := newWorker("w", 8)
+		w.Residents = append(w.Residents, Resident{Task: submission.Ref{Submission: "r"}, Attempt: 1, Step: newStep(4, nil), TailRatio: noReading})
+		large, small := newRequest("watch", 1, newStep(6, endless)), newRequest("watch", 1, newStep(3, endless))
+		large.ReadyUnixMs, small.Step = -10_000, 1
+		p := plan([]*Worker{w}, large, newRequest("finite", 1, newStep(2, nil)), small)
+		is.New(t).Equal(placesOf(p), map[string]int{"w": 1})
+	})
+}
