--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -30,25 +30,25 @@
 type stepAdvice struct {
 	requesting bool // a request is in progress
 	retryAt    time.Duration
-	// asked holds the workers that were named in a request. The service's decision about a worker does not change, so only
-	// those whose ticket has expired are named again.
-	asked   map[string]bool
-	tickets map[string]ticket // by worker id
+	// asked holds the workers that were named in a request. The service's decision about an incarnation of a worker does not
+	// change, so only those whose ticket has expired are named again.
+	asked   map[submission.Incarnation]bool
+	tickets map[submission.Incarnation]ticket
 }
 
-// workersWithTicket returns the workers that have a valid ticket for a step. It asks the policy service for more tickets in the
-// background if there are fewer than minTickets.
-func (l *Leader) workersWithTicket(step submission.Ref, candidates []string, now time.Duration) map[string]bool {
+// workersWithTicket returns the ids of the candidates that have a valid ticket for a step. It asks the policy service for more
+// tickets in the background if there are fewer than minTickets.
+func (l *Leader) workersWithTicket(step submission.Ref, candidates []submission.Incarnation, now time.Duration) map[string]bool {
 	key := stepKey{step.Submission, step.Occurrence, step.Step}
 	a := l.advice[key]
 	if a == nil {
-		a = &stepAdvice{asked: map[string]bool{}, tickets: map[string]ticket{}}
+		a = &stepAdvice{asked: map[submission.Incarnation]bool{}, tickets: map[submission.Incarnation]ticket{}}
 		l.advice[key] = a
 	}
 	allowed := map[string]bool{}
-	for worker, t := range a.tickets {
-		if t.until > now {
-			allowed[worker] = true
+	for _, worker := range candidates {
+		if a.tickets[worker].until > now {
+			allowed[worker.ID] = true
 		}
 	}
 	if len(allowed) < minTickets && !a.requesting && now >= a.retryAt {
@@ -61,14 +61,15 @@
 const minTickets = 8
 
 // requestTickets requests tickets for candidates that were not named in a request before, or whose ticket has expired.
-func (l *Leader) requestTickets(step submission.Ref, a *stepAdvice, candidates []string, now time.Duration) {
+func (l *Leader) requestTickets(step submission.Ref, a *stepAdvice, candidates []submission.Incarnation, now time.Duration) {
+	var named []submission.Incarnation
 	var names []string
 	for pass := range 2 { // workers that were not named before come first, then those whose ticket has expired
 		for _, worker := range candidates {
 			t, known := a.tickets[worker]
 			again := pass == 1 && known && t.until <= now
 			if len(names) < adviceWorkers && (pass == 0 && !a.asked[worker] || again) {
-				names = append(names, worker)
+				named, names = append(named, worker), append(names, worker.ID)
 			}
 		}
 	}
@@ -92,12 +93,12 @@
 				a.retryAt = l.cfg.Clock() + adviceRetry
 				return
 			}
-			for _, worker := range names {
+			for _, worker := range named {
 				a.asked[worker] = true
 				delete(a.tickets, worker)
-			}
-			for worker, text := range tickets {
-				a.tickets[worker] = ticket{text: text, until: now + valid - adviceMargin}
+				if text, ok := tickets[worker.ID]; ok {
+					a.tickets[worker] = ticket{text: text, until: now + valid - adviceMargin}
+				}
 			}
 			l.dirty = true
 		})
@@ -105,7 +106,7 @@
 }
 
 // ticketFor returns the ticket for a step on a worker, or "" if there is none. The ticket may have expired.
-func (l *Leader) ticketFor(task submission.Ref, worker string) string {
+func (l *Leader) ticketFor(task submission.Ref, worker submission.Incarnation) string {
 	if a := l.advice[stepKey{task.Submission, task.Occurrence, task.Step}]; a != nil {
 		return a.tickets[worker].text
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -150,13 +150,13 @@
 		if !r.Advised {
 			continue
 		}
-		var candidates []string
+		var candidates []submission.Incarnation
 		for _, w := range snap.Workers {
 			if w.Usable && w.Pool == r.Pool {
-				candidates = append(candidates, w.Incarnation.ID)
+				candidates = append(candidates, w.Incarnation)
 			}
 		}
-		slices.Sort(candidates)
+		slices.SortFunc(candidates, func(a, b submission.Incarnation) int { return strings.Compare(a.ID, b.ID) })
 		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, candidates, now)
 	}
 }
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -192,3 +192,46 @@
 		is.Equal(len(platform.ordered), 0) // all three tasks of the step run on this VM, and only two may be unavailable
 	})
 }
+
+// kindAdviser admits the workers on which the step may run. The set may change with a new incarnation.
+type kindAdviser struct {
+	mu       sync.Mutex
+	admitted map[string]bool
+}
+
+func (f *kindAdviser) Advise(_ context.Context, _ submission.Ref, workers []string) (map[string]string, time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tickets := map[string]string{}
+	for _, w := range workers {
+		if f.admitted[w] {
+			tickets[w] = "ticket"
+		}
+	}
+	return tickets, time.Minute, nil
+}
+
+// Guards against a step that waits for ever because the policy did not admit a worker, which has since restarted under the same
+// id as another kind.
+func TestPolicyIsAskedAboutNewIncarnation(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.leader.Close()
+		adviser := &kindAdviser{admitted: map[string]bool{}}
+		r.adviser = adviser
+		r.newLeader()
+		r.lead(6)
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
+			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
+			Pools:  []*pb.Pool{{Name: "pool"}}}}})
+		r.submit("s", 1, endless)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running("a"), 0)
+		adviser.mu.Lock()
+		adviser.admitted["a"] = true
+		adviser.mu.Unlock()
+		r.restart("a", 77, func(*fakeWorker) {})
+		r.report("a", 1)
+		time.Sleep(9 * time.Second)
+		is.Equal(r.running("a"), 1)
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -88,7 +88,7 @@
 		known = true
 		c.Payload, c.Checkpoint = sub.Spec.GetPayload(), t.Checkpoint
 	})
-	c.Ticket = l.ticketFor(task, s.incarnation.ID)
+	c.Ticket = l.ticketFor(task, s.incarnation)
 	if !known || c.LeaseUntilMs == 0 {
 		return // retryCalls tries again until the start times out or the worker's lease expires
 	}
