--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -36,24 +37,36 @@
 	tickets map[submission.Incarnation]ticket
 }
 
-// workersWithTicket returns the ids of the candidates that have a valid ticket for a step. It asks the policy service for more
-// tickets in the background if there are fewer than minTickets.
-func (l *Leader) workersWithTicket(step submission.Ref, candidates []submission.Incarnation, now time.Duration) map[string]bool {
+// workersWithTicket returns the ids of the workers that have a valid ticket for a step. It asks the policy service for more
+// tickets in the background if there are fewer than minTickets. Once there are as many, it asks only about workers with room:
+// tickets for full workers do not let the step start.
+func (l *Leader) workersWithTicket(step submission.Ref, withRoom, others []submission.Incarnation, now time.Duration) map[string]bool {
 	key := stepKey{step.Submission, step.Occurrence, step.Step}
 	a := l.advice[key]
 	if a == nil {
 		a = &stepAdvice{asked: map[submission.Incarnation]bool{}, tickets: map[submission.Incarnation]ticket{}}
 		l.advice[key] = a
 	}
-	allowed := map[string]bool{}
-	for _, worker := range candidates {
+	allowed, allowedWithRoom := map[string]bool{}, 0
+	for _, worker := range withRoom {
 		if a.tickets[worker].until > now {
 			allowed[worker.ID] = true
+			allowedWithRoom++
 		}
 	}
-	if len(allowed) < minTickets && !a.requesting && now >= a.retryAt {
-		l.requestTickets(step, a, candidates, now)
+	for _, worker := range others {
+		if a.tickets[worker].until > now {
+			allowed[worker.ID] = true
+		}
+	}
+	if allowedWithRoom >= minTickets || a.requesting || now < a.retryAt {
+		return allowed
+	}
+	candidates := withRoom
+	if len(allowed) < minTickets {
+		candidates = slices.Concat(withRoom, others)
 	}
+	l.requestTickets(step, a, candidates, now)
 	return allowed
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -139,25 +139,35 @@
 			}
 		}
 	})
-	l.addAdvice(snap, now)
 	slices.SortFunc(snap.Workers, func(a, b *steps.Worker) int { return strings.Compare(a.Incarnation.ID, b.Incarnation.ID) })
+	l.addAdvice(snap, now)
 	return snap
 }
 
 // addAdvice limits the requests of queues that have a policy to the workers that the policy service allows.
 func (l *Leader) addAdvice(snap *steps.Snapshot, now time.Duration) {
+	if !slices.ContainsFunc(snap.Requests, func(r *steps.Request) bool { return r.Advised }) {
+		return
+	}
+	free := make([]resources.Vector, len(snap.Workers))
+	for i, w := range snap.Workers {
+		free[i] = w.Free()
+	}
 	for _, r := range snap.Requests {
 		if !r.Advised {
 			continue
 		}
-		var candidates []submission.Incarnation
-		for _, w := range snap.Workers {
-			if w.Usable && w.Pool == r.Pool {
-				candidates = append(candidates, w.Incarnation)
+		var withRoom, others []submission.Incarnation
+		for i, w := range snap.Workers {
+			switch {
+			case !w.Usable || w.Pool != r.Pool:
+			case w.HasRoom(r.Spec, free[i]):
+				withRoom = append(withRoom, w.Incarnation)
+			default:
+				others = append(others, w.Incarnation)
 			}
 		}
-		slices.SortFunc(candidates, func(a, b submission.Incarnation) int { return strings.Compare(a.ID, b.ID) })
-		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, candidates, now)
+		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, withRoom, others, now)
 	}
 }
 
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -235,3 +235,32 @@
 		is.Equal(r.running("a"), 1)
 	})
 }
+
+// Guards against a step that waits until its tickets expire because all workers with a ticket are full, while the policy service
+// was not asked about those with room.
+func TestPolicyIsAskedAboutWorkersWithRoom(t *testing.T) {
+	var ids []string
+	for i := range adviceWorkers + 2 {
+		ids = append(ids, fmt.Sprintf("w%02d", i))
+	}
+	withHarness(t, time.Minute, ids, func(is *is.I, r *harness) {
+		r.leader.Close()
+		adviser := &kindAdviser{admitted: map[string]bool{}}
+		for _, id := range ids {
+			adviser.admitted[id] = true
+		}
+		r.adviser = adviser
+		r.newLeader()
+		r.lead(6)
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
+			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
+			Pools:  []*pb.Pool{{Name: "pool"}}}}})
+		whole := func(s *pb.Step) { s.Endless, s.Size.Millicores = true, 4000 }
+		r.submit("full", adviceWorkers, whole)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running(ids[adviceWorkers])+r.running(ids[adviceWorkers+1]), 0)
+		r.submit("s", 1, whole)
+		time.Sleep(9 * time.Second)
+		is.Equal(r.running(ids[adviceWorkers])+r.running(ids[adviceWorkers+1]), 1)
+	})
+}
