--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -85,6 +86,9 @@
 	tickets           []string                  // tickets of the starts, in order
 }
 
+// hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
+const hopeless = "hopeless-"
+
 type fakeRun struct {
 	attempt uint32
 	began   time.Time
@@ -123,7 +127,7 @@
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_LOST)
 		case !run.stopped.IsZero() && now.Sub(run.stopped) >= f.stopTime:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_STOPPED)
-		case f.failing:
+		case f.failing || strings.HasPrefix(ref.Submission, hopeless):
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_FAILED)
 		case !f.stalled && ref.Submission != f.serving && now.Sub(run.began) >= w.work:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_DONE)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -346,6 +346,8 @@
 	// quarantineFor is the length of a quarantine. It is shorter than failureWindow, so that afterwards a single failure can
 	// suffice to quarantine the worker again.
 	quarantineFor = 4 * time.Second
+	// maxQuarantinedShare bounds the share of a pool in such a quarantine. If tasks fail on most workers, the tasks are at fault.
+	maxQuarantinedShare = 0.5
 	// unavailableQuarantine is the length of the quarantine after ErrUnavailable.
 	unavailableQuarantine = time.Second
 )
@@ -374,13 +376,35 @@
 				delete(health.failures, id)
 			}
 		}
-		if len(health.failures) >= quarantineAfter && health.quarantinedUntil <= now {
+		if len(health.failures) >= quarantineAfter && health.quarantinedUntil <= now && l.mayQuarantine(worker, now) {
 			health.quarantinedUntil = now + quarantineFor
 			l.log.Warn().Str("decision", "quarantine").Str("worker", worker).Int("failures", len(health.failures)).Msg("tasks of several submissions failed on the worker")
 		}
 	}
 }
 
+// mayQuarantine reports whether enough workers of the pool of a worker stay in use if that worker is quarantined.
+func (l *Leader) mayQuarantine(worker string, now time.Duration) bool {
+	size, quarantined := 0, 1
+	l.cfg.State.View(func(state *submission.State) {
+		known := state.Workers()[worker]
+		if known == nil {
+			return
+		}
+		pool := known.GetPool()
+		for id, w := range state.Workers() {
+			if w.GetPool() != pool || !w.Usable() {
+				continue
+			}
+			size++
+			if id != worker && l.quarantined(id, now) {
+				quarantined++
+			}
+		}
+	})
+	return float64(quarantined) <= maxQuarantinedShare*float64(size)
+}
+
 func (l *Leader) recordRefusal(worker string, err error) {
 	health, now := l.healthOf(worker), l.cfg.Clock()
 	if errors.Is(err, ErrUnavailable) {
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,30 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against an endless task that finds no worker because hopeless submissions keep all of them in quarantine.
+func TestHopelessSubmissionsDoNotStrandEndlessTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+		submitted := make(chan struct{})
+		go func() {
+			defer close(submitted)
+			for i := range 100 {
+				r.submit(fmt.Sprint(hopeless, i), 2, nil)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+		time.Sleep(3 * time.Second)
+		r.submit("s", 3, endless)
+		longest, complete := time.Duration(0), time.Now()
+		for range 300 {
+			time.Sleep(50 * time.Millisecond)
+			if r.running("a")+r.running("b")+r.running("c") == 3 {
+				complete = time.Now()
+			}
+			longest = max(longest, time.Since(complete))
+		}
+		<-submitted
+		time.Sleep(10 * time.Second)     // no commit may be in progress when the test ends
+		is.True(longest < 9*time.Second) // the rule allows 6 s without a run and 3 s more
+	})
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -35,7 +35,7 @@
 		l.avoidWorker(ref, s.incarnation.ID)
 		l.stopRun(ref, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "stalled")
 	}
-	if len(stalled) >= stallQuarantineThreshold {
+	if len(stalled) >= stallQuarantineThreshold && l.mayQuarantine(s.incarnation.ID, now) {
 		health := l.healthOf(s.incarnation.ID)
 		health.quarantinedUntil = max(health.quarantinedUntil, now+quarantineFor)
 		l.log.Warn().Str("decision", "quarantine").Str("worker", s.incarnation.ID).Int("stalled", len(stalled)).Msg("several tasks make no progress on the worker")
