--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -133,9 +133,17 @@
 		if len(snap.Requests) == 0 && !l.anyShouldMove() {
 			return
 		}
+		offered := map[stepKey]int{}
+		mayStop := func(key stepKey) bool {
+			if !l.canStop(state, key, offered[key]+1) {
+				return false
+			}
+			offered[key]++
+			return true
+		}
 		for _, w := range state.Workers() {
 			if !w.GetGone() {
-				snap.Workers = append(snap.Workers, l.workerView(state, w, now))
+				snap.Workers = append(snap.Workers, l.workerView(state, w, now, mayStop))
 			}
 		}
 	})
@@ -173,7 +181,8 @@
 
 // workerView returns the planner's view of a worker. The view is valid until the next plan, which reuses its memory, because
 // allocating views of thousands of workers several times a second would keep the garbage collector busy.
-func (l *Leader) workerView(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
+// mayStop reports whether the plan may stop one more endless task of a step.
+func (l *Leader) workerView(state *submission.State, w *submission.Worker, now time.Duration, mayStop func(stepKey) bool) *steps.Worker {
 	view := l.views[w.GetId()]
 	if view == nil {
 		view = &steps.Worker{}
@@ -202,7 +211,7 @@
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Stopping = r.phase == phaseStopping
 			resident.ShouldMove = r.shouldMove && r.phase == phaseRunning
-			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() || l.canStop(state, stepKey{ref.Submission, ref.Occurrence, ref.Step}, 1))
+			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() || mayStop(stepKey{ref.Submission, ref.Occurrence, ref.Step}))
 		}
 		view.Residents = append(view.Residents, resident)
 	}
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -264,3 +264,28 @@
 		is.Equal(r.running(ids[adviceWorkers])+r.running(ids[adviceWorkers+1]), 1)
 	})
 }
+
+// Guards against evictions for urgent work that make more tasks of a step unavailable than the step allows, in one plan or in two
+// while the first stop is in progress.
+func TestEvictionsRespectMaxUnavailable(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].serving, r.workers.byID["a"].stopTime = "s", time.Second })
+		r.submit("s", 4, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 1 })
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running("a"), 4)
+		r.submit("urgent", 2, func(s *pb.Step) { s.Size.Millicores = 2000 })
+		r.submit("small", 3, nil)
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			stopped := 0
+			r.workers.update(func() {
+				for _, run := range r.workers.byID["a"].running {
+					if !run.stopped.IsZero() {
+						stopped++
+					}
+				}
+			})
+			is.True(stopped <= 1)
+		}
+	})
+}
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -176,12 +176,16 @@
 	return away+n <= int(spec.GetMaxUnavailable())
 }
 
-// isServing reports whether an endless task was serving requests when its worker last answered a hold.
+// isServing reports whether an endless task was serving requests when its worker last answered a hold, and has not been told to
+// stop since.
 func (l *Leader) isServing(ref submission.Ref, t *submission.Task) bool {
 	s := l.sessions[t.On.ID]
 	if !t.Placed() || s == nil || s.incarnation != t.On {
 		return false
 	}
+	if r := l.runs[ref]; r != nil && r.attempt == t.Attempt && r.phase == phaseStopping {
+		return false
+	}
 	reported, ok := s.running[ref]
 	return ok && reported.Attempt == t.Attempt && reported.Percent >= servingPercent
 }
