--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
 // Guards against the tasks of a dead worker that stay placed on it for ever because the commit of their ends failed once.
@@ -86,3 +88,25 @@
 		is.True(longest < 9*time.Second) // the rule allows 6 s without a run and 3 s more
 	})
 }
+
+// Guards against a gang that waits for as long as the worker of one member is sick.
+func TestSickWorkerDoesNotKeepGang(t *testing.T) {
+	withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.submit("s", 4, func(s *pb.Step) { s.Gang = true })
+		time.Sleep(9 * time.Second)
+		is.Equal(r.describe("s"), "done")
+	})
+}
+
+// Guards against the same across a change of the leader: the next one does not know what was sent.
+func TestSickWorkerDoesNotKeepTaskOfPreviousLeader(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.submit("s", 1, endless)
+		time.Sleep(300 * time.Millisecond)
+		r.lead(6)
+		time.Sleep(9 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
