--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	state *submission.State
 	index uint64
 	term  uint64
+	// err, if set, is what Propose returns without committing anything.
+	err error
 	// barrier, if set, is called by ReadBarrier.
 	barrier func() error
 }
@@ -29,10 +32,20 @@
 	time.Sleep(6 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.err != nil {
+		return nil, f.err
+	}
 	f.index++
 	return f.state.Apply(f.index, f.term, entry), nil
 }
 
+// failing makes the following calls of Propose return err, or succeed if it is nil.
+func (f *fakeLog) failing(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
+
 func (f *fakeLog) ReadBarrier(context.Context) error {
 	if f.barrier != nil {
 		return f.barrier()
@@ -60,6 +73,9 @@
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
+	unavailable       bool                      // starts are refused with ErrUnavailable
+	stopUnanswered    bool                      // stops do not arrive
+	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
 	stopTime          time.Duration             // how long a stop takes
@@ -70,6 +86,9 @@
 	tickets           []string                  // tickets of the starts, in order
 }
 
+// hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
+const hopeless = "hopeless-"
+
 type fakeRun struct {
 	attempt uint32
 	began   time.Time
@@ -108,7 +127,7 @@
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_LOST)
 		case !run.stopped.IsZero() && now.Sub(run.stopped) >= f.stopTime:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_STOPPED)
-		case f.failing:
+		case f.failing || strings.HasPrefix(ref.Submission, hopeless):
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_FAILED)
 		case !f.stalled && ref.Submission != f.serving && now.Sub(run.began) >= w.work:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_DONE)
@@ -189,6 +208,8 @@
 		return ErrOldAttempt
 	case c.LeaseUntilMs <= f.clockMs(time.Now()):
 		return ErrLeaseOver
+	case f.unavailable:
+		return ErrUnavailable
 	case f.noRoom:
 		f.refusals++
 		return ErrNoRoom
@@ -224,6 +245,9 @@
 func (w *fakeWorkers) Stop(ctx context.Context, c StopCall) (int64, error) {
 	w.mu.Lock()
 	f, err := w.receive(c.Target)
+	if f != nil && f.stopUnanswered {
+		f, err = nil, ErrNoAnswer
+	}
 	if err == nil && f.dropAnswers {
 		err = ErrNoAnswer
 	}
@@ -258,7 +282,7 @@
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
 		}
 		answer, ready := w.hold(f, c)
-		answerLost := f.dropAnswers
+		answerLost := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0
 		w.mu.Unlock()
 		if answerLost {
 			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -136,37 +136,56 @@
 			return
 		}
 		snap.Expected = l.expectedRequests(state, snap.NowUnixMs, now)
+		offered := map[stepKey]int{}
+		mayStop := func(key stepKey) bool {
+			if !l.canStop(state, key, offered[key]+1) {
+				return false
+			}
+			offered[key]++
+			return true
+		}
 		for _, w := range state.Workers() {
 			if !w.GetGone() {
-				snap.Workers = append(snap.Workers, l.workerView(state, w, now))
+				snap.Workers = append(snap.Workers, l.workerView(state, w, now, mayStop))
 			}
 		}
 	})
-	l.addAdvice(snap, now)
 	slices.SortFunc(snap.Workers, func(a, b *steps.Worker) int { return strings.Compare(a.Incarnation.ID, b.Incarnation.ID) })
+	l.addAdvice(snap, now)
 	return snap
 }
 
 // addAdvice limits the requests of queues that have a policy to the workers that the policy service allows.
 func (l *Leader) addAdvice(snap *steps.Snapshot, now time.Duration) {
+	if !slices.ContainsFunc(snap.Requests, func(r *steps.Request) bool { return r.Advised }) {
+		return
+	}
+	free := make([]resources.Vector, len(snap.Workers))
+	for i, w := range snap.Workers {
+		free[i] = w.Free()
+	}
 	for _, r := range snap.Requests {
 		if !r.Advised {
 			continue
 		}
-		var candidates []string
-		for _, w := range snap.Workers {
-			if w.Usable && w.Pool == r.Pool {
-				candidates = append(candidates, w.Incarnation.ID)
+		var withRoom, others []submission.Incarnation
+		for i, w := range snap.Workers {
+			switch {
+			case !w.Usable || w.Pool != r.Pool:
+			case w.HasRoom(r.Spec, free[i]):
+				withRoom = append(withRoom, w.Incarnation)
+			default:
+				others = append(others, w.Incarnation)
 			}
 		}
-		slices.Sort(candidates)
-		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, candidates, now)
+		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, withRoom, others, now)
 	}
 }
 
 // workerView returns the planner's view of a worker. The view is valid until the next plan, which reuses its memory, because
 // allocating views of thousands of workers several times a second would keep the garbage collector busy.
-func (l *Leader) workerView(state *submission.State, w *submission.Worker, now time.Duration) *steps.Worker {
+// mayStop reports whether the plan may stop one more endless task of a step.
+func (l *Leader) workerView(state *submission.State, w *submission.Worker, now time.Duration, mayStop func(stepKey) bool) *steps.Worker {
 	view := l.views[w.GetId()]
 	if view == nil {
 		view = &steps.Worker{}
@@ -195,19 +214,14 @@
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Stopping = r.phase == phaseStopping
 			resident.ShouldMove = r.shouldMove && r.phase == phaseRunning
-			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() || l.mayEvictEndless(state, ref, r, now))
+			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() ||
+				now-r.trackedSince >= minEndlessRun && mayStop(stepKey{ref.Submission, ref.Occurrence, ref.Step}))
 		}
 		view.Residents = append(view.Residents, resident)
 	}
 	return view
 }
 
-// mayEvictEndless reports whether the running attempt of an endless task may be evicted: it has run for a while, and its step can do
-// without the task.
-func (l *Leader) mayEvictEndless(state *submission.State, task submission.Ref, r *run, now time.Duration) bool {
-	return now-r.trackedSince >= minEndlessRun && l.canStop(state, stepKey{task.Submission, task.Occurrence, task.Step}, 1)
-}
-
 // anyShouldMove reports whether any filling task should move to another worker.
 func (l *Leader) anyShouldMove() bool {
 	for _, r := range l.runs {
@@ -346,6 +360,8 @@
 	// quarantineFor is the length of a quarantine. It is shorter than failureWindow, so that afterwards a single failure can
 	// suffice to quarantine the worker again.
 	quarantineFor = 4 * time.Second
+	// maxQuarantinedShare bounds the share of a pool in such a quarantine. If tasks fail on most workers, the tasks are at fault.
+	maxQuarantinedShare = 0.5
 	// unavailableQuarantine is the length of the quarantine after ErrUnavailable.
 	unavailableQuarantine = time.Second
 )
@@ -374,13 +390,35 @@
 				delete(health.failures, id)
 			}
 		}
-		if len(health.failures) >= quarantineAfter && health.quarantinedUntil <= now {
+		if len(health.failures) >= quarantineAfter && health.quarantinedUntil <= now && l.mayQuarantine(worker, now) {
 			health.quarantinedUntil = now + quarantineFor
 			l.log.Warn().Str("decision", "quarantine").Str("worker", worker).Int("failures", len(health.failures)).Msg("tasks of several submissions failed on the worker")
 		}
 	}
 }
 
+// mayQuarantine reports whether enough workers of the pool of a worker stay in use if that worker is quarantined.
+func (l *Leader) mayQuarantine(worker string, now time.Duration) bool {
+	size, quarantined := 0, 1
+	l.cfg.State.View(func(state *submission.State) {
+		known := state.Workers()[worker]
+		if known == nil {
+			return
+		}
+		pool := known.GetPool()
+		for id, w := range state.Workers() {
+			if w.GetPool() != pool || !w.Usable() {
+				continue
+			}
+			size++
+			if id != worker && l.quarantined(id, now) {
+				quarantined++
+			}
+		}
+	})
+	return float64(quarantined) <= maxQuarantinedShare*float64(size)
+}
+
 func (l *Leader) recordRefusal(worker string, err error) {
 	health, now := l.healthOf(worker), l.cfg.Clock()
 	if errors.Is(err, ErrUnavailable) {
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -192,3 +192,100 @@
 		is.Equal(len(platform.ordered), 0) // all three tasks of the step run on this VM, and only two may be unavailable
 	})
 }
+
+// kindAdviser admits the workers on which the step may run. The set may change with a new incarnation.
+type kindAdviser struct {
+	mu       sync.Mutex
+	admitted map[string]bool
+}
+
+func (f *kindAdviser) Advise(_ context.Context, _ submission.Ref, workers []string) (map[string]string, time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tickets := map[string]string{}
+	for _, w := range workers {
+		if f.admitted[w] {
+			tickets[w] = "ticket"
+		}
+	}
+	return tickets, time.Minute, nil
+}
+
+// Guards against a step that waits for ever because the policy did not admit a worker, which has since restarted under the same
+// id as another kind.
+func TestPolicyIsAskedAboutNewIncarnation(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.leader.Close()
+		adviser := &kindAdviser{admitted: map[string]bool{}}
+		r.adviser = adviser
+		r.newLeader()
+		r.lead(6)
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
+			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
+			Pools:  []*pb.Pool{{Name: "pool"}}}}})
+		r.submit("s", 1, endless)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running("a"), 0)
+		adviser.mu.Lock()
+		adviser.admitted["a"] = true
+		adviser.mu.Unlock()
+		r.restart("a", 77, func(*fakeWorker) {})
+		r.report("a", 1)
+		time.Sleep(9 * time.Second)
+		is.Equal(r.running("a"), 1)
+	})
+}
+
+// Guards against a step that waits until its tickets expire because all workers with a ticket are full, while the policy service
+// was not asked about those with room.
+func TestPolicyIsAskedAboutWorkersWithRoom(t *testing.T) {
+	var ids []string
+	for i := range adviceWorkers + 2 {
+		ids = append(ids, fmt.Sprintf("w%02d", i))
+	}
+	withHarness(t, time.Minute, ids, func(is *is.I, r *harness) {
+		r.leader.Close()
+		adviser := &kindAdviser{admitted: map[string]bool{}}
+		for _, id := range ids {
+			adviser.admitted[id] = true
+		}
+		r.adviser = adviser
+		r.newLeader()
+		r.lead(6)
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
+			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
+			Pools:  []*pb.Pool{{Name: "pool"}}}}})
+		whole := func(s *pb.Step) { s.Endless, s.Size.Millicores = true, 4000 }
+		r.submit("full", adviceWorkers, whole)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running(ids[adviceWorkers])+r.running(ids[adviceWorkers+1]), 0)
+		r.submit("s", 1, whole)
+		time.Sleep(9 * time.Second)
+		is.Equal(r.running(ids[adviceWorkers])+r.running(ids[adviceWorkers+1]), 1)
+	})
+}
+
+// Guards against evictions for urgent work that make more tasks of a step unavailable than the step allows, in one plan or in two
+// while the first stop is in progress.
+func TestEvictionsRespectMaxUnavailable(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].serving, r.workers.byID["a"].stopTime = "s", time.Second })
+		r.submit("s", 4, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 1 })
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running("a"), 4)
+		r.submit("urgent", 2, func(s *pb.Step) { s.Size.Millicores = 2000 })
+		r.submit("small", 3, nil)
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			stopped := 0
+			r.workers.update(func() {
+				for _, run := range r.workers.byID["a"].running {
+					if !run.stopped.IsZero() {
+						stopped++
+					}
+				}
+			})
+			is.True(stopped <= 1)
+		}
+	})
+}
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -54,8 +54,9 @@
 	// usage is the share of the CPU time of each pool that is reserved or expected to be used.
 	usage    map[string]float64
 	unplaced unplacedSizes
-	// reservedWorkers is the number of workers that are reserved for endless tasks.
+	// reservedWorkers is the number of workers that are reserved for endless tasks, reservations that number by submission.
 	reservedWorkers int
+	reservations    map[string]int
 }
 
 // placeRequest proposes starts for the waiting tasks of a request. Of a gang it starts all tasks or none.
@@ -70,14 +71,21 @@
 	}
 	bypass := p.bypassesPressure(r)
 	found := p.search(r, "")
+	handled := false
 	for _, t := range r.Waiting {
 		if len(p.plan.Starts) >= p.MaxStarts {
 			return
 		}
 		if !p.placeTask(r, t, found) {
 			p.unplaced.record(p, r, t, found)
-			p.handleUnplaced(r, t, formatObstacles(found.obstacles))
-			return
+			if !handled {
+				handled = true
+				p.handleUnplaced(r, t, formatObstacles(found.obstacles))
+			}
+			if len(found.candidates) == 0 {
+				return
+			}
+			continue // the task avoids the workers with room; others of the step may not
 		}
 		if bypass {
 			bypass = false
--- a/internal/placement/steps/reserve.go
+++ b/internal/placement/steps/reserve.go
@@ -32,6 +32,13 @@
 	}
 	if best != nil {
 		best.reservedFor = r.Submission
+		p.reservations[r.Submission]++
 		p.reservedWorkers++
 	}
 }
+
+// mayUseReserved reports whether tasks of r may start on some reserved workers: overdue ones on all, others on those that are
+// reserved for their submission.
+func (p *planner) mayUseReserved(r *Request) bool {
+	return r.overdue(p.NowUnixMs) || p.reservations[r.Submission] > 0
+}
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -100,6 +100,7 @@
 
 type unplacedKey struct {
 	pool, label string
+	fills       bool
 	// image is set for filling tasks only: where they fit depends on which services they slow down.
 	image string
 }
@@ -108,14 +109,14 @@
 type unplacedSize struct {
 	size             resources.Vector
 	utilizationLimit float64
-	// overdue is true if the task could also have started on reserved workers.
+	// overdue is true if the task could also have started on all reserved workers.
 	overdue bool
 	why     string // obstacles, as in Wait
 }
 
 func (r *Request) unplacedKey() unplacedKey {
-	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel()}
-	if r.Spec.GetFills() {
+	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel(), fills: r.Spec.GetFills()}
+	if key.fills {
 		key.image = r.Spec.GetImage()
 	}
 	return key
@@ -138,7 +139,7 @@
 	}
 	size := resources.FromProto(r.Spec.GetSize())
 	for _, n := range u[r.unplacedKey()] {
-		if n.size.Fits(size) && (n.overdue || !r.overdue(p.NowUnixMs)) && (!r.Spec.GetFills() || p.utilizationLimitFor(r) <= n.utilizationLimit) {
+		if n.size.Fits(size) && (n.overdue || !p.mayUseReserved(r)) && (!r.Spec.GetFills() || p.utilizationLimitFor(r) <= n.utilizationLimit) {
 			return n.why, true
 		}
 	}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -186,7 +186,7 @@
 
 // MakePlan returns the proposals for a snapshot.
 func MakePlan(s *Snapshot) Plan {
-	p := &planner{Snapshot: s, started: map[string]bool{}, unplaced: unplacedSizes{}}
+	p := &planner{Snapshot: s, started: map[string]bool{}, unplaced: unplacedSizes{}, reservations: map[string]int{}}
 	for _, w := range s.Workers {
 		w.prepare(s.Pressure)
 	}
