--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// crashDowntime is how long a crashed worker is away.
+const crashDowntime = 3300 * time.Millisecond
+
+// restartCrashed lets each crashed worker return after crashDowntime, under its old id or under a new id at its old address.
+func (r *harness) restartCrashed(newID bool) {
+	lives := 0
+	r.workers.crashed = func(f *fakeWorker) {
+		time.AfterFunc(crashDowntime, func() {
+			var next *fakeWorker
+			r.workers.update(func() {
+				lives++
+				id := f.incarnation.ID
+				if newID {
+					id = fmt.Sprintf("%s-%d", f.incarnation.ID, lives)
+				}
+				next = newFakeWorker(id, f.incarnation.BornUnixMs+1000)
+				next.address = f.address
+				if newID && next.address == "" {
+					next.address = f.incarnation.ID
+				}
+				r.workers.byID[id] = next
+			})
+			r.report(next.incarnation.ID, 1)
+		})
+	}
+}
+
+// furtherStarts returns how often a task was started after three workers had crashed while it ran, and how many have crashed.
+func (r *harness) furtherStarts(task submission.Ref) (starts, crashes int) {
+	r.workers.update(func() { starts, crashes = r.workers.startsByTask[task]-crashLimit, r.workers.crashes[task] })
+	return starts, crashes
+}
+
+// crashLimit is the number of crashes after which a task may be started fewer than maxFurtherStarts times more.
+const (
+	crashLimit       = 3
+	maxFurtherStarts = 3
+)
+
+// Guards against a task that is started without end although each worker that starts it crashes.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new id %t", newID), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "deadly"}
+				r.restartCrashed(newID)
+				r.workers.update(func() { r.workers.deadly[task] = true })
+				r.submit("deadly", 1, nil)
+				time.Sleep(60 * time.Second)
+				further, crashes := r.furtherStarts(task)
+				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+				is.True(crashes >= 1)
+				is.True(further < maxFurtherStarts)
+			})
+		})
+	}
+}
+
+// Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
+func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
+	for _, newID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new id %t", newID), func(t *testing.T) {
+			withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.restartCrashed(newID)
+				r.workers.update(func() { r.workers.deadly[submission.Ref{Submission: "deadly"}] = true })
+				r.commit(accept("deadly", 1), accept("neighbour", 7)) // one commit, so that they are placed together, on full workers
+				time.Sleep(30 * time.Second)
+				lost := 0
+				r.workers.update(func() {
+					for index := range uint32(7) {
+						lost = max(lost, r.workers.crashes[submission.Ref{Submission: "neighbour", Index: index}])
+					}
+				})
+				t.Logf("a neighbour was lost %d times; the submission is %s", lost, r.describe("neighbour"))
+				is.True(lost >= 1)
+				is.True(r.describe("neighbour") != "failed")
+				time.Sleep(60 * time.Second)
+				is.Equal(r.describe("neighbour"), "done")
+			})
+		})
+	}
+}
+
+func accept(id string, tasks uint32) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{Queue: "h /", Spec: &pb.SubmissionSpec{Id: id, Payload: "payload",
+		Steps: []*pb.Step{{Count: tasks, Size: &pb.Resources{Millicores: 1000, MemoryBytes: 1}, EstimateMs: 2000}}}}}}
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -68,6 +69,7 @@
 	throttle          map[submission.Ref]int    // last speed limit of each task, in percent
 	serving           string                    // submission whose tasks serve requests and never end
 	tickets           []string                  // tickets of the starts, in order
+	address           string                    // address in reports; the id if empty
 }
 
 type fakeRun struct {
@@ -85,17 +87,49 @@
 	byID       map[string]*fakeWorker
 	done       map[submission.Ref]bool
 	violations []string
+	// deadly lists the tasks that crash each worker that starts them.
+	deadly map[submission.Ref]bool
+	// crashed is called without the lock after a worker has crashed.
+	crashed func(f *fakeWorker)
+	// crashes counts, for each task, the workers that crashed while it ran; startsByTask counts its starts.
+	crashes, startsByTask map[submission.Ref]int
 }
 
+// crashDelay is the time from the start of a deadly task until its worker crashes.
+const crashDelay = 10 * time.Millisecond
+
 func newFakeWorkers(t *testing.T, work time.Duration, ids ...string) *fakeWorkers {
-	w := &fakeWorkers{t: t, work: work, byID: map[string]*fakeWorker{}, done: map[submission.Ref]bool{}}
+	w := &fakeWorkers{t: t, work: work, byID: map[string]*fakeWorker{}, done: map[submission.Ref]bool{}, deadly: map[submission.Ref]bool{},
+		crashes: map[submission.Ref]int{}, startsByTask: map[submission.Ref]int{}}
 	for i, id := range ids {
-		w.byID[id] = &fakeWorker{incarnation: submission.Incarnation{ID: id, BornUnixMs: int64(i + 1)}, born: time.Now(), running: map[submission.Ref]*fakeRun{},
-			revoked: map[submission.Ref]uint32{}, throttle: map[submission.Ref]int{}}
+		w.byID[id] = newFakeWorker(id, int64(i+1))
 	}
 	return w
 }
 
+func newFakeWorker(id string, bornUnixMs int64) *fakeWorker {
+	return &fakeWorker{incarnation: submission.Incarnation{ID: id, BornUnixMs: bornUnixMs}, born: time.Now(), running: map[submission.Ref]*fakeRun{},
+		revoked: map[submission.Ref]uint32{}, throttle: map[submission.Ref]int{}}
+}
+
+// crash ends an incarnation of a worker and all that runs on it, without notice.
+func (w *fakeWorkers) crash(f *fakeWorker) {
+	w.mu.Lock()
+	if f.unreachable {
+		w.mu.Unlock()
+		return
+	}
+	for ref := range f.running {
+		w.crashes[ref]++
+	}
+	clear(f.running)
+	f.unreachable = true
+	w.mu.Unlock()
+	if w.crashed != nil {
+		w.crashed(f)
+	}
+}
+
 func (f *fakeWorker) clockMs(at time.Time) int64 { return at.Sub(f.born).Milliseconds() + 1000 }
 
 // advance brings a worker up to the present time: it ends tasks whose lease has expired and tasks that have finished, failed
@@ -199,6 +233,10 @@
 	}
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
+	w.startsByTask[c.Task]++
+	if w.deadly[c.Task] {
+		time.AfterFunc(crashDelay, func() { w.crash(f) })
+	}
 	f.tickets = append(f.tickets, c.Ticket)
 	for id, other := range w.byID {
 		if other != f && other.running[c.Task] != nil {
@@ -359,7 +397,7 @@
 func (r *harness) report(id string, sequence uint64) {
 	var f *fakeWorker
 	r.workers.update(func() { f = r.workers.byID[id] })
-	w := &pb.PoolWorker{Id: id, BornUnixMs: f.incarnation.BornUnixMs, Pool: "pool", Address: id, FailureDomain: "d", Rack: "r",
+	w := &pb.PoolWorker{Id: id, BornUnixMs: f.incarnation.BornUnixMs, Pool: "pool", Address: cmp.Or(f.address, id), FailureDomain: "d", Rack: "r",
 		Vm:       "vm-" + id,
 		Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 100}}
 	if err := r.leader.Report(context.Background(), &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())}); err != nil {
