--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,6 +38,7 @@
 	app.Flag("width", "Factor on the tasks of each step.").Default("1").IntVar(&c.size.Width)
 	app.Flag("report-interval", "Time between two reports of a worker.").Default("400ms").DurationVar(&c.reportInterval)
 	app.Flag("rate", "Submissions per second.").Default("12").Float64Var(&c.rate)
+	app.Flag("crashing", "Share of submissions of which one task crashes each worker that starts it.").Default("0").Float64Var(&c.crashingShare)
 	app.Flag("length", "Time during which faults are injected.").Default("20s").DurationVar(&c.length)
 	app.Flag("slot", "Second octet of the loopback addresses of the first run; concurrent runs need different ones.").Default("20").IntVar(&c.slot)
 	seeds := app.Command("seeds", "Run seeds with faults and print a line for each.").Action(c.runSeeds)
@@ -64,6 +65,7 @@
 	binary, folder  string
 	size            emulator.Size
 	rate            float64
+	crashingShare   float64
 	reportInterval  time.Duration
 	length          time.Duration
 	firstSeed       uint64
@@ -88,7 +90,7 @@
 		return nil, fmt.Errorf("create the log of the run: %w", err)
 	}
 	return &emulator.Run{Seed: seed, Length: c.length, Log: zerolog.New(log).With().Timestamp().Logger(),
-		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, Sabotage: c.sabotage}}, nil
+		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, CrashingShare: c.crashingShare, Sabotage: c.sabotage}}, nil
 }
 
 func (c *commands) runSeeds(*kingpin.ParseContext) error {
--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -20,6 +20,8 @@
 	PromiseOrder Promise = "order"
 	// PromiseBudget: a task is not started again once its failed attempts reach the limit of its queue.
 	PromiseBudget Promise = "budget"
+	// PromiseCrashes: a task under which three workers have crashed is started fewer than three times more.
+	PromiseCrashes Promise = "crashes"
 	// PromiseAsked: only submitted tasks are started, with the submitted payload and a checkpoint of the same task.
 	PromiseAsked Promise = "asked"
 	// PromisePlace: a task starts on a worker of its queue's pool and within the capacity of the worker.
@@ -52,6 +54,12 @@
 	settleTime = 6 * time.Second
 	// earlyStartTolerance is how long before its due time an occurrence may start.
 	earlyStartTolerance = 250 * time.Millisecond
+	// crashLimit is the number of workers that a task may crash before maxStartsAfterCrashes applies.
+	crashLimit = 3
+	// maxStartsAfterCrashes is the number of starts after crashLimit crashes that breaks the promise.
+	maxStartsAfterCrashes = 3
+	// crashesToFail is the number of workers that a task must have crashed before its submission may be shown as failed.
+	crashesToFail = 2
 )
 
 // Violation describes a broken guarantee and when it was detected.
@@ -73,6 +81,7 @@
 	memory          int64
 	checkpoints     bool
 	endless         bool
+	crashesWorker   bool // each worker that starts the task crashes
 }
 
 // submissionRecord holds what the checker has observed of a submission.
@@ -80,6 +89,7 @@
 	spec            *pb.SubmissionSpec
 	queue           *pb.Queue
 	failingAttempts uint32
+	crashesWorkers  bool // its first task crashes each worker that starts it
 	submittedAt     time.Time
 	outcomeUnknown  bool      // some attempt to submit it returned no definite outcome
 	pendingAttempts int       // attempts that await an answer
@@ -100,6 +110,8 @@
 	observedFailures  uint32    // failed attempts on workers, committed or not
 	checkpoints       map[string]bool
 	starts            int
+	crashesCaused     int // workers that the task has crashed
+	startsAfterLimit  int // starts after crashLimit crashes
 }
 
 // runKey identifies one run of a task on one incarnation of a worker.
@@ -127,7 +139,7 @@
 
 // Stats counts the events of a run.
 type Stats struct {
-	Submitted, Accepted, Refused, Done, Cancelled, Starts, Finished, Failed, Stopped, Lost, Configs, Answered int
+	Submitted, Accepted, Refused, Done, Cancelled, Starts, Finished, Failed, Stopped, Lost, Crashes, Configs, Answered int
 }
 
 // NewChecker returns a checker with no observations.
--- a/internal/emulator/check_callers.go
+++ b/internal/emulator/check_callers.go
@@ -12,13 +12,14 @@
 
 // This file checks what callers and the operator observe.
 
-// SubmitSent records that a caller is about to send a submission.
-func (c *Checker) SubmitSent(q *pb.Queue, spec *pb.SubmissionSpec, failures uint32) {
+// SubmitSent records that a caller is about to send a submission. crashesWorkers tells whether its first task crashes each worker
+// that starts it.
+func (c *Checker) SubmitSent(q *pb.Queue, spec *pb.SubmissionSpec, failures uint32, crashesWorkers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.records[spec.GetId()]
 	if r == nil {
-		r = &submissionRecord{spec: spec, queue: q, failingAttempts: failures, submittedAt: time.Now()}
+		r = &submissionRecord{spec: spec, queue: q, failingAttempts: failures, crashesWorkers: crashesWorkers, submittedAt: time.Now()}
 		c.records[spec.GetId()] = r
 		c.stats.Submitted++
 	}
@@ -109,7 +110,7 @@
 		}
 	case "failed":
 		if !c.failureIsAllowed(r) {
-			c.addViolation(PromiseState, "%s was returned as failed, but no task has failed %d times", id, r.queue.GetAttempts())
+			c.addViolation(PromiseState, "%s was returned as failed, but no task has failed %d times or crashed %d workers", id, r.queue.GetAttempts(), crashesToFail)
 		}
 	case "cancelled":
 		if r.cancelSentAt.IsZero() {
@@ -145,11 +146,11 @@
 	return list
 }
 
-// failureIsAllowed reports whether some unfinished task has used up the attempts of its queue, so that the submission may
-// be in the state failed.
+// failureIsAllowed reports whether some unfinished task has used up the attempts of its queue or has crashed several workers, so
+// that the submission may be in the state failed.
 func (c *Checker) failureIsAllowed(r *submissionRecord) bool {
 	for _, ref := range c.unfinishedTasks(r) {
-		if t := c.tasks[ref]; t != nil && t.observedFailures >= r.queue.GetAttempts() {
+		if t := c.tasks[ref]; t != nil && (t.observedFailures >= r.queue.GetAttempts() || t.crashesCaused >= crashesToFail) {
 			return true
 		}
 	}
@@ -217,6 +218,7 @@
 			list = append(list, unfinishedSubmission{id, PromiseCancelled, "was cancelled, but no cancel was acknowledged"})
 		case !r.cancelSentAt.IsZero() && running:
 			list = append(list, unfinishedSubmission{id, PromiseCancelled, fmt.Sprintf("was cancelled, but %v still runs", ref)})
+		case r.crashesWorkers: // it cannot be done, and need not be given up
 		case r.cancelSentAt.IsZero() && !r.acceptedAt.IsZero() && r.lastState != "done" && r.lastState != "failed":
 			tasks := c.unfinishedTasks(r)
 			list = append(list, unfinishedSubmission{id, PromiseKept, fmt.Sprintf("was accepted, is in state %q and waits for %v", r.lastState, tasks[:min(len(tasks), 3)])})
--- a/internal/emulator/check_workers.go
+++ b/internal/emulator/check_workers.go
@@ -19,7 +19,7 @@
 	}
 	step := r.spec.GetSteps()[task.Step]
 	w := taskProfile{duration: time.Duration(step.GetEstimateMs()) * time.Millisecond, failingAttempts: r.failingAttempts, memory: step.GetSize().GetMemoryBytes(),
-		checkpoints: step.GetCheckpoints(), endless: step.GetEndless()}
+		checkpoints: step.GetCheckpoints(), endless: step.GetEndless(), crashesWorker: r.crashesWorkers && task.Step == 0 && task.Index == 0}
 	if !step.GetFills() {
 		w.millicores = step.GetSize().GetMillicores()
 	}
@@ -71,6 +71,7 @@
 	if limit := r.queue.GetAttempts(); t.committedFailures >= limit && !r.spec.GetSteps()[e.Task.Step].GetEndless() {
 		c.addViolation(PromiseBudget, "%v attempt %d was started after %d failed attempts", e.Task, e.Attempt, t.committedFailures)
 	}
+	c.checkCrashes(e, t)
 	if e.Payload != r.spec.GetPayload() || e.Checkpoint != "" && !t.checkpoints[e.Checkpoint] {
 		c.addViolation(PromiseAsked, "%v was started with an unexpected payload %q or checkpoint %q", e.Task, e.Payload, e.Checkpoint)
 	}
@@ -88,6 +89,17 @@
 	c.checkRefusedNotStarted(e.Task.Submission, r)
 }
 
+// checkCrashes checks that a task that has crashed several workers is not started without end. Starts that a network fault may
+// have delayed do not count.
+func (c *Checker) checkCrashes(e StartEvent, t *taskRecord) {
+	if t.crashesCaused < crashLimit || e.MaybeDelayed {
+		return
+	}
+	if t.startsAfterLimit++; t.startsAfterLimit == maxStartsAfterCrashes {
+		c.addViolation(PromiseCrashes, "%v attempt %d was started on %s, start %d after it had crashed %d workers", e.Task, e.Attempt, e.Worker, t.startsAfterLimit, crashLimit)
+	}
+}
+
 func (c *Checker) checkOrder(task submission.Ref, r *submissionRecord, now time.Time) {
 	due := time.UnixMilli(r.spec.GetFirstDueUnixMs() + int64(task.Occurrence)*r.spec.GetIntervalMs())
 	if r.spec.GetOccurrences() > 0 && due.Sub(now) > earlyStartTolerance {
@@ -143,6 +155,14 @@
 	delete(c.taskRecord(ref).running, worker)
 }
 
+// CrashCaused records that a task has crashed a worker.
+func (c *Checker) CrashCaused(ref submission.Ref) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taskRecord(ref).crashesCaused++
+	c.stats.Crashes++
+}
+
 // EndCommitted records that the system has committed the end of a run. lapsed is true if the lease of the worker lapsed
 // after the run had ended.
 func (c *Checker) EndCommitted(worker string, ref submission.Ref, attempt uint32, endedAt time.Time, lapsed bool) {
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,6 +43,8 @@
 	// Direct omits the proxies in front of workers, for runs without faults whose connections would otherwise reach the
 	// limit of open files.
 	Direct bool
+	// CrashingShare is the share of submissions of which one task crashes each worker that starts it.
+	CrashingShare float64
 	// Sabotage makes the emulator or the deployment break a guarantee, to show that the checker detects it.
 	Sabotage Sabotage
 }
@@ -245,7 +248,7 @@
 func (h *host) start(id string) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.incarnation != nil {
+	if h.incarnation != nil || h.d.ctx.Err() != nil {
 		return nil
 	}
 	h.incarnations++
@@ -262,6 +265,7 @@
 	if h.index%3 == 0 {
 		l.clockSlowdown = clockSlowdown
 	}
+	l.crashHost = func() { h.crashAndRestart(l) }
 	l.maybeDelayed = func() bool { return h.proxy != nil && h.proxy.FaultySince(time.Now().Add(-settleTime)) }
 	h.incarnation, h.cancel = l, end
 	h.server = &http.Server{Handler: platform.WorkerHandler(id, l)}
@@ -291,6 +295,28 @@
 	return id
 }
 
+const (
+	// minDowntime and maxDowntime bound the time for which a worker is away after a task has crashed it.
+	minDowntime = time.Second
+	maxDowntime = 3 * time.Second
+)
+
+// crashAndRestart ends an incarnation without notice to the system, and starts the next one after a while, under the same id
+// or a new one.
+func (h *host) crashAndRestart(l *incarnation) {
+	if h.currentIncarnation() != l {
+		return
+	}
+	id := h.crash()
+	if rand.IntN(2) == 0 {
+		id = ""
+	}
+	sleep(h.d.ctx, minDowntime+rand.N(maxDowntime-minDowntime))
+	if err := h.start(id); err != nil {
+		h.d.checker.ReportViolation(PromiseRuns, "after a crash: %v", err)
+	}
+}
+
 // currentIncarnation returns the running incarnation of the worker, or nil.
 func (h *host) currentIncarnation() *incarnation {
 	h.mu.Lock()
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -35,7 +35,9 @@
 	checker    *Checker
 	client     *platform.APIClient
 	random     *rand.Rand // owned by the goroutine that calls runCallers
-	callers    sync.WaitGroup
+	// crashRandom chooses the submissions that crash workers. It is separate, so that they leave the load of a seed as it is.
+	crashRandom *rand.Rand
+	callers     sync.WaitGroup
 
 	mu          sync.Mutex
 	lastVersion uint64
@@ -45,7 +47,8 @@
 func newLoadGenerator(d *Deployment, seed uint64) *loadGenerator {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleCallerConns, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	return &loadGenerator{deployment: d, checker: d.checker, client: &platform.APIClient{Client: &http.Client{Transport: transport}}, random: rand.New(rand.NewPCG(seed, 1)),
-		polls: map[string]func(){}}
+		crashRandom: rand.New(rand.NewPCG(seed, 6)),
+		polls:       map[string]func(){}}
 }
 
 // queues returns the queues that every valid configuration contains.
@@ -77,6 +80,7 @@
 		q, spec, failures := l.randomSubmission()
 		c := &caller{generator: l, queue: q, spec: spec, failingAttempts: failures, willCancel: l.random.Float64() < cancelProbability || spec.GetSteps()[0].GetEndless(),
 			cancelAfter: time.Duration(1+l.random.IntN(4000)) * time.Millisecond, random: rand.New(rand.NewPCG(l.random.Uint64(), 2))}
+		c.crashesWorkers = l.crashRandom.Float64() < l.deployment.options.CrashingShare && !spec.GetSteps()[0].GetEndless() && spec.GetOccurrences() == 0
 		l.callers.Add(1)
 		go func() { defer l.callers.Done(); c.run(ctx) }()
 	}
@@ -124,6 +128,7 @@
 	queue           *pb.Queue
 	spec            *pb.SubmissionSpec
 	failingAttempts uint32
+	crashesWorkers  bool
 	willCancel      bool
 	cancelAfter     time.Duration
 	random          *rand.Rand
@@ -190,7 +195,7 @@
 
 func (c *caller) submit(ctx context.Context) Outcome {
 	l, id := c.generator, c.spec.GetId()
-	l.checker.SubmitSent(c.queue, c.spec, c.failingAttempts)
+	l.checker.SubmitSent(c.queue, c.spec, c.failingAttempts, c.crashesWorkers)
 	err := c.call("submission", func(ctx context.Context, address string) error { return l.client.Submit(ctx, address, c.queue, c.spec) })
 	var status *platform.StatusError
 	outcome := OutcomeUnknown
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -20,6 +20,7 @@
 	SabotageOrder     Sabotage = "order"     // workers report a run as finished when it starts
 	SabotageState     Sabotage = "state"     // the same; the state of the submission is then returned as done too early
 	SabotageBudget    Sabotage = "budget"    // workers report failed runs as lost
+	SabotageCrashes   Sabotage = "crashes"   // workers that a task crashes report its run as lost instead, and go on
 	SabotageAsked     Sabotage = "asked"     // workers receive a modified payload
 	SabotagePlace     Sabotage = "place"     // workers have less capacity than they report
 	SabotageRefused   Sabotage = "refused"   // callers record accepted submissions as refused
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -24,6 +24,8 @@
 	checkpointInterval = 300 * time.Millisecond
 	// endlessStartupTime is the time until an endless task reports a progress of 100 percent.
 	endlessStartupTime = 200 * time.Millisecond
+	// crashDelay is the time from the start of a task that crashes its workers until the crash.
+	crashDelay = 10 * time.Millisecond
 )
 
 // incarnation is one process lifetime of a worker. It implements the worker's side of the protocol and reports all events to
@@ -39,6 +41,8 @@
 	checker       *Checker
 	// maybeDelayed reports whether a network fault may have delayed a call that arrives now.
 	maybeDelayed func() bool
+	// crashHost crashes the worker and returns once the next incarnation has started.
+	crashHost func()
 	// sabotage makes the worker violate the protocol in the named way, to show that the checker detects it.
 	sabotage Sabotage
 
@@ -247,6 +251,9 @@
 		ExceedsCapacity: !fits, MaybeDelayed: l.maybeDelayed(), Known: known})
 	l.running[c.Task] = &taskRun{attempt: c.Attempt, profile: profile, startedAt: time.Now(), resumedProgress: resumeFrom(c.Checkpoint)}
 	l.wake()
+	if profile.crashesWorker {
+		time.AfterFunc(crashDelay, func() { l.crashUnder(c.Task, c.Attempt) })
+	}
 	switch l.sabotage {
 	case SabotageOnce:
 		l.reportFalseEnd(c.Task, c.Attempt, pb.TaskEndKind_TASK_END_KIND_LOST)
@@ -256,6 +263,24 @@
 	return l.clock(), nil
 }
 
+// crashUnder crashes the worker if an attempt of a task still runs on it.
+func (l *incarnation) crashUnder(task submission.Ref, attempt uint32) {
+	l.mu.Lock()
+	r := l.running[task]
+	if l.dead || r == nil || r.attempt != attempt {
+		l.mu.Unlock()
+		return
+	}
+	l.checker.CrashCaused(task)
+	if l.sabotage == SabotageCrashes {
+		l.end(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, time.Now())
+		l.mu.Unlock()
+		return
+	}
+	l.mu.Unlock()
+	l.crashHost()
+}
+
 // reportFalseEnd reports an end although the task continues to run, for sabotage.
 func (l *incarnation) reportFalseEnd(task submission.Ref, attempt uint32, kind pb.TaskEndKind) {
 	l.lastEndNumber++
