--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// A task may crash each worker that starts it. The tasks beside it are lost as well, so that a lost attempt proves nothing. Suspect are the
+// attempts that had only just started when the worker crashed. A task that was suspect starts where nothing else has only just
+// started, and nothing else starts there until it has run for a while. If the worker crashes again, the task is the only suspect.
+
+// youngAttempt is how long an attempt may crash its worker after the start was sent. An attempt that has run for longer is not
+// suspect.
+const youngAttempt = 150 * time.Millisecond
+
+// recordHold records from the result of a hold until when the worker was alive. A connection that breaks does so when the worker
+// ends; refused connections after that tell nothing more.
+func (s *session) recordHold(result holdResult) {
+	if result.err == nil {
+		s.aliveAt, s.endKnown = result.ended, false
+	} else if !s.unanswered {
+		s.endKnown = !result.timedOut
+		if s.endKnown {
+			s.aliveAt = result.ended
+		}
+	}
+	s.unanswered = result.err != nil
+}
+
+// recordAnswered records that the worker has answered a call.
+func (s *session) recordAnswered(now time.Duration) { s.aliveAt = max(s.aliveAt, now) }
+
+// isYoung reports whether an attempt had only just started when its worker was last known to be alive.
+func (r *run) isYoung(aliveAt time.Duration) bool {
+	return r.startedAt > 0 && r.startedAt <= aliveAt && aliveAt-r.startedAt < youngAttempt
+}
+
+// commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it.
+func (l *Leader) commitWorkerCrashed(s *session) {
+	gone := &pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs}
+	if !l.endsAsPlanned(s.incarnation) {
+		gone.Suspects = l.suspects(s)
+	}
+	l.commitWorkerGone(gone)
+}
+
+// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or its VM is under maintenance.
+func (l *Leader) endsAsPlanned(incarnation submission.Incarnation) bool {
+	planned := false
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[incarnation.ID]
+		if w == nil || w.Incarnation() != incarnation {
+			return
+		}
+		planned = w.GetDraining() || l.waves.down[w.GetVm()] == incarnation
+		for _, wave := range state.Waves() {
+			planned = planned || !wave.GetDone() && slices.Contains(wave.GetBegun(), w.GetVm())
+		}
+	})
+	return planned
+}
+
+// suspects returns the attempts that had only just started on a worker when it was last known to be alive. If it is not known when
+// the worker ended, it may have lived on, and there is no proof against an only one.
+func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
+	var list []*pb.SuspectAttempt
+	for ref, r := range l.runs {
+		if r.on == s.incarnation && r.isYoung(s.aliveAt) {
+			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
+		}
+	}
+	for _, suspect := range list {
+		suspect.Only = len(list) == 1 && s.endKnown
+	}
+	slices.SortFunc(list, func(a, b *pb.SuspectAttempt) int {
+		return cmp.Or(submission.RefOf(a.GetTask()).Compare(submission.RefOf(b.GetTask())), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
+	})
+	return list
+}
+
+// logSuspects logs which attempts may have crashed a worker, and which submissions fail for that.
+func (l *Leader) logSuspects(gone *pb.WorkerGone) {
+	l.cfg.State.View(func(state *submission.State) {
+		for _, suspect := range gone.GetSuspects() {
+			suspectsTotal.Inc()
+			ref := submission.RefOf(suspect.GetTask())
+			event := l.log.Warn().Str("decision", "suspect").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
+				Uint32("attempt", suspect.GetAttempt()).Str("worker", gone.GetId()).Int("suspects", len(gone.GetSuspects()))
+			if t := state.Task(ref); t != nil {
+				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes)
+			}
+			event.Msg("the worker crashed when the attempt had only just started there")
+			if sub := state.Submission(ref.Submission); sub != nil && sub.State == pb.SubmissionState_SUBMISSION_STATE_FAILED {
+				givenUpTotal.Inc()
+				l.log.Warn().Str("decision", "given-up").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
+					Msg("the task crashes the workers that start it; its submission fails")
+			}
+		}
+	})
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -14,9 +14,20 @@
 // crashDowntime is how long a crashed worker is away.
 const crashDowntime = 3300 * time.Millisecond
 
-// restartCrashed lets each crashed worker return after crashDowntime, under its old id or under a new id at its old address.
-func (r *harness) restartCrashed(newID bool) {
-	lives := 0
+// crashCase is a way in which workers crash and return.
+type crashCase struct {
+	newID bool // the next incarnation has a new id at the old address
+	dark  bool // calls to a crashed worker hang, while otherwise its connections break
+}
+
+func (c crashCase) String() string { return fmt.Sprintf("new id %t, dark %t", c.newID, c.dark) }
+
+var crashCases = []crashCase{{false, false}, {true, false}, {false, true}, {true, true}}
+
+// restartCrashed lets each crashed worker return after crashDowntime.
+func (r *harness) restartCrashed(c crashCase) {
+	newID, lives := c.newID, 0
+	r.workers.crashDark = c.dark
 	r.workers.crashed = func(f *fakeWorker) {
 		time.AfterFunc(crashDowntime, func() {
 			var next *fakeWorker
@@ -52,11 +63,11 @@
 
 // Guards against a task that is started without end although each worker that starts it crashes.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	for _, newID := range []bool{false, true} {
-		t.Run(fmt.Sprintf("new id %t", newID), func(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
 				task := submission.Ref{Submission: "deadly"}
-				r.restartCrashed(newID)
+				r.restartCrashed(c)
 				r.workers.update(func() { r.workers.deadly[task] = true })
 				r.submit("deadly", 1, nil)
 				time.Sleep(60 * time.Second)
@@ -71,10 +82,10 @@
 
 // Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
 func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
-	for _, newID := range []bool{false, true} {
-		t.Run(fmt.Sprintf("new id %t", newID), func(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-				r.restartCrashed(newID)
+				r.restartCrashed(c)
 				r.workers.update(func() { r.workers.deadly[submission.Ref{Submission: "deadly"}] = true })
 				r.commit(accept("deadly", 1), accept("neighbour", 7)) // one commit, so that they are placed together, on full workers
 				time.Sleep(30 * time.Second)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -86,6 +86,7 @@
 	serving           string                    // submission whose tasks serve requests and never end
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
+	refusing          bool                      // connections are refused, and open ones break
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -108,6 +109,8 @@
 	violations []string
 	// deadly lists the tasks that crash each worker that starts them.
 	deadly map[submission.Ref]bool
+	// crashDark is true if calls to a crashed worker hang. Otherwise its connections break.
+	crashDark bool
 	// crashed is called without the lock after a worker has crashed.
 	crashed func(f *fakeWorker)
 	// crashes counts, for each task, the workers that crashed while it ran; startsByTask counts its starts.
@@ -142,7 +145,7 @@
 		w.crashes[ref]++
 	}
 	clear(f.running)
-	f.unreachable = true
+	f.unreachable, f.refusing = true, !w.crashDark
 	w.mu.Unlock()
 	if w.crashed != nil {
 		w.crashed(f)
@@ -177,9 +180,15 @@
 	f.ended = append(f.ended, Ended{Number: f.ends, Task: ref, Attempt: run.attempt, Kind: kind})
 }
 
+// errRefused is returned at once, unlike ErrNoAnswer.
+var errRefused = fmt.Errorf("%w: connection refused", ErrNoAnswer)
+
 // receive receives a call. It returns the worker, or an error if the call does not arrive or is refused.
 func (w *fakeWorkers) receive(t Target) (*fakeWorker, error) {
 	f := w.byID[t.Incarnation.ID]
+	if f != nil && f.refusing {
+		return nil, errRefused
+	}
 	if f == nil || f.unreachable {
 		return nil, ErrNoAnswer
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -111,7 +111,7 @@
 	nextPlan       time.Duration                               // earliest time of the next plan
 	nextCleanup    time.Duration                               // earliest time of the next removal of old records
 	// uncommittedGone holds the worker incarnations that are gone and whose commit of this has failed.
-	uncommittedGone []submission.Incarnation
+	uncommittedGone []*pb.WorkerGone
 	// lastHandover is when the pressure model was last sent to the other control VMs.
 	lastHandover time.Duration
 	// lastEviction is when a plan last evicted a task to make room for urgent work.
@@ -398,8 +398,8 @@
 	}
 	gone := l.uncommittedGone
 	l.uncommittedGone = nil
-	for _, incarnation := range gone {
-		l.commitWorkerGone(incarnation)
+	for _, g := range gone {
+		l.commitWorkerGone(g)
 	}
 	l.advanceWaves(now)
 	l.sendPressureModel(now)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,8 @@
 	evictionsTotal  = metrics.NewCounter("lentilyard_dispatch_evictions_total")
 	movesTotal      = metrics.NewCounter("lentilyard_dispatch_moves_total")
 	leasesOverTotal = metrics.NewCounter("lentilyard_dispatch_leases_over_total")
+	suspectsTotal   = metrics.NewCounter("lentilyard_dispatch_suspects_total")
+	givenUpTotal    = metrics.NewCounter("lentilyard_dispatch_given_up_total")
 	stalledTotal    = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
 	commitSeconds   = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
 	planSeconds     = metrics.NewHistogram("lentilyard_dispatch_plan_seconds")
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -211,7 +211,11 @@
 				}
 			}
 		}
+		if t := state.Task(ref); t != nil {
+			resident.Suspect = t.Suspect()
+		}
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
+			resident.Young = r.phase == phaseStarting || r.isYoung(now)
 			resident.Stopping = r.phase == phaseStopping
 			resident.ShouldMove = r.shouldMove && r.phase == phaseRunning
 			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() ||
@@ -340,7 +344,7 @@
 			}
 			continue
 		}
-		r.Waiting = append(r.Waiting, steps.WaitingTask{Index: uint32(i), Attempt: max(attempt, t.Attempt+1), AvoidWorkers: l.avoided(ref, now)})
+		r.Waiting = append(r.Waiting, steps.WaitingTask{Index: uint32(i), Attempt: max(attempt, t.Attempt+1), AvoidWorkers: l.avoided(ref, now), Suspect: t.Suspect()})
 	}
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -83,6 +83,11 @@
 
 // register commits the record of a worker incarnation and opens a session with the worker.
 func (l *Leader) register(w *pb.PoolWorker, done func(error)) {
+	for _, s := range l.sessions {
+		if replaces(w, s) {
+			l.commitWorkerCrashed(s)
+		}
+	}
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: w}}
 	l.queueChange(change, func(_ submission.Result, err error) {
 		l.logCommitFailure("worker", w.GetId(), err)
@@ -95,6 +100,15 @@
 	})
 }
 
+// replaces reports whether a worker that registers shows that the incarnation of a session has ended: it has the same id or the
+// same address and was started later.
+func replaces(w *pb.PoolWorker, s *session) bool {
+	if s.incarnation.ID == w.GetId() {
+		return s.incarnation.BornUnixMs < w.GetBornUnixMs()
+	}
+	return s.address == w.GetAddress() && s.incarnation.BornUnixMs <= w.GetBornUnixMs()
+}
+
 // syncSession opens or closes the session with a worker to match the replicated state.
 func (l *Leader) syncSession(id string) {
 	l.cfg.State.View(func(state *submission.State) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -48,6 +48,7 @@
 	// refuses a start that arrives later.
 	startUntilMs int64
 	trackedSince time.Duration // when the leader began to track the attempt
+	startedAt    time.Duration // when a start was first sent, 0 if this leader has sent none
 	calledAt     time.Duration // time of the last start or stop call
 	answeredAt   time.Duration // when a start or stop was last acknowledged
 	// endKind is the kind of end to commit if a stop is acknowledged and the worker lists the attempt neither as running nor as
@@ -93,6 +94,9 @@
 		return // retryCalls tries again until the start times out or the worker's lease expires
 	}
 	r.calling, r.calledAt, r.startUntilMs = true, l.cfg.Clock(), max(r.startUntilMs, c.LeaseUntilMs)
+	if r.startedAt == 0 {
+		r.startedAt = r.calledAt
+	}
 	startsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
 		func(err error) { l.onStart(s, task, r, err) })
@@ -106,6 +110,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		clockMs, err := f(callCtx)
+		ended := l.cfg.Clock()
 		if clockMs > 0 {
 			s.recordClock(clockMs, l.cfg.Clock())
 		}
@@ -114,6 +119,9 @@
 		}
 		l.post(func() {
 			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s {
+				if err == nil {
+					s.recordAnswered(ended)
+				}
 				then(err)
 			}
 		})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -46,6 +46,9 @@
 	overLimitSince map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
 	throttledAt    time.Duration                    // when the speed of a filling task was last changed
 	endingSilence  bool                             // the end of the silence is being committed
+	aliveAt        time.Duration                    // when the worker was last known to be alive
+	endKnown       bool                             // the connection broke at aliveAt
+	unanswered     bool                             // the last hold got no answer
 	lossesPending  int                              // number of attempts whose loss is being committed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
@@ -175,11 +178,13 @@
 	return s.leaseState
 }
 
-// holdResult is the result of a hold that was sent at the given time.
+// holdResult is the result of a hold.
 type holdResult struct {
-	sent   time.Duration
-	answer HoldAnswer
-	err    error
+	sent, ended time.Duration
+	answer      HoldAnswer
+	err         error
+	// timedOut is true if the call was given up. Otherwise the worker answered, or its connection broke when the call ended.
+	timedOut bool
 }
 
 // holdLoop polls a worker until ctx ends, which renews its lease and collects the ends of attempts. The event loop handles
@@ -242,11 +247,12 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
 	defer cancel()
 	answer, err := l.cfg.Caller.Hold(ctx, c)
+	timedOut := ctx.Err() != nil
 	holdSeconds.UpdateDuration(began)
 	if err == nil {
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
 	}
-	return holdResult{sent, answer, err}
+	return holdResult{sent, l.cfg.Clock(), answer, err, timedOut}
 }
 
 // reconnect repeats the hold after a failed one at reconnectInterval, without waiting for the calls before it, until a call
@@ -297,6 +303,7 @@
 		done()
 		return
 	}
+	s.recordHold(result)
 	if result.err != nil {
 		l.holdFailed(s, result.err)
 		done()
@@ -335,18 +342,19 @@
 // onWorkerReplaced commits that the worker incarnation of a session is gone and closes the session.
 func (l *Leader) onWorkerReplaced(s *session, source string) {
 	l.log.Info().Str("event", "worker-replaced").Str("worker", s.incarnation.ID).Str("source", source).Msg("another worker or another incarnation answers at the worker's address")
-	l.commitWorkerGone(s.incarnation)
+	l.commitWorkerCrashed(s)
 	l.closeSession(s)
 }
 
 // commitWorkerGone commits that a worker incarnation is gone. If the commit fails, the next tick repeats it: nothing else
 // would end the attempts on a worker without a session.
-func (l *Leader) commitWorkerGone(incarnation submission.Incarnation) {
-	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: incarnation.ID, BornUnixMs: incarnation.BornUnixMs}}}
-	l.queueChange(change, func(_ submission.Result, err error) {
-		l.logCommitFailure("worker-gone", incarnation.ID, err)
+func (l *Leader) commitWorkerGone(gone *pb.WorkerGone) {
+	l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: gone}}, func(result submission.Result, err error) {
+		l.logCommitFailure("worker-gone", gone.GetId(), err)
 		if err != nil {
-			l.uncommittedGone = append(l.uncommittedGone, incarnation)
+			l.uncommittedGone = append(l.uncommittedGone, gone)
+		} else if result.Applied {
+			l.logSuspects(gone)
 		}
 	})
 }
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -22,11 +22,13 @@
 	serviceOverLimit
 	slowsService
 	reservedForService
+	suspectStarting
+	otherStarting
 	numObstacles
 )
 
 // obstacleNames are the names of the obstacles in Wait.Obstacles.
-var obstacleNames = [numObstacles]string{"", "not-usable", "no-cores", "no-memory", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service", "kept-for-service"}
+var obstacleNames = [numObstacles]string{"", "not-usable", "no-cores", "no-memory", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service", "kept-for-service", "suspect-starting", "other-starting"}
 
 // obstacleFor returns why no task of r may start on w now, or noObstacle if one may.
 func (p *planner) obstacleFor(w *Worker, r *Request) obstacle {
@@ -34,6 +36,8 @@
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
 		return notUsable
+	case w.probation:
+		return suspectStarting
 	case reservedSize(spec).Cores > w.Capacity.Cores-w.used.Cores:
 		return noCores
 	case !reservedSize(spec).Fits(w.Capacity.Minus(w.used)):
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -26,6 +26,7 @@
 func (w *Worker) prepare(pressure *Pressure) {
 	w.used, w.usedByEndless, w.load, w.pressure, w.reservedFor = resources.Vector{}, resources.Vector{}, 0, pressure, ""
 	w.services = w.services[:0]
+	w.young, w.probation = 0, false
 	clear(w.fill)
 	clear(w.perStep)
 	for i := range w.Residents {
@@ -75,6 +76,10 @@
 	}
 	w.load += r.load()
 	w.count(r, 1)
+	if r.Young {
+		w.young++
+		w.probation = w.probation || r.Suspect
+	}
 	if r.Step.GetTailLimitMs() > 0 {
 		w.addService(r)
 	}
@@ -91,6 +96,10 @@
 	}
 	w.load -= r.load()
 	w.count(r, -1)
+	if r.Young {
+		w.young--
+		w.probation = w.probation && !r.Suspect // there is one at most
+	}
 	if r.Step.GetTailLimitMs() > 0 {
 		w.serviceOf(r.Step.GetImage()).tasks--
 	}
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -165,7 +165,8 @@
 		return false
 	}
 	w := c.worker
-	w.Residents = append(w.Residents, Resident{Task: r.ref(t), Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: noReading})
+	w.Residents = append(w.Residents, Resident{Task: r.ref(t), Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: noReading,
+		Young: true, Suspect: t.Suspect})
 	w.add(&w.Residents[len(w.Residents)-1])
 	p.plan.Starts = append(p.plan.Starts, Start{Task: r.ref(t), Attempt: t.Attempt, On: w.Incarnation, Considered: found.considered()})
 	p.started[r.Submission] = true
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -55,9 +55,21 @@
 // considered returns the number of candidates before the last call of take, if that found one.
 func (s *searchResult) considered() int { return len(s.candidates) + 1 }
 
-// take removes and returns the best worker that a task does not avoid.
+// obstacleOn returns why this task of a request may not start on a worker that can take others of the request, or noObstacle.
+func (t WaitingTask) obstacleOn(w *Worker) obstacle {
+	switch {
+	case slices.Contains(t.AvoidWorkers, w.Incarnation.ID):
+		return avoidedWorker
+	case t.Suspect && w.young > 0:
+		return otherStarting
+	}
+	return noObstacle
+}
+
+// take removes and returns the best worker on which a task may start.
 func (s *searchResult) take(t WaitingTask) (candidate, bool) {
 	var skipped []candidate
+	var reasons [numObstacles]int
 	defer func() {
 		for _, c := range skipped {
 			heap.Push(&s.candidates, c)
@@ -65,12 +77,16 @@
 	}()
 	for len(s.candidates) > 0 {
 		c := heap.Pop(&s.candidates).(candidate)
-		if !slices.Contains(t.AvoidWorkers, c.worker.Incarnation.ID) {
+		o := t.obstacleOn(c.worker)
+		if o == noObstacle {
 			return c, true
 		}
+		reasons[o]++
 		skipped = append(skipped, c)
 	}
-	s.obstacles[avoidedWorker] += len(skipped)
+	for o, n := range reasons {
+		s.obstacles[o] += n
+	}
 	return candidate{}, false
 }
 
@@ -125,7 +141,7 @@
 // record adds the size of a task that no worker could take. It ignores tasks that may not run on all workers with room,
 // since another task of that size may find one.
 func (u unplacedSizes) record(p *planner, r *Request, t WaitingTask, found *searchResult) {
-	if len(t.AvoidWorkers) > 0 || r.Advised || r.Spec.GetMaxPerWorker() > 0 {
+	if len(t.AvoidWorkers) > 0 || t.Suspect || r.Advised || r.Spec.GetMaxPerWorker() > 0 {
 		return
 	}
 	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), r.overdue(p.NowUnixMs), formatObstacles(found.obstacles)}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -35,6 +35,9 @@
 	MayStop bool
 	// Stopping is true once the attempt has been told to stop.
 	Stopping bool
+	// Young is true while the attempt has only just started, or has yet to start. Suspect is true if the task may have crashed a
+	// worker before.
+	Young, Suspect bool
 	// ShouldMove is true for a filling task that slows down a service on the same worker and should run on another worker.
 	ShouldMove bool
 	// ThrottledBy is the fraction of its full speed that a throttled filling task may not use; 0 at full speed.
@@ -62,11 +65,14 @@
 	used resources.Vector // reserved by the residents
 	// usedByEndless is reserved by the residents that do not end by themselves.
 	usedByEndless resources.Vector
-	load          float64 // expected CPU use in millicores
-	services      []serviceGroup
-	fill          CPUShares       // CPU shares of the filling tasks at full speed
-	perStep       map[stepKey]int // number of tasks of each step with MaxPerWorker
-	pressure      *Pressure
+	young         int // number of young residents
+	// probation is true while a suspect task on the worker is young. No other task starts there then.
+	probation bool
+	load      float64 // expected CPU use in millicores
+	services  []serviceGroup
+	fill      CPUShares       // CPU shares of the filling tasks at full speed
+	perStep   map[stepKey]int // number of tasks of each step with MaxPerWorker
+	pressure  *Pressure
 	// reservedFor is the submission of the overdue endless task for which the worker is reserved, or empty.
 	reservedFor string
 }
@@ -121,6 +127,9 @@
 	Attempt uint32
 	// AvoidWorkers holds the IDs of workers on which the task failed or was refused before.
 	AvoidWorkers []string
+	// Suspect is true if the task may have crashed a worker. It starts where no other task has only just started, so that it is known
+	// whether it crashes that worker too.
+	Suspect bool
 }
 
 // Start is a proposed placement.
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -97,6 +97,9 @@
 	if !sub.Active() {
 		return true
 	}
+	if ranOnWorker(c.GetKind()) {
+		t.Suspicions, t.Crashes = 0, 0
+	}
 	switch c.GetKind() {
 	case pb.TaskEndKind_TASK_END_KIND_DONE:
 		s.taskDone(sub, ref, step, spec)
@@ -106,6 +109,11 @@
 	return true
 }
 
+// ranOnWorker reports whether an attempt that ended in this way ran on a worker that has not crashed.
+func ranOnWorker(kind pb.TaskEndKind) bool {
+	return kind == pb.TaskEndKind_TASK_END_KIND_DONE || kind == pb.TaskEndKind_TASK_END_KIND_FAILED
+}
+
 // taskDone marks a task as done. If the task belongs to a gang, all its members are done.
 func (s *State) taskDone(sub *Submission, ref Ref, step *Step, spec *pb.Step) {
 	if spec.GetEndless() {
@@ -176,7 +184,7 @@
 			if other.GetBornUnixMs() > p.GetBornUnixMs() {
 				return false
 			}
-			s.workerGone(other.Incarnation())
+			s.workerGone(other.Incarnation(), nil)
 		}
 	}
 	if known != nil && known.GetBornUnixMs() == p.GetBornUnixMs() {
@@ -186,14 +194,15 @@
 		return true
 	}
 	if known != nil {
-		s.workerGone(known.Incarnation())
+		s.workerGone(known.Incarnation(), nil)
 	}
 	s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}}
 	return true
 }
 
-// workerGone marks an incarnation of a worker as gone and ends all attempts on it as lost.
-func (s *State) workerGone(incarnation Incarnation) bool {
+// workerGone marks an incarnation of a worker as gone and ends all attempts on it as lost. One of the suspects may have crashed
+// the worker.
+func (s *State) workerGone(incarnation Incarnation, suspects []*pb.SuspectAttempt) bool {
 	w := s.workers[incarnation.ID]
 	if w == nil || w.Incarnation() != incarnation || w.GetGone() {
 		return false
@@ -210,9 +219,28 @@
 		}
 	}
 	w.Gone, w.goneAt = true, s.unixMs
+	for _, suspect := range suspects {
+		s.suspect(RefOf(suspect.GetTask()), suspect.GetAttempt(), suspect.GetOnly())
+	}
 	return true
 }
 
+// suspect records that a worker crashed when an attempt of a task had only just started there, and whether it was the only one.
+// The submission fails once the task has crashed too many workers.
+func (s *State) suspect(task Ref, attempt uint32, only bool) {
+	sub, t := s.submissions[task.Submission], s.Task(task)
+	if t == nil || t.Done || t.Attempt < attempt || !sub.Active() {
+		return
+	}
+	t.Suspicions++
+	if only {
+		t.Crashes++
+	}
+	if t.Crashes >= maxCrashes || t.Suspicions >= maxSuspicions {
+		s.finish(sub, pb.SubmissionState_SUBMISSION_STATE_FAILED)
+	}
+}
+
 // setSilence records whether an incarnation of a worker is silent.
 func (s *State) setSilence(c *pb.WorkerSilence) bool {
 	w := s.workers[c.GetId()]
--- /dev/null
+++ b/internal/submission/crash_test.go
@@ -0,0 +1,72 @@
+package submission
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+)
+
+// crash returns the change that ends a worker incarnation that crashed with one attempt of a task as a suspect.
+func crash(ref Ref, attempt uint32, id string, born int64, only bool) *pb.SubmissionChange {
+	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: id, BornUnixMs: born,
+		Suspects: []*pb.SuspectAttempt{{Task: ref.Proto(), Attempt: attempt, Only: only}}}}}
+}
+
+// crashes starts a task on new incarnations of a worker until n of them have crashed.
+func (w *driver) crashes(ref Ref, first uint32, n int, only bool) {
+	for attempt := first; attempt < first+uint32(n); attempt++ {
+		w.apply(worker("w", int64(attempt)), start(ref, attempt, "w", int64(attempt)), crash(ref, attempt, "w", int64(attempt), only))
+	}
+}
+
+// Guards against a task that crashes its workers and is never given up, also across a restored snapshot.
+func TestTaskThatCrashedTwoWorkersFails(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), accept("a", oneTask()))
+	w.crashes(ref, 1, 1, true)
+	snapshot, err := w.state.Snapshot()
+	is.NoErr(err)
+	w.state = New(retentionMs, nil)
+	is.NoErr(w.state.Restore(snapshot))
+	is.Equal(w.state.Submission("a").Describe(), "running")
+	w.crashes(ref, 2, 1, true)
+	is.Equal(w.state.Submission("a").Describe(), "failed")
+}
+
+// Guards against the same if there was always another suspect: the platform allows two starts after the third crash.
+func TestTaskThatWasSuspectedOftenFails(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	w.apply(queueConfig(2), accept("a", oneTask()))
+	w.crashes(Ref{Submission: "a"}, 1, 4, false)
+	is.Equal(w.state.Submission("a").Describe(), "running")
+	w.crashes(Ref{Submission: "a"}, 5, 1, false)
+	is.Equal(w.state.Submission("a").Describe(), "failed")
+}
+
+// Guards against a submission that fails for the crashes of workers that had nothing to do with its task: it ran well in between, or
+// the worker ended with a task that was not suspect.
+func TestCrashesOfOtherCauseAreForgotten(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(3), accept("a", oneTask()))
+	for round := range uint32(3) {
+		w.crashes(ref, 2*round+1, 1, true)
+		attempt := 2*round + 2
+		w.apply(worker("v", int64(attempt)), start(ref, attempt, "v", int64(attempt)))
+		if round == 0 {
+			w.apply(end(ref, attempt, "v", int64(attempt), failed))
+		} else {
+			w.apply(&pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: "v", BornUnixMs: int64(attempt)}}})
+		}
+		if round == 1 {
+			is.Equal(w.state.Task(ref).Crashes, uint32(1))
+		}
+	}
+	is.Equal(w.state.Submission("a").Describe(), "failed") // the crashes of the last two rounds
+}
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -51,7 +51,8 @@
 		step := &pb.StepRecord{}
 		for _, t := range o.Steps[i].Tasks {
 			step.Tasks = append(step.Tasks, &pb.TaskRecord{Attempt: t.Attempt, Worker: t.On.ID, WorkerBornUnixMs: t.On.BornUnixMs,
-				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs})
+				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs,
+				Suspicions: t.Suspicions, Crashes: t.Crashes})
 		}
 		r.Steps = append(r.Steps, step)
 	}
@@ -108,7 +109,8 @@
 		tasks := make([]Task, len(step.GetTasks()))
 		for j, t := range step.GetTasks() {
 			tasks[j] = Task{Attempt: t.GetAttempt(), On: Incarnation{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
-				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts(), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()}}
+				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts(), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()},
+				Suspicions: t.GetSuspicions(), Crashes: t.GetCrashes()}
 			if t.GetDone() {
 				o.Steps[i].Done++
 			}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -59,10 +59,23 @@
 	LostOn Incarnation
 	// Checkpoint is the last saved progress, from which the next attempt resumes.
 	Checkpoint string
+	// Suspicions is the number of workers that crashed when an attempt of the task had only just started there, since the task
+	// last ran for longer. Crashes is the number of those where no other attempt had only just started.
+	Suspicions, Crashes uint32
 	// failed lists the attempts that ended in failure.
 	failed []uint32
 }
 
+const (
+	// maxCrashes is the number of workers that a task may crash before its submission fails.
+	maxCrashes = 2
+	// maxSuspicions is the same for a task that was never the only suspect. The platform allows two starts after the third crash.
+	maxSuspicions = 5
+)
+
+// Suspect reports whether the task may have crashed a worker, so that it should start where nothing else starts.
+func (t *Task) Suspect() bool { return t.Suspicions > 0 }
+
 // Placed reports whether the current attempt is placed on a worker and may be running.
 func (t *Task) Placed() bool { return t.On != Incarnation{} }
 
@@ -269,7 +282,7 @@
 	case *pb.SubmissionChange_Worker:
 		return Result{Applied: s.register(c.Worker)}
 	case *pb.SubmissionChange_Gone:
-		return Result{Applied: s.workerGone(Incarnation{ID: c.Gone.GetId(), BornUnixMs: c.Gone.GetBornUnixMs()})}
+		return Result{Applied: s.workerGone(Incarnation{ID: c.Gone.GetId(), BornUnixMs: c.Gone.GetBornUnixMs()}, c.Gone.GetSuspects())}
 	case *pb.SubmissionChange_Wave:
 		return Result{Applied: s.addWave(c.Wave)}
 	case *pb.SubmissionChange_WaveProgress:
