--- /dev/null
+++ b/internal/dispatch/capacity_test.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a new leader that takes a delayed report for news and fills a worker that has shrunk since.
+func TestDelayedReportDoesNotRestoreCapacity(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		is.NoErr(r.reportCapacity("a", 9, 2000))
+		r.leader.Close()
+		r.newLeader()
+		r.lead(6)
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(r.reportCapacity("a", 8, 4000))
+		is.Equal(r.capacity("a"), int64(2000))
+		r.submit("s", 4, nil)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.peak("a"), 2)
+	})
+}
+
+// Guards against a worker whose room is not used again after it has grown.
+func TestGrownCapacityIsUsed(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		is.NoErr(r.reportCapacity("a", 2, 1000))
+		r.submit("s", 4, nil)
+		time.Sleep(time.Second)
+		is.Equal(r.running("a"), 1)
+		is.NoErr(r.reportCapacity("a", 3, 4000))
+		time.Sleep(time.Second)
+		is.Equal(r.running("a"), 4)
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -64,6 +64,7 @@
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
 	stopTime          time.Duration             // how long a stop takes
 	starts            int                       // number of starts carried out
+	peak              int                       // highest number of tasks running right after a start
 	refusals          int                       // number of starts refused for lack of room
 	throttle          map[submission.Ref]int    // last speed limit of each task, in percent
 	serving           string                    // submission whose tasks serve requests and never end
@@ -199,6 +200,7 @@
 	}
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
+	f.peak = max(f.peak, len(f.running))
 	f.tickets = append(f.tickets, c.Ticket)
 	for id, other := range w.byID {
 		if other != f && other.running[c.Task] != nil {
@@ -357,14 +359,33 @@
 }
 
 func (r *harness) report(id string, sequence uint64) {
+	if err := r.reportCapacity(id, sequence, 4000); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// reportCapacity reports a worker with room for the given millicores.
+func (r *harness) reportCapacity(id string, sequence uint64, millicores int64) error {
 	var f *fakeWorker
 	r.workers.update(func() { f = r.workers.byID[id] })
 	w := &pb.PoolWorker{Id: id, BornUnixMs: f.incarnation.BornUnixMs, Pool: "pool", Address: id, FailureDomain: "d", Rack: "r",
 		Vm:       "vm-" + id,
-		Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 100}}
-	if err := r.leader.Report(context.Background(), &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())}); err != nil {
-		r.t.Fatal(err)
-	}
+		Capacity: &pb.Resources{Millicores: millicores, MemoryBytes: 100}}
+	return r.leader.Report(context.Background(), &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())})
+}
+
+// capacity returns the millicores of a worker in the replicated state.
+func (r *harness) capacity(id string) int64 {
+	millicores := int64(0)
+	r.state.View(func(s *submission.State) { millicores = s.Workers()[id].GetCapacity().GetMillicores() })
+	return millicores
+}
+
+// peak returns the highest number of tasks that have run on a worker right after a start.
+func (r *harness) peak(id string) int {
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	return r.workers.byID[id].peak
 }
 
 func (r *harness) submit(id string, tasks uint32, change func(*pb.Step)) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -11,7 +11,7 @@
 )
 
 // Report handles a worker's report about itself and returns once the resulting change is committed. A report of an
-// incarnation that is gone, or one that arrives after a later report, is acknowledged without effect.
+// incarnation that is gone, or one that arrives after a later report, also to an earlier leader, is acknowledged without effect.
 func (l *Leader) Report(ctx context.Context, r *pb.PoolReport) error {
 	done := make(chan error, 1)
 	l.post(func() { l.onReport(r, func(err error) { done <- err }) })
@@ -36,7 +36,7 @@
 		l.onLeaving(incarnation, known, done)
 		return
 	}
-	if known != nil && (incarnation.BornUnixMs < known.GetBornUnixMs() || incarnation.BornUnixMs == known.GetBornUnixMs() && known.GetGone()) {
+	if known != nil && isLate(known, r) {
 		l.log.Info().Str("event", "late-report").Str("worker", incarnation.ID).Int64("born", incarnation.BornUnixMs).Int64("known", known.GetBornUnixMs()).Msg("")
 		done(nil)
 		return
@@ -59,7 +59,16 @@
 		done(nil)
 		return
 	}
-	l.register(r.GetWorker(), done)
+	w := proto.CloneOf(r.GetWorker())
+	w.Sequence = r.GetSequence()
+	l.register(w, done)
+}
+
+// isLate reports whether a report is of an incarnation that has been replaced or is gone, or was sent before the report that
+// the known record was taken from.
+func isLate(known *pb.PoolWorker, r *pb.PoolReport) bool {
+	born := r.GetWorker().GetBornUnixMs()
+	return born < known.GetBornUnixMs() || born == known.GetBornUnixMs() && (known.GetGone() || r.GetSequence() < known.GetSequence())
 }
 
 // knownWorker returns a copy of the record of a worker's latest incarnation, or nil.
@@ -77,6 +86,7 @@
 // the same incarnation is kept, even if the report does not mention it.
 func Changes(known, now *pb.PoolWorker) bool {
 	stated := proto.CloneOf(now)
+	stated.Sequence = known.GetSequence()
 	stated.Draining = stated.GetDraining() || known.GetDraining() && known.GetBornUnixMs() == now.GetBornUnixMs()
 	return !proto.Equal(known, stated)
 }
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -163,8 +163,9 @@
 // had registered with the same address.
 func (s *State) register(p *pb.PoolWorker) bool {
 	known := s.workers[p.GetId()]
-	if known != nil && (known.GetBornUnixMs() > p.GetBornUnixMs() || known.GetBornUnixMs() == p.GetBornUnixMs() && known.GetGone()) {
-		return false // a late report of an incarnation that is gone
+	if known != nil && (known.GetBornUnixMs() > p.GetBornUnixMs() ||
+		known.GetBornUnixMs() == p.GetBornUnixMs() && (known.GetGone() || known.GetSequence() > p.GetSequence())) {
+		return false // a late report: of an incarnation that is gone, or one that a later report has overtaken
 	}
 	for _, other := range s.workers {
 		if other.GetAddress() == p.GetAddress() && other.GetId() != p.GetId() && !other.GetGone() {
--- a/internal/submission/state_test.go
+++ b/internal/submission/state_test.go
@@ -303,3 +303,25 @@
 	is.True(ok && results[0].Applied)
 	is.True(!w.state.Task(ref).Placed())
 }
+
+// Guards against a delayed report that restores what a later one has changed, such as a capacity that has shrunk. The order
+// has to outlast the leader, so it is part of the state and of its snapshots.
+func TestEarlierReportDoesNotOverwriteLaterOne(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	report := func(sequence uint64, born, millicores int64) bool {
+		return w.apply(&pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: "a", BornUnixMs: born, Pool: "pool", Address: "x",
+			Sequence: sequence, Capacity: &pb.Resources{Millicores: millicores}}}})[0].Applied
+	}
+	capacity := func() int64 { return w.state.Workers()["a"].GetCapacity().GetMillicores() }
+	is.True(report(7, 1, 4000))
+	is.True(report(9, 1, 2000))
+	snapshot, err := w.state.Snapshot()
+	is.NoErr(err)
+	is.NoErr(w.state.Restore(snapshot))
+	is.True(!report(8, 1, 4000))
+	is.Equal(capacity(), int64(2000))
+	is.True(report(10, 1, 3000))
+	is.True(report(1, 2, 4000)) // a new incarnation counts from 1
+	is.Equal(capacity(), int64(4000))
+}
