--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -35,3 +35,14 @@
 		is.Equal(r.running("a"), 4)
 	})
 }
+
+// Guards against a report that is acknowledged when it is sent again, although the commit of its change has failed.
+func TestRepeatedReportIsCommittedAfterFailure(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.log.update(func(f *fakeLog) { f.failing = true })
+		is.True(r.reportCapacity("a", 2, 2000) != nil)
+		r.log.update(func(f *fakeLog) { f.failing = false })
+		is.NoErr(r.reportCapacity("a", 2, 2000))
+		is.Equal(r.capacity("a"), int64(2000))
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -23,12 +24,21 @@
 	term  uint64
 	// barrier, if set, is called by ReadBarrier.
 	barrier func() error
+	// failing makes every commit fail; delay is added to the time that a commit takes.
+	failing bool
+	delay   time.Duration
 }
 
 func (f *fakeLog) Propose(_ context.Context, entry []byte) (any, error) {
-	time.Sleep(6 * time.Millisecond)
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	time.Sleep(6*time.Millisecond + delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.failing {
+		return nil, errNoCommit
+	}
 	f.index++
 	return f.state.Apply(f.index, f.term, entry), nil
 }
@@ -40,6 +50,14 @@
 	return nil
 }
 
+var errNoCommit = errors.New("the entry was not committed")
+
+func (f *fakeLog) update(change func(*fakeLog)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
 // testHolderLease is Bounds.HolderLease in tests.
 const testHolderLease = 3 * time.Second
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -43,7 +43,7 @@
 	}
 	s := l.sessions[incarnation.ID]
 	if s != nil && s.incarnation == incarnation {
-		if r.GetSequence() <= s.sequence {
+		if r.GetSequence() < s.sequence {
 			done(nil)
 			return
 		}
