--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -46,3 +46,21 @@
 		is.Equal(r.capacity("a"), int64(2000))
 	})
 }
+
+// Guards against a start that is sent again after its refusal, while its end is being committed: the worker may have room by then,
+// and the task would run there and on the worker on which it is placed next.
+func TestRefusedStartIsNotSentAgain(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].noRoom = true })
+		r.submit("s", 1, nil)
+		time.Sleep(4 * time.Millisecond) // the start is being committed
+		r.log.update(func(f *fakeLog) { f.delay = 2 * time.Second })
+		time.Sleep(300 * time.Millisecond)
+		r.workers.update(func() {
+			is.Equal(r.workers.byID["a"].refusals, 1)
+			r.workers.byID["a"].noRoom = false
+		})
+		time.Sleep(1500 * time.Millisecond)
+		r.workers.update(func() { is.Equal(r.workers.byID["a"].starts, 0) })
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -29,11 +29,18 @@
 	delay   time.Duration
 }
 
-func (f *fakeLog) Propose(_ context.Context, entry []byte) (any, error) {
+func (f *fakeLog) Propose(ctx context.Context, entry []byte) (any, error) {
 	f.mu.Lock()
 	delay := f.delay
 	f.mu.Unlock()
-	time.Sleep(6*time.Millisecond + delay)
+	time.Sleep(6 * time.Millisecond)
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failing {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -170,6 +170,8 @@
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused")
 		return
 	}
+	// Until the end is committed the attempt must not be started again; the worker is told to stop it if that takes long.
+	r.phase, r.endKind, r.stopReason, r.calledAt = phaseStopping, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused", l.cfg.Clock()
 	l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
 }
 
