--- /dev/null
+++ b/internal/dispatch/capacity.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/resources"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// capacityOf returns the capacity of a worker that starts have to keep to: the committed one, and no more than the worker last
+// reported to this leader, whose commit may take long or fail.
+func (l *Leader) capacityOf(w *submission.Worker) resources.Vector {
+	capacity := resources.FromProto(w.GetCapacity())
+	if s := l.sessions[w.GetId()]; s != nil && s.incarnation == w.Incarnation() && s.reportedCapacity != nil {
+		return capacity.Min(resources.FromProto(s.reportedCapacity))
+	}
+	return capacity
+}
+
+// hasRoom reports whether the worker has room for an attempt placed on it that is not known to run yet. The worker may have
+// shrunk since the attempt was planned. Attempts whose start has not been sent leave their room to those that are sent before.
+func (l *Leader) hasRoom(task submission.Ref, r *run) bool {
+	fits := true
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[r.on.ID]
+		step := stepOf(state, task)
+		if w == nil || step == nil {
+			return // the start is no longer valid, which is for the caller to check
+		}
+		used := steps.ReservedSize(step)
+		for ref, attempt := range w.Attempts {
+			if other := stepOf(state, ref); other != nil && ref != task && !l.isUnsent(ref, attempt, r.on) {
+				used = used.Plus(steps.ReservedSize(other))
+			}
+		}
+		fits = used.Fits(l.capacityOf(w))
+	})
+	return fits
+}
+
+// isUnsent reports whether this leader knows that no start of an attempt has been sent.
+func (l *Leader) isUnsent(task submission.Ref, attempt uint32, on submission.Incarnation) bool {
+	r := l.runs[task]
+	return r != nil && r.attempt == attempt && r.on == on && r.phase == phaseStarting && r.calledAt == 0 && !r.outcomeUnknown
+}
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -64,3 +64,35 @@
 		r.workers.update(func() { is.Equal(r.workers.byID["a"].starts, 0) })
 	})
 }
+
+// shrinkGrace is how long after a worker has shrunk a start may still go by its former capacity: the platform's stable window and
+// one heartbeat.
+const shrinkGrace = 3*time.Second + 1100*time.Millisecond
+
+// Guards against starts that go out by the capacity for which they were planned, although the worker has shrunk while their
+// entry was being committed.
+func TestStartsCommittedLateKeepToShrunkCapacity(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.log.update(func(f *fakeLog) { f.delay = shrinkGrace + 200*time.Millisecond })
+		r.submit("s", 4, nil)
+		time.Sleep(100 * time.Millisecond)
+		go func() { _ = r.reportCapacity("a", 2, 2000) }()
+		time.Sleep(shrinkGrace)
+		is.Equal(r.running("a"), 0)
+		time.Sleep(time.Minute)
+		is.Equal(r.peak("a"), 2)
+	})
+}
+
+// Guards against a leader that plans with a capacity that it knows to be out of date, because the report could not be committed.
+func TestUncommittedShrinkLimitsStarts(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.log.update(func(f *fakeLog) { f.failing = true })
+		is.True(r.reportCapacity("a", 2, 2000) != nil)
+		r.log.update(func(f *fakeLog) { f.failing = false })
+		time.Sleep(shrinkGrace)
+		r.submit("s", 4, nil)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.peak("a"), 2)
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -8,7 +8,6 @@
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
-	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -170,7 +169,7 @@
 		l.views[w.GetId()] = view
 	}
 	view.Incarnation, view.Pool, view.Rack, view.Labels = w.Incarnation(), w.GetPool(), w.GetRack(), w.GetLabels()
-	view.Capacity, view.Penalty, view.Residents = resources.FromProto(w.GetCapacity()), l.penalty(w.GetId(), now), view.Residents[:0]
+	view.Capacity, view.Penalty, view.Residents = l.capacityOf(w), l.penalty(w.GetId(), now), view.Residents[:0]
 	s := l.sessions[w.GetId()]
 	view.Usable = w.Usable() && s != nil && s.incarnation == w.Incarnation() && l.usable(s, now) && !l.quarantined(w.GetId(), now) && !l.mayRunUncertainStarts(s)
 	for ref, attempt := range w.Attempts {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -47,7 +47,7 @@
 			done(nil)
 			return
 		}
-		s.sequence, s.reportedAt = r.GetSequence(), l.cfg.Clock()
+		s.sequence, s.reportedAt, s.reportedCapacity = r.GetSequence(), l.cfg.Clock(), r.GetWorker().GetCapacity()
 		if r.GetClockMs() > 0 {
 			s.recordClock(r.GetClockMs(), l.cfg.Clock())
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -72,7 +72,7 @@
 
 func (l *Leader) callStart(task submission.Ref, r *run) {
 	s := l.sessions[r.on.ID]
-	if s == nil || s.incarnation != r.on || r.calling {
+	if s == nil || s.incarnation != r.on || r.calling || !l.hasRoom(task, r) {
 		return
 	}
 	c := StartCall{Target: l.target(s), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
@@ -175,6 +175,17 @@
 	l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
 }
 
+// dropStart gives up a start for which the worker no longer has room.
+func (l *Leader) dropStart(task submission.Ref, r *run) {
+	s := l.sessions[r.on.ID]
+	if s == nil || s.incarnation != r.on {
+		return
+	}
+	l.log.Info().Str("decision", "start-dropped").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
+		Uint32("attempt", r.attempt).Str("worker", s.incarnation.ID).Bool("unsure", r.outcomeUnknown).Msg("the worker has shrunk since the start was planned")
+	l.onStartRefused(s, task, r, ErrNoRoom)
+}
+
 // startTimeoutOf returns how long the start of a task is repeated. It is shorter for a gang, because the members that start first
 // give up if the others do not start within Bounds.Gang.
 func (l *Leader) startTimeoutOf(task submission.Ref) time.Duration {
@@ -281,6 +292,8 @@
 		l.avoidWorker(task, r.on.ID)
 		l.stopGang(task, r.attempt, r.on.ID)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
+	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval && !l.hasRoom(task, r):
+		l.dropStart(task, r)
 	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval:
 		l.callStart(task, r)
 	case r.phase == phaseStopping && (r.calledAt == 0 || r.answeredAt < r.calledAt && now-r.calledAt > stopRetryInterval),
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -33,14 +33,16 @@
 	cancel      context.CancelFunc
 
 	// Owned by the event loop.
-	reportedAt     time.Duration                    // when the worker last reported
-	sequence       uint64                           // sequence number of the last report
-	running        map[submission.Ref]Running       // running attempts in the last answer to a hold
-	speedLimits    map[submission.Ref]int           // speed limits of filling tasks, in percent
-	fill           steps.CPUShares                  // moving average of the processor time that filling tasks use, by image
-	readAt         time.Duration                    // when fill was last updated
-	overLimitSince map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
-	throttledAt    time.Duration                    // when the speed of a filling task was last changed
+	reportedAt time.Duration // when the worker last reported
+	sequence   uint64        // sequence number of the last report
+	// reportedCapacity is the capacity in the last report, nil if none has come since the session was opened.
+	reportedCapacity *pb.Resources
+	running          map[submission.Ref]Running       // running attempts in the last answer to a hold
+	speedLimits      map[submission.Ref]int           // speed limits of filling tasks, in percent
+	fill             steps.CPUShares                  // moving average of the processor time that filling tasks use, by image
+	readAt           time.Duration                    // when fill was last updated
+	overLimitSince   map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
+	throttledAt      time.Duration                    // when the speed of a filling task was last changed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -34,9 +34,9 @@
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
 		return notUsable
-	case reservedSize(spec).Cores > w.Capacity.Cores-w.used.Cores:
+	case ReservedSize(spec).Cores > w.Capacity.Cores-w.used.Cores:
 		return noCores
-	case !reservedSize(spec).Fits(w.Capacity.Minus(w.used)):
+	case !ReservedSize(spec).Fits(w.Capacity.Minus(w.used)):
 		return noMemory
 	case spec.GetLabel() != "" && !slices.Contains(w.Labels, spec.GetLabel()):
 		return wrongLabel
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -56,10 +56,10 @@
 		for i := range w.Residents {
 			if w.Residents[i].Stopping {
 				stopping = true
-				free = free.Plus(reservedSize(w.Residents[i].Step))
+				free = free.Plus(ReservedSize(w.Residents[i].Step))
 			}
 		}
-		if stopping && reservedSize(r.Spec).Fits(free) {
+		if stopping && ReservedSize(r.Spec).Fits(free) {
 			return true
 		}
 	}
@@ -73,7 +73,7 @@
 	var chosen []int
 	cost := 0.0
 	for len(chosen) < maxVictims {
-		if reservedSize(r.Spec).Fits(free) {
+		if ReservedSize(r.Spec).Fits(free) {
 			return chosen, cost
 		}
 		best, lowest := -1, 0.0
@@ -91,9 +91,9 @@
 		}
 		chosen = append(chosen, best)
 		cost += lowest
-		free = free.Plus(reservedSize(w.Residents[best].Step))
+		free = free.Plus(ReservedSize(w.Residents[best].Step))
 	}
-	if reservedSize(r.Spec).Fits(free) {
+	if ReservedSize(r.Spec).Fits(free) {
 		return chosen, cost
 	}
 	return nil, 0
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// reservedSize is what a task reserves of the capacity of a worker.
-func reservedSize(step *pb.Step) resources.Vector {
+// ReservedSize is what a task reserves of the capacity of a worker.
+func ReservedSize(step *pb.Step) resources.Vector {
 	size := resources.FromProto(step.GetSize())
 	if step.GetFills() {
 		size.Cores = 0
@@ -54,7 +54,7 @@
 func (r *Resident) load() float64 { return expectedLoad(r.Step) * (1 - r.ThrottledBy) }
 
 func (w *Worker) add(r *Resident) {
-	w.used = w.used.Plus(reservedSize(r.Step))
+	w.used = w.used.Plus(ReservedSize(r.Step))
 	w.load += r.load()
 	w.count(r, 1)
 	if r.Step.GetTailLimitMs() > 0 {
@@ -67,7 +67,7 @@
 
 // remove subtracts the resident that was added last from the sums.
 func (w *Worker) remove(r *Resident) {
-	w.used = w.used.Minus(reservedSize(r.Step))
+	w.used = w.used.Minus(ReservedSize(r.Step))
 	w.load -= r.load()
 	w.count(r, -1)
 	if r.Step.GetTailLimitMs() > 0 {
--- a/internal/placement/steps/reserve.go
+++ b/internal/placement/steps/reserve.go
@@ -15,7 +15,7 @@
 	}
 	var best *Worker
 	for _, w := range p.Workers {
-		if !w.Usable || w.Pool != r.Pool || w.reservedFor != "" || !reservedSize(r.Spec).Fits(w.Capacity) ||
+		if !w.Usable || w.Pool != r.Pool || w.reservedFor != "" || !ReservedSize(r.Spec).Fits(w.Capacity) ||
 			r.Spec.GetLabel() != "" && !slices.Contains(w.Labels, r.Spec.GetLabel()) {
 			continue
 		}
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -185,7 +185,7 @@
 				rt.Fatalf("task %v is started twice", s.Task)
 			}
 			started[s.Task] = true
-			used[s.On.ID] = used[s.On.ID].Plus(reservedSize(specs[s.Task.Submission]))
+			used[s.On.ID] = used[s.On.ID].Plus(ReservedSize(specs[s.Task.Submission]))
 			perStep[s.Task.Submission+s.On.ID]++
 			whole[s.Task.Submission]++
 		}
--- a/internal/resources/vector.go
+++ b/internal/resources/vector.go
@@ -32,6 +32,11 @@
 	return Vector{max(v.Cores, o.Cores), max(v.Memory, o.Memory), max(v.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller of the amounts in v and o for each resource.
+func (v Vector) Min(o Vector) Vector {
+	return Vector{min(v.Cores, o.Cores), min(v.Memory, o.Memory), min(v.Accelerators, o.Accelerators)}
+}
+
 // Times returns v with each amount multiplied by n.
 func (v Vector) Times(n int64) Vector {
 	return Vector{v.Cores * n, v.Memory * n, v.Accelerators * n}
