--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -16,6 +16,35 @@
 	return capacity
 }
 
+// strays returns the attempts that the worker listed last and that are not placed on it. They are being stopped and occupy the
+// worker until it no longer lists them.
+func (l *Leader) strays(w *submission.Worker) []Running {
+	s := l.sessions[w.GetId()]
+	if s == nil || s.incarnation != w.Incarnation() {
+		return nil
+	}
+	var list []Running
+	for ref, running := range s.running {
+		if attempt, ok := w.Attempts[ref]; !ok || attempt != running.Attempt {
+			list = append(list, running)
+		}
+	}
+	return list
+}
+
+// addStrays adds the attempts to the view of a worker that run there without being placed there. A worker that runs an attempt of
+// unknown size gets no new tasks.
+func (l *Leader) addStrays(state *submission.State, w *submission.Worker, view *steps.Worker) {
+	for _, stray := range l.strays(w) {
+		step := stepOf(state, stray.Task)
+		if step == nil {
+			view.Usable = false
+			continue
+		}
+		view.Residents = append(view.Residents, steps.Resident{Task: stray.Task, Attempt: stray.Attempt, Step: step, Stopping: true, TailRatio: -1})
+	}
+}
+
 // hasRoom reports whether the worker has room for an attempt placed on it that is not known to run yet. The worker may have
 // shrunk since the attempt was planned. Attempts whose start has not been sent leave their room to those that are sent before.
 func (l *Leader) hasRoom(task submission.Ref, r *run) bool {
@@ -32,6 +61,11 @@
 				used = used.Plus(steps.ReservedSize(other))
 			}
 		}
+		for _, stray := range l.strays(w) {
+			if other := stepOf(state, stray.Task); other != nil && stray.Task != task {
+				used = used.Plus(steps.ReservedSize(other))
+			}
+		}
 		fits = used.Fits(l.capacityOf(w))
 	})
 	return fits
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // Guards against a new leader that takes a delayed report for news and fills a worker that has shrunk since.
@@ -96,3 +99,24 @@
 		is.Equal(r.peak("a"), 2)
 	})
 }
+
+// Guards against starts on a worker that still runs or stops attempts which are not placed there, such as a delayed start of a
+// submission that was cancelled meanwhile.
+func TestStrayAttemptsOccupyTheirWorker(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.submit("stray", 3, nil)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.running("a"), 3)
+		r.workers.update(func() { r.workers.byID["a"].stopTime = 900 * time.Millisecond })
+		// Their ends are committed although they run, as for a start that is carried out later than it counts as refused.
+		changes := []*pb.SubmissionChange{{Change: &pb.SubmissionChange_Cancel{Cancel: &pb.CancelSubmission{Id: "stray"}}}}
+		for i := range uint32(3) {
+			changes = append(changes, &pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: submission.Ref{Submission: "stray", Index: i}.Proto(),
+				Attempt: 1, Worker: "a", WorkerBornUnixMs: 1, Kind: pb.TaskEndKind_TASK_END_KIND_REFUSED}}})
+		}
+		r.commit(changes...)
+		r.submit("s", 4, nil)
+		time.Sleep(5 * time.Second)
+		is.Equal(r.peak("a"), 4)
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -195,6 +195,7 @@
 		}
 		view.Residents = append(view.Residents, resident)
 	}
+	l.addStrays(state, w, view)
 	return view
 }
 
