--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -187,6 +187,9 @@
 		time.AfterFunc(delay, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if now := w.byID[c.Incarnation.ID]; now != nil && now.ignoreIncarnation {
+				f = now
+			}
 			w.advance(f)
 			_ = w.begin(f, c)
 		})
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -253,6 +253,29 @@
 	})
 }
 
+// Guards against the same for a start that was repeated: the worker has listed the attempt, but the first copy of the start is
+// still on its way when the worker restarts.
+func TestRestartedWorkerMayRunDelayedCopyOfListedStart(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 3 * time.Second })
+		r.submit("s", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 0 })
+		r.workers.update(func() { r.workers.byID["b"] = newFakeWorkers(t, time.Second, "x", "b").byID["b"] })
+		r.report("b", 1)
+		time.Sleep(2700 * time.Millisecond)
+		is.Equal(r.running("a"), 1) // the second copy was carried out and listed
+		restarted := newFakeWorkers(t, 20*time.Second, "a").byID["a"]
+		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation, restarted.stopTime = 77, true, 150*time.Millisecond
+		r.workers.update(func() { r.workers.byID["a"] = restarted })
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(r.running("a"), 1) // the first copy
+		r.report("a", 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(r.running("a")+r.running("b"), 1)
+	})
+}
+
 // Guards against the same across a change of the leader: the next one did not know which starts the new incarnation may have
 // carried out. Found by the soak test (seed 1796400714, reuse-worker and a pause of the leader).
 func TestNextLeaderKnowsStartsOfPreviousIncarnation(t *testing.T) {
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -25,10 +25,10 @@
 }
 
 // recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
-// those that the incarnation has listed to this leader.
+// those that the incarnation has listed to this leader and of whose start no copy can still be on its way.
 func (l *Leader) recordUncertainStarts(previous submission.Incarnation) {
 	for ref, r := range l.runs {
-		if r.on == previous && !r.wasListed {
+		if r.on == previous && (!r.wasListed || l.mayArriveLate(r)) {
 			l.addUncertainStart(ref, r.attempt, previous)
 		}
 	}
@@ -46,6 +46,11 @@
 	})
 }
 
+// mayArriveLate reports whether a start of a run that got no answer may still be carried out.
+func (l *Leader) mayArriveLate(r *run) bool {
+	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < uncertainStartTimeout
+}
+
 // addUntracked records an attempt unless this leader has tracked it and knows better.
 func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
 	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
