--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -280,13 +280,19 @@
 
 func (w *fakeWorkers) Hold(ctx context.Context, c HoldCall) (HoldAnswer, error) {
 	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
+	var waitsAt *fakeWorker
 	for {
 		w.mu.Lock()
 		f, err := w.receive(c.Target)
+		if err == nil && waitsAt != nil && f != waitsAt { // its connection ended with the process
+			w.mu.Unlock()
+			return HoldAnswer{}, ErrNoAnswer
+		}
 		if err != nil {
 			w.mu.Unlock()
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
 		}
+		waitsAt = f
 		answer, ready := w.hold(f, c)
 		answerLost := f.dropAnswers
 		w.mu.Unlock()
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -324,6 +324,33 @@
 	})
 }
 
+// Guards against the same through a hold out of turn: after a stop, the leader asks at once what the worker runs, and the worker may
+// have restarted since its last answer. Found by the soak test (seed 3 with shrink-worker: a task was started after it had finished).
+func TestExtraHoldDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
+	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		r.submit("s", 1, nil)
+		time.Sleep(700 * time.Millisecond)
+		is.Equal(r.describe("s"), "done")
+		r.workers.update(func() { r.workers.byID["a"].startDelay = time.Second })
+		r.submit("t", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		restarted := newFakeWorkers(t, time.Second, "a").byID["a"]
+		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation = 77, true
+		r.workers.update(func() {
+			task := submission.Ref{Submission: "t"}
+			restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
+			restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
+			r.workers.byID["a"] = restarted
+		})
+		r.leader.post(func() { r.leader.pollNow(r.leader.sessions["a"]) })
+		time.Sleep(time.Second)
+		r.report("a", 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.describe("t"), "done")
+		is.Equal(restarted.starts, 0)
+	})
+}
+
 // Guards against a memory leak: records of possible starts on a new incarnation that never registers must be removed.
 // Otherwise each plan would also search them.
 func TestUncertainStartsExpire(t *testing.T) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -262,10 +262,11 @@
 	}
 }
 
-// pollNow asks a worker at once what it runs, in parallel to the long poll of the session.
+// pollNow asks a worker at once what it runs, in parallel to the long poll of the session. It acknowledges no ends: the worker may
+// have restarted since its last answer, and ends are numbered per incarnation.
 func (l *Leader) pollNow(s *session) {
 	ctx := l.ctx
-	c := HoldCall{Target: l.target(s), SeenEnd: s.leaseSnapshot().acknowledgedEnd()}
+	c := HoldCall{Target: l.target(s)}
 	sent := l.cfg.Clock()
 	l.pool.Submit(func() {
 		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
@@ -275,7 +276,7 @@
 			return // the long poll of the session handles errors
 		}
 		l.post(func() {
-			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s && (answer.BornUnixMs == 0 || answer.BornUnixMs == s.incarnation.BornUnixMs) {
+			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s && !s.answeredByOther(answer) {
 				l.commitEnds(s, answer, func() {})
 				l.reconcile(s, sent, answer)
 			}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -187,7 +187,7 @@
 		answer, err := l.cfg.Caller.Hold(callCtx, c)
 		cancel()
 		holdSeconds.UpdateDuration(began)
-		s.setIdentityUncertain(err != nil)
+		s.setIdentityUncertain(err != nil || s.answeredByOther(answer))
 		if err == nil {
 			s.recordClock(answer.ClockMs, l.cfg.Clock())
 		}
@@ -211,6 +211,11 @@
 	}
 }
 
+// answeredByOther reports whether another incarnation than that of the session has answered a hold.
+func (s *session) answeredByOther(answer HoldAnswer) bool {
+	return answer.BornUnixMs != 0 && answer.BornUnixMs != s.incarnation.BornUnixMs
+}
+
 // onHold handles the result of a hold. It calls done once the next hold may be sent.
 func (l *Leader) onHold(s *session, sent time.Duration, answer HoldAnswer, err error, done func()) {
 	if l.sessions[s.incarnation.ID] != s {
@@ -222,7 +227,7 @@
 		done()
 		return
 	}
-	if answer.BornUnixMs != 0 && answer.BornUnixMs != s.incarnation.BornUnixMs {
+	if s.answeredByOther(answer) {
 		l.recordUncertainStarts(s.incarnation)
 		l.onWorkerReplaced(s, "hold")
 		done()
