--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -35,6 +35,9 @@
 		func(r *pb.PoolReport) { r.Worker.Draining = true },
 		func(r *pb.PoolReport) { r.Worker.BornUnixMs = 6 },
 		func(r *pb.PoolReport) { r.Worker.Address = "10.0.0.10:80" },
+		func(r *pb.PoolReport) { r.Worker.Capacity.Millicores = 500 },
+		func(r *pb.PoolReport) { r.Worker.Capacity.Millicores = 2000 },
+		func(r *pb.PoolReport) { r.Worker.Capacity.Accelerators = 1 },
 	} {
 		is.True(!c.stateMatches(report(changed)))
 	}
