--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -241,6 +241,25 @@
 	return h.start("")
 }
 
+// fullSize is the size of a worker that has not shrunk, in the unit of workerSize.
+const fullSize = 4
+
+// workerSize returns the capacity of a worker of which so many of fullSize parts are left.
+func workerSize(parts int) *pb.Resources {
+	return &pb.Resources{Millicores: int64(workerMillicores * parts / fullSize), MemoryBytes: int64(workerMemory * parts / fullSize)}
+}
+
+// resize changes the capacity of an incarnation, which its reports state from now on, unless it has ended.
+func (h *host) resize(l *incarnation, size *pb.Resources) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.incarnation != l {
+		return
+	}
+	l.update(func(l *incarnation) { l.resize(size) })
+	h.reportState.Worker.Capacity = size
+}
+
 // start starts an incarnation of the worker unless one is running. It generates an id if id is empty.
 func (h *host) start(id string) error {
 	h.mu.Lock()
@@ -257,7 +276,7 @@
 		return fmt.Errorf("worker %s: %w", id, err)
 	}
 	ctx, end := context.WithCancel(h.d.ctx)
-	l := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: &pb.Resources{Millicores: workerMillicores, MemoryBytes: workerMemory},
+	l := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
 		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1})
 	if h.index%3 == 0 {
 		l.clockSlowdown = clockSlowdown
@@ -268,6 +287,9 @@
 	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: l.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
 		FailureDomain: fmt.Sprintf("d%d", h.domain), Rack: fmt.Sprintf("r%d", h.index%7), Labels: []string{"a", fmt.Sprintf("r%d", h.index%7)},
 		Capacity: l.size, Vm: fmt.Sprintf("m-%d", h.index)}}
+	if l.sabotage == SabotageShrink {
+		l.resize(workerSize(0))
+	}
 	server := h.server
 	h.d.goroutines.Add(3)
 	go func() { defer h.d.goroutines.Done(); _ = server.Serve(listener) }() // returns once the server is closed
@@ -328,9 +350,12 @@
 	h.send(h.d.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
 }
 
+// heartbeat returns the time between two reports of a worker.
+func (d *Deployment) heartbeat() time.Duration { return max(d.options.ReportInterval, reportInterval) }
+
 // report sends reports until ctx ends.
 func (h *host) report(ctx context.Context, l *incarnation) {
-	address, interval := "", max(h.d.options.ReportInterval, reportInterval)
+	address, interval := "", h.d.heartbeat()
 	if l.successor {
 		sleep(ctx, reportInterval/2) // lets calls reach a new incarnation before its first report
 	}
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -41,6 +41,7 @@
 	FaultReuseWorker       FaultKind = "reuse-worker"  // a worker crashes; an incarnation with the same id starts later
 	FaultLeaveWorker       FaultKind = "leave-worker"  // a worker drains and leaves; an incarnation with a new id starts later
 	FaultUnavailableWorker FaultKind = "unwell-worker" // a worker refuses all starts
+	FaultShrinkWorker      FaultKind = "shrink-worker" // the capacity of a worker shrinks and grows again later
 )
 
 // Fault is a fault of a plan. Subject is the index of the VM or worker that it affects. Other is a random number that
@@ -55,7 +56,7 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault.
+// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, which planShrinks adds.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -117,10 +118,26 @@
 			}
 		}
 	}
+	faults = append(faults, planShrinks(seed, size, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
+// shrinksPerSecond is the mean rate of workers that shrink.
+const shrinksPerSecond = 0.4
+
+// planShrinks generates the capacity changes of a run. They come from a random stream of their own, so that the other faults of
+// a seed stay what they were before there were capacity changes.
+func planShrinks(seed uint64, size Size, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 6))
+	var faults []Fault
+	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / shrinksPerSecond * float64(time.Second)) {
+		faults = append(faults, Fault{Kind: FaultShrinkWorker, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))),
+			Subject: r.IntN(size.Workers), Other: r.IntN(1 << 16)})
+	}
+	return faults
+}
+
 // injectPlan injects the faults of a plan and returns once all of them are over.
 func (d *Deployment) injectPlan(ctx context.Context, plan []Fault, log zerolog.Logger) {
 	var active sync.WaitGroup
@@ -133,8 +150,10 @@
 		active.Add(1)
 		go func() {
 			defer active.Done()
-			d.checker.FaultStarted()
-			defer d.checker.FaultEnded()
+			if f.Kind != FaultShrinkWorker { // disturbs no process and no link
+				d.checker.FaultStarted()
+				defer d.checker.FaultEnded()
+			}
 			log.Info().Str("event", "fault").Str("kind", string(f.Kind)).Int("subject", f.Subject).Int("other", f.Other).Dur("for_ms", f.Duration).Msg("")
 			if err := d.injectFault(ctx, f); err != nil {
 				d.checker.ReportViolation(PromiseRuns, "%v: %v", f, err)
@@ -151,7 +170,7 @@
 // injectFault injects a fault and returns once it is over.
 func (d *Deployment) injectFault(ctx context.Context, f Fault) error {
 	switch f.Kind {
-	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker:
+	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker, FaultShrinkWorker:
 		return d.injectWorkerFault(ctx, f, d.hosts[f.Subject])
 	case FaultCutPair, FaultCutOneWay, FaultSlowPeers, FaultIsolate:
 		d.injectPeerFault(ctx, f)
@@ -293,6 +312,13 @@
 			l.update(func(l *incarnation) { l.refusesStarts = false })
 		}
 		return nil
+	case FaultShrinkWorker:
+		if l := h.currentIncarnation(); l != nil {
+			h.resize(l, workerSize(1+f.Other%(fullSize-1)))
+			sleep(ctx, f.Duration)
+			h.resize(l, workerSize(fullSize))
+		}
+		return nil
 	}
 	d.injectProxyFault(ctx, f, h.proxy)
 	return nil
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -13,7 +13,7 @@
 // Sabotage names a way in which the emulator deliberately breaks a guarantee, to show that the checker detects it.
 type Sabotage string
 
-// The kinds of sabotage. Each but SabotageNone is named after the guarantee that it breaks.
+// The kinds of sabotage. Each but SabotageNone and SabotageShrink is named after the guarantee that it breaks.
 const (
 	SabotageNone      Sabotage = ""
 	SabotageOnce      Sabotage = "once"      // workers report a run as lost and continue it
@@ -22,6 +22,7 @@
 	SabotageBudget    Sabotage = "budget"    // workers report failed runs as lost
 	SabotageAsked     Sabotage = "asked"     // workers receive a modified payload
 	SabotagePlace     Sabotage = "place"     // workers have less capacity than they report
+	SabotageShrink    Sabotage = "shrink"    // workers shrink and do not report it
 	SabotageRefused   Sabotage = "refused"   // callers record accepted submissions as refused
 	SabotageCancelled Sabotage = "cancelled" // workers do not stop what they are told to stop
 	SabotageKept      Sabotage = "kept"      // all control VMs lose their disks
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lentilyard/lentilyard/internal/dispatch"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -34,8 +36,10 @@
 	pool          string
 	guards        bool
 	size          *pb.Resources
-	clockSlowdown float64 // fraction by which the clock runs slow
-	successor     bool    // not the first incarnation on its host
+	formerSizes   []formerSize
+	heartbeat     time.Duration // interval of its reports
+	clockSlowdown float64       // fraction by which the clock runs slow
+	successor     bool          // not the first incarnation on its host
 	checker       *Checker
 	// maybeDelayed reports whether a network fault may have delayed a call that arrives now.
 	maybeDelayed func() bool
@@ -56,6 +60,12 @@
 	lastEndNumber  uint64
 }
 
+// formerSize is a capacity that a worker had until it shrank or grew.
+type formerSize struct {
+	*pb.Resources
+	until time.Time
+}
+
 // taskRun is a running attempt of a task.
 type taskRun struct {
 	attempt         uint32
@@ -236,15 +246,14 @@
 		return l.clock(), dispatch.ErrOldAttempt
 	}
 	profile, known := l.checker.TaskProfile(c.Task)
-	fits := l.fits(profile)
-	if !fits && l.guards {
+	if l.guards && !l.fits(profile, l.size) {
 		return l.clock(), dispatch.ErrNoRoom
 	}
 	if l.sabotage == SabotageAsked {
 		c.Payload += " and more"
 	}
 	l.checker.TaskStarted(StartEvent{Worker: l.name(), Pool: l.pool, Task: c.Task, Attempt: c.Attempt, Payload: c.Payload, Checkpoint: c.Checkpoint,
-		ExceedsCapacity: !fits, MaybeDelayed: l.maybeDelayed(), Known: known})
+		ExceedsCapacity: !l.fits(profile, l.allowedSize(time.Now())), MaybeDelayed: l.maybeDelayed(), Known: known})
 	l.running[c.Task] = &taskRun{attempt: c.Attempt, profile: profile, startedAt: time.Now(), resumedProgress: resumeFrom(c.Checkpoint)}
 	l.wake()
 	switch l.sabotage {
@@ -279,16 +288,38 @@
 	return d
 }
 
-// fits reports whether the worker has capacity left for a task. Tasks that are being stopped still count.
-func (l *incarnation) fits(profile taskProfile) bool {
+// fits reports whether a task fits into a capacity beside those that run. Tasks that are being stopped still count.
+func (l *incarnation) fits(profile taskProfile, size *pb.Resources) bool {
 	cores, memory := profile.millicores, profile.memory
 	if l.sabotage == SabotagePlace {
-		cores += l.size.GetMillicores() - 1 // leaves almost no capacity, whatever was reported
+		cores += size.GetMillicores() - 1 // leaves almost no capacity, whatever was reported
 	}
 	for _, r := range l.running {
 		cores, memory = cores+r.profile.millicores, memory+r.profile.memory
 	}
-	return cores <= l.size.GetMillicores() && memory <= l.size.GetMemoryBytes()
+	return cores <= size.GetMillicores() && memory <= size.GetMemoryBytes()
+}
+
+// stableWindow is the time after a change by which the platform expects machines that nothing disturbs to act on it.
+const stableWindow = 3 * time.Second
+
+// allowedSize returns the capacity that starts may use now. A capacity that has shrunk counts stableWindow and one heartbeat
+// later, one that has grown at once.
+func (l *incarnation) allowedSize(now time.Time) *pb.Resources {
+	size := proto.CloneOf(l.size)
+	for _, former := range l.formerSizes {
+		if now.Sub(former.until) < stableWindow+l.heartbeat {
+			size.Millicores = max(size.GetMillicores(), former.GetMillicores())
+			size.MemoryBytes = max(size.GetMemoryBytes(), former.GetMemoryBytes())
+		}
+	}
+	return size
+}
+
+// resize changes the capacity of the worker. What runs goes on, even if it no longer fits.
+func (l *incarnation) resize(size *pb.Resources) {
+	l.formerSizes = append(l.formerSizes, formerSize{l.size, time.Now()})
+	l.size = size
 }
 
 // Stop implements dispatch.Caller.
