--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -50,9 +50,25 @@
 	is := is.New(t)
 	var f forwardedReports
 	r := &pb.PoolReport{Worker: &pb.PoolWorker{Id: "w"}}
-	is.True(!f.recent("w", time.Hour))
-	f.record(r, time.Hour)
-	is.True(f.recent("w", time.Hour+forwardInterval-1))
-	is.True(!f.recent("w", time.Hour+forwardInterval))
-	is.True(!f.recent("other", time.Hour))
+	is.True(!f.recent("w", anyTerm, time.Hour))
+	f.record(r, 4, time.Hour)
+	is.True(f.recent("w", anyTerm, time.Hour+forwardInterval-1))
+	is.True(!f.recent("w", anyTerm, time.Hour+forwardInterval))
+	is.True(!f.recent("other", anyTerm, time.Hour))
+}
+
+// Guards against a new leader that does not hear for seconds from workers which may have shrunk while there was none.
+func TestUnguardedWorkersAreForwardedToNewLeader(t *testing.T) {
+	is := is.New(t)
+	c := &Control{state: submission.New(1000, nil)}
+	entry, err := proto.Marshal(&pb.SubmissionEntry{Changes: []*pb.SubmissionChange{{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 1,
+		Pools: []*pb.Pool{{Name: "guards", Guards: true}, {Name: "trusts"}}}}}}})
+	is.NoErr(err)
+	c.state.Apply(1, 1, entry)
+	for _, pool := range []string{"guards", "trusts"} {
+		r := &pb.PoolReport{Worker: &pb.PoolWorker{Id: pool, Pool: pool}}
+		c.forwarded.record(r, 4, time.Hour)
+		is.True(c.forwarded.recent(pool, c.forwardTerm(r, 4), time.Hour))
+		is.Equal(c.forwarded.recent(pool, c.forwardTerm(r, 5), time.Hour), pool == "guards")
+	}
 }
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -16,6 +16,12 @@
 	return capacity
 }
 
+// knowsCapacity reports whether the leader may rely on the capacity of a worker. One that does not guard its capacity must have
+// reported in this term: it may have shrunk while there was no leader to hear of it.
+func (l *Leader) knowsCapacity(state *submission.State, w *submission.Worker, s *session) bool {
+	return s.reportedCapacity != nil || state.Pool(w.GetPool()).GetGuards()
+}
+
 // strays returns the attempts that the worker listed last and that are not placed on it. They are being stopped and occupy the
 // worker until it no longer lists them.
 func (l *Leader) strays(w *submission.Worker) []Running {
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -120,3 +120,46 @@
 		is.Equal(r.peak("a"), 4)
 	})
 }
+
+// unguard makes the workers of the pool start whatever they are told to.
+func (r *harness) unguard() {
+	config := &pb.ServiceConfig{Version: 2}
+	r.state.View(func(s *submission.State) { config.Queues = s.Config().GetQueues() })
+	config.Pools = []*pb.Pool{{Name: "pool"}}
+	r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: config}})
+}
+
+// Guards against a new leader that fills workers which do not guard their capacity by what they reported to the previous one: they
+// may have shrunk while there was no leader to hear of it. Found by the soak test (seed 6 on dab1fcd, place).
+func TestNewLeaderAwaitsReportOfUnguardedWorker(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.unguard()
+		r.leader.Close()
+		r.newLeader()
+		time.Sleep(shrinkGrace) // the worker has shrunk at the beginning of this time
+		r.lead(6)
+		r.submit("s", 4, nil)
+		time.Sleep(time.Second)
+		is.True(r.peak("a") <= 2)
+		is.NoErr(r.reportCapacity("a", 2, 2000))
+		time.Sleep(time.Second)
+		is.Equal(r.peak("a"), 2)
+	})
+}
+
+// Guards against an unguarded worker that is never used because its first report, or an unchanged one, does not count as heard.
+func TestUnguardedWorkerIsUsedOnceItReports(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.unguard()
+		r.submit("s", 1, nil)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(r.running("a"), 1)
+		r.leader.Close()
+		r.newLeader()
+		r.lead(6)
+		r.report("a", 2)
+		r.submit("t", 1, nil)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(r.running("a"), 2)
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -171,7 +171,8 @@
 	view.Incarnation, view.Pool, view.Rack, view.Labels = w.Incarnation(), w.GetPool(), w.GetRack(), w.GetLabels()
 	view.Capacity, view.Penalty, view.Residents = l.capacityOf(w), l.penalty(w.GetId(), now), view.Residents[:0]
 	s := l.sessions[w.GetId()]
-	view.Usable = w.Usable() && s != nil && s.incarnation == w.Incarnation() && l.usable(s, now) && !l.quarantined(w.GetId(), now) && !l.mayRunUncertainStarts(s)
+	view.Usable = w.Usable() && s != nil && s.incarnation == w.Incarnation() && l.usable(s, now) && !l.quarantined(w.GetId(), now) && !l.mayRunUncertainStarts(s) &&
+		l.knowsCapacity(state, w, s)
 	for ref, attempt := range w.Attempts {
 		sub := state.Submission(ref.Submission)
 		if sub == nil {
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -44,6 +44,9 @@
 		r.adviser = &fakeAdviser{}
 		r.newLeader()
 		r.lead(6)
+		for _, id := range []string{"a", "b", "c"} {
+			r.report(id, 2) // the pool does not guard its capacity
+		}
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
 			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
 			Pools:  []*pb.Pool{{Name: "pool"}}}}})
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -47,7 +47,7 @@
 			done(nil)
 			return
 		}
-		s.sequence, s.reportedAt, s.reportedCapacity = r.GetSequence(), l.cfg.Clock(), r.GetWorker().GetCapacity()
+		l.recordReport(s, r)
 		if r.GetClockMs() > 0 {
 			s.recordClock(r.GetClockMs(), l.cfg.Clock())
 		}
@@ -55,13 +55,26 @@
 	if known != nil && !Changes(known, r.GetWorker()) {
 		if s == nil {
 			l.syncSession(incarnation.ID)
+			l.recordReport(l.sessions[incarnation.ID], r)
 		}
 		done(nil)
 		return
 	}
 	w := proto.CloneOf(r.GetWorker())
 	w.Sequence = r.GetSequence()
-	l.register(w, done)
+	l.register(w, func(err error) {
+		l.recordReport(l.sessions[incarnation.ID], r)
+		done(err)
+	})
+}
+
+// recordReport notes in a session what the leader keeps of a report in memory, unless a later one has come or the session is with
+// another incarnation.
+func (l *Leader) recordReport(s *session, r *pb.PoolReport) {
+	if s == nil || s.incarnation.BornUnixMs != r.GetWorker().GetBornUnixMs() || r.GetSequence() < s.sequence {
+		return
+	}
+	s.sequence, s.reportedAt, s.reportedCapacity = r.GetSequence(), l.cfg.Clock(), r.GetWorker().GetCapacity()
 }
 
 // isLate reports whether a report is of an incarnation that has been replaced or is gone, or was sent before the report that
