--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -351,6 +351,46 @@
 	})
 }
 
+// Guards against the same through the hold after a slow commit: no hold waits at the worker meanwhile, so that none fails if it
+// restarts. Found by the soak test (seed 6 with shrink-worker: a task was started after it had finished).
+func TestHoldAfterSlowCommitDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
+	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		r.submit("s", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 5 * time.Second })
+		r.submit("t", 1, nil)
+		time.Sleep(300 * time.Millisecond)
+		r.log.update(func(f *fakeLog) { f.delay = 400 * time.Millisecond })
+		time.Sleep(300 * time.Millisecond) // the end of s is being committed
+		restarted := newFakeWorkers(t, time.Second, "a").byID["a"]
+		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation = 77, true
+		r.workers.update(func() {
+			task := submission.Ref{Submission: "t"}
+			restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
+			restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
+			r.workers.byID["a"] = restarted
+		})
+		time.Sleep(time.Second)
+		r.log.update(func(f *fakeLog) { f.delay = 0 })
+		r.report("a", 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(r.describe("s"), "done")
+		is.Equal(r.describe("t"), "done")
+		r.workers.update(func() { is.Equal(restarted.starts, 0) })
+	})
+}
+
+// Guards against a worker whose ends are never acknowledged while commits are slow.
+func TestSlowCommitsDoNotKeepEndsListed(t *testing.T) {
+	withHarness(t, 200*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		r.log.update(func(f *fakeLog) { f.delay = 400 * time.Millisecond })
+		r.submit("s", 2, nil)
+		time.Sleep(4 * time.Second)
+		is.Equal(r.describe("s"), "done")
+		r.workers.update(func() { is.Equal(len(r.workers.byID["a"].ended), 0) })
+	})
+}
+
 // Guards against a memory leak: records of possible starts on a new incarnation that never registers must be removed.
 // Otherwise each plan would also search them.
 func TestUncertainStartsExpire(t *testing.T) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 	seenEnd      uint64        // number of the last committed end
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
+	// identifiedAt is when an answer of this incarnation last arrived.
+	identifiedAt time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
 	fastPolling bool
 }
@@ -71,10 +74,25 @@
 	s.fastPolling = fast
 }
 
-func (s *session) setIdentityUncertain(uncertain bool) {
+// setIdentity records whether this incarnation has answered a hold.
+func (s *session) setIdentity(answered bool, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.identityUncertain = uncertain
+	s.identityUncertain = !answered
+	if answered {
+		s.identifiedAt = now
+	}
+}
+
+// identityWindow is how long after an answer a hold is sure to reach the same incarnation. No worker restarts faster.
+const identityWindow = 100 * time.Millisecond
+
+// doubtIdentity makes the identity uncertain if the last answer came so long ago that the worker may have restarted since, for
+// example because the ends in it took long to commit. No hold was waiting meanwhile that would have failed.
+func (s *session) doubtIdentity(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identityUncertain = s.identityUncertain || s.confirmed && now-s.identifiedAt > identityWindow
 }
 
 // acknowledgedEnd returns the number up to which ends are acknowledged to the worker. Ends are numbered per incarnation, so it
@@ -169,6 +187,7 @@
 	pause := holdRetryMin
 	for ctx.Err() == nil {
 		sent := l.cfg.Clock()
+		s.doubtIdentity(sent)
 		lease := s.leaseSnapshot()
 		c := HoldCall{Target: Target{Incarnation: s.incarnation, Address: s.address, FailureDomain: s.domain, Fence: term}, SeenEnd: lease.acknowledgedEnd()}
 		if !lease.identityUncertain {
@@ -187,7 +206,7 @@
 		answer, err := l.cfg.Caller.Hold(callCtx, c)
 		cancel()
 		holdSeconds.UpdateDuration(began)
-		s.setIdentityUncertain(err != nil || s.answeredByOther(answer))
+		s.setIdentity(err == nil && !s.answeredByOther(answer), l.cfg.Clock())
 		if err == nil {
 			s.recordClock(answer.ClockMs, l.cfg.Clock())
 		}
@@ -272,16 +291,18 @@
 	}
 }
 
-// commitEnds commits the ends that a worker lists. If all commits succeed, the next hold acknowledges the ends. done is called
+// commitEnds commits the ends that a worker lists, unless they are committed already. If all commits succeed, the next hold acknowledges the ends. done is called
 // once all results are known.
 func (l *Leader) commitEnds(s *session, answer HoldAnswer, done func()) {
-	if len(answer.Ended) == 0 {
+	seen := s.leaseSnapshot().seenEnd
+	ended := slices.DeleteFunc(slices.Clone(answer.Ended), func(e Ended) bool { return e.Number <= seen })
+	if len(ended) == 0 {
 		done()
 		return
 	}
-	left := len(answer.Ended)
+	left := len(ended)
 	highest, failed := uint64(0), false
-	for _, e := range answer.Ended {
+	for _, e := range ended {
 		highest = max(highest, e.Number)
 		l.log.Info().Str("decision", "task-ended").Str("request", e.Task.Submission).Uint32("step", e.Task.Step).Uint32("task", e.Task.Index).
 			Uint32("attempt", e.Attempt).Str("worker", s.incarnation.ID).Str("how", e.Kind.String()).Uint64("number", e.Number).Msg("")
