--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -52,6 +52,8 @@
 		return reservedForService
 	case !spec.GetFills():
 		return noObstacle
+	case ReservedSize(spec).Memory > w.Capacity.Memory-w.used.Memory-w.reservedMemory:
+		return reservedForService
 	case w.load+expectedLoad(spec) > maxExpectedLoad*float64(w.Capacity.Cores):
 		return cpuFull
 	}
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -26,7 +26,7 @@
 func (w *Worker) prepare(pressure *Pressure) {
 	w.used, w.usedByEndless, w.load, w.pressure, w.reservedFor = resources.Vector{}, resources.Vector{}, 0, pressure, ""
 	w.services = w.services[:0]
-	w.young, w.probation = 0, false
+	w.reservedMemory, w.young, w.probation = 0, 0, false
 	clear(w.fill)
 	clear(w.perStep)
 	for i := range w.Residents {
--- a/internal/placement/steps/reserve.go
+++ b/internal/placement/steps/reserve.go
@@ -12,8 +12,8 @@
 	}
 }
 
-// reserveWorker reserves a worker for the overdue endless tasks of r: only overdue endless tasks and filling tasks start there,
-// until one of r fits. Of the workers that have room once their short tasks have ended, it is the one with the most free
+// reserveWorker reserves a worker for the overdue endless tasks of r: only overdue endless tasks start there, and filling tasks that
+// leave enough memory, until one of r fits. Of the workers that have room once their short tasks have ended, it is the one with the most free
 // cores. It is meant for a pool that is full of short tasks: each that ends makes room for another short task, but never
 // for a larger endless one. A reservation lasts for one plan.
 func (p *planner) reserveWorker(r *Request) {
@@ -31,7 +31,7 @@
 		}
 	}
 	if best != nil {
-		best.reservedFor = r.Submission
+		best.reservedFor, best.reservedMemory = r.Submission, ReservedSize(r.Spec).Memory
 		p.reservations[r.Submission]++
 		p.reservedWorkers++
 	}
--- a/internal/placement/steps/reserve_test.go
+++ b/internal/placement/steps/reserve_test.go
@@ -58,3 +58,13 @@
 		Expected: []*Request{overdueRequest("silent", 7000, 6, gigabyte)}, MaxStarts: 1000, Pressure: NewPressure()}
 	is.Equal(MakePlan(snapshot).Starts[0].Task.Submission, "away")
 }
+
+// Guards against an overdue endless task that lacks memory and never gets it, because filling tasks take each gigabyte that
+// becomes free on the worker that is reserved for it.
+func TestFillingTasksLeaveMemoryOfReservedWorker(t *testing.T) {
+	is := is.New(t)
+	w := newWorker("w", 8)
+	w.Residents = append(w.Residents, resident("r", newStep(1, func(s *pb.Step) { s.Size.MemoryBytes = 100 * gigabyte })))
+	filling := newRequest("filling", 1, newStep(1, func(s *pb.Step) { s.Fills, s.Image, s.Size.MemoryBytes = true, "fill", 20*gigabyte }))
+	is.Equal(placesOf(plan([]*Worker{w}, overdueRequest("watch", 10_000, 1, 64*gigabyte), filling)), map[string]int{})
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -75,6 +75,8 @@
 	pressure  *Pressure
 	// reservedFor is the submission of the overdue endless task for which the worker is reserved, or empty.
 	reservedFor string
+	// reservedMemory is the memory that this task needs.
+	reservedMemory int64
 }
 
 type stepKey struct {
