--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -17,6 +18,16 @@
 // suspect.
 const youngAttempt = 150 * time.Millisecond
 
+// maxIsolationWait is how long a suspect task waits for a worker where no other task has only just started.
+const maxIsolationWait = 2 * time.Second
+
+// endIsolation lets the suspect tasks of a request start beside others once they have waited for too long in a busy pool.
+func endIsolation(r *steps.Request, waited time.Duration) {
+	for i := range r.Waiting {
+		r.Waiting[i].Suspect = r.Waiting[i].Suspect && waited < maxIsolationWait
+	}
+}
+
 // recordHold records from the result of a hold until when the worker was alive. A connection that breaks does so when the worker
 // ends; refused connections after that tell nothing more.
 func (s *session) recordHold(result holdResult) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -109,3 +109,32 @@
 	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{Queue: "h /", Spec: &pb.SubmissionSpec{Id: id, Payload: "payload",
 		Steps: []*pb.Step{{Count: tasks, Size: &pb.Resources{Millicores: 1000, MemoryBytes: 1}, EstimateMs: 2000}}}}}}
 }
+
+// Guards against a suspect task that waits for ever in a pool where some task has always only just started.
+func TestSuspectStartsInBusyPool(t *testing.T) {
+	withHarness(t, youngAttempt/3, []string{"a"}, func(is *is.I, r *harness) {
+		task := submission.Ref{Submission: "suspect"}
+		r.restartCrashed(crashCase{})
+		r.workers.update(func() { r.workers.deadly[task] = true })
+		r.commit(accept("suspect", 1))
+		time.Sleep(time.Second)
+		r.workers.update(func() { delete(r.workers.deadly, task) }) // something else may have crashed the worker
+		stop := make(chan struct{})
+		defer close(stop)
+		go r.submitOften(stop)
+		time.Sleep(crashDowntime + maxIsolationWait + time.Second)
+		is.Equal(r.describe("suspect"), "done")
+	})
+}
+
+// submitOften submits tasks so often that one has always only just started, until stop is closed.
+func (r *harness) submitOften(stop chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(youngAttempt / 6):
+			r.submit(fmt.Sprint("short-", n), 1, nil)
+		}
+	}
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -522,6 +522,7 @@
 // finish closes the leader and fails the test if the workers have recorded violations.
 func (r *harness) finish() {
 	r.leader.Close()
+	time.Sleep(time.Second) // commits in progress end
 	r.workers.mu.Lock()
 	defer r.workers.mu.Unlock()
 	for _, violation := range r.workers.violations {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -267,7 +267,9 @@
 				continue
 			}
 			r.Idle = !runs
-			waited := max(l.waited(r, now), l.longestOutage(r, now))
+			waited := l.waited(r, now)
+			endIsolation(r, waited)
+			waited = max(waited, l.longestOutage(r, now))
 			r.Deferred = r.Spec.GetEndless() && now-l.lastEviction < evictionCooldown && waited < maxEndlessWait
 			r.WorkMs = float64(len(r.Waiting)) * float64(r.Spec.GetEstimateMs()) * float64(r.Spec.GetSize().GetMillicores()) / 1000
 			r.ReadyUnixMs = unixMs - waited.Milliseconds()
