--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -129,14 +129,19 @@
 	random          *rand.Rand
 }
 
-// run sends the submission, cancels it if planned, and polls its state until it has ended or ctx ends.
+// run sends the submission, cancels it if planned, and polls its state until it has ended or ctx ends. If ctx has already
+// ended, it sends nothing.
 func (c *caller) run(ctx context.Context) {
-	accepted := false
+	sent, accepted := false, false
 	for try := 0; !accepted && try < 40 && ctx.Err() == nil; try++ {
+		sent = true
 		if accepted = c.submit(ctx) == OutcomeAccepted; !accepted {
 			sleep(ctx, retryDelay)
 		}
 	}
+	if !sent {
+		return
+	}
 	c.generator.addPoll(c.spec.GetId(), c.pollOnce)
 	if c.willCancel {
 		sleep(ctx, c.cancelAfter)
