--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -142,6 +142,31 @@
 	}
 }
 
+// awaitProposals waits until no proposal is in progress or the host has stopped.
+// After this VM has stopped leading it accepts none, and expireWaiters bounds the
+// wait. While it still leads, proposals keep arriving, so it does not wait.
+func (g *Group) awaitProposals(ctx context.Context) error {
+	poll := time.NewTicker(g.host.tick)
+	defer poll.Stop()
+	for {
+		waiting := make(chan bool, 1)
+		g.host.Do(func() { waiting <- len(g.waiters) > 0 && g.node.Role() != raft.Leader })
+		select {
+		case more := <-waiting:
+			if !more {
+				return nil
+			}
+		default:
+			return nil // the host has stopped
+		}
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the outcomes of proposals: %w", ctx.Err())
+		}
+	}
+}
+
 // failAll ends all calls: proposals with ErrOutcomeUnknown, all others with err.
 func (g *Group) failAll(err error) {
 	g.abandonWaiters(^uint64(0))
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -130,8 +130,9 @@
 
 // Drain transfers the leadership of every group that this VM leads to another
 // voter, so that no group loses its leader for an election timeout when Close
-// follows. It tries all groups and returns all failures. Groups without another
-// voter are skipped.
+// follows, and waits for the outcomes of the proposals in progress, which the
+// new leader decides. It tries all groups and returns all failures. Groups
+// without another voter keep their leader.
 func (h *Host) Drain(ctx context.Context) error {
 	var failures error
 	for _, g := range h.groups {
@@ -143,6 +144,11 @@
 			failures = errors.Join(failures, fmt.Errorf("group %q: %w", g.cfg.Name, err))
 		}
 	}
+	for _, g := range h.groups {
+		if err := g.awaitProposals(ctx); err != nil {
+			failures = errors.Join(failures, fmt.Errorf("group %q: %w", g.cfg.Name, err))
+		}
+	}
 	return failures
 }
 
