--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -90,10 +90,11 @@
 	return err
 }
 
-// mayTryNextHost reports whether the call may succeed on another host of the group.
+// mayTryNextHost reports whether the call may succeed on another host of the group. A host does not know the method while
+// it starts.
 func mayTryNextHost(err error) bool {
 	return errors.Is(err, errNotLeader) || errors.Is(err, errUnreachable) || errors.Is(err, errs.ErrOutcomeUnknown) ||
-		errors.Is(err, errs.ErrDraining)
+		errors.Is(err, errs.ErrDraining) || errors.Is(err, peer.ErrUnknownMethod)
 }
 
 // searchResult records why no host of a group has executed a call so far.
