--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -194,9 +194,22 @@
 	return encoded, err
 }
 
-// serveCall answers a call received on stream. If the handler fails with an error other than an *errs.Error after the
-// time limit has ended, it resets the stream with CodeCancelled instead.
+// serveCall answers a call received on stream.
 func (t *Transport) serveCall(ctx context.Context, from, method string, r *bufio.Reader, stream *quic.Stream) {
+	if !t.answerCall(ctx, from, method, r, stream) {
+		return
+	}
+	_ = stream.SetReadDeadline(time.Now().Add(t.config.IdleTimeout))
+	_, _ = r.Peek(1) // after the end of the stream is read, CancelRead sends no STOP_SENDING frame
+	stream.CancelRead(CodeRefused)
+}
+
+// answerCall reads a call, runs its handler and writes the answer. If the call is malformed, it resets the stream and returns
+// false. If the handler fails with an error other than an *errs.Error after the time limit has ended, it does so with
+// CodeCancelled.
+func (t *Transport) answerCall(ctx context.Context, from, method string, r *bufio.Reader, stream *quic.Stream) bool {
+	t.callsServed.Add(1)
+	defer t.callsServed.Add(-1)
 	timeLimitMs, err := binary.ReadUvarint(r)
 	var payload []byte
 	if err == nil {
@@ -205,7 +218,7 @@
 	if err != nil {
 		t.logMalformed(from, err)
 		reset(stream, CodeRefused)
-		return
+		return false
 	}
 	if timeLimitMs > 0 {
 		var cancel context.CancelFunc
@@ -216,14 +229,12 @@
 	var typed *errs.Error
 	if err != nil && !errors.As(err, &typed) && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		reset(stream, CodeCancelled)
-		return
+		return false
 	}
 	_, _ = stream.Write(encodeAnswer(answer, err)) // if the write fails, the caller gets ErrNoAnswer
 	_ = stream.Close()
 	t.lastAnswerAt.Store(time.Now().UnixNano())
-	_ = stream.SetReadDeadline(time.Now().Add(t.config.IdleTimeout))
-	_, _ = r.Peek(1) // after the end of the stream is read, CancelRead sends no STOP_SENDING frame
-	stream.CancelRead(CodeRefused)
+	return true
 }
 
 // maxTimeLimitMilliseconds caps the time limit of a call, so that a malformed one does not overflow time.Duration.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,6 +55,9 @@
 	// lingerTime is the time between the last answer and the end of the connections in Close. QUIC does not report when
 	// the other side has received the data of a stream.
 	lingerTime = 100 * time.Millisecond
+	// handlerTime limits the time that Close waits for the handlers of calls to answer. The others end only with their
+	// contexts.
+	handlerTime = time.Second
 
 	alpn = "lentilyard-peer/1"
 )
@@ -133,6 +136,7 @@
 	ctx          context.Context // ends when Close is called
 	cancel       context.CancelFunc
 	draining     atomic.Bool
+	callsServed  atomic.Int64 // calls that are received or handled, but not answered
 	lastAnswerAt atomic.Int64 // Unix nanoseconds
 	dropped      atomic.Uint64
 	wg           sync.WaitGroup
@@ -311,8 +315,8 @@
 	return handler.(H), true
 }
 
-// Close refuses new calls and streams, gives the answers already written time to arrive, closes all connections and
-// cancels the contexts of running handlers. It does not wait for the handlers to return.
+// Close refuses new calls and streams, gives the handlers of calls time to answer and the answers time to arrive, closes all
+// connections and cancels the contexts of the handlers that still run. It does not wait for these to return.
 func (t *Transport) Close() error {
 	t.mu.Lock()
 	alreadyClosed := t.closed
@@ -322,6 +326,7 @@
 		return nil
 	}
 	t.draining.Store(true)
+	t.awaitAnswers()
 	t.linger()
 	// The connections must be closed before cancel, which makes serveConnection remove them from t.incoming.
 	t.closeConnections()
@@ -331,6 +336,14 @@
 	return err
 }
 
+// awaitAnswers waits until every call that has arrived is answered, for at most handlerTime.
+func (t *Transport) awaitAnswers() {
+	const interval = time.Millisecond
+	for limit := time.Now().Add(handlerTime); t.callsServed.Load() > 0 && time.Now().Before(limit); {
+		time.Sleep(interval)
+	}
+}
+
 // linger waits until lingerTime has passed since the last answer.
 func (t *Transport) linger() {
 	since := time.Since(time.Unix(0, t.lastAnswerAt.Load()))
