--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -109,6 +109,8 @@
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
 	refusing          bool                      // connections are refused, and open ones break
+	overloaded        bool                      // holds are refused at once with ErrUnavailable
+	holds             int                       // number of holds received
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -359,6 +361,17 @@
 			w.mu.Unlock()
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
 		}
+		if waitsAt == nil {
+			f.holds++
+		}
+		if f.overloaded {
+			w.mu.Unlock()
+			select {
+			case <-time.After(time.Millisecond):
+			case <-ctx.Done():
+			}
+			return HoldAnswer{}, ErrUnavailable
+		}
 		waitsAt = f
 		answer, ready := w.hold(f, c)
 		answerLost := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -404,3 +404,15 @@
 		is.Equal(<-left, 0)
 	})
 }
+
+// Guards against a worker that is flooded with holds because it refuses them.
+func TestRefusedHoldsAreNotRepeatedAtOnce(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		before := 0
+		r.workers.update(func() { r.workers.byID["a"].overloaded, before = true, r.workers.byID["a"].holds })
+		time.Sleep(5 * time.Second)
+		r.workers.update(func() { before = r.workers.byID["a"].holds - before })
+		t.Logf("%d holds in 5 s", before)
+		is.True(before <= int(5*time.Second/holdRetryMin))
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -313,14 +313,14 @@
 	}
 }
 
-// firstResult returns the first result before the next tick, but a success rather than ErrNoAnswer. It returns false if all
-// calls are still in progress by then.
+// firstResult returns the first result before the next tick, but a success rather than a failure. A failure that ends the session
+// or the term is returned at once, others at the tick. It returns false if all calls are still in progress by then.
 func firstResult(ctx context.Context, results <-chan holdResult, tick <-chan time.Time) (holdResult, bool) {
 	failed, ok := holdResult{}, false
 	for {
 		select {
 		case result := <-results:
-			if !errors.Is(result.err, ErrNoAnswer) {
+			if result.err == nil || errors.Is(result.err, ErrFenced) || errors.Is(result.err, ErrOtherIncarnation) {
 				return result, true
 			}
 			failed, ok = result, true
