--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -41,11 +41,15 @@
 
 // commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it.
 func (l *Leader) commitWorkerCrashed(s *session) {
-	gone := &pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs}
-	if !l.endsAsPlanned(s.incarnation) {
-		gone.Suspects = l.suspects(s)
+	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: l.crashSuspects(s)})
+}
+
+// crashSuspects returns the attempts that may have crashed the worker of a session, which has ended or cannot be reached.
+func (l *Leader) crashSuspects(s *session) []*pb.SuspectAttempt {
+	if l.endsAsPlanned(s.incarnation) {
+		return nil
 	}
-	l.commitWorkerGone(gone)
+	return l.suspects(s)
 }
 
 // endsAsPlanned reports whether a worker incarnation was about to end: it drains, or its VM is under maintenance.
@@ -83,13 +87,13 @@
 }
 
 // logSuspects logs which attempts may have crashed a worker, and which submissions fail for that.
-func (l *Leader) logSuspects(gone *pb.WorkerGone) {
+func (l *Leader) logSuspects(worker string, suspects []*pb.SuspectAttempt) {
 	l.cfg.State.View(func(state *submission.State) {
-		for _, suspect := range gone.GetSuspects() {
+		for _, suspect := range suspects {
 			suspectsTotal.Inc()
 			ref := submission.RefOf(suspect.GetTask())
 			event := l.log.Warn().Str("decision", "suspect").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
-				Uint32("attempt", suspect.GetAttempt()).Str("worker", gone.GetId()).Int("suspects", len(gone.GetSuspects()))
+				Uint32("attempt", suspect.GetAttempt()).Str("worker", worker).Int("suspects", len(suspects))
 			if t := state.Task(ref); t != nil {
 				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes)
 			}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -18,18 +19,20 @@
 type crashCase struct {
 	newID bool // the next incarnation has a new id at the old address
 	dark  bool // calls to a crashed worker hang, while otherwise its connections break
+	// downtime is how long the worker is away, crashDowntime if 0.
+	downtime time.Duration
 }
 
 func (c crashCase) String() string { return fmt.Sprintf("new id %t, dark %t", c.newID, c.dark) }
 
-var crashCases = []crashCase{{false, false}, {true, false}, {false, true}, {true, true}}
+var crashCases = []crashCase{{newID: false, dark: false}, {newID: true, dark: false}, {newID: false, dark: true}, {newID: true, dark: true}}
 
 // restartCrashed lets each crashed worker return after crashDowntime.
 func (r *harness) restartCrashed(c crashCase) {
 	newID, lives := c.newID, 0
 	r.workers.crashDark = c.dark
 	r.workers.crashed = func(f *fakeWorker) {
-		time.AfterFunc(crashDowntime, func() {
+		time.AfterFunc(cmp.Or(c.downtime, crashDowntime), func() {
 			var next *fakeWorker
 			r.workers.update(func() {
 				lives++
@@ -80,6 +83,29 @@
 	}
 }
 
+// longDowntime is longer than the lease of a worker.
+const longDowntime = 12 * time.Second
+
+// Guards against the same if the lease of each crashed worker is over before the worker is back.
+func TestTaskThatKeepsItsWorkersAwayIsGivenUp(t *testing.T) {
+	for _, c := range crashCases {
+		c.downtime = longDowntime
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "deadly"}
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.deadly[task] = true })
+				r.submit("deadly", 1, nil)
+				time.Sleep(3 * time.Minute)
+				further, crashes := r.furtherStarts(task)
+				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+				is.True(crashes >= 1)
+				is.True(further < maxFurtherStarts)
+			})
+		})
+	}
+}
+
 // Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
 func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
 	for _, c := range crashCases {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -394,7 +394,7 @@
 		if err != nil {
 			l.uncommittedGone = append(l.uncommittedGone, gone)
 		} else if result.Applied {
-			l.logSuspects(gone)
+			l.logSuspects(gone.GetId(), gone.GetSuspects())
 		}
 	})
 }
@@ -439,12 +439,19 @@
 
 // commitEnd commits the end of an attempt on the worker of a session.
 func (l *Leader) commitEnd(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string, after func(error)) {
-	end := &pb.TaskEnd{Task: task.Proto(), Attempt: attempt, Worker: s.incarnation.ID, WorkerBornUnixMs: s.incarnation.BornUnixMs, Kind: kind, Checkpoint: checkpoint}
+	l.queueEnd(endOf(s, task, attempt, kind, checkpoint), after)
+}
+
+func endOf(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string) *pb.TaskEnd {
+	return &pb.TaskEnd{Task: task.Proto(), Attempt: attempt, Worker: s.incarnation.ID, WorkerBornUnixMs: s.incarnation.BornUnixMs, Kind: kind, Checkpoint: checkpoint}
+}
+
+func (l *Leader) queueEnd(end *pb.TaskEnd, after func(error)) {
 	l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: end}}, func(_ submission.Result, err error) {
 		if err == nil {
-			l.untrackRun(task, attempt)
+			l.untrackRun(submission.RefOf(end.GetTask()), end.GetAttempt())
 		}
-		l.logCommitFailure("task-end", task.Submission, err)
+		l.logCommitFailure("task-end", end.GetTask().GetSubmission(), err)
 		if after != nil {
 			after(err)
 		}
@@ -496,8 +503,20 @@
 			Dur("silent_ms", now-answeredAt).Msg("the worker's lease expired before the worker was reached; its tasks are placed on other workers")
 	}
 	s.lossesPending = len(lost)
+	suspects := l.crashSuspects(s)
 	for i, ref := range lost {
-		l.commitEnd(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint, func(error) { s.lossesPending-- })
+		end := endOf(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint)
+		if n := slices.IndexFunc(suspects, func(a *pb.SuspectAttempt) bool {
+			return submission.RefOf(a.GetTask()) == ref && a.GetAttempt() == attempts[i]
+		}); n >= 0 {
+			end.Suspect = suspects[n]
+		}
+		l.queueEnd(end, func(err error) {
+			s.lossesPending--
+			if err == nil && end.GetSuspect() != nil {
+				l.logSuspects(s.incarnation.ID, []*pb.SuspectAttempt{end.GetSuspect()})
+			}
+		})
 	}
 }
 
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -87,7 +88,8 @@
 	}
 	step := &sub.Occurrences[ref.Occurrence].Steps[ref.Step]
 	spec := sub.Spec.GetSteps()[ref.Step]
-	if c.GetAttempt() == t.Attempt && t.On == on {
+	released := c.GetAttempt() == t.Attempt && t.On == on
+	if released {
 		t.On = Incarnation{}
 		step.Placed--
 		if c.GetCheckpoint() != "" {
@@ -97,6 +99,9 @@
 	if !sub.Active() {
 		return true
 	}
+	if released && c.GetSuspect() != nil { // once only: the end may be committed again
+		s.suspect(ref, c.GetAttempt(), c.GetSuspect().GetOnly())
+	}
 	if ranOnWorker(c.GetKind()) {
 		t.Suspicions, t.Crashes = 0, 0
 	}
@@ -208,12 +213,9 @@
 	if w == nil || w.Incarnation() != incarnation || w.GetGone() {
 		return false
 	}
-	refs := make([]Ref, 0, len(w.Attempts))
-	for ref := range w.Attempts {
-		refs = append(refs, ref)
-	}
-	for _, ref := range refs {
-		s.end(&pb.TaskEnd{Task: ref.Proto(), Attempt: w.Attempts[ref], Worker: incarnation.ID, WorkerBornUnixMs: incarnation.BornUnixMs,
+	placed := maps.Clone(w.Attempts)
+	for ref, attempt := range placed {
+		s.end(&pb.TaskEnd{Task: ref.Proto(), Attempt: attempt, Worker: incarnation.ID, WorkerBornUnixMs: incarnation.BornUnixMs,
 			Kind: pb.TaskEndKind_TASK_END_KIND_LOST})
 		if t := s.Task(ref); t != nil && !t.Done && !t.Placed() {
 			t.LostOn = incarnation
@@ -221,7 +223,10 @@
 	}
 	w.Gone, w.goneAt = true, s.unixMs
 	for _, suspect := range suspects {
-		s.suspect(RefOf(suspect.GetTask()), suspect.GetAttempt(), suspect.GetOnly())
+		// An attempt that is no longer placed there has counted with the end of the lease.
+		if ref := RefOf(suspect.GetTask()); placed[ref] == suspect.GetAttempt() {
+			s.suspect(ref, suspect.GetAttempt(), suspect.GetOnly())
+		}
 	}
 	return true
 }
--- a/internal/submission/crash_test.go
+++ b/internal/submission/crash_test.go
@@ -70,3 +70,16 @@
 	}
 	is.Equal(w.state.Submission("a").Describe(), "failed") // the crashes of the last two rounds
 }
+
+// Guards against one crash that counts twice: the end is committed again, or the worker registers again just after its lease.
+func TestCrashAfterLeaseCountsOnce(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(2), accept("a", oneTask()), worker("w", 1), start(ref, 1, "w", 1))
+	lost := &pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: ref.Proto(), Attempt: 1, Worker: "w", WorkerBornUnixMs: 1,
+		Kind: pb.TaskEndKind_TASK_END_KIND_LOST, Suspect: &pb.SuspectAttempt{Task: ref.Proto(), Attempt: 1, Only: true}}}}
+	w.apply(lost, lost, crash(ref, 1, "w", 1, true))
+	is.Equal(w.state.Task(ref).Crashes, uint32(1))
+	is.Equal(w.state.Submission("a").Describe(), "running")
+}
