--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -52,7 +52,8 @@
 	return l.suspects(s)
 }
 
-// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or its VM is under maintenance.
+// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or this leader has ordered the maintenance of its
+// VM. On a worker whose maintenance a previous leader has ordered, this one has started nothing.
 func (l *Leader) endsAsPlanned(incarnation submission.Incarnation) bool {
 	planned := false
 	l.cfg.State.View(func(state *submission.State) {
@@ -61,9 +62,6 @@
 			return
 		}
 		planned = w.GetDraining() || l.waves.down[w.GetVm()] == incarnation
-		for _, wave := range state.Waves() {
-			planned = planned || !wave.GetDone() && slices.Contains(wave.GetBegun(), w.GetVm())
-		}
 	})
 	return planned
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// Guards against the same while a wave goes on, on VMs whose maintenance was done before.
+func TestCrashesOnMaintainedVMsCount(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "deadly"}
+				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+				for _, id := range []string{"a", "b"} {
+					r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_WaveProgress{WaveProgress: &pb.WaveProgress{Number: 1, Vm: "vm-" + id}}})
+					r.restart(id, 1000, func(*fakeWorker) {})
+					r.report(id, 1)
+				}
+				time.Sleep(time.Second)
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.deadly[task] = true })
+				r.submit("deadly", 1, nil)
+				time.Sleep(60 * time.Second)
+				further, crashes := r.furtherStarts(task)
+				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+				is.True(crashes >= 1)
+				is.True(further < maxFurtherStarts)
+			})
+		})
+	}
+}
+
 // Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
 func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
 	for _, c := range crashCases {
