--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,8 +31,12 @@
 	s.unanswered = result.err != nil
 }
 
-// recordAnswered records that the worker has answered a call.
-func (s *session) recordAnswered(now time.Duration) { s.aliveAt = max(s.aliveAt, now) }
+// recordAnswered records that the worker has answered a call. After a hold without an answer it may have been the next incarnation.
+func (s *session) recordAnswered(now time.Duration) {
+	if !s.unanswered {
+		s.aliveAt = max(s.aliveAt, now)
+	}
+}
 
 // isYoung reports whether an attempt had only just started when its worker was last known to be alive.
 func (r *run) isYoung(aliveAt time.Duration) bool {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -161,3 +161,12 @@
 	return &pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{Queue: "h /", Spec: &pb.SubmissionSpec{Id: id, Payload: "payload",
 		Steps: []*pb.Step{{Count: tasks, Size: &pb.Resources{Millicores: 1000, MemoryBytes: 1}, EstimateMs: 2000}}}}}}
 }
+
+// Guards against a crash that counts for nothing because the next incarnation has answered a call meant for the crashed one.
+func TestAnswerOfNextIncarnationDoesNotHideCrash(t *testing.T) {
+	is := is.New(t)
+	s, r := &session{}, &run{startedAt: time.Second}
+	s.recordHold(holdResult{ended: time.Second + crashDelay, err: ErrNoAnswer})
+	s.recordAnswered(time.Second + crashDowntime)
+	is.True(r.isYoung(s.aliveAt))
+}
