--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -12,6 +12,7 @@
 // A task may crash each worker that starts it. The tasks beside it are lost as well, so that a lost attempt proves nothing. Suspect are the
 // attempts that had only just started when the worker crashed. A task that was suspect starts where nothing else has only just
 // started, and nothing else starts there until it has run for a while. If the worker crashes again, the task is the only suspect.
+// Tasks of the same submission are excepted: it fails as a whole, and the members of a gang have to start together.
 
 // youngAttempt is how long an attempt may crash its worker after the start was sent. An attempt that has run for longer is not
 // suspect.
@@ -70,8 +71,9 @@
 	return planned
 }
 
-// suspects returns the attempts that had only just started on a worker when it was last known to be alive. If it is not known when
-// the worker ended, it may have lived on, and there is no proof against an only one.
+// suspects returns the attempts that had only just started on a worker when it was last known to be alive. Attempts of one submission
+// are no alternative to each other, since it fails as a whole. If it is not known when the worker ended, it may have lived on, and
+// there is no proof against an only one.
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
@@ -79,8 +81,11 @@
 			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
 		}
 	}
+	sole := !slices.ContainsFunc(list, func(a *pb.SuspectAttempt) bool {
+		return a.GetTask().GetSubmission() != list[0].GetTask().GetSubmission()
+	})
 	for _, suspect := range list {
-		suspect.Only = len(list) == 1 && s.endKnown
+		suspect.Only = sole && s.endKnown
 	}
 	slices.SortFunc(list, func(a, b *pb.SuspectAttempt) int {
 		return cmp.Or(submission.RefOf(a.GetTask()).Compare(submission.RefOf(b.GetTask())), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -170,3 +170,22 @@
 	s.recordAnswered(time.Second + crashDowntime)
 	is.True(r.isYoung(s.aliveAt))
 }
+
+// Guards against a submission that is never the only suspect, since several of its tasks start on the same worker.
+func TestSiblingsAreNoAlternativeSuspects(t *testing.T) {
+	is := is.New(t)
+	s := &session{aliveAt: time.Second + crashDelay, endKnown: true}
+	l := &Leader{runs: map[submission.Ref]*run{
+		{Submission: "s"}:           {startedAt: time.Second},
+		{Submission: "s", Index: 1}: {startedAt: time.Second},
+	}}
+	only := func() (list []bool) {
+		for _, suspect := range l.suspects(s) {
+			list = append(list, suspect.GetOnly())
+		}
+		return list
+	}
+	is.Equal(only(), []bool{true, true})
+	l.runs[submission.Ref{Submission: "other"}] = &run{startedAt: time.Second}
+	is.Equal(only(), []bool{false, false, false})
+}
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -36,7 +36,7 @@
 	switch {
 	case !w.Usable || w.Pool != r.Pool:
 		return notUsable
-	case w.probation:
+	case w.probationOf != "" && w.probationOf != r.Submission:
 		return suspectStarting
 	case ReservedSize(spec).Cores > w.Capacity.Cores-w.used.Cores:
 		return noCores
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -26,7 +26,7 @@
 func (w *Worker) prepare(pressure *Pressure) {
 	w.used, w.usedByEndless, w.load, w.pressure, w.reservedFor = resources.Vector{}, resources.Vector{}, 0, pressure, ""
 	w.services = w.services[:0]
-	w.reservedMemory, w.young, w.probation = 0, 0, false
+	w.reservedMemory, w.probationOf = 0, ""
 	clear(w.fill)
 	clear(w.perStep)
 	for i := range w.Residents {
@@ -76,9 +76,8 @@
 	}
 	w.load += r.load()
 	w.count(r, 1)
-	if r.Young {
-		w.young++
-		w.probation = w.probation || r.Suspect
+	if r.Young && r.Suspect {
+		w.probationOf = r.Task.Submission
 	}
 	if r.Step.GetTailLimitMs() > 0 {
 		w.addService(r)
@@ -88,6 +87,17 @@
 	}
 }
 
+// youngBeside returns the number of young residents of other submissions.
+func (w *Worker) youngBeside(submission string) int {
+	n := 0
+	for i := range w.Residents {
+		if w.Residents[i].Young && w.Residents[i].Task.Submission != submission {
+			n++
+		}
+	}
+	return n
+}
+
 // remove subtracts the resident that was added last from the sums.
 func (w *Worker) remove(r *Resident) {
 	w.used = w.used.Minus(ReservedSize(r.Step))
@@ -96,9 +106,13 @@
 	}
 	w.load -= r.load()
 	w.count(r, -1)
-	if r.Young {
-		w.young--
-		w.probation = w.probation && !r.Suspect // there is one at most
+	if r.Young && r.Suspect {
+		w.probationOf = ""
+		for i := range w.Residents[:len(w.Residents)-1] {
+			if other := &w.Residents[i]; other.Young && other.Suspect {
+				w.probationOf = other.Task.Submission
+			}
+		}
 	}
 	if r.Step.GetTailLimitMs() > 0 {
 		w.serviceOf(r.Step.GetImage()).tasks--
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -160,7 +160,7 @@
 
 // placeTask proposes to start one task on the best worker of a search. It returns false if no worker can take it.
 func (p *planner) placeTask(r *Request, t WaitingTask, found *searchResult) bool {
-	c, ok := found.take(t)
+	c, ok := found.take(r, t)
 	if !ok {
 		return false
 	}
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -56,18 +56,18 @@
 func (s *searchResult) considered() int { return len(s.candidates) + 1 }
 
 // obstacleOn returns why this task of a request may not start on a worker that can take others of the request, or noObstacle.
-func (t WaitingTask) obstacleOn(w *Worker) obstacle {
+func (r *Request) obstacleOn(w *Worker, t WaitingTask) obstacle {
 	switch {
 	case slices.Contains(t.AvoidWorkers, w.Incarnation.ID):
 		return avoidedWorker
-	case t.Suspect && w.young > 0:
+	case t.Suspect && w.youngBeside(r.Submission) > 0:
 		return otherStarting
 	}
 	return noObstacle
 }
 
 // take removes and returns the best worker on which a task may start.
-func (s *searchResult) take(t WaitingTask) (candidate, bool) {
+func (s *searchResult) take(r *Request, t WaitingTask) (candidate, bool) {
 	var skipped []candidate
 	var reasons [numObstacles]int
 	defer func() {
@@ -77,7 +77,7 @@
 	}()
 	for len(s.candidates) > 0 {
 		c := heap.Pop(&s.candidates).(candidate)
-		o := t.obstacleOn(c.worker)
+		o := r.obstacleOn(c.worker, t)
 		if o == noObstacle {
 			return c, true
 		}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -65,14 +65,14 @@
 	used resources.Vector // reserved by the residents
 	// usedByEndless is reserved by the residents that do not end by themselves.
 	usedByEndless resources.Vector
-	young         int // number of young residents
-	// probation is true while a suspect task on the worker is young. No other task starts there then.
-	probation bool
-	load      float64 // expected CPU use in millicores
-	services  []serviceGroup
-	fill      CPUShares       // CPU shares of the filling tasks at full speed
-	perStep   map[stepKey]int // number of tasks of each step with MaxPerWorker
-	pressure  *Pressure
+	// probationOf is the submission of a suspect task that is young on the worker or waits to start there, or empty. Tasks of
+	// other submissions do not start there then.
+	probationOf string
+	load        float64 // expected CPU use in millicores
+	services    []serviceGroup
+	fill        CPUShares       // CPU shares of the filling tasks at full speed
+	perStep     map[stepKey]int // number of tasks of each step with MaxPerWorker
+	pressure    *Pressure
 	// reservedFor is the submission of the overdue endless task for which the worker is reserved, or empty.
 	reservedFor string
 	// reservedMemory is the memory that this task needs.
@@ -129,8 +129,8 @@
 	Attempt uint32
 	// AvoidWorkers holds the IDs of workers on which the task failed or was refused before.
 	AvoidWorkers []string
-	// Suspect is true if the task may have crashed a worker. It starts where no other task has only just started, so that it is known
-	// whether it crashes that worker too.
+	// Suspect is true if the task may have crashed a worker. It starts where no task of another submission has only just started, so
+	// that it is known whether its submission crashes that worker too.
 	Suspect bool
 }
 
--- a/internal/placement/steps/suspect_test.go
+++ b/internal/placement/steps/suspect_test.go
@@ -34,3 +34,14 @@
 	w.Residents[0].Young = false
 	is.Equal(placesOf(plan([]*Worker{w}, other, filling)), map[string]int{"w": 2})
 }
+
+// Guards against a gang that never starts again because it has more suspects than there are workers, or than have no young tasks.
+func TestSuspectGangStarts(t *testing.T) {
+	is := is.New(t)
+	gang := newRequest("gang", 4, newStep(1, func(s *pb.Step) { s.Gang, s.Count = true, 4 }))
+	for i := range gang.Waiting {
+		gang.Waiting[i].Suspect = i < 3
+	}
+	p := plan([]*Worker{newWorker("a", 8), newWorker("b", 8)}, gang)
+	is.Equal(len(p.Starts), 4)
+}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -60,7 +60,7 @@
 	// Checkpoint is the last saved progress, from which the next attempt resumes.
 	Checkpoint string
 	// Suspicions is the number of workers that crashed when an attempt of the task had only just started there, since the task
-	// last ran for longer. Crashes is the number of those where no other attempt had only just started.
+	// last ran for longer. Crashes is the number of those where no attempt of another submission had.
 	Suspicions, Crashes uint32
 	// failed lists the attempts that ended in failure.
 	failed []uint32
