--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -189,3 +189,31 @@
 	l.runs[submission.Ref{Submission: "other"}] = &run{startedAt: time.Second}
 	is.Equal(only(), []bool{false, false, false})
 }
+
+// Guards against a task that may have crashed a worker and waits for ever, since other tasks start on each worker all the time.
+func TestSuspectStartsInBusyPool(t *testing.T) {
+	withHarness(t, 100*time.Millisecond, []string{"a", "b"}, func(is *is.I, r *harness) {
+		stop := make(chan struct{})
+		go func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					r.commit(accept(fmt.Sprintf("short-%d", n), 1))
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		ref := submission.Ref{Submission: "s"}
+		r.commit(accept("s", 1),
+			&pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: "z", BornUnixMs: 1, Pool: "pool", Address: "z"}}},
+			&pb.SubmissionChange{Change: &pb.SubmissionChange_Start{Start: &pb.TaskStart{Task: ref.Proto(), Attempt: 1, Worker: "z", WorkerBornUnixMs: 1}}},
+			&pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: "z", BornUnixMs: 1, Suspects: []*pb.SuspectAttempt{{Task: ref.Proto(), Attempt: 1}}}}})
+		time.Sleep(3 * time.Second)
+		result := r.describe("s")
+		close(stop)
+		time.Sleep(2 * time.Second)
+		is.Equal(result, "done")
+	})
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -208,6 +208,7 @@
 	}
 	p.proposeMoves()
 	slices.SortStableFunc(s.Requests, func(a, b *Request) int { return order(a, b, s.NowUnixMs) })
+	p.keepForSuspects()
 	expectedReserved := false
 	for _, r := range s.Requests {
 		if len(p.plan.Starts) >= s.MaxStarts {
