--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -44,9 +44,32 @@
 	return r.startedAt > 0 && r.startedAt <= aliveAt && aliveAt-r.startedAt < youngAttempt
 }
 
-// commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it.
-func (l *Leader) commitWorkerCrashed(s *session) {
-	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: l.crashSuspects(s)})
+// commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it. Their tasks
+// avoid its successor for a while if there are other workers: one that crashes whatever starts there must not be the only witness.
+func (l *Leader) commitWorkerCrashed(s *session, successor string) {
+	suspects := l.crashSuspects(s)
+	if l.hasOtherWorkers(s) {
+		for _, suspect := range suspects {
+			l.avoidWorker(submission.RefOf(suspect.GetTask()), successor)
+		}
+	}
+	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: suspects})
+}
+
+// hasOtherWorkers reports whether another worker in the pool of a session's worker is usable.
+func (l *Leader) hasOtherWorkers(s *session) bool {
+	found, now := false, l.cfg.Clock()
+	l.cfg.State.View(func(state *submission.State) {
+		known := state.Workers()[s.incarnation.ID]
+		if known == nil {
+			return
+		}
+		for id, other := range l.sessions {
+			w := state.Workers()[id]
+			found = found || other != s && w != nil && w.Incarnation() == other.incarnation && w.GetPool() == known.GetPool() && w.Usable() && l.usable(other, now)
+		}
+	})
+	return found
 }
 
 // crashSuspects returns the attempts that may have crashed the worker of a session, which has ended or cannot be reached.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -41,7 +41,7 @@
 					id = fmt.Sprintf("%s-%d", f.incarnation.ID, lives)
 				}
 				next = newFakeWorker(id, f.incarnation.BornUnixMs+1000)
-				next.address = f.address
+				next.address, next.unsound = f.address, f.unsound
 				if newID && next.address == "" {
 					next.address = f.incarnation.ID
 				}
@@ -217,3 +217,23 @@
 		is.Equal(result, "done")
 	})
 }
+
+// Guards against submissions that fail because one worker crashes whatever starts there.
+func TestUnsoundWorkerDoesNotFailSubmissions(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.byID["a"].unsound = true })
+				for n := range 30 {
+					r.commit(accept(fmt.Sprintf("s-%d", n), 2))
+					time.Sleep(time.Second)
+				}
+				time.Sleep(30 * time.Second)
+				for n := range 30 {
+					is.Equal(r.describe(fmt.Sprintf("s-%d", n)), "done")
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -109,6 +109,7 @@
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
 	refusing          bool                      // connections are refused, and open ones break
+	unsound           bool                      // crashes whatever starts
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 }
@@ -291,7 +292,7 @@
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
 	w.startsByTask[c.Task]++
-	if w.deadly[c.Task] {
+	if w.deadly[c.Task] || f.unsound {
 		time.AfterFunc(crashDelay, func() { w.crash(f) })
 	}
 	f.peak = max(f.peak, len(f.running))
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -108,7 +108,7 @@
 func (l *Leader) register(w *pb.PoolWorker, done func(error)) {
 	for _, s := range l.sessions {
 		if replaces(w, s) {
-			l.commitWorkerCrashed(s)
+			l.commitWorkerCrashed(s, w.GetId())
 		}
 	}
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: w}}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -382,7 +382,7 @@
 // onWorkerReplaced commits that the worker incarnation of a session is gone and closes the session.
 func (l *Leader) onWorkerReplaced(s *session, source string) {
 	l.log.Info().Str("event", "worker-replaced").Str("worker", s.incarnation.ID).Str("source", source).Msg("another worker or another incarnation answers at the worker's address")
-	l.commitWorkerCrashed(s)
+	l.commitWorkerCrashed(s, s.incarnation.ID)
 	l.closeSession(s)
 }
 
