--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -18,14 +18,18 @@
 // suspect.
 const youngAttempt = 150 * time.Millisecond
 
-// recordHold records from the result of a hold until when the worker was alive. A connection that breaks does so when the worker
-// ends; refused connections after that tell nothing more.
+// refusalTime is how long a hold takes at most that reaches a worker which has ended before.
+const refusalTime = 50 * time.Millisecond
+
+// recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. A hold that fails
+// at once may have been refused, so that the worker ended at any time since it was last known to be alive. Refused holds after that
+// tell nothing more.
 func (s *session) recordHold(result holdResult) {
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
 	} else if !s.unanswered {
-		s.endKnown = !result.timedOut
-		if s.endKnown {
+		s.endKnown, s.endedBy = !result.timedOut, result.ended
+		if s.endKnown && result.ended-result.sent > refusalTime {
 			s.aliveAt = result.ended
 		}
 	}
@@ -44,6 +48,14 @@
 	return r.startedAt > 0 && r.startedAt <= aliveAt && aliveAt-r.startedAt < youngAttempt
 }
 
+// mayHaveCrashed reports whether an attempt had only just started when its worker ended.
+func (r *run) mayHaveCrashed(s *session) bool {
+	if !s.endKnown {
+		return r.isYoung(s.aliveAt)
+	}
+	return r.startedAt > 0 && r.startedAt <= s.endedBy && s.aliveAt-r.startedAt < youngAttempt
+}
+
 // commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it. Their tasks
 // avoid its successor for a while if there are other workers: one that crashes whatever starts there must not be the only witness.
 func (l *Leader) commitWorkerCrashed(s *session, successor string) {
@@ -100,7 +112,7 @@
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
-		if r.on == s.incarnation && r.isYoung(s.aliveAt) {
+		if r.on == s.incarnation && r.mayHaveCrashed(s) {
 			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -168,13 +168,13 @@
 	s, r := &session{}, &run{startedAt: time.Second}
 	s.recordHold(holdResult{ended: time.Second + crashDelay, err: ErrNoAnswer})
 	s.recordAnswered(time.Second + crashDowntime)
-	is.True(r.isYoung(s.aliveAt))
+	is.True(r.mayHaveCrashed(s))
 }
 
 // Guards against a submission that is never the only suspect, since several of its tasks start on the same worker.
 func TestSiblingsAreNoAlternativeSuspects(t *testing.T) {
 	is := is.New(t)
-	s := &session{aliveAt: time.Second + crashDelay, endKnown: true}
+	s := &session{aliveAt: time.Second + crashDelay, endedBy: time.Second + crashDelay, endKnown: true}
 	l := &Leader{runs: map[submission.Ref]*run{
 		{Submission: "s"}:           {startedAt: time.Second},
 		{Submission: "s", Index: 1}: {startedAt: time.Second},
@@ -237,3 +237,15 @@
 		})
 	}
 }
+
+// Guards against a crash that counts for nothing, or for a start that came too late, because no hold was waiting at the worker.
+func TestCrashBetweenHoldsCounts(t *testing.T) {
+	is := is.New(t)
+	s, guilty, late, old := &session{}, &run{startedAt: time.Second}, &run{startedAt: 2 * time.Second}, &run{startedAt: 500 * time.Millisecond}
+	s.recordHold(holdResult{sent: 0, ended: 900 * time.Millisecond})
+	s.recordAnswered(time.Second + time.Millisecond)
+	s.recordHold(holdResult{sent: 1300 * time.Millisecond, ended: 1301 * time.Millisecond, err: ErrNoAnswer})
+	is.True(guilty.mayHaveCrashed(s))
+	is.True(!late.mayHaveCrashed(s))
+	is.True(!old.mayHaveCrashed(s))
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -50,9 +50,10 @@
 	throttledAt      time.Duration                    // when the speed of a filling task was last changed
 	endingSilence    bool                             // the end of the silence is being committed
 	aliveAt          time.Duration                    // when the worker was last known to be alive
-	endKnown         bool                             // the connection broke at aliveAt
-	unanswered       bool                             // the last hold got no answer
-	lossesPending    int                              // number of attempts whose loss is being committed
+	endKnown         bool                             // the worker ended between aliveAt and endedBy: its connection broke or was refused
+	endedBy          time.Duration
+	unanswered       bool // the last hold got no answer
+	lossesPending    int  // number of attempts whose loss is being committed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
