--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -128,6 +128,33 @@
 	return list
 }
 
+// clearedAfter is how long an attempt of a suspect task runs until the crashes before it are forgotten. Endless tasks have no end that
+// would do so.
+const clearedAfter = 2 * time.Second
+
+// clearSuspects commits which suspect tasks that a worker has just listed have run for long enough.
+func (l *Leader) clearSuspects(s *session, now time.Duration) {
+	var cleared []submission.Ref
+	l.cfg.State.View(func(state *submission.State) {
+		for ref, running := range s.running {
+			t, r := state.Task(ref), l.runs[ref]
+			if t != nil && t.Suspect() && r != nil && r.on == s.incarnation && r.attempt == running.Attempt && r.phase == phaseRunning &&
+				!r.clearing && now-max(r.trackedSince, r.startedAt) > clearedAfter {
+				cleared = append(cleared, ref)
+			}
+		}
+	})
+	for _, ref := range cleared {
+		r := l.runs[ref]
+		r.clearing = true
+		change := &pb.TaskCleared{Task: ref.Proto(), Attempt: r.attempt}
+		l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_Cleared{Cleared: change}}, func(_ submission.Result, err error) {
+			l.logCommitFailure("task-cleared", ref.Submission, err)
+			r.clearing = false
+		})
+	}
+}
+
 // logSuspects logs which attempts may have crashed a worker, and which submissions fail for that.
 func (l *Leader) logSuspects(worker string, suspects []*pb.SuspectAttempt) {
 	l.cfg.State.View(func(state *submission.State) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -249,3 +249,34 @@
 	is.True(!late.mayHaveCrashed(s))
 	is.True(!old.mayHaveCrashed(s))
 }
+
+// Guards against an endless task that is given up for crashes long ago, though it has run in between.
+func TestCrashesBeforeLongRunAreForgotten(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		task := submission.Ref{Submission: "s"}
+		r.restartCrashed(crashCase{})
+		crashOnce := func(begin func()) {
+			r.workers.update(func() { r.workers.deadly[task] = true })
+			begin()
+			time.Sleep(time.Second)
+			r.workers.update(func() { r.workers.deadly[task] = false })
+			time.Sleep(20 * time.Second)
+		}
+		crashOnce(func() { r.submit("s", 1, endless) })
+		is.Equal(r.running("a")+r.running("b"), 1)
+		crashOnce(func() {
+			for _, id := range []string{"a", "b"} {
+				if r.running(id) > 0 {
+					var f *fakeWorker
+					r.workers.update(func() { f = r.workers.byID[id] })
+					r.workers.crash(f)
+				}
+			}
+			time.Sleep(crashDowntime)
+		})
+		is.Equal(r.running("a")+r.running("b"), 1)
+		crashes := 0
+		r.workers.update(func() { crashes = r.workers.crashes[task] })
+		is.Equal(crashes, 3) // the second while it ran
+	})
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -51,6 +51,7 @@
 	l.logReadings(s)
 	l.adjustThrottling(s)
 	l.restartStalled(s, l.cfg.Clock())
+	l.clearSuspects(s, l.cfg.Clock())
 	for _, running := range unexpected {
 		l.stopUnexpected(s, running, sent)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -59,6 +59,8 @@
 	// stopReason is the reason for the stop, for the log.
 	stopReason string
 	progress   progress
+	// clearing is true while it is being committed that the task is no longer suspect.
+	clearing bool
 }
 
 func (l *Leader) untrackRun(task submission.Ref, attempt uint32) {
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -247,6 +247,16 @@
 	}
 }
 
+// clearSuspicion forgets the crashes of a task of which an attempt has run for a while.
+func (s *State) clearSuspicion(c *pb.TaskCleared) bool {
+	t := s.Task(RefOf(c.GetTask()))
+	if t == nil || !t.Placed() || t.Attempt != c.GetAttempt() {
+		return false
+	}
+	t.Suspicions, t.Crashes = 0, 0
+	return true
+}
+
 // setSilence records whether an incarnation of a worker is silent.
 func (s *State) setSilence(c *pb.WorkerSilence) bool {
 	w := s.workers[c.GetId()]
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -287,6 +287,8 @@
 		return Result{Applied: s.addWave(c.Wave)}
 	case *pb.SubmissionChange_WaveProgress:
 		return Result{Applied: s.progressWave(c.WaveProgress)}
+	case *pb.SubmissionChange_Cleared:
+		return Result{Applied: s.clearSuspicion(c.Cleared)}
 	case *pb.SubmissionChange_Silence:
 		return Result{Applied: s.setSilence(c.Silence)}
 	}
