--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -431,6 +431,8 @@
 	adviser  Adviser
 	platform Platform
 	logger   zerolog.Logger
+	// onClock, if set before a leader is created, is called whenever the leader reads its clock.
+	onClock func()
 }
 
 func newHarness(t *testing.T, work time.Duration, ids ...string) *harness {
@@ -455,7 +457,12 @@
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond, HolderLease: testHolderLease}})
 }
 
-func (r *harness) clock() time.Duration { return time.Since(r.start) + time.Hour }
+func (r *harness) clock() time.Duration {
+	if r.onClock != nil {
+		r.onClock()
+	}
+	return time.Since(r.start) + time.Hour
+}
 
 // lead sets the term of the log and makes the leader lead in it.
 func (r *harness) lead(term uint64) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -254,7 +254,7 @@
 	l.cfg.State.View(func(s *submission.State) {
 		for _, w := range s.Workers() {
 			if !w.GetGone() {
-				l.openSession(w)
+				l.openSession(s, w)
 			}
 		}
 		l.takeOverUncertainStarts(s)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -136,7 +136,7 @@
 func (l *Leader) syncSession(id string) {
 	l.cfg.State.View(func(state *submission.State) {
 		if w := state.Workers()[id]; w != nil && !w.GetGone() {
-			l.openSession(w)
+			l.openSession(state, w)
 		}
 	})
 	l.closeStale(id)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -122,12 +122,13 @@
 	return c.seenEnd
 }
 
-func (l *Leader) openSession(w *submission.Worker) *session {
+// openSession opens a session with a worker within a view of the state.
+func (l *Leader) openSession(state *submission.State, w *submission.Worker) *session {
 	if old := l.sessions[w.GetId()]; old != nil {
 		if old.incarnation == w.Incarnation() {
 			return old
 		}
-		l.recordUncertainStarts(old.incarnation)
+		l.recordUncertainStarts(state, old.incarnation)
 		l.closeSession(old)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
@@ -352,7 +353,7 @@
 	}
 	sent, answer := result.sent, result.answer
 	if s.answeredByOther(answer) {
-		l.recordUncertainStarts(s.incarnation)
+		l.cfg.State.View(func(state *submission.State) { l.recordUncertainStarts(state, s.incarnation) })
 		l.onWorkerReplaced(s, "hold")
 		done()
 		return
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -28,23 +28,21 @@
 
 // recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
 // those that the incarnation has listed to this leader and of whose start no copy can still be on its way.
-func (l *Leader) recordUncertainStarts(previous submission.Incarnation) {
+func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
 		if r.on == previous && (!r.wasListed || l.mayArriveLate(r)) {
 			l.addUncertainStart(ref, r.attempt, previous)
 		}
 	}
-	l.cfg.State.View(func(state *submission.State) {
-		if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
-			for ref, attempt := range w.Attempts {
-				l.addUntracked(ref, attempt, previous)
-			}
+	if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
+		for ref, attempt := range w.Attempts {
+			l.addUntracked(ref, attempt, previous)
+		}
+	}
+	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
+		if t.LostOn == previous {
+			l.addUntracked(ref, t.Attempt, previous)
 		}
-		forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-			if t.LostOn == previous {
-				l.addUntracked(ref, t.Attempt, previous)
-			}
-		})
 	})
 }
 
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +92,40 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against a leader that hangs for good, with the replicated state locked, if an entry is applied while a worker registers again.
+func TestRegistrationDoesNotWaitForItself(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t, time.Hour, "a")
+	r.leader.Close()
+	var applying atomic.Bool
+	r.onClock = func() {
+		if applying.Load() {
+			go r.state.Apply(0, 0, nil)
+			time.Sleep(2 * time.Millisecond) // until it waits for the readers
+		}
+	}
+	r.newLeader()
+	r.lead(5)
+	r.report("a", 1)
+	r.submit("s", 1, nil)
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(r.running("a"), 1)
+	r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+	r.submit("unanswered", 1, nil)
+	time.Sleep(200 * time.Millisecond)
+	r.restart("a", 77, func(*fakeWorker) {})
+	applying.Store(true)
+	registered := make(chan struct{})
+	go func() {
+		r.report("a", 1)
+		close(registered)
+	}()
+	select {
+	case <-registered:
+		applying.Store(false)
+		r.finish()
+	case <-time.After(10 * time.Second):
+		t.Fatal("the report is not answered")
+	}
+}
