--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,6 +13,7 @@
 // A task may crash each worker that starts it. The tasks beside it are lost as well, so that a lost attempt proves nothing. Suspect are the
 // attempts that had only just started when the worker crashed. A task that was suspect starts where nothing else has only just
 // started, and nothing else starts there until it has run for a while. If the worker crashes again, the task is the only suspect.
+// Tasks of the same submission are excepted: it fails as a whole, and the members of a gang have to start together.
 
 // youngAttempt is how long an attempt may crash its worker after the start was sent. An attempt that has run for longer is not
 // suspect.
@@ -28,38 +29,82 @@
 	}
 }
 
-// recordHold records from the result of a hold until when the worker was alive. A connection that breaks does so when the worker
-// ends; refused connections after that tell nothing more.
+// refusalTime is how long a hold takes at most that reaches a worker which has ended before.
+const refusalTime = 50 * time.Millisecond
+
+// recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. A hold that fails
+// at once may have been refused, so that the worker ended at any time since it was last known to be alive. Refused holds after that
+// tell nothing more.
 func (s *session) recordHold(result holdResult) {
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
 	} else if !s.unanswered {
-		s.endKnown = !result.timedOut
-		if s.endKnown {
+		s.endKnown, s.endedBy = !result.timedOut, result.ended
+		if s.endKnown && result.ended-result.sent > refusalTime {
 			s.aliveAt = result.ended
 		}
 	}
 	s.unanswered = result.err != nil
 }
 
-// recordAnswered records that the worker has answered a call.
-func (s *session) recordAnswered(now time.Duration) { s.aliveAt = max(s.aliveAt, now) }
+// recordAnswered records that the worker has answered a call. After a hold without an answer it may have been the next incarnation.
+func (s *session) recordAnswered(now time.Duration) {
+	if !s.unanswered {
+		s.aliveAt = max(s.aliveAt, now)
+	}
+}
 
 // isYoung reports whether an attempt had only just started when its worker was last known to be alive.
 func (r *run) isYoung(aliveAt time.Duration) bool {
 	return r.startedAt > 0 && r.startedAt <= aliveAt && aliveAt-r.startedAt < youngAttempt
 }
 
-// commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it.
-func (l *Leader) commitWorkerCrashed(s *session) {
-	gone := &pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs}
-	if !l.endsAsPlanned(s.incarnation) {
-		gone.Suspects = l.suspects(s)
+// mayHaveCrashed reports whether an attempt had only just started when its worker ended.
+func (r *run) mayHaveCrashed(s *session) bool {
+	if !s.endKnown {
+		return r.isYoung(s.aliveAt)
+	}
+	return r.startedAt > 0 && r.startedAt <= s.endedBy && s.aliveAt-r.startedAt < youngAttempt
+}
+
+// commitWorkerCrashed commits that the worker incarnation of a session is gone, with the attempts that may have crashed it. Their tasks
+// avoid its successor for a while if there are other workers: one that crashes whatever starts there must not be the only witness.
+func (l *Leader) commitWorkerCrashed(s *session, successor string) {
+	suspects := l.crashSuspects(s)
+	if l.hasOtherWorkers(s) {
+		for _, suspect := range suspects {
+			l.avoidWorker(submission.RefOf(suspect.GetTask()), successor)
+		}
 	}
-	l.commitWorkerGone(gone)
+	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: suspects})
+}
+
+// hasOtherWorkers reports whether another worker in the pool of a session's worker is usable.
+func (l *Leader) hasOtherWorkers(s *session) bool {
+	found, now := false, l.cfg.Clock()
+	l.cfg.State.View(func(state *submission.State) {
+		known := state.Workers()[s.incarnation.ID]
+		if known == nil {
+			return
+		}
+		for id, other := range l.sessions {
+			w := state.Workers()[id]
+			found = found || other != s && w != nil && w.Incarnation() == other.incarnation && w.GetPool() == known.GetPool() && w.Usable() && l.usable(other, now)
+		}
+	})
+	return found
 }
 
-// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or its VM is under maintenance.
+// crashSuspects returns the attempts that may have crashed the worker of a session, which has ended or cannot be reached.
+func (l *Leader) crashSuspects(s *session) []*pb.SuspectAttempt {
+	if l.endsAsPlanned(s.incarnation) {
+		return nil
+	}
+	return l.suspects(s)
+}
+
+// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or this leader has ordered the maintenance of its
+// VM. On a worker whose maintenance a previous leader has ordered, this one has started nothing.
 func (l *Leader) endsAsPlanned(incarnation submission.Incarnation) bool {
 	planned := false
 	l.cfg.State.View(func(state *submission.State) {
@@ -68,24 +113,25 @@
 			return
 		}
 		planned = w.GetDraining() || l.waves.down[w.GetVm()] == incarnation
-		for _, wave := range state.Waves() {
-			planned = planned || !wave.GetDone() && slices.Contains(wave.GetBegun(), w.GetVm())
-		}
 	})
 	return planned
 }
 
-// suspects returns the attempts that had only just started on a worker when it was last known to be alive. If it is not known when
-// the worker ended, it may have lived on, and there is no proof against an only one.
+// suspects returns the attempts that had only just started on a worker when it was last known to be alive. Attempts of one submission
+// are no alternative to each other, since it fails as a whole. If it is not known when the worker ended, it may have lived on, and
+// there is no proof against an only one.
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
-		if r.on == s.incarnation && r.isYoung(s.aliveAt) {
+		if r.on == s.incarnation && r.mayHaveCrashed(s) {
 			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
 		}
 	}
+	sole := !slices.ContainsFunc(list, func(a *pb.SuspectAttempt) bool {
+		return a.GetTask().GetSubmission() != list[0].GetTask().GetSubmission()
+	})
 	for _, suspect := range list {
-		suspect.Only = len(list) == 1 && s.endKnown
+		suspect.Only = sole && s.endKnown
 	}
 	slices.SortFunc(list, func(a, b *pb.SuspectAttempt) int {
 		return cmp.Or(submission.RefOf(a.GetTask()).Compare(submission.RefOf(b.GetTask())), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
@@ -93,14 +139,41 @@
 	return list
 }
 
+// clearedAfter is how long an attempt of a suspect task runs until the crashes before it are forgotten. Endless tasks have no end that
+// would do so.
+const clearedAfter = 2 * time.Second
+
+// clearSuspects commits which suspect tasks that a worker has just listed have run for long enough.
+func (l *Leader) clearSuspects(s *session, now time.Duration) {
+	var cleared []submission.Ref
+	l.cfg.State.View(func(state *submission.State) {
+		for ref, running := range s.running {
+			t, r := state.Task(ref), l.runs[ref]
+			if t != nil && t.Suspect() && r != nil && r.on == s.incarnation && r.attempt == running.Attempt && r.phase == phaseRunning &&
+				!r.clearing && now-max(r.trackedSince, r.startedAt) > clearedAfter {
+				cleared = append(cleared, ref)
+			}
+		}
+	})
+	for _, ref := range cleared {
+		r := l.runs[ref]
+		r.clearing = true
+		change := &pb.TaskCleared{Task: ref.Proto(), Attempt: r.attempt}
+		l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_Cleared{Cleared: change}}, func(_ submission.Result, err error) {
+			l.logCommitFailure("task-cleared", ref.Submission, err)
+			r.clearing = false
+		})
+	}
+}
+
 // logSuspects logs which attempts may have crashed a worker, and which submissions fail for that.
-func (l *Leader) logSuspects(gone *pb.WorkerGone) {
+func (l *Leader) logSuspects(worker string, suspects []*pb.SuspectAttempt) {
 	l.cfg.State.View(func(state *submission.State) {
-		for _, suspect := range gone.GetSuspects() {
+		for _, suspect := range suspects {
 			suspectsTotal.Inc()
 			ref := submission.RefOf(suspect.GetTask())
 			event := l.log.Warn().Str("decision", "suspect").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
-				Uint32("attempt", suspect.GetAttempt()).Str("worker", gone.GetId()).Int("suspects", len(gone.GetSuspects()))
+				Uint32("attempt", suspect.GetAttempt()).Str("worker", worker).Int("suspects", len(suspects))
 			if t := state.Task(ref); t != nil {
 				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes)
 			}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -18,18 +19,20 @@
 type crashCase struct {
 	newID bool // the next incarnation has a new id at the old address
 	dark  bool // calls to a crashed worker hang, while otherwise its connections break
+	// downtime is how long the worker is away, crashDowntime if 0.
+	downtime time.Duration
 }
 
 func (c crashCase) String() string { return fmt.Sprintf("new id %t, dark %t", c.newID, c.dark) }
 
-var crashCases = []crashCase{{false, false}, {true, false}, {false, true}, {true, true}}
+var crashCases = []crashCase{{newID: false, dark: false}, {newID: true, dark: false}, {newID: false, dark: true}, {newID: true, dark: true}}
 
 // restartCrashed lets each crashed worker return after crashDowntime.
 func (r *harness) restartCrashed(c crashCase) {
 	newID, lives := c.newID, 0
 	r.workers.crashDark = c.dark
 	r.workers.crashed = func(f *fakeWorker) {
-		time.AfterFunc(crashDowntime, func() {
+		time.AfterFunc(cmp.Or(c.downtime, crashDowntime), func() {
 			var next *fakeWorker
 			r.workers.update(func() {
 				lives++
@@ -38,7 +41,7 @@
 					id = fmt.Sprintf("%s-%d", f.incarnation.ID, lives)
 				}
 				next = newFakeWorker(id, f.incarnation.BornUnixMs+1000)
-				next.address = f.address
+				next.address, next.unsound = f.address, f.unsound
 				if newID && next.address == "" {
 					next.address = f.incarnation.ID
 				}
@@ -80,6 +83,55 @@
 	}
 }
 
+// longDowntime is longer than the lease of a worker.
+const longDowntime = 12 * time.Second
+
+// Guards against the same if the lease of each crashed worker is over before the worker is back.
+func TestTaskThatKeepsItsWorkersAwayIsGivenUp(t *testing.T) {
+	for _, c := range crashCases {
+		c.downtime = longDowntime
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "deadly"}
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.deadly[task] = true })
+				r.submit("deadly", 1, nil)
+				time.Sleep(3 * time.Minute)
+				further, crashes := r.furtherStarts(task)
+				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+				is.True(crashes >= 1)
+				is.True(further < maxFurtherStarts)
+			})
+		})
+	}
+}
+
+// Guards against the same while a wave goes on, on VMs whose maintenance was done before.
+func TestCrashesOnMaintainedVMsCount(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "deadly"}
+				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+				for _, id := range []string{"a", "b"} {
+					r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_WaveProgress{WaveProgress: &pb.WaveProgress{Number: 1, Vm: "vm-" + id}}})
+					r.restart(id, 1000, func(*fakeWorker) {})
+					r.report(id, 1)
+				}
+				time.Sleep(time.Second)
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.deadly[task] = true })
+				r.submit("deadly", 1, nil)
+				time.Sleep(60 * time.Second)
+				further, crashes := r.furtherStarts(task)
+				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+				is.True(crashes >= 1)
+				is.True(further < maxFurtherStarts)
+			})
+		})
+	}
+}
+
 // Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
 func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
 	for _, c := range crashCases {
@@ -138,3 +190,94 @@
 		}
 	}
 }
+
+// Guards against a crash that counts for nothing because the next incarnation has answered a call meant for the crashed one.
+func TestAnswerOfNextIncarnationDoesNotHideCrash(t *testing.T) {
+	is := is.New(t)
+	s, r := &session{}, &run{startedAt: time.Second}
+	s.recordHold(holdResult{ended: time.Second + crashDelay, err: ErrNoAnswer})
+	s.recordAnswered(time.Second + crashDowntime)
+	is.True(r.mayHaveCrashed(s))
+}
+
+// Guards against a submission that is never the only suspect, since several of its tasks start on the same worker.
+func TestSiblingsAreNoAlternativeSuspects(t *testing.T) {
+	is := is.New(t)
+	s := &session{aliveAt: time.Second + crashDelay, endedBy: time.Second + crashDelay, endKnown: true}
+	l := &Leader{runs: map[submission.Ref]*run{
+		{Submission: "s"}:           {startedAt: time.Second},
+		{Submission: "s", Index: 1}: {startedAt: time.Second},
+	}}
+	only := func() (list []bool) {
+		for _, suspect := range l.suspects(s) {
+			list = append(list, suspect.GetOnly())
+		}
+		return list
+	}
+	is.Equal(only(), []bool{true, true})
+	l.runs[submission.Ref{Submission: "other"}] = &run{startedAt: time.Second}
+	is.Equal(only(), []bool{false, false, false})
+}
+
+// Guards against submissions that fail because one worker crashes whatever starts there.
+func TestUnsoundWorkerDoesNotFailSubmissions(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+				r.restartCrashed(c)
+				r.workers.update(func() { r.workers.byID["a"].unsound = true })
+				for n := range 30 {
+					r.commit(accept(fmt.Sprintf("s-%d", n), 2))
+					time.Sleep(time.Second)
+				}
+				time.Sleep(30 * time.Second)
+				for n := range 30 {
+					is.Equal(r.describe(fmt.Sprintf("s-%d", n)), "done")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a crash that counts for nothing, or for a start that came too late, because no hold was waiting at the worker.
+func TestCrashBetweenHoldsCounts(t *testing.T) {
+	is := is.New(t)
+	s, guilty, late, old := &session{}, &run{startedAt: time.Second}, &run{startedAt: 2 * time.Second}, &run{startedAt: 500 * time.Millisecond}
+	s.recordHold(holdResult{sent: 0, ended: 900 * time.Millisecond})
+	s.recordAnswered(time.Second + time.Millisecond)
+	s.recordHold(holdResult{sent: 1300 * time.Millisecond, ended: 1301 * time.Millisecond, err: ErrNoAnswer})
+	is.True(guilty.mayHaveCrashed(s))
+	is.True(!late.mayHaveCrashed(s))
+	is.True(!old.mayHaveCrashed(s))
+}
+
+// Guards against an endless task that is given up for crashes long ago, though it has run in between.
+func TestCrashesBeforeLongRunAreForgotten(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		task := submission.Ref{Submission: "s"}
+		r.restartCrashed(crashCase{})
+		crashOnce := func(begin func()) {
+			r.workers.update(func() { r.workers.deadly[task] = true })
+			begin()
+			time.Sleep(time.Second)
+			r.workers.update(func() { r.workers.deadly[task] = false })
+			time.Sleep(20 * time.Second)
+		}
+		crashOnce(func() { r.submit("s", 1, endless) })
+		is.Equal(r.running("a")+r.running("b"), 1)
+		crashOnce(func() {
+			for _, id := range []string{"a", "b"} {
+				if r.running(id) > 0 {
+					var f *fakeWorker
+					r.workers.update(func() { f = r.workers.byID[id] })
+					r.workers.crash(f)
+				}
+			}
+			time.Sleep(crashDowntime)
+		})
+		is.Equal(r.running("a")+r.running("b"), 1)
+		crashes := 0
+		r.workers.update(func() { crashes = r.workers.crashes[task] })
+		is.Equal(crashes, 3) // the second while it ran
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -109,6 +109,9 @@
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
 	refusing          bool                      // connections are refused, and open ones break
+	unsound           bool                      // crashes whatever starts
+	overloaded        bool                      // holds are refused at once with ErrUnavailable
+	holds             int                       // number of holds received
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -289,7 +292,7 @@
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
 	w.startsByTask[c.Task]++
-	if w.deadly[c.Task] {
+	if w.deadly[c.Task] || f.unsound {
 		time.AfterFunc(crashDelay, func() { w.crash(f) })
 	}
 	f.peak = max(f.peak, len(f.running))
@@ -359,6 +362,17 @@
 			w.mu.Unlock()
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
 		}
+		if waitsAt == nil {
+			f.holds++
+		}
+		if f.overloaded {
+			w.mu.Unlock()
+			select {
+			case <-time.After(time.Millisecond):
+			case <-ctx.Done():
+			}
+			return HoldAnswer{}, ErrUnavailable
+		}
 		waitsAt = f
 		answer, ready := w.hold(f, c)
 		answerLost := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0
@@ -417,6 +431,8 @@
 	adviser  Adviser
 	platform Platform
 	logger   zerolog.Logger
+	// onClock, if set before a leader is created, is called whenever the leader reads its clock.
+	onClock func()
 }
 
 func newHarness(t *testing.T, work time.Duration, ids ...string) *harness {
@@ -441,7 +457,12 @@
 		Bounds: Bounds{LeaseMax: 10 * time.Second, Stop: time.Second, Gang: 3 * time.Second, MaxOverLimit: 4 * time.Second, ThrottleDelay: 100 * time.Millisecond, HolderLease: testHolderLease}})
 }
 
-func (r *harness) clock() time.Duration { return time.Since(r.start) + time.Hour }
+func (r *harness) clock() time.Duration {
+	if r.onClock != nil {
+		r.onClock()
+	}
+	return time.Since(r.start) + time.Hour
+}
 
 // lead sets the term of the log and makes the leader lead in it.
 func (r *harness) lead(term uint64) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -108,7 +108,7 @@
 func (l *Leader) register(w *pb.PoolWorker, done func(error)) {
 	for _, s := range l.sessions {
 		if replaces(w, s) {
-			l.commitWorkerCrashed(s)
+			l.commitWorkerCrashed(s, w.GetId())
 		}
 	}
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: w}}
@@ -136,7 +136,7 @@
 func (l *Leader) syncSession(id string) {
 	l.cfg.State.View(func(state *submission.State) {
 		if w := state.Workers()[id]; w != nil && !w.GetGone() {
-			l.openSession(w)
+			l.openSession(state, w)
 		}
 	})
 	l.closeStale(id)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -50,9 +50,10 @@
 	throttledAt      time.Duration                    // when the speed of a filling task was last changed
 	endingSilence    bool                             // the end of the silence is being committed
 	aliveAt          time.Duration                    // when the worker was last known to be alive
-	endKnown         bool                             // the connection broke at aliveAt
-	unanswered       bool                             // the last hold got no answer
-	lossesPending    int                              // number of attempts whose loss is being committed
+	endKnown         bool                             // the worker ended between aliveAt and endedBy: its connection broke or was refused
+	endedBy          time.Duration
+	unanswered       bool // the last hold got no answer
+	lossesPending    int  // number of attempts whose loss is being committed
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
@@ -121,12 +122,13 @@
 	return c.seenEnd
 }
 
-func (l *Leader) openSession(w *submission.Worker) *session {
+// openSession opens a session with a worker within a view of the state.
+func (l *Leader) openSession(state *submission.State, w *submission.Worker) *session {
 	if old := l.sessions[w.GetId()]; old != nil {
 		if old.incarnation == w.Incarnation() {
 			return old
 		}
-		l.recordUncertainStarts(old.incarnation)
+		l.recordUncertainStarts(state, old.incarnation)
 		l.closeSession(old)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
@@ -313,14 +315,14 @@
 	}
 }
 
-// firstResult returns the first result before the next tick, but a success rather than ErrNoAnswer. It returns false if all
-// calls are still in progress by then.
+// firstResult returns the first result before the next tick, but a success rather than a failure. A failure that ends the session
+// or the term is returned at once, others at the tick. It returns false if all calls are still in progress by then.
 func firstResult(ctx context.Context, results <-chan holdResult, tick <-chan time.Time) (holdResult, bool) {
 	failed, ok := holdResult{}, false
 	for {
 		select {
 		case result := <-results:
-			if !errors.Is(result.err, ErrNoAnswer) {
+			if result.err == nil || errors.Is(result.err, ErrFenced) || errors.Is(result.err, ErrOtherIncarnation) {
 				return result, true
 			}
 			failed, ok = result, true
@@ -351,7 +353,7 @@
 	}
 	sent, answer := result.sent, result.answer
 	if s.answeredByOther(answer) {
-		l.recordUncertainStarts(s.incarnation)
+		l.cfg.State.View(func(state *submission.State) { l.recordUncertainStarts(state, s.incarnation) })
 		l.onWorkerReplaced(s, "hold")
 		done()
 		return
@@ -382,7 +384,7 @@
 // onWorkerReplaced commits that the worker incarnation of a session is gone and closes the session.
 func (l *Leader) onWorkerReplaced(s *session, source string) {
 	l.log.Info().Str("event", "worker-replaced").Str("worker", s.incarnation.ID).Str("source", source).Msg("another worker or another incarnation answers at the worker's address")
-	l.commitWorkerCrashed(s)
+	l.commitWorkerCrashed(s, s.incarnation.ID)
 	l.closeSession(s)
 }
 
@@ -394,7 +396,7 @@
 		if err != nil {
 			l.uncommittedGone = append(l.uncommittedGone, gone)
 		} else if result.Applied {
-			l.logSuspects(gone)
+			l.logSuspects(gone.GetId(), gone.GetSuspects())
 		}
 	})
 }
@@ -439,12 +441,19 @@
 
 // commitEnd commits the end of an attempt on the worker of a session.
 func (l *Leader) commitEnd(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string, after func(error)) {
-	end := &pb.TaskEnd{Task: task.Proto(), Attempt: attempt, Worker: s.incarnation.ID, WorkerBornUnixMs: s.incarnation.BornUnixMs, Kind: kind, Checkpoint: checkpoint}
+	l.queueEnd(endOf(s, task, attempt, kind, checkpoint), after)
+}
+
+func endOf(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string) *pb.TaskEnd {
+	return &pb.TaskEnd{Task: task.Proto(), Attempt: attempt, Worker: s.incarnation.ID, WorkerBornUnixMs: s.incarnation.BornUnixMs, Kind: kind, Checkpoint: checkpoint}
+}
+
+func (l *Leader) queueEnd(end *pb.TaskEnd, after func(error)) {
 	l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: end}}, func(_ submission.Result, err error) {
 		if err == nil {
-			l.untrackRun(task, attempt)
+			l.untrackRun(submission.RefOf(end.GetTask()), end.GetAttempt())
 		}
-		l.logCommitFailure("task-end", task.Submission, err)
+		l.logCommitFailure("task-end", end.GetTask().GetSubmission(), err)
 		if after != nil {
 			after(err)
 		}
@@ -496,8 +505,20 @@
 			Dur("silent_ms", now-answeredAt).Msg("the worker's lease expired before the worker was reached; its tasks are placed on other workers")
 	}
 	s.lossesPending = len(lost)
+	suspects := l.crashSuspects(s)
 	for i, ref := range lost {
-		l.commitEnd(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint, func(error) { s.lossesPending-- })
+		end := endOf(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint)
+		if n := slices.IndexFunc(suspects, func(a *pb.SuspectAttempt) bool {
+			return submission.RefOf(a.GetTask()) == ref && a.GetAttempt() == attempts[i]
+		}); n >= 0 {
+			end.Suspect = suspects[n]
+		}
+		l.queueEnd(end, func(err error) {
+			s.lossesPending--
+			if err == nil && end.GetSuspect() != nil {
+				l.logSuspects(s.incarnation.ID, []*pb.SuspectAttempt{end.GetSuspect()})
+			}
+		})
 	}
 }
 
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -60,7 +60,7 @@
 	// Checkpoint is the last saved progress, from which the next attempt resumes.
 	Checkpoint string
 	// Suspicions is the number of workers that crashed when an attempt of the task had only just started there, since the task
-	// last ran for longer. Crashes is the number of those where no other attempt had only just started.
+	// last ran for longer. Crashes is the number of those where no attempt of another submission had.
 	Suspicions, Crashes uint32
 	// failed lists the attempts that ended in failure.
 	failed []uint32
@@ -287,6 +287,8 @@
 		return Result{Applied: s.addWave(c.Wave)}
 	case *pb.SubmissionChange_WaveProgress:
 		return Result{Applied: s.progressWave(c.WaveProgress)}
+	case *pb.SubmissionChange_Cleared:
+		return Result{Applied: s.clearSuspicion(c.Cleared)}
 	case *pb.SubmissionChange_Silence:
 		return Result{Applied: s.setSilence(c.Silence)}
 	}
