--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -18,7 +18,8 @@
 )
 
 // preempt proposes to stop tasks on one worker so that task t of r fits there. It stops tasks of a lower priority, and
-// endless tasks of the same priority, which earn less for each core-second. It stops nothing for filling and endless
+// endless tasks of the same priority, which earn less for each core-second, unless overdue endless tasks find no room already.
+// It stops nothing for filling and endless
 // tasks, for work that will earn nothing, and while the stops in progress will free enough room on some worker.
 //
 // It is meant for urgent work that arrives while the workers are full of less urgent work.
@@ -33,7 +34,7 @@
 		if o := p.obstacleFor(w, r); o != noCores && o != noMemory || slices.Contains(t.AvoidWorkers, w.Incarnation.ID) {
 			continue
 		}
-		chosen, cost := w.victims(r)
+		chosen, cost := w.victims(r, !p.overdueUnplaced[r.Pool])
 		if len(chosen) > 0 && (best == nil || cost < lowest) {
 			best, victims, lowest = w, chosen, cost
 		}
@@ -67,8 +68,8 @@
 }
 
 // victims returns the indexes of the residents to stop so that a task of r fits, and the cost of stopping them. It
-// returns none if maxVictims stops do not free enough room.
-func (w *Worker) victims(r *Request) ([]int, float64) {
+// returns none if maxVictims stops do not free enough room. endless tells whether endless tasks may be stopped.
+func (w *Worker) victims(r *Request, endless bool) ([]int, float64) {
 	free := w.Capacity.Minus(w.used)
 	var chosen []int
 	cost := 0.0
@@ -79,7 +80,7 @@
 		best, lowest := -1, 0.0
 		for i := range w.Residents {
 			v := &w.Residents[i]
-			if v.Stopping || !v.MayStop || !v.yieldsTo(r) || slices.Contains(chosen, i) {
+			if v.Stopping || !v.MayStop || !v.yieldsTo(r) || v.Step.GetEndless() && !endless || slices.Contains(chosen, i) {
 				continue
 			}
 			if c := victimCost(v.Step); best < 0 || c < lowest {
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -57,6 +57,8 @@
 	// reservedWorkers is the number of workers that are reserved for endless tasks, reservations that number by submission.
 	reservedWorkers int
 	reservations    map[string]int
+	// overdueUnplaced holds the pools in which an overdue endless task found no room.
+	overdueUnplaced map[string]bool
 }
 
 // placeRequest proposes starts for the waiting tasks of a request. Of a gang it starts all tasks or none.
@@ -98,6 +100,9 @@
 // rules allow it.
 func (p *planner) handleUnplaced(r *Request, t WaitingTask, why string) {
 	p.addWait(r, t, why)
+	if r.overdue(p.NowUnixMs) {
+		p.overdueUnplaced[r.Pool] = true
+	}
 	p.reserveWorker(r)
 	p.preempt(r, t)
 }
--- a/internal/placement/steps/reserve_test.go
+++ b/internal/placement/steps/reserve_test.go
@@ -68,3 +68,18 @@
 	filling := newRequest("filling", 1, newStep(1, func(s *pb.Step) { s.Fills, s.Image, s.Size.MemoryBytes = true, "fill", 20*gigabyte }))
 	is.Equal(placesOf(plan([]*Worker{w}, overdueRequest("watch", 10_000, 1, 64*gigabyte), filling)), map[string]int{})
 }
+
+// Guards against endless tasks that are evicted, and then away for too long, while overdue ones find no room already.
+func TestEndlessTaskIsNotEvictedWhileOthersAreOverdue(t *testing.T) {
+	is := is.New(t)
+	fullWorker := func() *Worker {
+		w := newWorker("w", 8)
+		serving := resident("serving", newStep(8, func(s *pb.Step) { s.Endless = true }))
+		serving.MayStop = true
+		w.Residents = append(w.Residents, serving)
+		return w
+	}
+	urgent := func() *Request { return newRequest("urgent", 1, newStep(4, nil)) }
+	is.Equal(len(plan([]*Worker{fullWorker()}, urgent()).Stops), 1)
+	is.Equal(len(plan([]*Worker{fullWorker()}, urgent(), overdueRequest("away", 5000, 6, gigabyte)).Stops), 0)
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -197,7 +197,8 @@
 
 // MakePlan returns the proposals for a snapshot.
 func MakePlan(s *Snapshot) Plan {
-	p := &planner{Snapshot: s, started: map[string]bool{}, unplaced: unplacedSizes{}, reservations: map[string]int{}}
+	p := &planner{Snapshot: s, started: map[string]bool{}, unplaced: unplacedSizes{}, reservations: map[string]int{},
+		overdueUnplaced: map[string]bool{}}
 	for _, w := range s.Workers {
 		w.prepare(s.Pressure)
 	}
