--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -33,9 +33,12 @@
 const refusalTime = 50 * time.Millisecond
 
 // recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. A hold that fails
-// at once may have been refused, so that the worker ended at any time since it was last known to be alive. Refused holds after that
-// tell nothing more.
+// at once may have been refused, so that the worker ended at any time since it was last known to be alive. Refused holds after that,
+// and answers of the next incarnation, tell nothing more.
 func (s *session) recordHold(result holdResult) {
+	if s.answeredByOther(result.answer) {
+		return
+	}
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
 	} else if !s.unanswered {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -21,11 +21,17 @@
 	dark  bool // calls to a crashed worker hang, while otherwise its connections break
 	// downtime is how long the worker is away, crashDowntime if 0.
 	downtime time.Duration
+	// takesAll is true if the next incarnation, under the same id, carries out calls that are meant for the one before. It reports
+	// only after it has been called.
+	takesAll bool
 }
 
-func (c crashCase) String() string { return fmt.Sprintf("new id %t, dark %t", c.newID, c.dark) }
+func (c crashCase) String() string {
+	return fmt.Sprintf("new id %t, dark %t, takes all calls %t", c.newID, c.dark, c.takesAll)
+}
 
-var crashCases = []crashCase{{newID: false, dark: false}, {newID: true, dark: false}, {newID: false, dark: true}, {newID: true, dark: true}}
+var crashCases = []crashCase{{newID: false, dark: false}, {newID: true, dark: false}, {newID: false, dark: true}, {newID: true, dark: true},
+	{takesAll: true}, {dark: true, takesAll: true}}
 
 // restartCrashed lets each crashed worker return after crashDowntime.
 func (r *harness) restartCrashed(c crashCase) {
@@ -41,12 +47,15 @@
 					id = fmt.Sprintf("%s-%d", f.incarnation.ID, lives)
 				}
 				next = newFakeWorker(id, f.incarnation.BornUnixMs+1000)
-				next.address, next.unsound = f.address, f.unsound
+				next.address, next.unsound, next.ignoreIncarnation = f.address, f.unsound, c.takesAll
 				if newID && next.address == "" {
 					next.address = f.incarnation.ID
 				}
 				r.workers.byID[id] = next
 			})
+			if c.takesAll {
+				time.Sleep(500 * time.Millisecond)
+			}
 			r.report(next.incarnation.ID, 1)
 		})
 	}
