--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -22,10 +22,11 @@
 // maxIsolationWait is how long a suspect task waits for a worker where no other task has only just started.
 const maxIsolationWait = 2 * time.Second
 
-// endIsolation lets the suspect tasks of a request start beside others once they have waited for too long in a busy pool.
-func endIsolation(r *steps.Request, waited time.Duration) {
+// isolate isolates the suspect tasks of a request, unless they have waited for too long in a busy pool. Then they may start beside others,
+// but not beside other suspects.
+func isolate(r *steps.Request, waited time.Duration) {
 	for i := range r.Waiting {
-		r.Waiting[i].Suspect = r.Waiting[i].Suspect && waited < maxIsolationWait
+		r.Waiting[i].Isolated = r.Waiting[i].Suspect && waited < maxIsolationWait
 	}
 }
 
@@ -122,8 +123,8 @@
 }
 
 // suspects returns the attempts that had only just started on a worker when it was last known to be alive. Attempts of one submission
-// are no alternative to each other, since it fails as a whole. If it is not known when the worker ended, it may have lived on, and
-// there is no proof against an only one.
+// are no alternative to each other, since it fails as a whole; a task that was suspect before is likelier than those that were
+// not. If it is not known when the worker ended, it may have lived on, and there is no proof against an only one.
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
@@ -131,11 +132,10 @@
 			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
 		}
 	}
-	sole := !slices.ContainsFunc(list, func(a *pb.SuspectAttempt) bool {
-		return a.GetTask().GetSubmission() != list[0].GetTask().GetSubmission()
-	})
-	for _, suspect := range list {
-		suspect.Only = sole && s.endKnown
+	if only, ok := l.onlySubmission(list); ok && s.endKnown {
+		for _, suspect := range list {
+			suspect.Only = suspect.GetTask().GetSubmission() == only
+		}
 	}
 	slices.SortFunc(list, func(a, b *pb.SuspectAttempt) int {
 		return cmp.Or(submission.RefOf(a.GetTask()).Compare(submission.RefOf(b.GetTask())), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
@@ -143,6 +143,28 @@
 	return list
 }
 
+// onlySubmission returns the submission of all suspects, or that of all those that were suspect before.
+func (l *Leader) onlySubmission(list []*pb.SuspectAttempt) (string, bool) {
+	all, before := map[string]bool{}, map[string]bool{}
+	l.cfg.State.View(func(state *submission.State) {
+		for _, suspect := range list {
+			ref := submission.RefOf(suspect.GetTask())
+			all[ref.Submission] = true
+			if t := state.Task(ref); t != nil && t.Suspect() {
+				before[ref.Submission] = true
+			}
+		}
+	})
+	for _, candidates := range []map[string]bool{all, before} {
+		if len(candidates) == 1 {
+			for id := range candidates {
+				return id, true
+			}
+		}
+	}
+	return "", false
+}
+
 // clearedAfter is how long an attempt of a suspect task runs until the crashes before it are forgotten. Endless tasks have no end that
 // would do so.
 const clearedAfter = 2 * time.Second
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -213,7 +214,7 @@
 func TestSiblingsAreNoAlternativeSuspects(t *testing.T) {
 	is := is.New(t)
 	s := &session{aliveAt: time.Second + crashDelay, endedBy: time.Second + crashDelay, endKnown: true}
-	l := &Leader{runs: map[submission.Ref]*run{
+	l := &Leader{cfg: Config{State: submission.New(time.Minute.Milliseconds(), nil)}, runs: map[submission.Ref]*run{
 		{Submission: "s"}:           {startedAt: time.Second},
 		{Submission: "s", Index: 1}: {startedAt: time.Second},
 	}}
@@ -290,3 +291,37 @@
 		is.Equal(crashes, 3) // the second while it ran
 	})
 }
+
+// Guards against a task that is suspect again and again, each time beside others, and is never taken for the culprit.
+func TestEarlierSuspectIsTakenForTheCulprit(t *testing.T) {
+	is := is.New(t)
+	w := &session{incarnation: submission.Incarnation{ID: "w"}, aliveAt: time.Second, endedBy: time.Second, endKnown: true}
+	state := submission.New(time.Minute.Milliseconds(), nil)
+	l := &Leader{cfg: Config{State: state}, runs: map[submission.Ref]*run{}}
+	for _, id := range []string{"a", "b"} {
+		l.runs[submission.Ref{Submission: id}] = &run{on: w.incarnation, attempt: 2, startedAt: time.Second}
+	}
+	only := func() (list []bool) {
+		for _, suspect := range l.suspects(w) {
+			list = append(list, suspect.GetOnly())
+		}
+		return list
+	}
+	is.Equal(only(), []bool{false, false})
+	makeSuspect(is, state, "b")
+	is.Equal(only(), []bool{false, true})
+}
+
+// makeSuspect accepts a submission and lets a worker crash under its task.
+func makeSuspect(is *is.I, state *submission.State, id string) {
+	ref := submission.Ref{Submission: id}
+	entry, err := proto.Marshal(&pb.SubmissionEntry{Changes: []*pb.SubmissionChange{
+		{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 1, Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool"}}}}},
+		accept(id, 1),
+		{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: "gone", BornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_Start{Start: &pb.TaskStart{Task: ref.Proto(), Attempt: 1, Worker: "gone", WorkerBornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: "gone", BornUnixMs: 1, Suspects: []*pb.SuspectAttempt{{Task: ref.Proto(), Attempt: 1}}}}},
+	}})
+	is.NoErr(err)
+	state.Apply(1, 1, entry)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -268,7 +268,7 @@
 			}
 			r.Idle = !runs
 			waited := l.waited(r, now)
-			endIsolation(r, waited)
+			isolate(r, waited)
 			waited = max(waited, l.longestOutage(r, now))
 			r.Deferred = r.Spec.GetEndless() && now-l.lastEviction < evictionCooldown && waited < maxEndlessWait
 			r.WorkMs = float64(len(r.Waiting)) * float64(r.Spec.GetEstimateMs()) * float64(r.Spec.GetSize().GetMillicores()) / 1000
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -129,9 +129,11 @@
 	Attempt uint32
 	// AvoidWorkers holds the IDs of workers on which the task failed or was refused before.
 	AvoidWorkers []string
-	// Suspect is true if the task may have crashed a worker. It starts where no task of another submission has only just started, so
-	// that it is known whether its submission crashes that worker too.
+	// Suspect is true if the task may have crashed a worker. Nothing of another submission starts beside it while it is young.
 	Suspect bool
+	// Isolated is true if the task starts only where no task of another submission has only just started, so that it is known
+	// whether its submission crashes that worker too.
+	Isolated bool
 }
 
 // Start is a proposed placement.
--- a/internal/placement/steps/suspect_test.go
+++ b/internal/placement/steps/suspect_test.go
@@ -17,7 +17,9 @@
 	busy.Residents = append(busy.Residents, young)
 	calm.Residents = append(calm.Residents, resident("old", newStep(7, nil)))
 	suspect := newRequest("suspect", 2, newStep(1, nil))
-	suspect.Waiting[0].Suspect, suspect.Waiting[1].Suspect = true, true
+	for i := range suspect.Waiting {
+		suspect.Waiting[i].Suspect, suspect.Waiting[i].Isolated = true, true
+	}
 	p := plan([]*Worker{busy, calm}, suspect)
 	is.Equal(placesOf(p), map[string]int{"calm": 1})
 }
@@ -40,7 +42,7 @@
 	is := is.New(t)
 	gang := newRequest("gang", 4, newStep(1, func(s *pb.Step) { s.Gang, s.Count = true, 4 }))
 	for i := range gang.Waiting {
-		gang.Waiting[i].Suspect = i < 3
+		gang.Waiting[i].Suspect, gang.Waiting[i].Isolated = i < 3, i < 3
 	}
 	p := plan([]*Worker{newWorker("a", 8), newWorker("b", 8)}, gang)
 	is.Equal(len(p.Starts), 4)
--- a/internal/submission/crash_test.go
+++ b/internal/submission/crash_test.go
@@ -37,14 +37,15 @@
 	is.Equal(w.state.Submission("a").Describe(), "failed")
 }
 
-// Guards against the same if there was always another suspect: the platform allows two starts after the third crash.
+// Guards against the same if there was always another suspect: the platform allows two starts after the third crash, of which one
+// is spare.
 func TestTaskThatWasSuspectedOftenFails(t *testing.T) {
 	is := is.New(t)
 	w := newDriver()
 	w.apply(queueConfig(2), accept("a", oneTask()))
-	w.crashes(Ref{Submission: "a"}, 1, 4, false)
+	w.crashes(Ref{Submission: "a"}, 1, 3, false)
 	is.Equal(w.state.Submission("a").Describe(), "running")
-	w.crashes(Ref{Submission: "a"}, 5, 1, false)
+	w.crashes(Ref{Submission: "a"}, 4, 1, false)
 	is.Equal(w.state.Submission("a").Describe(), "failed")
 }
 
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -69,8 +69,9 @@
 const (
 	// maxCrashes is the number of workers that a task may crash before its submission fails.
 	maxCrashes = 2
-	// maxSuspicions is the same for a task that was never the only suspect. The platform allows two starts after the third crash.
-	maxSuspicions = 5
+	// maxSuspicions is the same for a task that was never the only suspect. The platform allows two starts after the third crash;
+	// the crash of a worker may stay unnoticed around a change of the leader.
+	maxSuspicions = 4
 )
 
 // Suspect reports whether the task may have crashed a worker, so that it should start where nothing else starts.
