--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -100,12 +100,25 @@
 	return found
 }
 
+// unexplainedWindow is how long after a crash without a suspect no task is taken for the only possible culprit of another:
+// workers crash by themselves.
+const unexplainedWindow = 10 * time.Second
+
 // crashSuspects returns the attempts that may have crashed the worker of a session, which has ended or cannot be reached.
 func (l *Leader) crashSuspects(s *session) []*pb.SuspectAttempt {
 	if l.endsAsPlanned(s.incarnation) {
 		return nil
 	}
-	return l.suspects(s)
+	now, suspects := l.cfg.Clock(), l.suspects(s)
+	if len(suspects) == 0 && s.endKnown && s.leaseSnapshot().confirmed { // else a previous leader may have started the culprit
+		l.unexplainedUntil = now + unexplainedWindow
+	}
+	if now < l.unexplainedUntil {
+		for _, suspect := range suspects {
+			suspect.Only = false
+		}
+	}
+	return suspects
 }
 
 // endsAsPlanned reports whether a worker incarnation was about to end: it drains, or this leader has ordered the maintenance of its
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -312,6 +312,23 @@
 	is.Equal(only(), []bool{false, true})
 }
 
+// Guards against submissions that fail because their workers crash by themselves, also while none of their tasks is young.
+func TestCrashesWithoutSuspectProtectTasks(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	l := &Leader{cfg: Config{State: submission.New(time.Minute.Milliseconds(), nil), Clock: func() time.Duration { return now }}, runs: map[submission.Ref]*run{}}
+	crashOf := func(id string) []*pb.SuspectAttempt {
+		return l.crashSuspects(&session{incarnation: submission.Incarnation{ID: id}, aliveAt: time.Second, endedBy: time.Second, endKnown: true,
+			leaseState: leaseState{confirmed: true}})
+	}
+	l.runs[submission.Ref{Submission: "s"}] = &run{on: submission.Incarnation{ID: "w"}, startedAt: time.Second}
+	is.True(crashOf("w")[0].GetOnly())
+	is.Equal(len(crashOf("idle")), 0)
+	is.True(!crashOf("w")[0].GetOnly())
+	now += unexplainedWindow
+	is.True(crashOf("w")[0].GetOnly())
+}
+
 // makeSuspect accepts a submission and lets a worker crash under its task.
 func makeSuspect(is *is.I, state *submission.State, id string) {
 	ref := submission.Ref{Submission: id}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -112,6 +112,8 @@
 	nextCleanup    time.Duration                               // earliest time of the next removal of old records
 	// uncommittedGone holds the worker incarnations that are gone and whose commit of this has failed.
 	uncommittedGone []*pb.WorkerGone
+	// unexplainedUntil is the end of the time in which crashes prove nothing against a task, because workers crash by themselves.
+	unexplainedUntil time.Duration
 	// lastHandover is when the pressure model was last sent to the other control VMs.
 	lastHandover time.Duration
 	// lastEviction is when a plan last evicted a task to make room for urgent work.
@@ -199,7 +201,7 @@
 	l.pressure, l.waits = steps.NewPressure(), map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
-	l.lastRuns = map[submission.Ref]time.Duration{}
+	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
 
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -67,8 +67,9 @@
 }
 
 const (
-	// maxCrashes is the number of workers that a task may crash before its submission fails.
-	maxCrashes = 2
+	// maxCrashes is the number of workers that a task may crash before its submission fails. Workers also crash by themselves, so
+	// that two are no proof.
+	maxCrashes = 3
 	// maxSuspicions is the same for a task that was never the only suspect. The platform allows two starts after the third crash;
 	// the crash of a worker may stay unnoticed around a change of the leader.
 	maxSuspicions = 4
