dispatch: tell which kind of work holds the cores of a pool and what waits for them

Callers saw: of the largest submissions of a quick kind less than half as many were served as of the whole kind. Hypotheses that the log could not tell apart: cores are held by endless tasks and not given up; wide steps get room one task at a time; steps that count as worthless starve; starts on sick workers are replaced slowly. Change: each second at most, event=pool-usage lists the usable workers of each pool, the cores that endless, finite and stopping tasks hold, and the cores and tasks that wait, by tier; gauge lentilyard_dispatch_waiting_cores{pool,tier}. No decision changes.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -114,6 +114,8 @@
 	uncommittedGone []*pb.WorkerGone
 	// unexplainedUntil is the end of the time in which crashes prove nothing against a task, because workers crash by themselves.
 	unexplainedUntil time.Duration
+	// lastUsageLog is when the usage of the pools was last logged.
+	lastUsageLog time.Duration
 	// lastHandover is when the pressure model was last sent to the other control VMs.
 	lastHandover time.Duration
 	// lastEviction is when a plan last evicted a task to make room for urgent work.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -82,6 +82,7 @@
 		l.queueStart(start)
 	}
 	l.logWaits(plan.Waiting, now)
+	l.logUsage(plan.Usage, now)
 	if len(plan.Stops) > 0 {
 		l.lastEviction = now
 	}
--- /dev/null
+++ b/internal/dispatch/usage.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
+)
+
+// usageLogInterval is the minimum time between two log lines about the usage of the pools.
+const usageLogInterval = time.Second
+
+// logUsage logs and counts how the cores of the pools are used and what waits for them: an on-call engineer sees which kind of work
+// holds the cores that another kind lacks.
+func (l *Leader) logUsage(pools []steps.PoolUsage, now time.Duration) {
+	if l.lastUsageLog > 0 && now-l.lastUsageLog < usageLogInterval {
+		return
+	}
+	l.lastUsageLog = now
+	for i := range pools {
+		u := &pools[i]
+		event := l.log.Info().Str("event", "pool-usage").Str("pool", u.Pool).Int("workers", u.Workers).Int("usable", u.Usable).Int64("cores", inCores(u.Capacity)).
+			Int64("endless", inCores(u.Endless)).Int64("finite", inCores(u.Finite)).Int64("stopping", inCores(u.Stopping))
+		for tier, name := range steps.TierNames {
+			event = event.Int64("waiting_"+name, inCores(u.Waiting[tier])).Int("tasks_"+name, u.WaitingTasks[tier])
+			setWaitingCores(u.Pool, name, u.Waiting[tier])
+		}
+		event.Msg("")
+	}
+}
+
+func inCores(millicores int64) int64 { return millicores / 1000 }
+
+// setWaitingCores sets the gauge of the cores for which the tasks of one tier wait.
+func setWaitingCores(pool, tier string, millicores int64) {
+	metrics.GetOrCreateGauge(fmt.Sprintf("lentilyard_dispatch_waiting_cores{pool=%q,tier=%q}", pool, tier), nil).Set(float64(inCores(millicores)))
+}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -168,6 +168,8 @@
 	Moves  []Move
 	// Waiting has an entry for the first task of each request that no worker could take.
 	Waiting []Wait
+	// Usage has an entry for each pool with workers or requests.
+	Usage []PoolUsage
 }
 
 // Wait explains why a request stays in the queue.
@@ -225,6 +227,7 @@
 		}
 		p.placeRequest(r)
 	}
+	p.plan.Usage = p.usageByPool()
 	return p.plan
 }
 
@@ -240,6 +243,8 @@
 	tierLate
 	// tierWorthless holds finite work that will earn nothing.
 	tierWorthless
+	// NumTiers is the number of tiers.
+	NumTiers
 )
 
 // criticalPathMargin multiplies the expected time of the remaining steps: estimates are rough, and a loaded pool is
