--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -145,6 +145,7 @@
 	l.ended = nil
 	l.endedMu.Unlock()
 	for _, id := range ids {
+		l.logEnded(id)
 		for _, placed := range l.placedOf(id) {
 			l.ensureTracked(placed.task, placed.attempt, placed.on, false)
 			if r := l.runs[placed.task]; r.on == placed.on && r.attempt == placed.attempt {
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // usageLogInterval is the minimum time between two log lines about the usage of the pools.
@@ -37,3 +38,22 @@
 func setWaitingCores(pool, tier string, millicores int64) {
 	metrics.GetOrCreateGauge(fmt.Sprintf("lentilyard_dispatch_waiting_cores{pool=%q,tier=%q}", pool, tier), nil).Set(float64(inCores(millicores)))
 }
+
+// logEnded logs how long a submission without occurrences took and by when it should have been done, so that late ones can be found
+// and compared by size.
+func (l *Leader) logEnded(id string) {
+	l.cfg.State.View(func(state *submission.State) {
+		sub := state.Submission(id)
+		if sub == nil || sub.Active() || sub.Spec.GetOccurrences() > 0 {
+			return
+		}
+		objective, worthless := steps.Objective(sub.Spec, sub.AcceptedQueue, sub.AcceptedUnixMs)
+		tasks := uint32(0)
+		for _, step := range sub.Spec.GetSteps() {
+			tasks += step.GetCount()
+		}
+		l.log.Info().Str("event", "submission-ended").Str("request", id).Str("queue", sub.AcceptedQueue.GetName()).Str("state", sub.State.String()).
+			Uint32("tasks", tasks).Int64("took_ms", sub.EndedUnixMs-sub.AcceptedUnixMs).Int64("objective_ms", objective-sub.AcceptedUnixMs).
+			Int64("worthless_ms", worthless-sub.AcceptedUnixMs).Msg("")
+	})
+}
