wal, replica: a full disk is waited out, not a failure

Callers saw changes refused or unanswered long after the disks had room. Cause: the log treated a write that found no room like a failed sync. Nothing is in doubt after such a write: what it left is cut off again. Change: wal returns ErrDiskFull (no room on disk, in the quota or below the file size limit); the operation had no effect and may be repeated. A failed sync still ends the process. The emulator no longer allows a process to exit while its disk is full: a stricter check.

--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -38,8 +38,6 @@
 	process         *process
 	starts          int
 	stopRequestedAt time.Time // when the current process was told to exit; zero otherwise
-	// mayExit is true while a fault may make the process exit by itself.
-	mayExit bool
 	// activeFaults counts the current faults that may interrupt requests; lastFaultEnd is when one last ended.
 	activeFaults int
 	lastFaultEnd time.Time
@@ -104,7 +102,7 @@
 func (v *vm) supervise(p *process, log io.Closer) {
 	err := errors.Join(p.cmd.Wait(), log.Close())
 	v.mu.Lock()
-	stopRequested, mayExit := p.stopRequested, v.mayExit
+	stopRequested := p.stopRequested
 	if v.process == p {
 		v.process = nil
 	}
@@ -113,9 +111,7 @@
 	if stopRequested {
 		return
 	}
-	if !mayExit {
-		v.checker.ReportViolation(PromiseRuns, "%s %s exited by itself: %v; its log is %s", v.role, v.id, err, filepath.Join(v.folder, "log"))
-	}
+	v.checker.ReportViolation(PromiseRuns, "%s %s exited by itself: %v; its log is %s", v.role, v.id, err, filepath.Join(v.folder, "log"))
 	time.Sleep(restartDelay)
 	if err := v.start(); err != nil {
 		v.checker.ReportViolation(PromiseRuns, "%s %s cannot be restarted: %v", v.role, v.id, err)
@@ -168,7 +164,6 @@
 func (v *vm) limitFileSize(full bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.mayExit = full
 	if v.process == nil {
 		return
 	}
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -75,6 +75,7 @@
 	faults      []Fault
 }{
 	{"reuse", "a worker that restarted under the same id carried out a start meant for its former incarnation (once)", 16, frequentReuse()},
+	{"full-disks", "a control VM whose disk was full for a moment exited, again and again (runs)", 1, fullDisksInSeries()},
 	{"stop-without-leader", "an intake VM that was stopped while there was no leader interrupted the requests that waited for one (answered)", 43, faultsWithin(43, 9*time.Second)},
 }
 
@@ -93,6 +94,15 @@
 	return faults
 }
 
+// fullDisksInSeries returns a plan in which the disks of the control VMs are full for one second each, one after another.
+func fullDisksInSeries() []Fault {
+	var faults []Fault
+	for i := range 6 {
+		faults = append(faults, Fault{Kind: FaultDiskFull, At: time.Second + time.Duration(i)*1200*time.Millisecond, Duration: time.Second, Subject: i % 3})
+	}
+	return faults
+}
+
 // Guards against guarantees that break under the faults of short plans.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(4) {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"regexp"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/raft"
+	"github.com/lentilyard/lentilyard/internal/wal"
 )
 
 // maxQueuedBytes bounds the received messages that wait for the control
@@ -22,6 +24,10 @@
 // memory, so that a member that is slightly behind needs no snapshot.
 const retentionDivisor = 4
 
+// A snapshot for which the disk had no room is tried again after SnapshotEvery/snapshotRetryDivisor
+// further entries.
+const snapshotRetryDivisor = 10
+
 var groupNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
 
 // Group is this VM's member of one raft group, with its log and state machine.
@@ -53,6 +59,9 @@
 	appliedWaiters     []appliedWaiter
 	lastReadToken      uint64
 	ticksSinceLeading  int // ticks since this VM last led the group
+	// diskFull is true while a write waits for room on the disk. ticksToHandover counts down to the next try to hand the leadership over.
+	diskFull        bool
+	ticksToHandover int
 }
 
 func newGroup(h *Host, cfg GroupConfig) (*Group, error) {
@@ -86,14 +95,11 @@
 		g.storage = memoryStorage{}
 		return &recoveredState{identity: newIdentity()}, nil
 	}
-	fs, err := g.host.cfg.openFS(groupFolder(g.host.cfg.DataFolder, g.cfg.Name))
-	if err != nil {
-		return nil, err
-	}
-	disk, state, err := openDisk(fs, g.cfg.Open)
+	disk, state, err := g.openDisk()
 	if err != nil {
 		return nil, err
 	}
+	disk.onDiskFull = func(err error) { g.postResult(func() { g.setDiskFull(err) }) }
 	g.storage = disk
 	if state.snapshot != nil {
 		if err := g.cfg.Machine.Restore(state.snapshot.GetData()); err != nil {
@@ -157,6 +163,7 @@
 	}
 	g.expireWaiters()
 	g.publishProgress()
+	g.handOverIfFull()
 }
 
 // advance processes the output of the raft node until no work is left or a
@@ -307,6 +314,11 @@
 
 func (g *Group) snapshotSaved(compactTo uint64, err error) {
 	g.snapshotInProgress = false
+	if errors.Is(err, wal.ErrDiskFull) {
+		g.snapshotAt -= g.host.cfg.SnapshotEvery - g.host.cfg.SnapshotEvery/snapshotRetryDivisor
+		g.host.cfg.Logger.Warn().Str("group", g.cfg.Name).Err(err).Msg("no room for a snapshot; it is taken later, and the log grows until then")
+		return
+	}
 	if err != nil {
 		g.host.fail(fmt.Errorf("group %q: save snapshot: %w", g.cfg.Name, err))
 		return
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -15,13 +15,13 @@
 // groupMetrics are the metrics of one group. Hosts of one process share the
 // metrics of groups with the same name; this happens in tests only.
 type groupMetrics struct {
-	term, commit, applied, leads *metrics.Gauge
-	roleChanges                  *metrics.Counter
-	proposals, refused, unknown  *metrics.Counter
-	snapshots, installed         *metrics.Counter
-	discards                     *metrics.Counter
-	sync, commitTime             *metrics.Histogram
-	entriesPerSync               *metrics.Histogram
+	term, commit, applied, leads, full *metrics.Gauge
+	roleChanges                        *metrics.Counter
+	proposals, refused, unknown        *metrics.Counter
+	snapshots, installed               *metrics.Counter
+	discards                           *metrics.Counter
+	sync, commitTime                   *metrics.Histogram
+	entriesPerSync                     *metrics.Histogram
 }
 
 func newGroupMetrics(group string) *groupMetrics {
@@ -31,6 +31,7 @@
 		commit:         metrics.GetOrCreateGauge(name("commit_index"), nil),
 		applied:        metrics.GetOrCreateGauge(name("applied_index"), nil),
 		leads:          metrics.GetOrCreateGauge(name("is_leader"), nil),
+		full:           metrics.GetOrCreateGauge(name("disk_full"), nil),
 		roleChanges:    metrics.GetOrCreateCounter(name("role_changes_total")),
 		proposals:      metrics.GetOrCreateCounter(name("proposals_total")),
 		refused:        metrics.GetOrCreateCounter(name("proposals_refused_total")),
@@ -61,3 +62,11 @@
 	m.sync.UpdateDuration(began)
 	m.entriesPerSync.Update(float64(entries))
 }
+
+// setDiskFull sets the gauge that is 1 while a write waits for room on the disk.
+func (m *groupMetrics) setDiskFull(full bool) {
+	m.full.Set(0)
+	if full {
+		m.full.Set(1)
+	}
+}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -24,7 +26,8 @@
 
 // storage persists the state of one member. Each operation reports its result
 // to done, from another goroutine or, if nothing has to be written, from within
-// the call.
+// the call. While the disk is full, writes and resets are repeated, so that they
+// end late; a snapshot is given up with wal.ErrDiskFull.
 type storage interface {
 	// write persists snapshot, hard state and entries of a Ready.
 	write(r raft.Ready, done func(error))
@@ -74,6 +77,10 @@
 	// A prepared snapshot that is not newer is discarded.
 	installedIndex     uint64
 	preparingSnapshots sync.WaitGroup
+	// onDiskFull is called with the error when the disk has no room for a write, and
+	// with nil when the write has succeeded. It is set before the first operation.
+	onDiskFull func(error)
+	closing    chan struct{}
 }
 
 // storageQueueLength exceeds the number of operations that a group has in
@@ -88,7 +95,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &diskStorage{log: log, operations: make(chan func(), storageQueueLength), ended: make(chan struct{})}
+	s := &diskStorage{log: log, operations: make(chan func(), storageQueueLength), ended: make(chan struct{}),
+		onDiskFull: func(error) {}, closing: make(chan struct{})}
 	state, err := s.recover(found)
 	if err == nil && open && state.snapshot == nil && len(state.entries) == 0 {
 		state = &recoveredState{}
@@ -192,7 +200,33 @@
 		done(nil)
 		return
 	}
-	s.operations <- func() { done(s.writeNow(r)) }
+	s.operations <- func() { done(s.repeatWhileFull(func() error { return s.writeNow(r) })) }
+}
+
+// fullRetryInterval is the interval at which a write is repeated while the disk is full.
+const fullRetryInterval = 100 * time.Millisecond
+
+// repeatWhileFull repeats an operation until the disk has room for it or the storage
+// is closed. Everything that waits for the operation waits as well: this member
+// neither votes nor acknowledges entries meanwhile.
+func (s *diskStorage) repeatWhileFull(operation func() error) error {
+	err := operation()
+	if !errors.Is(err, wal.ErrDiskFull) {
+		return err
+	}
+	s.onDiskFull(err)
+	for errors.Is(err, wal.ErrDiskFull) {
+		select {
+		case <-time.After(fullRetryInterval):
+			err = operation()
+		case <-s.closing:
+			return err
+		}
+	}
+	if err == nil {
+		s.onDiskFull(nil)
+	}
+	return err
 }
 
 func (s *diskStorage) writeNow(r raft.Ready) error {
@@ -263,11 +297,12 @@
 func (s *diskStorage) reset(identity *pb.RaftIdentity, done func(error)) {
 	s.operations <- func() {
 		s.identity, s.hardState, s.voidSequence, s.installedIndex = identity, nil, 0, 0
-		done(s.log.Restart(encodeRecord(0, &pb.RaftRecord{Identity: identity})))
+		done(s.repeatWhileFull(func() error { return s.log.Restart(encodeRecord(0, &pb.RaftRecord{Identity: identity})) }))
 	}
 }
 
 func (s *diskStorage) close() error {
+	close(s.closing)
 	flushed := make(chan struct{})
 	// Once this operation has run, no further snapshot is prepared.
 	s.operations <- func() { close(flushed) }
--- a/internal/wal/memfs_test.go
+++ b/internal/wal/memfs_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"slices"
+	"syscall"
 )
 
 var errInjected = errors.New("injected failure: no space left on device")
@@ -19,6 +20,10 @@
 	// failAt is the number of operations that succeed before all further ones fail; -1 means that
 	// none fails.
 	failAt int
+	// room is the number of bytes that the disk has room for; -1 means that it never fills.
+	room int
+	// refusesTruncate makes a full disk refuse to shorten files as well.
+	refusesTruncate bool
 	// ignoreSync makes file syncs do nothing, to show that the tests detect missing syncs.
 	ignoreSync bool
 }
@@ -26,7 +31,7 @@
 type memFile struct{ content, synced []byte }
 
 func newMemFS() *memFS {
-	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, failAt: -1}
+	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, failAt: -1, room: -1}
 }
 
 // runOrFail runs an operation, or returns an injected error if failAt has reached 0.
@@ -44,6 +49,12 @@
 	if flag&os.O_CREATE == 0 && !ok {
 		return nil, fs.ErrNotExist
 	}
+	if flag&os.O_EXCL != 0 && ok {
+		return nil, fs.ErrExist
+	}
+	if flag&os.O_CREATE != 0 && !ok && m.room == 0 {
+		return nil, syscall.ENOSPC
+	}
 	if flag&os.O_CREATE != 0 && (!ok || flag&os.O_TRUNC != 0) {
 		f = &memFile{}
 		if err := m.runOrFail(func() { m.files[name] = f }); err != nil {
@@ -54,6 +65,9 @@
 }
 
 func (m *memFS) Rename(from, to string) error {
+	if m.room == 0 {
+		return syscall.ENOSPC
+	}
 	return m.runOrFail(func() { m.files[to] = m.files[from]; delete(m.files, from) })
 }
 
@@ -114,11 +128,21 @@
 		h.file.content = append(h.file.content, b[:half]...)
 		return half, err
 	}
+	if room := h.fs.room; room >= 0 && room < len(b) {
+		h.file.content = append(h.file.content, b[:room]...)
+		h.fs.room = 0
+		return room, syscall.ENOSPC
+	} else if room >= 0 {
+		h.fs.room -= len(b)
+	}
 	h.file.content = append(h.file.content, b...)
 	return len(b), nil
 }
 
 func (h *memHandle) Truncate(size int64) error {
+	if h.fs.room == 0 && h.fs.refusesTruncate {
+		return syscall.ENOSPC
+	}
 	return h.fs.runOrFail(func() {
 		h.file.content = h.file.content[:size]
 		h.file.synced = h.file.synced[:min(len(h.file.synced), int(size))]
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -212,7 +212,7 @@
 		}
 		l.logID = randomID()
 		l.checksumSeed = checksumSeed(l.logID)
-		return l.createSegment()
+		return l.beginSegment(nil)
 	}
 	file, err := l.fs.OpenFile(l.segments[len(l.segments)-1].name, os.O_WRONLY|os.O_APPEND)
 	if err != nil {
@@ -220,7 +220,9 @@
 	}
 	l.active = file
 	if recovered.TornBytes > 0 {
-		if err := file.Truncate(l.activeSize); err != nil {
+		if err := file.Truncate(l.activeSize); isDiskFull(err) {
+			return diskFull("truncate torn batch", err)
+		} else if err != nil {
 			return fmt.Errorf("truncate torn batch: %w", err)
 		}
 	}
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"os"
@@ -57,11 +58,16 @@
 	if l.failure != nil {
 		return l.failure
 	}
+	if errors.Is(prepared, ErrDiskFull) {
+		return prepared
+	}
 	if prepared != nil {
 		return l.fail("write snapshot", prepared)
 	}
 	name := snapshotName(index)
-	if err := l.fs.Rename(name+temporarySuffix, name); err != nil {
+	if err := l.fs.Rename(name+temporarySuffix, name); isDiskFull(err) {
+		return diskFull("rename snapshot", err)
+	} else if err != nil {
 		return l.fail("rename snapshot", err)
 	}
 	if err := l.fs.SyncFolder(); err != nil {
@@ -88,6 +94,9 @@
 
 func (l *Log) writeTemporary(name string, content []byte) error {
 	file, err := l.fs.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	if isDiskFull(err) {
+		return diskFull("create snapshot file", err)
+	}
 	if err != nil {
 		return fmt.Errorf("create snapshot file: %w", err)
 	}
@@ -98,6 +107,9 @@
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
+	if isDiskFull(err) { // a snapshot file that is not committed may be written again
+		return errors.Join(diskFull("write snapshot", err), l.fs.Remove(name))
+	}
 	return err
 }
 
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -2,9 +2,10 @@
 //
 // A batch of records is written with one write and one sync. When the log is opened,
 // a torn last batch that was never synced is truncated. If anything else cannot be
-// read, Open returns ErrCorrupt. After a failed write or sync every operation on the
-// log returns ErrFailed. A Log is not safe for concurrent use, except for
-// PrepareSnapshot.
+// read, Open returns ErrCorrupt. An operation for which the disk has no room returns
+// ErrDiskFull, has no effect and may be repeated. After any other failed write, and
+// after a failed sync, every operation on the log returns ErrFailed. A Log is not
+// safe for concurrent use, except for PrepareSnapshot.
 package wal
 
 import (
@@ -37,14 +38,12 @@
 
 // Log is an open write-ahead log.
 type Log struct {
-	fs            FS
-	segmentBytes  int64
-	logID         uint64
-	checksumSeed  uint32
-	segments      []segment
-	active        File
-	activeSize    int64
-	sequence      uint64 // sequence number of the last batch
+	fs           FS
+	segmentBytes int64
+	logID        uint64
+	checksumSeed uint32
+	segments     []segment
+	position
 	snapshotIndex uint64
 	hasSnapshot   bool
 	failure       error
@@ -52,6 +51,18 @@
 	headRecords   func() []Record
 }
 
+// position is where the log is appended to.
+type position struct {
+	active     File
+	activeSize int64  // up to here the active segment holds whole frames
+	sequence   uint64 // sequence number of the last batch
+	// torn is true while the active segment may hold bytes after activeSize, left by a write for which the
+	// disk had no room.
+	torn bool
+	// markerOwed is true if the last batch is synced but the disk had no room for its sync marker.
+	markerOwed bool
+}
+
 // segment is one file of the log.
 type segment struct {
 	name          string
@@ -99,30 +110,50 @@
 func (l *Log) appendBatch(records []Record) error {
 	var payload []byte
 	current := &l.segments[len(l.segments)-1]
+	highest := current.highestIndex
 	for _, r := range records {
 		payload = appendRecord(payload, r)
-		current.highestIndex = max(current.highestIndex, r.Index)
+		highest = max(highest, r.Index)
 	}
 	if len(payload) > maxFramePayload {
 		return fmt.Errorf("batch of %d bytes exceeds %d bytes", len(payload), maxFramePayload)
 	}
-	l.sequence++
-	l.buffer = frame{kind: batchFrame, sequence: l.sequence, payload: payload}.appendTo(l.buffer[:0], l.checksumSeed)
+	l.buffer = l.buffer[:0]
+	if l.markerOwed {
+		l.buffer = frame{kind: syncedFrame, sequence: l.sequence}.appendTo(l.buffer, l.checksumSeed)
+	}
+	l.buffer = frame{kind: batchFrame, sequence: l.sequence + 1, payload: payload}.appendTo(l.buffer, l.checksumSeed)
 	if err := l.write(l.buffer); err != nil {
 		return err
 	}
+	l.sequence++
+	l.markerOwed = false
+	current.highestIndex = highest
 	if err := l.active.Sync(); err != nil {
 		return l.fail("sync batch", err)
 	}
 	l.buffer = frame{kind: syncedFrame, sequence: l.sequence}.appendTo(l.buffer[:0], l.checksumSeed)
-	return l.write(l.buffer)
+	err := l.write(l.buffer)
+	if errors.Is(err, ErrDiskFull) {
+		l.markerOwed = true // the batch is durable; the next one is preceded by its marker
+		return nil
+	}
+	return err
 }
 
+// write appends whole frames to the active segment, or nothing if the disk is full.
 func (l *Log) write(b []byte) error {
+	if err := l.removeTorn(); err != nil {
+		return err
+	}
 	written, err := l.active.Write(b)
 	if err == nil && written < len(b) {
 		err = errors.New("short write")
 	}
+	if isDiskFull(err) {
+		l.torn = written > 0
+		return errors.Join(diskFull("write", err), unlessFull(l.removeTorn()))
+	}
 	if err != nil {
 		return l.fail("write", err)
 	}
@@ -130,6 +161,28 @@
 	return nil
 }
 
+// removeTorn removes what is left of a write for which the disk had no room. A full disk may refuse that too.
+func (l *Log) removeTorn() error {
+	if !l.torn {
+		return nil
+	}
+	if err := l.active.Truncate(l.activeSize); isDiskFull(err) {
+		return diskFull("truncate", err)
+	} else if err != nil {
+		return l.fail("truncate", err)
+	}
+	l.torn = false
+	return nil
+}
+
+// unlessFull returns err unless it means that the disk is full.
+func unlessFull(err error) error {
+	if errors.Is(err, ErrDiskFull) {
+		return nil
+	}
+	return err
+}
+
 // fail records the error that all later operations return.
 func (l *Log) fail(action string, cause error) error {
 	l.failure = fmt.Errorf("%s: %w: %w", action, ErrFailed, cause)
@@ -147,37 +200,65 @@
 
 // rotate begins a new segment and writes the head records to it.
 func (l *Log) rotate() error {
-	if err := l.newActiveSegment(); err != nil {
-		return err
+	var head []Record
+	if l.headRecords != nil {
+		head = l.headRecords()
+	}
+	if l.activeSize > segmentHeaderSize {
+		return l.beginSegment(head)
 	}
-	if l.headRecords == nil {
+	if len(head) == 0 { // the active segment is still empty
 		return nil
 	}
-	if head := l.headRecords(); len(head) > 0 {
-		return l.appendBatch(head)
+	return l.appendBatch(head)
+}
+
+// beginSegment begins a new segment with the given records. If the disk has no room for them, the log continues in the previous
+// segment.
+func (l *Log) beginSegment(records []Record) error {
+	previous := l.position
+	err := l.createSegment()
+	if err == nil && len(records) > 0 {
+		err = l.appendBatch(records)
+	}
+	if errors.Is(err, ErrDiskFull) {
+		return errors.Join(err, l.abandonSegment(previous))
+	}
+	if err != nil || previous.active == nil {
+		return err
+	}
+	if err := previous.active.Close(); err != nil {
+		return l.fail("close segment", err)
 	}
 	return nil
 }
 
-func (l *Log) newActiveSegment() error {
-	if l.active != nil {
-		if err := l.active.Close(); err != nil {
-			return l.fail("close segment", err)
-		}
-		l.active = nil
+// abandonSegment removes a segment that could not be begun, unless its file could not even be created, and returns to the previous
+// position. The removal is made durable before the previous segment grows: a segment must continue the one before it.
+func (l *Log) abandonSegment(previous position) error {
+	if l.active == previous.active {
+		return nil
 	}
-	return l.createSegment()
+	last := len(l.segments) - 1
+	if err := errors.Join(l.active.Close(), l.fs.Remove(l.segments[last].name), l.fs.SyncFolder()); err != nil {
+		return l.fail("remove unfinished segment", err)
+	}
+	l.segments = l.segments[:last]
+	l.position = previous
+	return nil
 }
 
 func (l *Log) createSegment() error {
 	first := l.sequence + 1
 	name := segmentName(first)
 	file, err := l.fs.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND)
+	if isDiskFull(err) {
+		return diskFull("create segment", err)
+	}
 	if err != nil {
 		return l.fail("create segment", err)
 	}
-	l.active = file
-	l.activeSize = 0
+	l.position = position{active: file, sequence: l.sequence}
 	l.segments = append(l.segments, segment{name: name, firstSequence: first})
 	if err := l.write(segmentHeader{logID: l.logID, firstSequence: first}.encode()); err != nil {
 		return err
@@ -198,10 +279,7 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	if err := l.newActiveSegment(); err != nil {
-		return err
-	}
-	if err := l.appendBatch(records); err != nil {
+	if err := l.beginSegment(records); err != nil {
 		return err
 	}
 	if err := l.DropSnapshot(); err != nil {
@@ -211,13 +289,13 @@
 }
 
 // Compact drops the segments that hold only records up to index. If this is true of the active
-// segment, it begins a new one first.
+// segment, it begins a new one first, unless the disk is full.
 func (l *Log) Compact(index uint64) error {
 	if l.failure != nil {
 		return l.failure
 	}
 	if last := l.segments[len(l.segments)-1]; last.highestIndex <= index && l.activeSize > segmentHeaderSize {
-		if err := l.rotate(); err != nil {
+		if err := unlessFull(l.rotate()); err != nil {
 			return err
 		}
 	}
