steps: endless tasks leave room for finite work and take turns; wide steps that have begun are finished

Callers saw: of the largest quick submissions less than half as many were served as of the whole kind. Cause: an endless task that has waited for 3.5 s goes before work on time, and evictions stop while one waits. In a pool short of cores one always waits: each core that a quick task gives back goes to a task that never gives it back. Within what is left, narrow new steps that can still be on time start ahead of the tasks that a wide step lacks. Class: holders that return a resource compete with holders that do not, without a share for the former. Change: endless tasks leave finite work its average demand of the last 2 s or so, at most a quarter of the pool, and are stopped for it, within max_unavailable, also while others wait. One that has been away for 5 s takes any room; what it will take is counted, and others are stopped in its place. Begun work with reserved cores goes before work that has not begun while it earns something.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -126,6 +126,7 @@
 	views           map[string]*steps.Worker         // planner views by worker id, reused by each plan
 	health          map[string]*workerHealth
 	pressure        *steps.Pressure
+	finiteDemand    *steps.FiniteDemand
 	waits           map[stepKey]*waitRecord
 	advice          map[stepKey]*stepAdvice
 	waves           waveState
@@ -200,7 +201,7 @@
 func (l *Leader) reset() {
 	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
 	l.advice, l.waves = map[stepKey]*stepAdvice{}, waveState{down: map[string]submission.Incarnation{}}
-	l.pressure, l.waits = steps.NewPressure(), map[stepKey]*waitRecord{}
+	l.pressure, l.finiteDemand, l.waits = steps.NewPressure(), &steps.FiniteDemand{}, map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -75,7 +75,9 @@
 	}
 	l.dirty = false
 	began := time.Now()
-	plan := steps.MakePlan(l.snapshot(now))
+	snapshot := l.snapshot(now)
+	plan := steps.MakePlan(snapshot)
+	l.finiteDemand.Observe(snapshot.NowUnixMs, plan.Usage)
 	planSeconds.UpdateDuration(began)
 	l.nextPlan = now + max(planInterval, planPauseFactor*time.Since(began))
 	for _, start := range plan.Starts {
@@ -128,7 +130,7 @@
 // snapshot returns the input of the planner: the requests with waiting tasks and the views of the workers. It leaves out the
 // workers if there is nothing to place or move.
 func (l *Leader) snapshot(now time.Duration) *steps.Snapshot {
-	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts, Pressure: l.pressure}
+	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts, Pressure: l.pressure, FiniteDemand: l.finiteDemand}
 	l.cfg.State.View(func(state *submission.State) {
 		for _, sub := range state.Active() {
 			snap.Requests = append(snap.Requests, l.requests(state, sub, snap.NowUnixMs, now)...)
@@ -256,6 +258,7 @@
 			continue
 		}
 		runs := slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Placed > 0 })
+		begun := runs || slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Done > 0 })
 		for i := range o.Steps {
 			if o.Steps[i].Waiting() == 0 || !o.Ready(sub.Spec, i) {
 				continue
@@ -267,7 +270,7 @@
 			if l.collectWaiting(r, &o.Steps[i], now); len(r.Waiting) == 0 {
 				continue
 			}
-			r.Idle = !runs
+			r.Idle, r.Begun = !runs, begun
 			waited := l.waited(r, now)
 			isolate(r, waited)
 			waited = max(waited, l.longestOutage(r, now))
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -23,7 +23,8 @@
 	for i := range pools {
 		u := &pools[i]
 		event := l.log.Info().Str("event", "pool-usage").Str("pool", u.Pool).Int("workers", u.Workers).Int("usable", u.Usable).Int64("cores", inCores(u.Capacity)).
-			Int64("endless", inCores(u.Endless)).Int64("finite", inCores(u.Finite)).Int64("stopping", inCores(u.Stopping))
+			Int64("endless", inCores(u.Endless)).Int64("finite", inCores(u.Finite)).Int64("stopping", inCores(u.Stopping)).
+			Int64("evictable", inCores(u.Evictable))
 		for tier, name := range steps.TierNames {
 			event = event.Int64("waiting_"+name, inCores(u.Waiting[tier])).Int("tasks_"+name, u.WaitingTasks[tier])
 			setWaitingCores(u.Pool, name, u.Waiting[tier])
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -24,11 +24,12 @@
 	reservedForService
 	suspectStarting
 	otherStarting
+	keptForFinite
 	numObstacles
 )
 
 // obstacleNames are the names of the obstacles in Wait.Obstacles.
-var obstacleNames = [numObstacles]string{"", "not-usable", "no-cores", "no-memory", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service", "kept-for-service", "suspect-starting", "other-starting"}
+var obstacleNames = [numObstacles]string{"", "not-usable", "no-cores", "no-memory", "label", "max-per-worker", "avoided", "policy", "busy", "service-over-limit", "presses-on-service", "kept-for-service", "suspect-starting", "other-starting", "kept-for-finite"}
 
 // obstacleFor returns why no task of r may start on w now, or noObstacle if one may.
 func (p *planner) obstacleFor(w *Worker, r *Request) obstacle {
@@ -50,6 +51,8 @@
 		return excludedByPolicy
 	case !spec.GetFills() && w.reservedFor != "" && w.reservedFor != r.Submission && !r.overdue(p.NowUnixMs):
 		return reservedForService
+	case !p.leavesFiniteRoom(w, r):
+		return keptForFinite
 	case !spec.GetFills():
 		return noObstacle
 	case ReservedSize(spec).Memory > w.Capacity.Memory-w.used.Memory-w.reservedMemory:
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -17,16 +17,46 @@
 	endlessCost = 2.0
 )
 
-// preempt proposes to stop tasks on one worker so that task t of r fits there. It stops tasks of a lower priority, and
-// endless tasks of the same priority, which earn less for each core-second, unless overdue endless tasks find no room already.
-// It stops nothing for filling and endless
-// tasks, for work that will earn nothing, and while the stops in progress will free enough room on some worker.
+// preempt proposes to stop tasks on one worker so that task t of r fits there: tasks of a lower priority, and endless tasks of the same
+// priority, which earn less for each core-second. While overdue endless tasks find no room, it stops endless tasks only as far as
+// finite work lacks the room that is left to it. It stops nothing for filling and endless tasks, for work that will earn nothing, and
+// while the stops in progress will free enough room on some worker.
 //
 // It is meant for urgent work that arrives while the workers are full of less urgent work.
 func (p *planner) preempt(r *Request, t WaitingTask) {
-	if r.Spec.GetFills() || r.Spec.GetEndless() || r.tier(p.NowUnixMs) > tierLate || p.roomPending(r) {
+	tier := r.tier(p.NowUnixMs)
+	if r.Spec.GetFills() || r.Spec.GetEndless() || tier > tierLate {
 		return
 	}
+	if tier == tierOnTime && p.restoreFiniteRoom(r, t) || p.roomPending(r) {
+		return
+	}
+	p.evictFor(r, t, !p.overdueUnplaced[r.Pool])
+}
+
+// maxEvictionsPerRequest bounds the calls of evictFor for one request in one plan.
+const maxEvictionsPerRequest = 8
+
+// restoreFiniteRoom stops endless tasks, also while others are overdue, until finite work of the pool of r has the room that endless
+// tasks leave to it. It returns false if it stops none.
+func (p *planner) restoreFiniteRoom(r *Request, t WaitingTask) bool {
+	room := p.finiteRoom[r.Pool]
+	if room == nil {
+		return false
+	}
+	evicted := false
+	for range maxEvictionsPerRequest {
+		if room.enoughWithout(0) || !p.evictFor(r, t, true) {
+			break
+		}
+		evicted = true
+	}
+	return evicted
+}
+
+// evictFor proposes to stop the tasks on the worker where that costs least, so that task t of r fits there. endless tells whether
+// endless tasks may be stopped. It returns false if there are no such tasks.
+func (p *planner) evictFor(r *Request, t WaitingTask, endless bool) bool {
 	var best *Worker
 	var victims []int
 	lowest := 0.0
@@ -34,7 +64,7 @@
 		if o := p.obstacleFor(w, r); o != noCores && o != noMemory || slices.Contains(t.AvoidWorkers, w.Incarnation.ID) {
 			continue
 		}
-		chosen, cost := w.victims(r, !p.overdueUnplaced[r.Pool])
+		chosen, cost := w.victims(r, endless)
 		if len(chosen) > 0 && (best == nil || cost < lowest) {
 			best, victims, lowest = w, chosen, cost
 		}
@@ -42,8 +72,10 @@
 	for _, i := range victims {
 		v := &best.Residents[i]
 		v.Stopping = true
+		p.finiteRoom[r.Pool].addStopping(v.Step)
 		p.plan.Stops = append(p.plan.Stops, Stop{Task: v.Task, Attempt: v.Attempt, On: best.Incarnation, For: r.Submission})
 	}
+	return len(victims) > 0
 }
 
 // roomPending reports whether a worker of the pool will have room for a task of r once the stops in progress have ended.
--- a/internal/placement/steps/move.go
+++ b/internal/placement/steps/move.go
@@ -27,7 +27,7 @@
 		return
 	}
 	found := p.search(r, "")
-	c, ok := found.take(r, t)
+	c, ok := found.take(p, r, t)
 	if !ok {
 		p.unplaced.record(p, r, WaitingTask{}, found)
 		return
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -52,8 +52,10 @@
 	// started holds the submissions of which the plan starts a task.
 	started map[string]bool
 	// usage is the share of the CPU time of each pool that is reserved or expected to be used.
-	usage    map[string]float64
-	unplaced unplacedSizes
+	usage map[string]float64
+	// finiteRoom is the room for finite work in each pool that has such work.
+	finiteRoom map[string]*finiteRoom
+	unplaced   unplacedSizes
 	// reservedWorkers is the number of workers that are reserved for endless tasks, reservations that number by submission.
 	reservedWorkers int
 	reservations    map[string]int
@@ -61,8 +63,18 @@
 	overdueUnplaced map[string]bool
 }
 
-// placeRequest proposes starts for the waiting tasks of a request. Of a gang it starts all tasks or none.
+// placeRequest proposes starts for the waiting tasks of a request, and records what long overdue endless tasks still need.
 func (p *planner) placeRequest(r *Request) {
+	before := len(p.plan.Starts)
+	p.placeTasks(r)
+	if r.longOverdue(p.NowUnixMs) {
+		unplaced := len(r.Waiting) - (len(p.plan.Starts) - before)
+		p.finiteRoom[r.Pool].addOwed(int64(unplaced) * ReservedSize(r.Spec).Cores)
+	}
+}
+
+// placeTasks proposes starts for the waiting tasks of a request. Of a gang it starts all tasks or none.
+func (p *planner) placeTasks(r *Request) {
 	if r.Spec.GetGang() {
 		p.placeGang(r)
 		return
@@ -161,18 +173,26 @@
 		w.Residents = w.Residents[:last]
 	}
 	p.plan.Starts = p.plan.Starts[:n]
+	before := p.finiteRoom
+	p.finiteRoom = finiteRoomByPool(p.Snapshot)
+	for pool, room := range p.finiteRoom {
+		room.owed = before[pool].owed
+	}
 }
 
 // placeTask proposes to start one task on the best worker of a search. It returns false if no worker can take it.
 func (p *planner) placeTask(r *Request, t WaitingTask, found *searchResult) bool {
-	c, ok := found.take(r, t)
+	c, ok := found.take(p, r, t)
 	if !ok {
 		return false
 	}
 	w := c.worker
+	h := p.finiteRoom[r.Pool]
+	h.remove(w)
 	w.Residents = append(w.Residents, Resident{Task: r.ref(t), Attempt: t.Attempt, Step: r.Spec, Priority: r.Priority, TailRatio: noReading,
 		Young: true, Suspect: t.Suspect})
 	w.add(&w.Residents[len(w.Residents)-1])
+	h.add(w, r.Spec)
 	p.plan.Starts = append(p.plan.Starts, Start{Task: r.ref(t), Attempt: t.Attempt, On: w.Incarnation, Considered: found.considered()})
 	p.started[r.Submission] = true
 	p.putBack(found, r, w, c.position)
--- a/internal/placement/steps/reserve.go
+++ b/internal/placement/steps/reserve.go
@@ -15,11 +15,15 @@
 // reserveWorker reserves a worker for the overdue endless tasks of r: only overdue endless tasks start there, and filling tasks that
 // leave enough memory, until one of r fits. Of the workers that have room once their short tasks have ended, it is the one with the most free
 // cores. It is meant for a pool that is full of short tasks: each that ends makes room for another short task, but never
-// for a larger endless one. A reservation lasts for one plan.
+// for a larger endless one. Unless they are long overdue, it reserves nothing while finite work has no more than the room
+// that endless tasks leave to it. A reservation lasts for one plan.
 func (p *planner) reserveWorker(r *Request) {
 	if !r.overdue(p.NowUnixMs) || float64(p.reservedWorkers) >= max(1, maxReservedShare*float64(len(p.Workers))) {
 		return
 	}
+	if !r.longOverdue(p.NowUnixMs) && !p.finiteRoom[r.Pool].enoughWithout(ReservedSize(r.Spec).Cores) {
+		return
+	}
 	var best *Worker
 	for _, w := range p.Workers {
 		if !w.Usable || w.Pool != r.Pool || w.reservedFor != "" || !ReservedSize(r.Spec).Fits(w.Capacity.Minus(w.usedByEndless)) ||
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -55,9 +55,12 @@
 // considered returns the number of candidates before the last call of take, if that found one.
 func (s *searchResult) considered() int { return len(s.candidates) + 1 }
 
-// obstacleOn returns why this task of a request may not start on a worker that can take others of the request, or noObstacle.
-func (r *Request) obstacleOn(w *Worker, t WaitingTask) obstacle {
+// obstacleOn returns why this task of a request may not start on a worker that could take a task of the request when the search was
+// made, or noObstacle.
+func (p *planner) obstacleOn(w *Worker, r *Request, t WaitingTask) obstacle {
 	switch {
+	case !p.leavesFiniteRoom(w, r):
+		return keptForFinite
 	case slices.Contains(t.AvoidWorkers, w.Incarnation.ID):
 		return avoidedWorker
 	case t.Isolated && w.youngBeside(r.Submission) > 0:
@@ -67,7 +70,7 @@
 }
 
 // take removes and returns the best worker on which a task may start.
-func (s *searchResult) take(r *Request, t WaitingTask) (candidate, bool) {
+func (s *searchResult) take(p *planner, r *Request, t WaitingTask) (candidate, bool) {
 	var skipped []candidate
 	var reasons [numObstacles]int
 	defer func() {
@@ -77,7 +80,7 @@
 	}()
 	for len(s.candidates) > 0 {
 		c := heap.Pop(&s.candidates).(candidate)
-		o := r.obstacleOn(c.worker, t)
+		o := p.obstacleOn(c.worker, r, t)
 		if o == noObstacle {
 			return c, true
 		}
@@ -117,6 +120,8 @@
 type unplacedKey struct {
 	pool, label string
 	fills       bool
+	// endless is set because endless tasks leave room that finite ones may use.
+	endless bool
 	// image is set for filling tasks only: where they fit depends on which services they slow down.
 	image string
 }
@@ -131,7 +136,7 @@
 }
 
 func (r *Request) unplacedKey() unplacedKey {
-	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel(), fills: r.Spec.GetFills()}
+	key := unplacedKey{pool: r.Pool, label: r.Spec.GetLabel(), fills: r.Spec.GetFills(), endless: r.Spec.GetEndless()}
 	if key.fills {
 		key.image = r.Spec.GetImage()
 	}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -111,8 +111,8 @@
 	Allowed map[string]bool
 	// Deferred is true for endless tasks that are not placed for now, because urgent work recently found no room.
 	Deferred bool
-	// Idle is true if no task of this occurrence of the submission is placed.
-	Idle bool
+	// Idle is true if no task of this occurrence of the submission is placed, Begun if one is placed or done.
+	Idle, Begun bool
 	// AcceptedUnixMs is when the submission was accepted.
 	AcceptedUnixMs int64
 }
@@ -192,6 +192,8 @@
 	// MaxStarts bounds the starts of one plan.
 	MaxStarts int
 	Pressure  *Pressure
+	// FiniteDemand is what finite work has needed lately; endless tasks leave room for it. It may be nil.
+	FiniteDemand *FiniteDemand
 	// Order is the order in which requests are served, ByObjective if nil. The other orders are baselines for tests.
 	Order Order
 }
@@ -206,7 +208,7 @@
 	for _, w := range s.Workers {
 		w.prepare(s.Pressure)
 	}
-	p.usage = poolUsage(s.Workers)
+	p.usage, p.finiteRoom = poolUsage(s.Workers), finiteRoomByPool(s)
 	order := s.Order
 	if order == nil {
 		order = ByObjective
@@ -235,11 +237,11 @@
 const (
 	// tierOverdueEndless holds endless tasks that have waited for overdueAfterMs, so that their callers get no answers.
 	tierOverdueEndless = iota
-	// tierOnTime holds finite work that can still meet its objective.
+	// tierOnTime holds finite work that can still meet its objective, or has begun and still earns something.
 	tierOnTime
 	// tierEndless holds the other endless tasks, which earn as long as they run.
 	tierEndless
-	// tierLate holds finite work that will miss its objective but still earn something.
+	// tierLate holds other finite work that will miss its objective but still earn something.
 	tierLate
 	// tierWorthless holds finite work that will earn nothing.
 	tierWorthless
@@ -251,14 +253,22 @@
 // slower.
 const criticalPathMargin = 1.25
 
-// overdueAfterMs is how long an endless task may wait while finite work goes first. The platform counts an endless task
-// that does not run for 6 s as lost.
-const overdueAfterMs = 3500
+const (
+	// overdueAfterMs is how long an endless task may wait while finite work goes first.
+	overdueAfterMs = 3500
+	// longOverdueAfterMs is how long it may wait while finite work has less room than endless tasks leave to it. The platform counts
+	// an endless task that does not run for 6 s as lost.
+	longOverdueAfterMs = 5000
+)
 
 func (r *Request) overdue(nowMs int64) bool {
 	return r.Spec.GetEndless() && nowMs-r.ReadyUnixMs >= overdueAfterMs
 }
 
+func (r *Request) longOverdue(nowMs int64) bool {
+	return r.Spec.GetEndless() && nowMs-r.ReadyUnixMs >= longOverdueAfterMs
+}
+
 // tier groups requests of equal priority by what they can still earn. Finite work that is on time goes before endless
 // work: it earns several times as much for each core-second, and is over soon.
 func (r *Request) tier(nowMs int64) int {
@@ -268,7 +278,7 @@
 		return tierOverdueEndless
 	case r.Spec.GetEndless():
 		return tierEndless
-	case done <= r.ObjectiveUnixMs:
+	case done <= r.ObjectiveUnixMs, r.reservesAndBegun() && done <= r.WorthlessUnixMs:
 		return tierOnTime
 	case done <= r.WorthlessUnixMs:
 		return tierLate
@@ -276,9 +286,16 @@
 	return tierWorthless
 }
 
+// reservesAndBegun reports whether r belongs to a submission of finite work that reserves cores and has begun.
+func (r *Request) reservesAndBegun() bool {
+	return r.Begun && !r.Spec.GetEndless() && !r.Spec.GetFills()
+}
+
 // ByObjective orders requests by the priority of their queue, then by tier, then by the latest time at which the step
-// can start to meet the objective; overdue endless tasks by how long they have waited. It is meant for a burst of long submissions ahead of short ones, all of which would
-// be late if the first to come were the first to be served. Ties go to the submission that was accepted first.
+// can start to meet the objective; overdue endless tasks by how long they have waited. Work that has begun goes before work that has
+// not: in a pool short of cores narrow steps would otherwise start ahead of the tasks that a wide one still lacks. The order is meant
+// for a burst of long submissions ahead of short ones, all of which would be late if the first to come were the first to be served.
+// Ties go to the submission that was accepted first.
 func ByObjective(a, b *Request, nowMs int64) int {
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
@@ -289,6 +306,12 @@
 	if a.overdue(nowMs) && a.ReadyUnixMs != b.ReadyUnixMs {
 		return cmp.Compare(a.ReadyUnixMs, b.ReadyUnixMs)
 	}
+	if begun := a.reservesAndBegun(); begun != b.reservesAndBegun() && !a.Spec.GetEndless() && !b.Spec.GetEndless() {
+		if begun {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(a.ObjectiveUnixMs-a.CriticalPathMs, b.ObjectiveUnixMs-b.CriticalPathMs); c != 0 {
 		return c
 	}
--- a/internal/placement/steps/usage.go
+++ b/internal/placement/steps/usage.go
@@ -14,9 +14,13 @@
 	Capacity        int64
 	// Endless and Finite are reserved by residents that run, Stopping by those that have been told to stop.
 	Endless, Finite, Stopping int64
+	// Evictable is the part of Endless that the limits of the steps allow to be stopped.
+	Evictable int64
 	// Waiting is what the waiting tasks of each tier need, WaitingTasks their number.
 	Waiting      [NumTiers]int64
 	WaitingTasks [NumTiers]int
+	// Unrestricted is the part of Waiting[tierOnTime] that any worker of the pool may run.
+	Unrestricted int64
 }
 
 // TierNames are the names of the tiers in logs, first the one that is served first.
@@ -64,6 +68,9 @@
 			u.Stopping += cores
 		case v.Step.GetEndless():
 			u.Endless += cores
+			if v.MayStop {
+				u.Evictable += cores
+			}
 		default:
 			u.Finite += cores
 		}
@@ -74,7 +81,15 @@
 	if r.Spec.GetFills() {
 		return
 	}
-	tier := r.tier(nowMs)
-	u.Waiting[tier] += int64(tasks) * ReservedSize(r.Spec).Cores
+	tier, cores := r.tier(nowMs), int64(tasks)*ReservedSize(r.Spec).Cores
+	u.Waiting[tier] += cores
 	u.WaitingTasks[tier] += tasks
+	if tier == tierOnTime && !r.restricted() {
+		u.Unrestricted += cores
+	}
+}
+
+// restricted reports whether only some workers may run the tasks of r, or only several at once.
+func (r *Request) restricted() bool {
+	return r.Advised || r.Spec.GetLabel() != "" || r.Spec.GetMaxPerWorker() > 0 || r.Spec.GetGang()
 }
