dispatch: an attempt whose loss is being committed is not started any more

Cause: a worker that answers again after its lease was over gets tasks before it gets a lease. If the next hold takes long (many workers answer at that moment) the lease counts as over again after 0.3 s, and the loss of the tasks just placed there is proposed. While that is being committed the worker answers, and the starts, not sent until then, are sent. The commit then lets the tasks start elsewhere. Class: a decision is proposed, and what it rules out is still done before it takes effect. Change: run.givenUp; no start of such an attempt is sent, also if the commit seems to have failed: it may have taken effect.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -28,6 +28,8 @@
 	err error
 	// barrier, if set, is called by ReadBarrier.
 	barrier func() error
+	// unknown makes Propose commit the entry but report a failure.
+	unknown bool
 	// delay is added to the time that a commit takes.
 	delay time.Duration
 }
@@ -50,7 +52,11 @@
 		return nil, f.err
 	}
 	f.index++
-	return f.state.Apply(f.index, f.term, entry), nil
+	result := f.state.Apply(f.index, f.term, entry)
+	if f.unknown {
+		return nil, errNoCommit
+	}
+	return result, nil
 }
 
 // failing makes the following calls of Propose return err, or succeed if it is nil.
@@ -112,6 +118,7 @@
 	unsound           bool                      // crashes whatever starts
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
+	holdDelay         time.Duration             // how long the answer to a hold is on its way
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -375,12 +382,13 @@
 		}
 		waitsAt = f
 		answer, ready := w.hold(f, c)
-		answerLost := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0
+		answerLost, delay := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0, f.holdDelay
 		w.mu.Unlock()
 		if answerLost {
 			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
 		}
 		if ready || !time.Now().Before(deadline) {
+			time.Sleep(delay)
 			return answer, nil
 		}
 		select {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -159,6 +159,12 @@
 	}
 	s.lossesPending = len(lost)
 	suspects := l.crashSuspects(s)
+	for i, ref := range lost {
+		l.ensureTracked(ref, attempts[i], s.incarnation, false)
+		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] {
+			r.givenUp = true
+		}
+	}
 	for i, ref := range lost {
 		end := endOf(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint)
 		if n := slices.IndexFunc(suspects, func(a *pb.SuspectAttempt) bool {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -61,6 +61,9 @@
 	progress   progress
 	// clearing is true while it is being committed that the task is no longer suspect.
 	clearing bool
+	// givenUp is true once it has been proposed to commit the attempt as lost. It is not started any more: the task may start
+	// elsewhere as soon as that is committed, also if the commit seems to have failed.
+	givenUp bool
 }
 
 func (l *Leader) untrackRun(task submission.Ref, attempt uint32) {
@@ -69,16 +72,19 @@
 	}
 }
 
-// startRun begins to track a committed placement and sends the start to the worker.
+// startRun sends the start of a committed placement to the worker and tracks it.
 func (l *Leader) startRun(task submission.Ref, attempt uint32, on submission.Incarnation) {
-	r := &run{on: on, attempt: attempt, trackedSince: l.cfg.Clock()}
-	l.runs[task] = r
+	r := l.runs[task]
+	if r == nil || r.attempt != attempt || r.on != on {
+		r = &run{on: on, attempt: attempt, trackedSince: l.cfg.Clock()}
+		l.runs[task] = r
+	}
 	l.callStart(task, r)
 }
 
 func (l *Leader) callStart(task submission.Ref, r *run) {
 	s := l.sessions[r.on.ID]
-	if s == nil || s.incarnation != r.on || r.calling || !l.hasRoom(task, r) {
+	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || !l.hasRoom(task, r) {
 		return
 	}
 	c := StartCall{Target: s.target(l.term), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
