--- a/internal/dispatch/loss_test.go
+++ b/internal/dispatch/loss_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // Guards against a task that runs twice after a partition: its loss is being committed because the lease was not renewed in time, the
@@ -18,17 +20,8 @@
 				a := r.workers.byID["a"]
 				r.submit("s", 8, nil)
 				time.Sleep(500 * time.Millisecond)
-				r.workers.update(func() { a.unreachable = true })
-				time.Sleep(11 * time.Second) // the lease is over, and the other worker is full
-				held := 0
-				r.workers.update(func() { a.unreachable, held = false, a.holds })
-				r.log.update(func(f *fakeLog) { f.delay = 100 * time.Millisecond })
-				for a.holds == held {
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(20 * time.Millisecond) // the end of the silence is being committed
-				r.workers.update(func() { a.holdDelay = delay - 100*time.Millisecond })
-				r.log.update(func(f *fakeLog) { f.delay, f.unknown = delay, unknown })
+				r.reconnectSlowly(a, delay-100*time.Millisecond) // the other worker is full
+				r.log.update(func(f *fakeLog) { f.unknown = unknown })
 				time.Sleep(2 * delay)
 				r.log.update(func(f *fakeLog) { f.unknown = false })
 				time.Sleep(8 * time.Second)
@@ -37,3 +30,31 @@
 		})
 	}
 }
+
+// Guards against tasks that are placed on a worker that answers again but has no lease yet, lost at once and placed again.
+func TestWorkerGetsTasksOnlyWithLease(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		a := r.workers.byID["a"]
+		r.submit("s", 1, nil)
+		time.Sleep(500 * time.Millisecond)
+		r.reconnectSlowly(a, 400*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		r.state.View(func(s *submission.State) { is.Equal(s.Task(submission.Ref{Submission: "s"}).Attempt, uint32(2)) })
+	})
+}
+
+// reconnectSlowly cuts a worker off until its lease is over. Then it answers one hold at once and the next ones after holdDelay, and
+// commits take longer as well once that answer has been committed.
+func (r *harness) reconnectSlowly(f *fakeWorker, holdDelay time.Duration) {
+	held := 0
+	r.workers.update(func() { f.unreachable = true })
+	time.Sleep(11 * time.Second)
+	r.workers.update(func() { f.unreachable, held = false, f.holds })
+	r.log.update(func(log *fakeLog) { log.delay = 100 * time.Millisecond })
+	for f.holds == held {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the end of the silence is being committed
+	r.workers.update(func() { f.holdDelay = holdDelay })
+	r.log.update(func(log *fakeLog) { log.delay = holdDelay + 100*time.Millisecond })
+}
