--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -68,6 +68,19 @@
 	return starts, crashes
 }
 
+// checkDeadlyTaskIsGivenUp submits a task that crashes its workers, waits for the given time and checks how often it was started.
+func (r *harness) checkDeadlyTaskIsGivenUp(is *is.I, c crashCase, wait time.Duration) {
+	task := submission.Ref{Submission: "deadly"}
+	r.restartCrashed(c)
+	r.workers.update(func() { r.workers.deadly[task] = true })
+	r.submit("deadly", 1, nil)
+	time.Sleep(wait)
+	further, crashes := r.furtherStarts(task)
+	r.t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
+	is.True(crashes >= 1)
+	is.True(further < maxFurtherStarts)
+}
+
 // crashLimit is the number of crashes after which a task may be started fewer than maxFurtherStarts times more.
 const (
 	crashLimit       = 3
@@ -79,15 +92,7 @@
 	for _, c := range crashCases {
 		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
-				task := submission.Ref{Submission: "deadly"}
-				r.restartCrashed(c)
-				r.workers.update(func() { r.workers.deadly[task] = true })
-				r.submit("deadly", 1, nil)
-				time.Sleep(60 * time.Second)
-				further, crashes := r.furtherStarts(task)
-				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
-				is.True(crashes >= 1)
-				is.True(further < maxFurtherStarts)
+				r.checkDeadlyTaskIsGivenUp(is, c, time.Minute)
 			})
 		})
 	}
@@ -102,15 +107,7 @@
 		c.downtime = longDowntime
 		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
-				task := submission.Ref{Submission: "deadly"}
-				r.restartCrashed(c)
-				r.workers.update(func() { r.workers.deadly[task] = true })
-				r.submit("deadly", 1, nil)
-				time.Sleep(3 * time.Minute)
-				further, crashes := r.furtherStarts(task)
-				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
-				is.True(crashes >= 1)
-				is.True(further < maxFurtherStarts)
+				r.checkDeadlyTaskIsGivenUp(is, c, 3*time.Minute)
 			})
 		})
 	}
@@ -121,7 +118,6 @@
 	for _, c := range crashCases {
 		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-				task := submission.Ref{Submission: "deadly"}
 				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
 				for _, id := range []string{"a", "b"} {
 					r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_WaveProgress{WaveProgress: &pb.WaveProgress{Number: 1, Vm: "vm-" + id}}})
@@ -129,14 +125,7 @@
 					r.report(id, 1)
 				}
 				time.Sleep(time.Second)
-				r.restartCrashed(c)
-				r.workers.update(func() { r.workers.deadly[task] = true })
-				r.submit("deadly", 1, nil)
-				time.Sleep(60 * time.Second)
-				further, crashes := r.furtherStarts(task)
-				t.Logf("%d workers crashed, started %d times more after the third", crashes, further)
-				is.True(crashes >= 1)
-				is.True(further < maxFurtherStarts)
+				r.checkDeadlyTaskIsGivenUp(is, c, time.Minute)
 			})
 		})
 	}
