dispatch: crashes around a change of the leader are suspected too

Cause: which attempts had only just started when a worker ended is known to the leader that started them. If the leader changes before it commits the crash, nobody is suspect. Class: knowledge that only one process has decides what the next one may do. Change: a leader that has never reached a worker takes for suspect, never for the only one, what was placed there within 2.45 s before the worker was recorded as silent, or before its own term: the times at which it applied the placements and silences itself. The other way, a start time in the replicated log, would cost an entry a start and still not tell when the worker ended.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -139,6 +139,9 @@
 // are no alternative to each other, since it fails as a whole; a task that was suspect before is likelier than those that were
 // not. If it is not known when the worker ended, it may have lived on, and there is no proof against an only one.
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
+	if !s.leaseSnapshot().confirmed {
+		return l.suspectsOfPredecessor(s)
+	}
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
 		if r.on == s.incarnation && r.mayHaveCrashed(s) {
@@ -150,9 +153,40 @@
 			suspect.Only = suspect.GetTask().GetSubmission() == only
 		}
 	}
+	sortSuspects(list)
+	return list
+}
+
+func sortSuspects(list []*pb.SuspectAttempt) {
 	slices.SortFunc(list, func(a, b *pb.SuspectAttempt) int {
 		return cmp.Or(submission.RefOf(a.GetTask()).Compare(submission.RefOf(b.GetTask())), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
 	})
+}
+
+// unnoticedCrash is how long before a worker was recorded as silent, or before the change of the leader, it may have crashed: the
+// previous leader had to wait for a hold to fail.
+const unnoticedCrash = holdWait + holdSlack + youngAttempt
+
+// suspectsOfPredecessor returns the attempts that may have crashed a worker which this leader has never reached. It does not know when
+// the worker ended, nor when the previous leader sent the starts, but when they were committed. None is taken for the only suspect.
+func (l *Leader) suspectsOfPredecessor(s *session) []*pb.SuspectAttempt {
+	var list []*pb.SuspectAttempt
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[s.incarnation.ID]
+		if w == nil || w.Incarnation() != s.incarnation {
+			return
+		}
+		noticed := l.termStart
+		if since, silent := w.SilentSince(); silent {
+			noticed = min(noticed, since)
+		}
+		for ref, attempt := range w.Attempts {
+			if t := state.Task(ref); t != nil && t.Attempt == attempt && noticed-t.PlacedAt() < unnoticedCrash {
+				list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: attempt})
+			}
+		}
+	})
+	sortSuspects(list)
 	return list
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -98,6 +98,34 @@
 	}
 }
 
+// Guards against the same if the leader changes right after each crash: the next one does not know which attempts had only just started.
+func TestTaskThatCrashesItsWorkersAroundLeaderChangesIsGivenUp(t *testing.T) {
+	for _, c := range crashCases {
+		t.Run(c.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+				go r.changeLeaderAfterCrashes(submission.Ref{Submission: "deadly"}, time.Minute)
+				r.checkDeadlyTaskIsGivenUp(is, c, 2*time.Minute)
+			})
+		})
+	}
+}
+
+// changeLeaderAfterCrashes replaces the leader for some time after each crash that a task causes, before the crash can be noticed.
+func (r *harness) changeLeaderAfterCrashes(task submission.Ref, duration time.Duration) {
+	seen := 0
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		crashes := 0
+		r.workers.update(func() { crashes = r.workers.crashes[task] })
+		if crashes == seen {
+			continue
+		}
+		seen = crashes
+		r.leader.Close()
+		r.workers.update(r.newLeader)
+		r.lead(uint64(5 + seen))
+	}
+}
+
 // longDowntime is longer than the lease of a worker.
 const longDowntime = 12 * time.Second
 
--- a/internal/dispatch/loss_test.go
+++ b/internal/dispatch/loss_test.go
@@ -46,13 +46,14 @@
 // reconnectSlowly cuts a worker off until its lease is over. Then it answers one hold at once and the next ones after holdDelay, and
 // commits take longer as well once that answer has been committed.
 func (r *harness) reconnectSlowly(f *fakeWorker, holdDelay time.Duration) {
-	held := 0
+	held, now := 0, 0
 	r.workers.update(func() { f.unreachable = true })
 	time.Sleep(11 * time.Second)
-	r.workers.update(func() { f.unreachable, held = false, f.holds })
+	r.workers.update(func() { f.unreachable, held, now = false, f.holds, f.holds })
 	r.log.update(func(log *fakeLog) { log.delay = 100 * time.Millisecond })
-	for f.holds == held {
+	for now == held {
 		time.Sleep(time.Millisecond)
+		r.workers.update(func() { now = f.holds })
 	}
 	time.Sleep(20 * time.Millisecond) // the end of the silence is being committed
 	r.workers.update(func() { f.holdDelay = holdDelay })
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -67,7 +67,7 @@
 	if t.Done || t.Placed() || c.GetAttempt() <= t.Attempt {
 		return false
 	}
-	t.Attempt, t.On, t.LostOn = c.GetAttempt(), w.Incarnation(), Incarnation{}
+	t.Attempt, t.On, t.LostOn, t.placedApplied = c.GetAttempt(), w.Incarnation(), Incarnation{}, s.clock()
 	step.Placed++
 	sub.Started = true
 	w.Attempts[ref] = t.Attempt
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -110,7 +110,7 @@
 		for j, t := range step.GetTasks() {
 			tasks[j] = Task{Attempt: t.GetAttempt(), On: Incarnation{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
 				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts(), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()},
-				Suspicions: t.GetSuspicions(), Crashes: t.GetCrashes()}
+				Suspicions: t.GetSuspicions(), Crashes: t.GetCrashes(), placedApplied: s.clock()}
 			if t.GetDone() {
 				o.Steps[i].Done++
 			}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -64,8 +64,13 @@
 	Suspicions, Crashes uint32
 	// failed lists the attempts that ended in failure.
 	failed []uint32
+	// placedApplied is when this VM applied the last placement. It is local to the VM and decides nothing in the state machine.
+	placedApplied time.Duration
 }
 
+// PlacedAt returns when this VM learnt of the current or last placement, by the clock of the state.
+func (t *Task) PlacedAt() time.Duration { return t.placedApplied }
+
 const (
 	// maxCrashes is the number of workers that a task may crash before its submission fails. Workers also crash by themselves, so
 	// that two are no proof.
@@ -176,6 +181,10 @@
 	goneAt         int64 // in Unix ms
 }
 
+// SilentSince returns when this VM learnt that the worker is silent, by the clock of the state. It returns false if the worker is not
+// recorded as silent.
+func (w *Worker) SilentSince() (time.Duration, bool) { return w.silenceApplied, w.Silence != nil }
+
 // LeaseOver returns when all leases granted to a silent worker are over, by the clock of the state. It returns false if the worker
 // is not recorded as silent.
 func (w *Worker) LeaseOver() (time.Duration, bool) {
