dispatch, steps: stopped endless tasks stay away until they are overdue; filling work that has begun is finished first as well

Callers of saw: overnight plans that fill unused cores finish later, since the services beside them move all the time. Cause: after a stop, endless tasks were held back for 2 s only, then started again, and others were stopped for the same work. Change: held back until they are overdue (3.5 s). Begun work goes first whether it reserves cores or fills.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -28,7 +28,7 @@
 	// evictionCooldown is how long after an eviction endless tasks are not started, to leave free resources to urgent work.
 	evictionCooldown = 4 * time.Second
 	// maxEndlessWait bounds how long an endless task waits for that reason.
-	maxEndlessWait = 2 * time.Second
+	maxEndlessWait = 3500 * time.Millisecond
 	// minEndlessRun is how long an attempt of an endless task runs before it may be evicted.
 	minEndlessRun = 4 * time.Second
 )
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -278,7 +278,7 @@
 		return tierOverdueEndless
 	case r.Spec.GetEndless():
 		return tierEndless
-	case done <= r.ObjectiveUnixMs, r.reservesAndBegun() && done <= r.WorthlessUnixMs:
+	case done <= r.ObjectiveUnixMs, r.begunFinite() && done <= r.WorthlessUnixMs:
 		return tierOnTime
 	case done <= r.WorthlessUnixMs:
 		return tierLate
@@ -286,10 +286,8 @@
 	return tierWorthless
 }
 
-// reservesAndBegun reports whether r belongs to a submission of finite work that reserves cores and has begun.
-func (r *Request) reservesAndBegun() bool {
-	return r.Begun && !r.Spec.GetEndless() && !r.Spec.GetFills()
-}
+// begunFinite reports whether r belongs to a submission of finite work that has begun.
+func (r *Request) begunFinite() bool { return r.Begun && !r.Spec.GetEndless() }
 
 // ByObjective orders requests by the priority of their queue, then by tier, then by the latest time at which the step
 // can start to meet the objective; overdue endless tasks by how long they have waited. Work that has begun goes before work that has
@@ -306,7 +304,7 @@
 	if a.overdue(nowMs) && a.ReadyUnixMs != b.ReadyUnixMs {
 		return cmp.Compare(a.ReadyUnixMs, b.ReadyUnixMs)
 	}
-	if begun := a.reservesAndBegun(); begun != b.reservesAndBegun() && !a.Spec.GetEndless() && !b.Spec.GetEndless() {
+	if begun := a.begunFinite(); begun != b.begunFinite() && !a.Spec.GetEndless() && !b.Spec.GetEndless() {
 		if begun {
 			return -1
 		}
