dispatch: attempts that this leader has started are judged as before

Change: the predecessor's attempts count only if none of this leader's is suspect. The check is unchanged.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -139,15 +139,15 @@
 // are no alternative to each other, since it fails as a whole; a task that was suspect before is likelier than those that were
 // not. If it is not known when the worker ended, it may have lived on, and there is no proof against an only one.
 func (l *Leader) suspects(s *session) []*pb.SuspectAttempt {
-	if !s.leaseSnapshot().confirmed {
-		return l.suspectsOfPredecessor(s)
-	}
 	var list []*pb.SuspectAttempt
 	for ref, r := range l.runs {
 		if r.on == s.incarnation && r.mayHaveCrashed(s) {
 			list = append(list, &pb.SuspectAttempt{Task: ref.Proto(), Attempt: r.attempt})
 		}
 	}
+	if len(list) == 0 && !s.leaseSnapshot().confirmed {
+		return l.suspectsOfPredecessor(s)
+	}
 	if only, ok := l.onlySubmission(list); ok && s.endKnown {
 		for _, suspect := range list {
 			suspect.Only = suspect.GetTask().GetSubmission() == only
