peer tests: cancel the stream after it is open, not 20 ms after the call begins

Cause: the test ended the context 20 ms after it began to open the stream, and opening took longer. The answer of OpenStream is right. The check, that a cancelled stream ends with an error, is unchanged.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -233,9 +233,10 @@
 				is.Equal(*reset, ResetError{code, true})
 			}
 			ctx, cancel := context.WithCancel(context.Background())
-			time.AfterFunc(20*time.Millisecond, cancel)
+			defer cancel()
 			s, err = a.OpenStream(ctx, to, "waiting")
 			is.NoErr(err)
+			time.AfterFunc(20*time.Millisecond, cancel)
 			_, err = io.ReadAll(s)
 			is.True(err != nil)
 		})
