--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -176,7 +176,9 @@
 	before := p.finiteRoom
 	p.finiteRoom = finiteRoomByPool(p.Snapshot)
 	for pool, room := range p.finiteRoom {
-		room.owed = before[pool].owed
+		if old := before[pool]; old != nil {
+			room.owed = old.owed
+		}
 	}
 }
 
