--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -19,10 +19,9 @@
 	"time"
 )
 
-// Bounds of the site hanbit-yard (SYSTEM.md), which the settings and the stand-ins share.
+// Bounds of the site hanbit-yard (SYSTEM.md), which the settings and the stand-ins share. hold_max_ms is fleet.holdMax.
 const (
 	heartbeat       = 1100 * time.Millisecond
-	holdMax         = 10 * time.Second
 	stopTime        = 300 * time.Millisecond // at most stop_ms, 900
 	gangWait        = 3 * time.Second
 	checkpointEvery = 2 * time.Second
@@ -47,6 +46,7 @@
 	port    int // first of the ports
 	client  *http.Client
 	version int
+	holdMax time.Duration // the longest lease that executors accept
 
 	mu      sync.Mutex
 	procs   map[string]*exec.Cmd // by role and number
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create a folder: %w", err)
 	}
-	f := &fleet{rec: rec, folder: folder, net: 30 + rand.IntN(200), procs: map[string]*exec.Cmd{}, jobs: map[string]*job{}, gangs: map[string]*gangRun{}, tickets: map[string]time.Time{}, advised: map[string]bool{},
+	f := &fleet{rec: rec, holdMax: 10 * time.Second, folder: folder, net: 30 + rand.IntN(200), procs: map[string]*exec.Cmd{}, jobs: map[string]*job{}, gangs: map[string]*gangRun{}, tickets: map[string]time.Time{}, advised: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	if f.port, err = f.freePorts(); err != nil {
 		return nil, err
@@ -155,7 +155,7 @@
 orders: "call"
 adviceAddress: %q
 bounds:
-  leaseMax: 10000ms
+  leaseMax: %dms
   stop: 900ms
   gang: 3000ms
   retention: 120s
@@ -165,7 +165,7 @@
   holderLease: 3000ms
 platform:
   address: ""
-`, ip, zones[i%len(zones)], front, ready, control, addr(portPeer), addr(portMetrics), strings.Join(seeds, ","), data, f.adviceAddr)
+`, ip, zones[i%len(zones)], front, ready, control, addr(portPeer), addr(portMetrics), strings.Join(seeds, ","), data, f.adviceAddr, f.holdMax.Milliseconds())
 }
 
 // start starts all processes with the commands of the deploy file and waits until the first manifest is acknowledged.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -27,8 +27,9 @@
 
 	mu        sync.Mutex
 	reportsTo string // address of the control VM to which reports go
-	life      *life  // nil while the executor is down
-	gen       int    // number of incarnations and of ends so far
+	cut       bool
+	life      *life // nil while the executor is down
+	gen       int   // number of incarnations and of ends so far
 }
 
 // life is one incarnation of an executor.
@@ -143,6 +144,24 @@
 	}
 }
 
+// setCut cuts the executor off from the system, silently and both ways, or ends that. It runs on meanwhile.
+func (w *worker) setCut(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = on
+	if !on && w.life != nil {
+		w.gen++ // channels that hung are not used again
+		w.life.gen = w.gen
+	}
+	w.f.rec.log("executor %s: cut off from the system: %v", w.name, on)
+}
+
+func (w *worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
 func (w *worker) current() *life {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -202,6 +221,9 @@
 		list = append(list, w.f.controlAddr((w.index+i)%controls))
 	}
 	for _, to := range list {
+		if w.isCut() {
+			return ""
+		}
 		body := w.heartbeatBody(l)
 		status, answer, err := w.f.call(http.MethodPut, "http://"+to+"/v1/instances/"+l.id, "", body, time.Second)
 		if err != nil || status != http.StatusOK || l.ctx.Err() != nil {
@@ -344,7 +366,7 @@
 		resetChannel(rw)
 		return nil
 	}
-	if l == nil {
+	if l == nil || w.isCut() {
 		<-r.Context().Done()
 		return nil
 	}
@@ -406,8 +428,8 @@
 	return http.StatusConflict, map[string]any{"reason": reason}
 }
 
-func (l *life) extend(untilMs int64) {
-	l.lease = max(l.lease, min(untilMs, l.clock()+holdMax.Milliseconds()))
+func (w *worker) extend(l *life, untilMs int64) {
+	l.lease = max(l.lease, min(untilMs, l.clock()+w.f.holdMax.Milliseconds()))
 }
 
 func (w *worker) handleStart(l *life, c *call) (int, map[string]any) {
@@ -418,7 +440,7 @@
 	if c.UntilMs <= l.clock() {
 		return conflict("late")
 	}
-	l.extend(c.UntilMs)
+	w.extend(l, c.UntilMs)
 	if r := l.running[c.Task]; r != nil && r.attempt == c.Attempt {
 		return http.StatusOK, map[string]any{}
 	}
@@ -509,7 +531,7 @@
 		if first {
 			l.fence = c.FenceToken
 			if c.UntilMs > 0 {
-				l.extend(c.UntilMs)
+				w.extend(l, c.UntilMs)
 			}
 			for len(l.ends) > 0 && l.ends[0].number <= c.LastSeen {
 				l.ends = l.ends[1:]
@@ -519,6 +541,10 @@
 		ended := len(l.ends) > 0
 		w.mu.Unlock()
 		if ended || !time.Now().Before(deadline) {
+			if w.isCut() {
+				<-r.Context().Done()
+				return
+			}
 			writeJSON(rw, http.StatusOK, answer)
 			return
 		}
