--- a/review/standin/case_cuts.go
+++ b/review/standin/case_cuts.go
@@ -59,6 +59,8 @@
 			w.setCut(false)
 		}
 		if f.state(id) == "failed" {
+			f.rec.log("after %d cuts the submission is shown as failed; it is watched for %s more", i+1, watchFor)
+			time.Sleep(watchFor)
 			break
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,8 +1,8 @@
 // Command standin plays one case of the review against the programs of lentilyard: it starts the control and intake processes,
 // plays executors, requesters, the operator and the platform, injects the disruption of the case and checks the rule.
 //
-// It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the environment it
-// does the same without the disruption.
+// It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. TROUBLE is 1, or 0 to do the same without
+// the disruption.
 package main
 
 import (
@@ -27,8 +27,8 @@
 var cases = map[string]func(*fleet, bool) (bool, error){}
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD-FILE")
+	if len(os.Args) != 4 || os.Args[2] != "0" && os.Args[2] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE TROUBLE RECORD-FILE; TROUBLE is 0 or 1")
 		os.Exit(exitNotRun)
 	}
 	play, ok := cases[os.Args[1]]
@@ -36,11 +36,10 @@
 		fmt.Fprintf(os.Stderr, "no case is named %q\n", os.Args[1])
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2], play))
+	os.Exit(run(os.Args[1], os.Args[2] == "1", os.Args[3], play))
 }
 
-func run(name, recordFile string, play func(*fleet, bool) (bool, error)) int {
-	trouble := os.Getenv("TROUBLE") != "0"
+func run(name string, trouble bool, recordFile string, play func(*fleet, bool) (bool, error)) int {
 	rec, err := newRecord(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
