A leave that was held up no longer ends a later incarnation of the worker

Cause: the DELETE has no body and names no incarnation; onLeaving committed the newest known one as gone, without asking it.

Ruled out: reports and holds, whose `born` is compared.

Change: the leave is recorded in the replicated state and confirmed, and the worker is asked. It counts as gone once a connection is refused or another incarnation answers; silence suffices only if no other incarnation can have sent the report. Otherwise its lease decides. The record survives a change of the leader.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -140,6 +141,8 @@
 var (
 	// ErrNoAnswer means that it is unknown whether the worker has received or will yet carry out the call.
 	ErrNoAnswer = errors.New("the worker did not answer; the call may have been or may yet be carried out")
+	// ErrNotListening means that nothing listens at the worker's address, so that its process has ended. The call was not carried out.
+	ErrNotListening = fmt.Errorf("%w: nothing listens at its address", ErrNoAnswer)
 	// ErrFenced means that a newer leader has called the worker.
 	ErrFenced = errors.New("a newer leader has called the worker; this one must stop")
 	// ErrOldAttempt means that this or a later attempt of the task was stopped or has ended on the worker.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -121,7 +121,7 @@
 	return suspects
 }
 
-// endsAsPlanned reports whether a worker incarnation was about to end: it drains, or this leader has ordered the maintenance of its
+// endsAsPlanned reports whether a worker incarnation was about to end: it drains, has reported its leave, or this leader has ordered the maintenance of its
 // VM. On a worker whose maintenance a previous leader has ordered, this one has started nothing.
 func (l *Leader) endsAsPlanned(incarnation submission.Incarnation) bool {
 	planned := false
@@ -130,7 +130,7 @@
 		if w == nil || w.Incarnation() != incarnation {
 			return
 		}
-		planned = w.GetDraining() || l.waves.down[w.GetVm()] == incarnation
+		planned = w.GetDraining() || w.Leave.GetCertain() || l.sessions[incarnation.ID].mayLeave() || l.waves.down[w.GetVm()] == incarnation
 	})
 	return planned
 }
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -140,14 +140,11 @@
 	f.ended = append(f.ended, Ended{Number: f.ends, Task: ref, Attempt: run.attempt, Kind: kind})
 }
 
-// errRefused is returned at once, unlike ErrNoAnswer.
-var errRefused = fmt.Errorf("%w: connection refused", ErrNoAnswer)
-
 // receive receives a call. It returns the worker, or an error if the call does not arrive or is refused.
 func (w *fakeWorkers) receive(t Target) (*fakeWorker, error) {
 	f := w.byID[t.Incarnation.ID]
 	if f != nil && f.refusing {
-		return nil, errRefused
+		return nil, ErrNotListening
 	}
 	if f == nil || f.unreachable {
 		return nil, ErrNoAnswer
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 const (
@@ -176,7 +174,7 @@
 	}
 	sent, answer := result.sent, result.answer
 	if s.answeredByOther(answer) {
-		l.cfg.State.View(func(state *submission.State) { l.recordUncertainStarts(state, s.incarnation) })
+		l.recordReplacement(s)
 		l.onWorkerReplaced(s, "hold")
 		done()
 		return
@@ -192,6 +190,7 @@
 
 func (l *Leader) holdFailed(s *session, err error) {
 	switch {
+	case s.leave != nil && errors.Is(err, ErrNotListening) && l.onLeaveEvidence(s, l.cfg.Clock(), err):
 	case errors.Is(err, ErrFenced):
 		l.log.Warn().Str("event", "fenced").Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("a newer leader has called the worker; this VM stops leading")
 		l.endTerm()
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// usable reports whether the worker of a session is reachable, has a lease and may get new tasks.
+// usable reports whether the worker of a session is reachable, has a lease, is not about to leave and may get new tasks.
 func (l *Leader) usable(s *session, now time.Duration) bool {
 	c := s.leaseSnapshot()
-	return c.confirmed && !c.expired && !c.silent && c.grantedUntil > c.clockMs && now-c.answeredAt < usableWindow
+	return !s.mayLeave() && c.confirmed && !c.expired && !c.silent && c.grantedUntil > c.clockMs && now-c.answeredAt < usableWindow
 }
--- /dev/null
+++ b/internal/dispatch/leave.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// The report with which a worker leaves names the worker by its id. A partition may hold it up until a later incarnation runs under
+// that id, so it proves nothing about the incarnation that is known. The leader records it, asks the worker, and gives up the
+// attempts on it only once its process is known to have ended.
+
+const (
+	// leaveProbeTimeout bounds a call that asks a worker which has reported its leave whether it still runs.
+	leaveProbeTimeout = 500 * time.Millisecond
+	// leaveProbeInterval is the time between two such calls. The first one is made as long after the report, since the long poll of the
+	// session notices sooner if the process ends.
+	leaveProbeInterval = 250 * time.Millisecond
+	// leaveGrace is how long after its report a worker may still answer before it is taken to stay for now.
+	leaveGrace = time.Second
+	// leaveMisses is the number of unanswered probes in a row after which a worker that has certainly reported its leave has ended.
+	leaveMisses = 2
+)
+
+// leaveWatch is what a leader knows about a worker that has reported its leave. The event loop owns it.
+type leaveWatch struct {
+	since time.Duration // when the leader learnt of the report
+	// certain is true if no other incarnation can have sent the report.
+	certain  bool
+	probing  bool // a probe is in progress
+	probedAt time.Duration
+	misses   int // probes in a row that got no answer
+	// stays is true once the worker has answered a probe sent leaveGrace after the report. It gets new tasks again.
+	stays bool
+}
+
+type leaveVerdict int
+
+const (
+	leaveOpen     leaveVerdict = iota // it is not known yet whether the worker has ended
+	leaveEnded                        // the incarnation has ended
+	leaveReplaced                     // another worker or incarnation answers at the address
+)
+
+// judge records the result of a call to the worker and returns what it proves.
+func (w *leaveWatch) judge(sent time.Duration, err error) leaveVerdict {
+	switch {
+	case errors.Is(err, ErrNotListening):
+		return leaveEnded
+	case errors.Is(err, ErrOtherIncarnation):
+		return leaveReplaced
+	case errors.Is(err, ErrNoAnswer):
+		if w.misses++; w.certain && w.misses >= leaveMisses {
+			return leaveEnded
+		}
+	default: // the worker runs, whatever it answers
+		w.misses = 0
+		w.stays = w.stays || sent-w.since >= leaveGrace
+	}
+	return leaveOpen
+}
+
+// onLeaving commits that a worker has reported its leave, and begins to ask it. Only then is the report confirmed: the worker ends
+// once it has the confirmation.
+func (l *Leader) onLeaving(incarnation submission.Incarnation, known *pb.PoolWorker, done func(error)) {
+	if known == nil || known.GetGone() || incarnation.BornUnixMs != 0 && incarnation.BornUnixMs != known.GetBornUnixMs() {
+		done(nil)
+		return
+	}
+	leave := &pb.WorkerLeave{Id: incarnation.ID, BornUnixMs: known.GetBornUnixMs(), Certain: incarnation.BornUnixMs != 0}
+	l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_Leave{Leave: leave}}, func(_ submission.Result, err error) {
+		l.logCommitFailure("worker-leaving", leave.GetId(), err)
+		if err == nil {
+			l.syncSession(leave.GetId())
+			l.watchLeave(leave.GetId())
+		}
+		done(err)
+	})
+}
+
+// watchLeave begins to watch a worker for which a leave is recorded.
+func (l *Leader) watchLeave(id string) {
+	s := l.sessions[id]
+	if s == nil {
+		return
+	}
+	l.cfg.State.View(func(state *submission.State) {
+		if w := state.Workers()[id]; w != nil && w.Incarnation() == s.incarnation && w.Leave != nil {
+			s.leave = newLeaveWatch(w, l.cfg.Clock())
+			l.log.Info().Str("event", "leave-reported").Str("worker", id).Bool("certain", s.leave.certain).Msg("")
+		}
+	})
+}
+
+// newLeaveWatch returns a watch that begins now, or nil if no leave of the worker is recorded.
+func newLeaveWatch(w *submission.Worker, now time.Duration) *leaveWatch {
+	if w.Leave == nil {
+		return nil
+	}
+	return &leaveWatch{since: now, probedAt: now, certain: w.Leave.GetCertain()}
+}
+
+// mayLeave reports whether the worker of a session has reported its leave and has not shown since that it stays for now.
+func (s *session) mayLeave() bool { return s != nil && s.leave != nil && !s.leave.stays }
+
+// probeLeaving asks a worker that may leave whether it still runs.
+func (l *Leader) probeLeaving(s *session) {
+	now := l.cfg.Clock()
+	if !s.mayLeave() || s.leave.probing || now-s.leave.probedAt < leaveProbeInterval {
+		return
+	}
+	watch, ctx, target := s.leave, l.ctx, s.target(l.term)
+	watch.probing, watch.probedAt = true, now
+	l.pool.Submit(func() {
+		callCtx, cancel := context.WithTimeout(ctx, leaveProbeTimeout)
+		defer cancel()
+		answer, err := l.cfg.Caller.Hold(callCtx, HoldCall{Target: target})
+		if err == nil && s.answeredByOther(answer) {
+			err = ErrOtherIncarnation
+		}
+		l.post(func() {
+			watch.probing = false
+			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s && s.leave == watch {
+				l.onLeaveEvidence(s, now, err)
+			}
+		})
+	})
+}
+
+// onLeaveEvidence handles the result of a call to a worker that has reported its leave. It returns true if the incarnation has ended.
+func (l *Leader) onLeaveEvidence(s *session, sent time.Duration, err error) bool {
+	switch s.leave.judge(sent, err) {
+	case leaveEnded:
+		l.log.Info().Str("event", "worker-left").Str("worker", s.incarnation.ID).Dur("after_ms", l.cfg.Clock()-s.leave.since).AnErr("evidence", err).Msg("")
+		l.recordReplacement(s)
+		l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs})
+		l.closeSession(s)
+		return true
+	case leaveReplaced:
+		l.recordReplacement(s)
+		l.onWorkerReplaced(s, "leave")
+		return true
+	}
+	return false
+}
+
+// recordReplacement records the attempts whose start a later incarnation of the worker may still carry out.
+func (l *Leader) recordReplacement(s *session) {
+	l.cfg.State.View(func(state *submission.State) { l.recordUncertainStarts(state, s.incarnation) })
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -157,20 +157,3 @@
 		l.closeSession(s)
 	}
 }
-
-func (l *Leader) onLeaving(incarnation submission.Incarnation, known *pb.PoolWorker, done func(error)) {
-	if known == nil || known.GetGone() || incarnation.BornUnixMs != 0 && incarnation.BornUnixMs != known.GetBornUnixMs() {
-		done(nil)
-		return
-	}
-	incarnation.BornUnixMs = known.GetBornUnixMs()
-	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Gone{Gone: &pb.WorkerGone{Id: incarnation.ID, BornUnixMs: incarnation.BornUnixMs}}}
-	l.queueChange(change, func(_ submission.Result, err error) {
-		l.logCommitFailure("worker-leaving", incarnation.ID, err)
-		if s := l.sessions[incarnation.ID]; err == nil && s != nil && s.incarnation == incarnation {
-			l.log.Info().Str("event", "worker-left").Str("worker", incarnation.ID).Msg("")
-			l.closeSession(s)
-		}
-		done(err)
-	})
-}
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -202,7 +202,7 @@
 	if known != nil {
 		s.workerGone(known.Incarnation(), nil)
 	}
-	s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}}
+	s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, reused: known != nil}
 	return true
 }
 
@@ -269,6 +269,18 @@
 	return true
 }
 
+// setLeave records that an incarnation of a worker has reported its leave. If the report does not tell which incarnation it stems from,
+// it is certain only for the first one that was known under the id.
+func (s *State) setLeave(c *pb.WorkerLeave) bool {
+	w := s.workers[c.GetId()]
+	if w == nil || w.GetBornUnixMs() != c.GetBornUnixMs() || w.GetGone() {
+		return false
+	}
+	certain := c.GetCertain() || !w.reused || w.Leave.GetCertain()
+	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain}
+	return true
+}
+
 // configure replaces the configuration if the new one has a higher version.
 func (s *State) configure(c *pb.ServiceConfig) Result {
 	if s.config != nil && c.GetVersion() <= s.config.GetVersion() {
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -23,6 +23,12 @@
 		if silence := s.workers[id].Silence; silence != nil {
 			out.Silences = append(out.Silences, silence)
 		}
+		if leave := s.workers[id].Leave; leave != nil {
+			out.Leaves = append(out.Leaves, leave)
+		}
+		if s.workers[id].reused {
+			out.ReusedIds = append(out.ReusedIds, id)
+		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
 		out.Waves = append(out.Waves, s.waves[number])
@@ -78,6 +84,14 @@
 	for _, silence := range in.GetSilences() {
 		s.setSilence(silence)
 	}
+	for _, id := range in.GetReusedIds() {
+		if w := s.workers[id]; w != nil {
+			w.reused = true
+		}
+	}
+	for _, leave := range in.GetLeaves() {
+		s.setLeave(leave)
+	}
 	for _, wave := range in.GetWaves() {
 		s.waves[wave.GetNumber()] = wave
 	}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -176,6 +176,10 @@
 	Attempts map[Ref]uint32
 	// Silence is set while the worker is recorded as silent.
 	Silence *pb.WorkerSilence
+	// Leave is set once the worker has reported that it leaves.
+	Leave *pb.WorkerLeave
+	// reused is true if an earlier incarnation with the same id has been known.
+	reused bool
 	// silenceApplied is when this VM applied the silence. It is local to the VM and decides nothing in the state machine.
 	silenceApplied time.Duration
 	goneAt         int64 // in Unix ms
@@ -300,6 +304,8 @@
 		return Result{Applied: s.progressWave(c.WaveProgress)}
 	case *pb.SubmissionChange_Cleared:
 		return Result{Applied: s.clearSuspicion(c.Cleared)}
+	case *pb.SubmissionChange_Leave:
+		return Result{Applied: s.setLeave(c.Leave)}
 	case *pb.SubmissionChange_Silence:
 		return Result{Applied: s.setSilence(c.Silence)}
 	}
--- a/internal/submission/state_test.go
+++ b/internal/submission/state_test.go
@@ -338,3 +338,28 @@
 	is.True(report(1, 2, 4000)) // a new incarnation counts from 1
 	is.Equal(capacity(), int64(4000))
 }
+
+// Guards against a leave that a partition held up and that is taken for the leave of a later incarnation, also across a restored
+// snapshot.
+func TestLeaveIsCertainOnlyForFirstIncarnation(t *testing.T) {
+	is := is.New(t)
+	leave := func(id string, born int64) *pb.SubmissionChange {
+		return &pb.SubmissionChange{Change: &pb.SubmissionChange_Leave{Leave: &pb.WorkerLeave{Id: id, BornUnixMs: born}}}
+	}
+	w := newDriver()
+	w.apply(queueConfig(2), worker("a", 1), worker("b", 1), worker("b", 2))
+	snapshot, err := w.state.Snapshot()
+	is.NoErr(err)
+	w.state = New(retentionMs, nil)
+	is.NoErr(w.state.Restore(snapshot))
+	w.apply(leave("a", 1), leave("b", 2))
+	is.True(w.state.Workers()["a"].Leave.GetCertain())
+	is.True(!w.state.Workers()["b"].Leave.GetCertain())
+	snapshot, err = w.state.Snapshot()
+	is.NoErr(err)
+	is.NoErr(w.state.Restore(snapshot))
+	is.True(w.state.Workers()["a"].Leave.GetCertain())
+	is.True(!w.state.Workers()["b"].Leave.GetCertain())
+	w.apply(worker("a", 2))
+	is.Equal(w.state.Workers()["a"].Leave, nil) // a new incarnation has reported nothing yet
+}
