A worker that left and is silent is noticed in half a second

Cause: two calls of 500 ms each, the first after 250 ms. Change: 200 ms each, the first at the next tick, the second at once; a worker that is silent and may not have left is not asked further.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -179,6 +179,9 @@
 		done()
 		return
 	}
+	if s.leave != nil {
+		s.leave.judge(sent, nil)
+	}
 	l.endSilence(s)
 	if s.recordAnswer(sent, l.lease) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -397,7 +397,7 @@
 	for _, s := range l.sessions {
 		l.checkLease(s, now)
 		l.closeIfSilent(s, now)
-		l.probeLeaving(s)
+		l.probeLeaving(s, now)
 	}
 	for ref, r := range l.runs {
 		l.retryCalls(ref, r, now)
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -15,10 +15,10 @@
 
 const (
 	// leaveProbeTimeout bounds a call that asks a worker which has reported its leave whether it still runs.
-	leaveProbeTimeout = 500 * time.Millisecond
+	leaveProbeTimeout = 200 * time.Millisecond
 	// leaveProbeInterval is the time between two such calls. The first one is made as long after the report, since the long poll of the
 	// session notices sooner if the process ends.
-	leaveProbeInterval = 250 * time.Millisecond
+	leaveProbeInterval = 100 * time.Millisecond
 	// leaveGrace is how long after its report a worker may still answer before it is taken to stay for now.
 	leaveGrace = time.Second
 	// leaveMisses is the number of unanswered probes in a row after which a worker that has certainly reported its leave has ended.
@@ -106,12 +106,16 @@
 // mayLeave reports whether the worker of a session has reported its leave and has not shown since that it stays for now.
 func (s *session) mayLeave() bool { return s != nil && s.leave != nil && !s.leave.stays }
 
-// probeLeaving asks a worker that may leave whether it still runs.
-func (l *Leader) probeLeaving(s *session) {
-	now := l.cfg.Clock()
-	if !s.mayLeave() || s.leave.probing || now-s.leave.probedAt < leaveProbeInterval {
-		return
+// probeLeaving asks a worker that may leave whether it still runs, if it has not just been asked. One that has become silent is left to
+// the holds of its session.
+func (l *Leader) probeLeaving(s *session, now time.Duration) {
+	if s.mayLeave() && !s.leave.probing && s.leave.misses < leaveMisses && now-s.leave.probedAt >= leaveProbeInterval {
+		l.probe(s)
 	}
+}
+
+func (l *Leader) probe(s *session) {
+	now := l.cfg.Clock()
 	watch, ctx, target := s.leave, l.ctx, s.target(l.term)
 	watch.probing, watch.probedAt = true, now
 	l.pool.Submit(func() {
@@ -144,6 +148,9 @@
 		l.onWorkerReplaced(s, "leave")
 		return true
 	}
+	if s.leave.misses == 1 {
+		l.probe(s)
+	}
 	return false
 }
 
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -75,7 +75,7 @@
 	}{
 		"ended":            {func(f *fakeWorker) { f.refusing = true }, false, 500 * time.Millisecond},
 		"ended, restarted": {func(f *fakeWorker) { f.refusing = true }, true, 500 * time.Millisecond},
-		"silent":           {func(f *fakeWorker) { f.unreachable = true }, false, 2 * time.Second},
+		"silent":           {func(f *fakeWorker) { f.unreachable = true }, false, 800 * time.Millisecond},
 	} {
 		for _, newLeader := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
