A submission no longer fails because its workers were cut off

The submission was shown as failed and its task not started again.

Cause: when a lease ran out, attempts that had only just started when the worker was last heard counted as if they had crashed it. The long poll waits up to 1.5 s, so every task started since counts as just started. After four counts the submission failed.

Change: such attempts are unproven suspects, held in the replicated state. They count once the incarnation is known to have ended (a successor under its id, at its address or on its VM, or nothing listens there) and are forgotten once it answers or leaves as planned. A task that would reach the limit if all were true waits until one is known, for a minute at most. A worker that refuses a hold as overloaded is alive.

Deadly tasks stay contained: TestTaskThatKeepsItsWorkersAwayIsGivenUp, now also with workers away for 20 s (12 cases, one start after the third crash in each) and a check that the submission fails.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -40,6 +41,10 @@
 	if s.answeredByOther(result.answer) {
 		return
 	}
+	if errors.Is(result.err, ErrUnavailable) || errors.Is(result.err, ErrMalformed) {
+		result.err = nil // the worker lives and refuses the call
+	}
+	s.refused = errors.Is(result.err, ErrNotListening)
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
 	} else if !s.unanswered {
@@ -197,7 +202,7 @@
 		for _, suspect := range list {
 			ref := submission.RefOf(suspect.GetTask())
 			all[ref.Submission] = true
-			if t := state.Task(ref); t != nil && t.Suspect() {
+			if t := state.Task(ref); t != nil && t.Suspicions > 0 {
 				before[ref.Submission] = true
 			}
 		}
@@ -248,9 +253,9 @@
 			event := l.log.Warn().Str("decision", "suspect").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
 				Uint32("attempt", suspect.GetAttempt()).Str("worker", worker).Int("suspects", len(suspects))
 			if t := state.Task(ref); t != nil {
-				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes)
+				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes).Uint32("unproven", t.Unproven)
 			}
-			event.Msg("the worker crashed when the attempt had only just started there")
+			event.Msg("the worker crashed, or fell silent if that is unproven, when the attempt had only just started there")
 			if sub := state.Submission(ref.Submission); sub != nil && sub.State == pb.SubmissionState_SUBMISSION_STATE_FAILED {
 				givenUpTotal.Inc()
 				l.log.Warn().Str("decision", "given-up").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
@@ -259,3 +264,18 @@
 		}
 	})
 }
+
+// awaitsProof reports whether a task waits until it is known whether it crashed its workers: with those that are silent, it would have
+// reached the limit. A worker that is silent for silenceTimeout is waited for no longer.
+func (l *Leader) awaitsProof(state *submission.State, task submission.Ref, t *submission.Task) bool {
+	if !t.MayReachLimit(int(t.Unproven)) {
+		return false
+	}
+	open := 0
+	for id, s := range l.sessions {
+		if w := state.Workers()[id]; w != nil && w.Incarnation() == s.incarnation && w.Unproven[task] != nil {
+			open++
+		}
+	}
+	return open > 0 && t.MayReachLimit(open)
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -126,18 +126,21 @@
 	}
 }
 
-// longDowntime is longer than the lease of a worker.
-const longDowntime = 12 * time.Second
+// longDowntimes are longer than the lease of a worker, and longer than two.
+var longDowntimes = []time.Duration{12 * time.Second, 20 * time.Second}
 
 // Guards against the same if the lease of each crashed worker is over before the worker is back.
 func TestTaskThatKeepsItsWorkersAwayIsGivenUp(t *testing.T) {
-	for _, c := range crashCases {
-		c.downtime = longDowntime
-		t.Run(c.String(), func(t *testing.T) {
-			withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
-				r.checkDeadlyTaskIsGivenUp(is, c, 3*time.Minute)
+	for _, downtime := range longDowntimes {
+		for _, c := range crashCases {
+			c.downtime = downtime
+			t.Run(c.String(), func(t *testing.T) {
+				withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+					r.checkDeadlyTaskIsGivenUp(is, c, 3*time.Minute)
+					is.Equal(r.describe("deadly"), "failed")
+				})
 			})
-		})
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/cut_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// silences are ways in which a worker that runs on is out of touch until its lease is over.
+var silences = map[string]func(f *fakeWorker, silent bool){
+	"cut off":      func(f *fakeWorker, silent bool) { f.unreachable = silent },
+	"answers lost": func(f *fakeWorker, silent bool) { f.dropAnswers = silent },
+	"overloaded":   func(f *fakeWorker, silent bool) { f.overloaded, f.unavailable = silent, silent },
+}
+
+// Guards against a submission that fails because the workers of its task were silent several times just after it had started there,
+// though none of them crashed.
+func TestSilentWorkersDoNotFailSubmissions(t *testing.T) {
+	for name, silence := range silences {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+					task := submission.Ref{Submission: "s"}
+					r.submit("s", 1, endless)
+					for round := range uint64(6) {
+						time.Sleep(700 * time.Millisecond)
+						is.True(r.taskRuns(task))
+						r.setSilent(silence, true)
+						if newLeader {
+							r.leader.Close()
+							r.newLeader()
+							r.lead(6 + round)
+						}
+						time.Sleep(targetLease + 4*time.Second)
+						r.setSilent(silence, false)
+						for range 50 { // until the task runs again
+							if time.Sleep(100 * time.Millisecond); r.taskRuns(task) {
+								break
+							}
+						}
+					}
+					time.Sleep(3 * time.Second)
+					is.Equal(r.describe("s"), "running")
+					is.True(r.taskRuns(task))
+				})
+			})
+		}
+	}
+}
+
+func (r *harness) setSilent(silence func(*fakeWorker, bool), silent bool) {
+	r.workers.update(func() {
+		for _, f := range r.workers.byID {
+			silence(f, silent)
+		}
+	})
+}
+
+// taskRuns reports whether a worker runs the task.
+func (r *harness) taskRuns(task submission.Ref) bool {
+	runs := false
+	r.workers.update(func() {
+		for _, f := range r.workers.byID {
+			r.workers.advance(f)
+			runs = runs || f.running[task] != nil
+		}
+	})
+	return runs
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -159,6 +159,10 @@
 	}
 	s.lossesPending = len(lost)
 	suspects := l.crashSuspects(s)
+	for _, suspect := range suspects {
+		suspect.Unproven = !s.refused
+		s.mayHaveCrashed = s.mayHaveCrashed || suspect.Unproven
+	}
 	for i, ref := range lost {
 		l.ensureTracked(ref, attempts[i], s.incarnation, false)
 		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -267,7 +267,7 @@
 				Pool: queue.GetPool(), Priority: queue.GetPriority(), Advised: queue.GetAdvice() != nil, AcceptedUnixMs: sub.AcceptedUnixMs}
 			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
 			r.CriticalPathMs = steps.CriticalPathFrom(sub.Spec, i)
-			if l.collectWaiting(r, &o.Steps[i], now); len(r.Waiting) == 0 {
+			if l.collectWaiting(state, r, &o.Steps[i], now); len(r.Waiting) == 0 {
 				continue
 			}
 			r.Idle, r.Begun = !runs, begun
@@ -332,7 +332,7 @@
 }
 
 // collectWaiting sets r.Waiting to the tasks that may start now. It stays empty for a gang if one of its waiting members may not.
-func (l *Leader) collectWaiting(r *steps.Request, step *submission.Step, now time.Duration) {
+func (l *Leader) collectWaiting(state *submission.State, r *steps.Request, step *submission.Step, now time.Duration) {
 	attempt := uint32(0)
 	if r.Spec.GetGang() {
 		for i := range step.Tasks {
@@ -345,7 +345,7 @@
 			continue
 		}
 		ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: uint32(i)}
-		if !l.mayStart(ref, now) {
+		if !l.mayStart(ref, now) || l.awaitsProof(state, ref, t) {
 			if r.Spec.GetGang() { // the members of a gang start together or not at all
 				r.Waiting = nil
 				return
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -33,9 +33,12 @@
 	aliveAt          time.Duration                    // when the worker was last known to be alive
 	endKnown         bool                             // the worker ended between aliveAt and endedBy: its connection broke or was refused
 	endedBy          time.Duration
-	unanswered       bool        // the last hold got no answer
-	lossesPending    int         // number of attempts whose loss is being committed
-	leave            *leaveWatch // nil unless the worker has reported its leave
+	unanswered       bool // the last hold got no answer
+	lossesPending    int  // number of attempts whose loss is being committed
+	refused          bool // the last hold found that nothing listens at the worker's address
+	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
+	mayHaveCrashed bool
+	leave          *leaveWatch // nil unless the worker has reported its leave
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
@@ -62,7 +65,7 @@
 	if over, silent := w.LeaseOver(); silent {
 		s.silent, s.recordedLeaseOver = true, over
 	}
-	s.leave = newLeaveWatch(w, l.cfg.Clock())
+	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
 	l.log.Info().Str("event", "session-opened").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).Str("address", s.address).Msg("")
 	go l.holdLoop(ctx, s, l.term)
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -24,9 +24,9 @@
 	l.queueSilence(s, max(0, rest), true, func(error) {})
 }
 
-// endSilence records that a silent worker answers again. Leases are granted once that is committed.
+// endSilence records that a silent worker answers again, so that it has not crashed. Leases are granted once that is committed.
 func (l *Leader) endSilence(s *session) {
-	if !s.leaseSnapshot().silent || s.endingSilence {
+	if !s.leaseSnapshot().silent && !s.mayHaveCrashed || s.endingSilence {
 		return
 	}
 	s.endingSilence = true
@@ -36,6 +36,7 @@
 			s.mu.Lock()
 			s.silent = false
 			s.mu.Unlock()
+			s.mayHaveCrashed = false
 			l.log.Info().Str("event", "worker-answers").Str("worker", s.incarnation.ID).Msg("a silent worker answers again and gets leases")
 		}
 	})
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -100,10 +100,14 @@
 		return true
 	}
 	if released && c.GetSuspect() != nil { // once only: the end may be committed again
-		s.suspect(ref, c.GetAttempt(), c.GetSuspect().GetOnly())
+		if c.GetSuspect().GetUnproven() {
+			s.suspectUnproven(on, c.GetSuspect())
+		} else {
+			s.suspect(c.GetSuspect())
+		}
 	}
 	if ranOnWorker(c.GetKind()) {
-		t.Suspicions, t.Crashes = 0, 0
+		s.forgetSuspicions(ref, t)
 	}
 	switch c.GetKind() {
 	case pb.TaskEndKind_TASK_END_KIND_DONE:
@@ -185,6 +189,7 @@
 		known.GetBornUnixMs() == p.GetBornUnixMs() && (known.GetGone() || known.GetSequence() > p.GetSequence())) {
 		return false // a late report: of an incarnation that is gone, or one that a later report has overtaken
 	}
+	s.proveCrashesOnVM(p)
 	for _, other := range s.workers {
 		if other.GetAddress() == p.GetAddress() && other.GetId() != p.GetId() && !other.GetGone() {
 			if other.GetBornUnixMs() > p.GetBornUnixMs() {
@@ -206,6 +211,23 @@
 	return true
 }
 
+// proveCrashesOnVM counts the unproven suspects of earlier workers on the VM of a worker that registers: a VM runs one at a time.
+func (s *State) proveCrashesOnVM(p *pb.PoolWorker) {
+	if p.GetVm() == "" {
+		return
+	}
+	var ids []string
+	for id, w := range s.workers {
+		if w.GetVm() == p.GetVm() && len(w.Unproven) > 0 && w.GetBornUnixMs() < p.GetBornUnixMs() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.proveCrash(s.workers[id])
+	}
+}
+
 // workerGone marks an incarnation of a worker as gone and ends all attempts on it as lost. One of the suspects may have crashed
 // the worker.
 func (s *State) workerGone(incarnation Incarnation, suspects []*pb.SuspectAttempt) bool {
@@ -225,35 +247,10 @@
 	for _, suspect := range suspects {
 		// An attempt that is no longer placed there has counted with the end of the lease.
 		if ref := RefOf(suspect.GetTask()); placed[ref] == suspect.GetAttempt() {
-			s.suspect(ref, suspect.GetAttempt(), suspect.GetOnly())
+			s.suspect(suspect)
 		}
 	}
-	return true
-}
-
-// suspect records that a worker crashed when an attempt of a task had only just started there, and whether it was the only one.
-// The submission fails once the task has crashed too many workers.
-func (s *State) suspect(task Ref, attempt uint32, only bool) {
-	sub, t := s.submissions[task.Submission], s.Task(task)
-	if t == nil || t.Done || t.Attempt < attempt || !sub.Active() {
-		return
-	}
-	t.Suspicions++
-	if only {
-		t.Crashes++
-	}
-	if t.Crashes >= maxCrashes || t.Suspicions >= maxSuspicions {
-		s.finish(sub, pb.SubmissionState_SUBMISSION_STATE_FAILED)
-	}
-}
-
-// clearSuspicion forgets the crashes of a task of which an attempt has run for a while.
-func (s *State) clearSuspicion(c *pb.TaskCleared) bool {
-	t := s.Task(RefOf(c.GetTask()))
-	if t == nil || !t.Placed() || t.Attempt != c.GetAttempt() {
-		return false
-	}
-	t.Suspicions, t.Crashes = 0, 0
+	s.proveCrash(w)
 	return true
 }
 
@@ -265,6 +262,8 @@
 	}
 	if w.Silence = nil; c.GetSilent() {
 		w.Silence, w.silenceApplied = c, s.clock()
+	} else {
+		s.takeUnproven(w) // it has not crashed
 	}
 	return true
 }
--- a/internal/submission/crash_test.go
+++ b/internal/submission/crash_test.go
@@ -86,3 +86,49 @@
 	is.Equal(w.state.Task(ref).Crashes, uint32(1))
 	is.Equal(w.state.Submission("a").Describe(), "running")
 }
+
+// Guards against a submission that fails for workers that were only cut off, and against crashes that do not count since the worker was
+// silent before, both across a restored snapshot.
+func TestSilenceCountsOnceTheWorkerHasEnded(t *testing.T) {
+	ref := Ref{Submission: "a"}
+	lostAt := func(attempt uint32) *pb.SubmissionChange {
+		return &pb.SubmissionChange{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: ref.Proto(), Attempt: attempt, Worker: "w", WorkerBornUnixMs: int64(attempt),
+			Kind: lost, Suspect: &pb.SuspectAttempt{Task: ref.Proto(), Attempt: attempt, Unproven: true}}}}
+	}
+	answers := func(born int64) *pb.SubmissionChange {
+		return &pb.SubmissionChange{Change: &pb.SubmissionChange_Silence{Silence: &pb.WorkerSilence{Id: "w", BornUnixMs: born}}}
+	}
+	onVM := func(id string, born int64) *pb.SubmissionChange {
+		c := worker(id, born)
+		c.GetWorker().Address, c.GetWorker().Vm = "address "+id, "vm"
+		return c
+	}
+	proofs := map[string]func(attempt uint32) *pb.SubmissionChange{
+		"same id":     func(attempt uint32) *pb.SubmissionChange { return worker("w", int64(attempt)+1) },
+		"same VM":     func(attempt uint32) *pb.SubmissionChange { return onVM("v", int64(attempt)+1) },
+		"not planned": func(attempt uint32) *pb.SubmissionChange { return crash(Ref{}, 0, "w", int64(attempt), false) },
+	}
+	for name, proof := range proofs {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newDriver()
+			w.apply(queueConfig(2), accept("a", &pb.Step{Count: 1, Endless: true}))
+			for attempt := uint32(1); attempt <= 2*maxSuspicions; attempt++ {
+				w.apply(onVM("w", int64(attempt)), start(ref, attempt, "w", int64(attempt)), lostAt(attempt))
+				snapshot, err := w.state.Snapshot()
+				is.NoErr(err)
+				is.NoErr(w.state.Restore(snapshot))
+				is.Equal(w.state.Task(ref).Unproven, uint32(1))
+				w.apply(answers(int64(attempt)))
+				is.Equal(w.state.Task(ref).Unproven, uint32(0))
+			}
+			is.Equal(w.state.Submission("a").Describe(), "running")
+			for attempt := uint32(2*maxSuspicions + 1); attempt <= 3*maxSuspicions; attempt++ {
+				w.apply(onVM("w", int64(attempt)), start(ref, attempt, "w", int64(attempt)), lostAt(attempt))
+				is.Equal(w.state.Submission("a").Describe(), "running")
+				w.apply(proof(attempt))
+			}
+			is.Equal(w.state.Submission("a").Describe(), "failed")
+		})
+	}
+}
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -26,6 +26,9 @@
 		if leave := s.workers[id].Leave; leave != nil {
 			out.Leaves = append(out.Leaves, leave)
 		}
+		for _, suspect := range s.workers[id].unprovenList() {
+			out.Unproven = append(out.Unproven, &pb.UnprovenCrash{Worker: id, Suspect: suspect})
+		}
 		if s.workers[id].reused {
 			out.ReusedIds = append(out.ReusedIds, id)
 		}
@@ -98,6 +101,11 @@
 	for _, r := range in.GetSubmissions() {
 		s.restoreSubmission(r)
 	}
+	for _, u := range in.GetUnproven() {
+		if w := s.workers[u.GetWorker()]; w != nil {
+			s.suspectUnproven(w.Incarnation(), u.GetSuspect())
+		}
+	}
 	s.version++
 	return nil
 }
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -9,6 +9,8 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +64,8 @@
 	// Suspicions is the number of workers that crashed when an attempt of the task had only just started there, since the task
 	// last ran for longer. Crashes is the number of those where no attempt of another submission had.
 	Suspicions, Crashes uint32
+	// Unproven is the number of silent workers of which the same may be true.
+	Unproven uint32
 	// failed lists the attempts that ended in failure.
 	failed []uint32
 	// placedApplied is when this VM applied the last placement. It is local to the VM and decides nothing in the state machine.
@@ -71,18 +75,6 @@
 // PlacedAt returns when this VM learnt of the current or last placement, by the clock of the state.
 func (t *Task) PlacedAt() time.Duration { return t.placedApplied }
 
-const (
-	// maxCrashes is the number of workers that a task may crash before its submission fails. Workers also crash by themselves, so
-	// that two are no proof.
-	maxCrashes = 3
-	// maxSuspicions is the same for a task that was never the only suspect. The platform allows two starts after the third crash;
-	// the crash of a worker may stay unnoticed around a change of the leader.
-	maxSuspicions = 4
-)
-
-// Suspect reports whether the task may have crashed a worker, so that it should start where nothing else starts.
-func (t *Task) Suspect() bool { return t.Suspicions > 0 }
-
 // Placed reports whether the current attempt is placed on a worker and may be running.
 func (t *Task) Placed() bool { return t.On != Incarnation{} }
 
@@ -174,6 +166,8 @@
 	*pb.PoolWorker
 	// Attempts holds the numbers of the attempts that may be running on the worker.
 	Attempts map[Ref]uint32
+	// Unproven holds the attempts that may have crashed the worker, unless it is only cut off.
+	Unproven map[Ref]*pb.SuspectAttempt
 	// Silence is set while the worker is recorded as silent.
 	Silence *pb.WorkerSilence
 	// Leave is set once the worker has reported that it leaves.
@@ -200,6 +194,11 @@
 	return Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}
 }
 
+// unprovenList returns the unproven suspects in the order of their tasks.
+func (w *Worker) unprovenList() []*pb.SuspectAttempt {
+	return slices.SortedFunc(maps.Values(w.Unproven), func(a, b *pb.SuspectAttempt) int { return RefOf(a.GetTask()).Compare(RefOf(b.GetTask())) })
+}
+
 // Usable reports whether tasks may be placed on the worker.
 func (w *Worker) Usable() bool { return !w.GetGone() && !w.GetDraining() }
 
