One accepted submission no longer stops the control plane

Cause: CriticalPathFrom walked every path through the graph (about 2^39 calls) for each step in each plan, on the leader's event loop, holding the read lock of the state. The same class of fault: each plan walked all due occurrences, of which a submission may have 2^32.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -128,6 +128,7 @@
 	pressure        *steps.Pressure
 	finiteDemand    *steps.FiniteDemand
 	waits           map[stepKey]*waitRecord
+	occurrences     map[string]*openOccurrences // by submission id
 	advice          map[stepKey]*stepAdvice
 	waves           waveState
 	workers         atomic.Int64 // number of sessions, for readers outside the loop
@@ -204,6 +205,7 @@
 	l.pressure, l.finiteDemand, l.waits = steps.NewPressure(), &steps.FiniteDemand{}, map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
+	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
@@ -447,6 +449,11 @@
 				delete(l.lastRuns, ref)
 			}
 		}
+		for id := range l.occurrences {
+			if !alive(submission.Ref{Submission: id}) {
+				delete(l.occurrences, id)
+			}
+		}
 		for id := range l.views {
 			if state.Workers()[id] == nil {
 				delete(l.views, id)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -249,24 +249,18 @@
 	if queue == nil {
 		return nil
 	}
-	for number := range sub.OccurrenceCount() {
-		if sub.DueUnixMs(number) > unixMs {
-			break
-		}
+	for _, number := range l.dueOccurrences(sub, unixMs) {
 		o := sub.Occurrence(number)
-		if o.Done {
-			continue
-		}
 		runs := slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Placed > 0 })
 		begun := runs || slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Done > 0 })
 		for i := range o.Steps {
-			if o.Steps[i].Waiting() == 0 || !o.Ready(sub.Spec, i) {
+			if o.Steps[i].Waiting() == 0 || !sub.Ready(o, i) {
 				continue
 			}
 			r := &steps.Request{Submission: sub.Spec.GetId(), Occurrence: number, Step: uint32(i), Spec: sub.Spec.GetSteps()[i],
 				Pool: queue.GetPool(), Priority: queue.GetPriority(), Advised: queue.GetAdvice() != nil, AcceptedUnixMs: sub.AcceptedUnixMs}
-			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Spec, queue, sub.DueUnixMs(number))
-			r.CriticalPathMs = steps.CriticalPathFrom(sub.Spec, i)
+			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Graph.LongestPathMs(), queue, sub.DueUnixMs(number))
+			r.CriticalPathMs = sub.Graph.CriticalPathMs(i)
 			if l.collectWaiting(state, r, &o.Steps[i], now); len(r.Waiting) == 0 {
 				continue
 			}
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -48,7 +48,7 @@
 		if sub == nil || sub.Active() || sub.Spec.GetOccurrences() > 0 {
 			return
 		}
-		objective, worthless := steps.Objective(sub.Spec, sub.AcceptedQueue, sub.AcceptedUnixMs)
+		objective, worthless := steps.Objective(sub.Graph.LongestPathMs(), sub.AcceptedQueue, sub.AcceptedUnixMs)
 		tasks := uint32(0)
 		for _, step := range sub.Spec.GetSteps() {
 			tasks += step.GetCount()
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -21,6 +21,7 @@
 	sub := &Submission{
 		Spec: c.GetSpec(), Queue: c.GetQueue(), AcceptedQueue: queue, AcceptedUnixMs: s.unixMs,
 		State: pb.SubmissionState_SUBMISSION_STATE_ACTIVE, Occurrences: map[uint32]*Occurrence{},
+		Graph: newGraph(c.GetSpec().GetSteps()),
 	}
 	s.submissions[id], s.active[id] = sub, sub
 	return Result{Applied: true, Found: true}
@@ -59,7 +60,7 @@
 		o = newOccurrence(sub.Spec)
 		sub.Occurrences[ref.Occurrence] = o
 	}
-	if o.Done || !o.Ready(sub.Spec, int(ref.Step)) {
+	if o.Done || !sub.Ready(o, int(ref.Step)) {
 		return false
 	}
 	step := &o.Steps[ref.Step]
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -114,6 +114,7 @@
 	sub := &Submission{
 		Spec: r.GetSpec(), Queue: r.GetQueue(), State: r.GetState(), AcceptedUnixMs: r.GetAcceptedUnixMs(), EndedUnixMs: r.GetEndedUnixMs(),
 		Started: r.GetStarted(), OccurrencesDone: r.GetOccurrencesDone(), AcceptedQueue: r.GetAcceptedQueue(), Occurrences: map[uint32]*Occurrence{},
+		Graph: newGraph(r.GetSpec().GetSteps()),
 	}
 	id := sub.Spec.GetId()
 	s.submissions[id] = sub
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -114,6 +115,8 @@
 	Started         bool
 	Occurrences     map[uint32]*Occurrence
 	OccurrencesDone uint32
+	// Graph follows from Spec.
+	Graph *Graph
 }
 
 // QueueKey returns the identity of a queue: the host and path prefix at which callers reach it. Its name may change with a
@@ -126,12 +129,16 @@
 // OccurrenceCount returns the number of occurrences, which is at least 1.
 func (s *Submission) OccurrenceCount() uint32 { return max(1, s.Spec.GetOccurrences()) }
 
-// DueUnixMs returns when an occurrence is due.
+// DueUnixMs returns when an occurrence is due. One that would be due later than an int64 can hold is due at its highest value.
 func (s *Submission) DueUnixMs(occurrence uint32) int64 {
 	if s.Spec.GetOccurrences() == 0 {
 		return s.AcceptedUnixMs
 	}
-	return s.Spec.GetFirstDueUnixMs() + int64(occurrence)*s.Spec.GetIntervalMs()
+	first, interval := s.Spec.GetFirstDueUnixMs(), s.Spec.GetIntervalMs()
+	if occurrence > 0 && interval > (math.MaxInt64-max(0, first))/int64(occurrence) {
+		return math.MaxInt64
+	}
+	return first + int64(occurrence)*interval
 }
 
 // Occurrence returns an occurrence. For one without a placed task so far, it returns a new value with all tasks waiting that
@@ -151,9 +158,10 @@
 	return o
 }
 
-// Ready reports whether all prerequisites of the step with the given number are finished.
-func (o *Occurrence) Ready(spec *pb.SubmissionSpec, number int) bool {
-	for _, prerequisite := range spec.GetSteps()[number].GetAfter() {
+// Ready reports whether all prerequisites of the step with the given number are finished in one of the submission's occurrences. A
+// step that is finished implies that its own prerequisites are.
+func (s *Submission) Ready(o *Occurrence, number int) bool {
+	for _, prerequisite := range s.Graph.direct[number] {
 		if !o.Steps[prerequisite].Finished() {
 			return false
 		}
