--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -75,6 +75,8 @@
 	crashed func(f *fakeWorker)
 	// crashes counts, for each task, the workers that crashed while it ran; startsByTask counts its starts.
 	crashes, startsByTask map[submission.Ref]int
+	// ticketValid, if set, tells whether a start may use a ticket.
+	ticketValid func(ticket string) bool
 }
 
 // crashDelay is the time from the start of a deadly task until its worker crashes.
@@ -211,6 +213,8 @@
 		return ErrOldAttempt
 	case c.LeaseUntilMs <= f.clockMs(time.Now()):
 		return ErrLeaseOver
+	case w.ticketValid != nil && !w.ticketValid(c.Ticket):
+		return ErrNoTicket
 	case f.unavailable:
 		return ErrUnavailable
 	case f.noRoom:
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -8,7 +8,6 @@
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
-	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -158,33 +157,6 @@
 	return snap
 }
 
-// addAdvice limits the requests of queues that have a policy to the workers that the policy service allows.
-func (l *Leader) addAdvice(snap *steps.Snapshot, now time.Duration) {
-	if !slices.ContainsFunc(snap.Requests, func(r *steps.Request) bool { return r.Advised }) {
-		return
-	}
-	free := make([]resources.Vector, len(snap.Workers))
-	for i, w := range snap.Workers {
-		free[i] = w.Free()
-	}
-	for _, r := range snap.Requests {
-		if !r.Advised {
-			continue
-		}
-		var withRoom, others []submission.Incarnation
-		for i, w := range snap.Workers {
-			switch {
-			case !w.Usable || w.Pool != r.Pool:
-			case w.HasRoom(r.Spec, free[i]):
-				withRoom = append(withRoom, w.Incarnation)
-			default:
-				others = append(others, w.Incarnation)
-			}
-		}
-		r.Allowed = l.workersWithTicket(submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step}, withRoom, others, now)
-	}
-}
-
 // workerView returns the planner's view of a worker. The view is valid until the next plan, which reuses its memory, because
 // allocating views of thousands of workers several times a second would keep the garbage collector busy.
 // mayStop reports whether the plan may stop one more endless task of a step.
@@ -258,7 +230,7 @@
 				continue
 			}
 			r := &steps.Request{Submission: sub.Spec.GetId(), Occurrence: number, Step: uint32(i), Spec: sub.Spec.GetSteps()[i],
-				Pool: queue.GetPool(), Priority: queue.GetPriority(), Advised: queue.GetAdvice() != nil, AcceptedUnixMs: sub.AcceptedUnixMs}
+				Pool: queue.GetPool(), Priority: queue.GetPriority(), Advice: queue.GetAdvice(), AcceptedUnixMs: sub.AcceptedUnixMs}
 			r.ObjectiveUnixMs, r.WorthlessUnixMs = steps.Objective(sub.Graph.LongestPathMs(), queue, sub.DueUnixMs(number))
 			r.CriticalPathMs = sub.Graph.CriticalPathMs(i)
 			if l.collectWaiting(state, r, &o.Steps[i], now); len(r.Waiting) == 0 {
--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -47,7 +47,7 @@
 		return wrongLabel
 	case spec.GetMaxPerWorker() > 0 && w.perStep[r.key()] >= int(spec.GetMaxPerWorker()):
 		return maxPerWorkerReached
-	case r.Advised && !r.Allowed[w.Incarnation.ID]:
+	case r.Advice != nil && !r.Allowed[w.Incarnation.ID]:
 		return excludedByPolicy
 	case !spec.GetFills() && w.reservedFor != "" && w.reservedFor != r.Submission && !r.overdue(p.NowUnixMs):
 		return reservedForService
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/resources"
@@ -43,20 +42,6 @@
 	return size
 }
 
-// Free returns the capacity that the residents leave.
-func (w *Worker) Free() resources.Vector {
-	free := w.Capacity
-	for i := range w.Residents {
-		free = free.Minus(ReservedSize(w.Residents[i].Step))
-	}
-	return free
-}
-
-// HasRoom reports whether a task of a step fits into the free part of the worker's capacity and may run there by its label.
-func (w *Worker) HasRoom(step *pb.Step, free resources.Vector) bool {
-	return ReservedSize(step).Fits(free) && (step.GetLabel() == "" || slices.Contains(w.Labels, step.GetLabel()))
-}
-
 // expectedLoad is the CPU time that a task is expected to use at full speed, in millicores.
 func expectedLoad(step *pb.Step) float64 {
 	load := float64(step.GetSize().GetMillicores())
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -146,7 +146,7 @@
 // record adds the size of a task that no worker could take. It ignores tasks that may not run on all workers with room,
 // since another task of that size may find one.
 func (u unplacedSizes) record(p *planner, r *Request, t WaitingTask, found *searchResult) {
-	if len(t.AvoidWorkers) > 0 || t.Isolated || r.Advised || r.Spec.GetMaxPerWorker() > 0 {
+	if len(t.AvoidWorkers) > 0 || t.Isolated || r.Advice != nil || r.Spec.GetMaxPerWorker() > 0 {
 		return
 	}
 	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), r.overdue(p.NowUnixMs), formatObstacles(found.obstacles)}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -105,9 +105,8 @@
 	// ReadyUnixMs is the time since which tasks of the step have been ready and waiting. Endless tasks that ran before have
 	// been waiting since their last run.
 	ReadyUnixMs int64
-	// Advised is true if the placement policy of the queue decides which workers may run the step; Allowed holds their
-	// IDs.
-	Advised bool
+	// Advice is set if the placement policy of the queue decides which workers may run the step; Allowed holds their IDs.
+	Advice  *pb.Advice
 	Allowed map[string]bool
 	// Deferred is true for endless tasks that are not placed for now, because urgent work recently found no room.
 	Deferred bool
--- a/internal/placement/steps/usage.go
+++ b/internal/placement/steps/usage.go
@@ -91,5 +91,5 @@
 
 // restricted reports whether only some workers may run the tasks of r, or only several at once.
 func (r *Request) restricted() bool {
-	return r.Advised || r.Spec.GetLabel() != "" || r.Spec.GetMaxPerWorker() > 0 || r.Spec.GetGang()
+	return r.Advice != nil || r.Spec.GetLabel() != "" || r.Spec.GetMaxPerWorker() > 0 || r.Spec.GetGang()
 }
