--- a/cmd/lentilyard/fleet.go
+++ b/cmd/lentilyard/fleet.go
@@ -161,10 +161,10 @@
 }
 
 func runControl(ctx context.Context, file string, s *pb.FleetSettings, log zerolog.Logger) error {
-	workers := platform.NewWorkers()
+	workers := platform.NewWorkers(log)
 	defer workers.Close()
 	c, err := control.New(control.Options{Settings: s, Caller: workers, Logger: log,
-		Adviser: platform.NewPolicyClient(s.GetAdviceAddress()), Platform: platform.NewMachineClient(s.GetPlatform().GetAddress())})
+		Adviser: platform.NewPolicyClient(s.GetAdviceAddress(), log), Platform: platform.NewMachineClient(s.GetPlatform().GetAddress(), log)})
 	if err != nil {
 		return err
 	}
