A report that contradicts a worker at work is verified before it is believed

Found on the way: a report with a clock far ahead made the lease count as over.

Cause: registration ended the earlier incarnation of an id and whoever had the address, on the word of the report; clocks of reports went into leases.

TestRestartIsNoticedAtOnce passes before and after.

Pools that no configuration names register nobody. Clocks are taken from answers only.

--- /dev/null
+++ b/internal/dispatch/claim_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// usualReport returns a report of worker a as the harness sends it.
+func usualReport(sequence uint64) *pb.PoolReport {
+	return &pb.PoolReport{Sequence: sequence, Worker: &pb.PoolWorker{Id: "a", BornUnixMs: 1, Pool: "pool", Address: "a", FailureDomain: "d", Rack: "r", Vm: "vm-a",
+		Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 100}}}
+}
+
+// oddReports are reports of another writer that name a worker at work or its address.
+var oddReports = map[string]func(r *pb.PoolReport){
+	"later incarnation":                  func(r *pb.PoolReport) { r.Worker.BornUnixMs = 1 << 40 },
+	"later incarnation at other address": func(r *pb.PoolReport) { r.Worker.BornUnixMs, r.Worker.Address = 1<<40, "nowhere" },
+	"other address":                      func(r *pb.PoolReport) { r.Worker.Address = "nowhere" },
+	"other pool":                         func(r *pb.PoolReport) { r.Worker.Pool = "other" },
+	"other id at the address":            func(r *pb.PoolReport) { r.Worker.Id, r.Worker.BornUnixMs = "odd", 1<<40 },
+	"other id of unknown pool":           func(r *pb.PoolReport) { r.Worker.Id, r.Worker.BornUnixMs, r.Worker.Pool = "odd", 1<<40, "nobody's" },
+	"other id on the VM":                 func(r *pb.PoolReport) { r.Worker.Id, r.Worker.BornUnixMs, r.Worker.Address = "odd", 1<<40, "nowhere" },
+	"clock far ahead":                    func(r *pb.PoolReport) { r.ClockMs = 1 << 52 },
+}
+
+// Guards against a task that runs twice, or whose lease is lost sight of, because of a report that its worker has not sent.
+func TestOddReportDoesNotTouchWorkerAtWork(t *testing.T) {
+	for name, change := range oddReports {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+				r.startAtA(is)
+				odd := usualReport(2)
+				change(odd)
+				is.NoErr(r.leader.Report(context.Background(), odd))
+				time.Sleep(12 * time.Second) // longer than a lease
+				is.Equal(r.running("a"), 1)
+				is.Equal(r.running("b"), 0)
+				draining := usualReport(3)
+				draining.Worker.Draining = true
+				is.NoErr(r.leader.Report(context.Background(), draining)) // its own reports still count
+				is.True(r.isDraining("a"))
+			})
+		})
+	}
+}
+
+func (r *harness) isDraining(id string) bool {
+	draining := false
+	r.state.View(func(s *submission.State) { draining = s.Workers()[id].GetDraining() })
+	return draining
+}
+
+// Guards against an odd report of a worker that is cut off, whose tasks start elsewhere before its lease is over.
+func TestOddReportDoesNotEndLeaseOfWorkerThatIsCutOff(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+		odd := usualReport(2)
+		odd.Worker.Id, odd.Worker.BornUnixMs = "odd", 1<<40
+		is.NoErr(r.leader.Report(context.Background(), odd))
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("b"), 0)
+		time.Sleep(7 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against a worker that has restarted, also at another address, being noticed late because its report is verified.
+func TestRestartIsNoticedAtOnce(t *testing.T) {
+	for _, address := range []string{"a", "elsewhere"} {
+		t.Run(address, func(t *testing.T) {
+			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+				r.startAtA(is)
+				r.restart("a", 77, func(f *fakeWorker) { f.address, f.ignoreIncarnation = address, false })
+				began := time.Now()
+				r.report("a", 1)
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(r.running("a")+r.running("b"), 1)
+				t.Logf("restarted tasks run %v after the report at the latest", time.Since(began))
+			})
+		})
+	}
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -116,6 +116,8 @@
 	unexplainedUntil time.Duration
 	// lastUsageLog is when the usage of the pools was last logged.
 	lastUsageLog time.Duration
+	// ignoredLogged is when an ignored report was last logged.
+	ignoredLogged time.Duration
 	// lastHandover is when the pressure model was last sent to the other control VMs.
 	lastHandover time.Duration
 	// lastEviction is when a plan last evicted a task to make room for urgent work.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -41,6 +42,48 @@
 		done(nil)
 		return
 	}
+	isKnown := known != nil && known.GetBornUnixMs() == incarnation.BornUnixMs
+	switch {
+	case isKnown && known.GetPool() != r.GetWorker().GetPool():
+		l.ignoreReport(r, "pool-changed", done)
+		return
+	case !isKnown && !l.namesPool(r.GetWorker()):
+		l.ignoreReport(r, "unknown-pool", done)
+		return
+	}
+	if sessions := l.contradicted(r.GetWorker()); len(sessions) > 0 {
+		l.verify(r.GetWorker(), sessions, func(verdict claimVerdict, err error) {
+			switch {
+			case err != nil:
+				done(err)
+			case verdict == claimTrue:
+				l.acceptReport(r, l.knownWorker(incarnation.ID), done)
+			default:
+				l.ignoreReport(r, "not-verified", done)
+			}
+		})
+		return
+	}
+	l.acceptReport(r, known, done)
+}
+
+// ignoreReport acknowledges a report without effect.
+func (l *Leader) ignoreReport(r *pb.PoolReport, reason string, done func(error)) {
+	unbelievedReports(reason).Inc()
+	if now := l.cfg.Clock(); now-l.ignoredLogged >= ignoredLogInterval {
+		l.ignoredLogged = now
+		l.log.Warn().Str("event", "report-ignored").Str("reason", reason).Str("worker", r.GetWorker().GetId()).Int64("born", r.GetWorker().GetBornUnixMs()).
+			Str("address", r.GetWorker().GetAddress()).Str("pool", r.GetWorker().GetPool()).Msg("a report that cannot be believed has no effect")
+	}
+	done(nil)
+}
+
+// ignoredLogInterval is the minimum time between two log lines about ignored reports.
+const ignoredLogInterval = 10 * time.Second
+
+// acceptReport records a report that is believed. known is the present record of the worker, or nil.
+func (l *Leader) acceptReport(r *pb.PoolReport, known *pb.PoolWorker, done func(error)) {
+	incarnation := submission.Incarnation{ID: r.GetWorker().GetId(), BornUnixMs: r.GetWorker().GetBornUnixMs()}
 	s := l.sessions[incarnation.ID]
 	if s != nil && s.incarnation == incarnation {
 		if r.GetSequence() < s.sequence {
@@ -48,9 +91,6 @@
 			return
 		}
 		l.recordReport(s, r)
-		if r.GetClockMs() > 0 {
-			s.recordClock(r.GetClockMs(), l.cfg.Clock())
-		}
 	}
 	if known != nil && !Changes(known, r.GetWorker()) {
 		if s == nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -16,6 +16,7 @@
 	incarnation submission.Incarnation
 	address     string
 	domain      string // failure domain
+	vm          string
 	cancel      context.CancelFunc
 
 	// Owned by the event loop.
@@ -59,7 +60,7 @@
 		l.closeSession(old)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), cancel: cancel, running: map[submission.Ref]Running{},
+	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), vm: w.GetVm(), cancel: cancel, running: map[submission.Ref]Running{},
 		speedLimits: map[submission.Ref]int{}, fill: steps.CPUShares{}}
 	s.reportedAt = l.cfg.Clock()
 	if over, silent := w.LeaseOver(); silent {
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -24,6 +24,8 @@
 	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
 	calling   bool
 	revokedAt time.Duration
+	// successorUnseen is true if a later incarnation may exist that this leader has not reached.
+	successorUnseen bool
 }
 
 // recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
@@ -106,7 +108,7 @@
 		return false
 	}
 	s := l.sessions[u.previous.ID]
-	if s == nil || s.incarnation == u.previous {
+	if s == nil || s.incarnation == u.previous && !u.successorUnseen {
 		return true
 	}
 	// The lease in the call is on the clock of the previous incarnation; the new one shortens it to LeaseMax at most.
