All members of a gang start from one checkpoint

Cause: checkpoints were kept for each task, also in a gang; a member that is lost with its worker brings none.

Change: a gang has one value in the replicated state, fixed for an attempt when its first member is placed. A worker that is gone brings what its attempts were last known to have saved; their ends are applied in order.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -86,7 +86,7 @@
 			l.avoidWorker(submission.RefOf(suspect.GetTask()), successor)
 		}
 	}
-	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: suspects})
+	l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Suspects: suspects, Saved: s.savedProgress()})
 }
 
 // hasOtherWorkers reports whether another worker in the pool of a session's worker is usable.
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -170,7 +170,10 @@
 		}
 	}
 	for i, ref := range lost {
-		end := endOf(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, s.running[ref].Checkpoint)
+		end := endOf(s, ref, attempts[i], pb.TaskEndKind_TASK_END_KIND_LOST, "")
+		if running := s.running[ref]; running.Attempt == attempts[i] {
+			end.Checkpoint = running.Checkpoint
+		}
 		if n := slices.IndexFunc(suspects, func(a *pb.SuspectAttempt) bool {
 			return submission.RefOf(a.GetTask()) == ref && a.GetAttempt() == attempts[i]
 		}); n >= 0 {
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -140,7 +140,7 @@
 	case leaveEnded:
 		l.log.Info().Str("event", "worker-left").Str("worker", s.incarnation.ID).Dur("after_ms", l.cfg.Clock()-s.leave.since).AnErr("evidence", err).Msg("")
 		l.recordReplacement(s)
-		l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs})
+		l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Saved: s.savedProgress()})
 		l.closeSession(s)
 		return true
 	case leaveReplaced:
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// savedProgress returns what the attempts on a worker had saved when it last listed them.
+func (s *session) savedProgress() []*pb.SavedProgress {
+	var list []*pb.SavedProgress
+	for ref, running := range s.running {
+		if running.Checkpoint != "" {
+			list = append(list, &pb.SavedProgress{Task: ref.Proto(), Attempt: running.Attempt, Checkpoint: running.Checkpoint})
+		}
+	}
+	return list
+}
+
 // commitWorkerGone commits that a worker incarnation is gone. If the commit fails, the next tick repeats it: nothing else
 // would end the attempts on a worker without a session.
 func (l *Leader) commitWorkerGone(gone *pb.WorkerGone) {
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -69,6 +69,9 @@
 		return false
 	}
 	t.Attempt, t.On, t.LostOn, t.placedApplied = c.GetAttempt(), w.Incarnation(), Incarnation{}, s.clock()
+	if sub.Spec.GetSteps()[ref.Step].GetGang() {
+		t.Checkpoint = step.Gang.startValue(t.Attempt)
+	}
 	step.Placed++
 	sub.Started = true
 	w.Attempts[ref] = t.Attempt
@@ -93,9 +96,7 @@
 	if released {
 		t.On = Incarnation{}
 		step.Placed--
-		if c.GetCheckpoint() != "" {
-			t.Checkpoint = c.GetCheckpoint()
-		}
+		step.saveProgress(spec, t, c)
 	}
 	if !sub.Active() {
 		return true
@@ -229,23 +230,29 @@
 	}
 }
 
-// workerGone marks an incarnation of a worker as gone and ends all attempts on it as lost. One of the suspects may have crashed
-// the worker.
-func (s *State) workerGone(incarnation Incarnation, suspects []*pb.SuspectAttempt) bool {
+// workerGone marks an incarnation of a worker as gone and ends all attempts on it as lost. c, which may be nil, tells what the attempts
+// have saved and which of them may have crashed the worker.
+func (s *State) workerGone(incarnation Incarnation, c *pb.WorkerGone) bool {
 	w := s.workers[incarnation.ID]
 	if w == nil || w.Incarnation() != incarnation || w.GetGone() {
 		return false
 	}
 	placed := maps.Clone(w.Attempts)
-	for ref, attempt := range placed {
-		s.end(&pb.TaskEnd{Task: ref.Proto(), Attempt: attempt, Worker: incarnation.ID, WorkerBornUnixMs: incarnation.BornUnixMs,
-			Kind: pb.TaskEndKind_TASK_END_KIND_LOST})
+	saved := map[Ref]string{}
+	for _, progress := range c.GetSaved() {
+		if ref := RefOf(progress.GetTask()); placed[ref] == progress.GetAttempt() {
+			saved[ref] = progress.GetCheckpoint()
+		}
+	}
+	for _, ref := range slices.SortedFunc(maps.Keys(placed), Ref.Compare) {
+		s.end(&pb.TaskEnd{Task: ref.Proto(), Attempt: placed[ref], Worker: incarnation.ID, WorkerBornUnixMs: incarnation.BornUnixMs,
+			Kind: pb.TaskEndKind_TASK_END_KIND_LOST, Checkpoint: saved[ref]})
 		if t := s.Task(ref); t != nil && !t.Done && !t.Placed() {
 			t.LostOn = incarnation
 		}
 	}
 	w.Gone, w.goneAt = true, s.unixMs
-	for _, suspect := range suspects {
+	for _, suspect := range c.GetSuspects() {
 		// An attempt that is no longer placed there has counted with the end of the lease.
 		if ref := RefOf(suspect.GetTask()); placed[ref] == suspect.GetAttempt() {
 			s.suspect(suspect)
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -57,7 +57,7 @@
 func (o *Occurrence) record(number uint32) *pb.OccurrenceRecord {
 	r := &pb.OccurrenceRecord{Number: number, Done: o.Done}
 	for i := range o.Steps {
-		step := &pb.StepRecord{}
+		step := &pb.StepRecord{Gang: o.Steps[i].Gang.record()}
 		for _, t := range o.Steps[i].Tasks {
 			step.Tasks = append(step.Tasks, &pb.TaskRecord{Attempt: t.Attempt, Worker: t.On.ID, WorkerBornUnixMs: t.On.BornUnixMs,
 				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs,
@@ -129,6 +129,7 @@
 func (s *State) restoreOccurrence(id string, r *pb.OccurrenceRecord) *Occurrence {
 	o := &Occurrence{Done: r.GetDone(), Steps: make([]Step, len(r.GetSteps()))}
 	for i, step := range r.GetSteps() {
+		o.Steps[i].Gang = gangFromRecord(step.GetGang())
 		tasks := make([]Task, len(step.GetTasks()))
 		for j, t := range step.GetTasks() {
 			tasks[j] = Task{Attempt: t.GetAttempt(), On: Incarnation{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -60,7 +60,8 @@
 	// LostOn is the worker incarnation that went while the last attempt was placed on it; the zero value otherwise and once
 	// the task is placed again. A later incarnation of the worker may still carry out the start of that attempt.
 	LostOn Incarnation
-	// Checkpoint is the last saved progress, from which the next attempt resumes.
+	// Checkpoint is the progress from which the current or next attempt resumes. A member of a gang gets that of its gang when it is
+	// placed.
 	Checkpoint string
 	// Suspicions is the number of workers that crashed when an attempt of the task had only just started there, since the task
 	// last ran for longer. Crashes is the number of those where no attempt of another submission had.
@@ -85,6 +86,8 @@
 // Step is the state of one step of an occurrence.
 type Step struct {
 	Tasks []Task
+	// Gang is used if the step is a gang.
+	Gang Gang
 	// Placed and Done count tasks.
 	Placed, Done int
 }
@@ -304,7 +307,7 @@
 	case *pb.SubmissionChange_Worker:
 		return Result{Applied: s.register(c.Worker)}
 	case *pb.SubmissionChange_Gone:
-		return Result{Applied: s.workerGone(Incarnation{ID: c.Gone.GetId(), BornUnixMs: c.Gone.GetBornUnixMs()}, c.Gone.GetSuspects())}
+		return Result{Applied: s.workerGone(Incarnation{ID: c.Gone.GetId(), BornUnixMs: c.Gone.GetBornUnixMs()}, c.Gone)}
 	case *pb.SubmissionChange_Wave:
 		return Result{Applied: s.addWave(c.Wave)}
 	case *pb.SubmissionChange_WaveProgress:
