--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -87,3 +87,28 @@
 		})
 	}
 }
+
+// Guards against a worker that is called for each of its reports, since an earlier one on its VM has not been given up yet.
+func TestVerifiedWorkerIsNotVerifiedAgain(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+		next := newFakeWorker("next", 77)
+		r.workers.update(func() { r.workers.byID["next"] = next })
+		report := func(sequence uint64) {
+			p := usualReport(sequence)
+			p.Worker.Id, p.Worker.BornUnixMs, p.Worker.Address = "next", 77, "next"
+			is.NoErr(r.leader.Report(context.Background(), p))
+		}
+		report(1)
+		time.Sleep(5 * time.Second)
+		holds := func() (n int) {
+			r.workers.update(func() { n = next.holds })
+			return n
+		}
+		before := holds()
+		for sequence := range uint64(20) {
+			report(sequence + 2)
+		}
+		is.True(holds()-before < 5)
+	})
+}
