The soak has a fault "another writer"

The faults come from a random stream of their own, so that the other faults of a seed stay what they were.

--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -56,7 +56,7 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, which planShrinks adds.
+// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker and FaultOddReports, which planShrinks and planOddReports add.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -119,6 +119,7 @@
 		}
 	}
 	faults = append(faults, planShrinks(seed, size, length)...)
+	faults = append(faults, planOddReports(seed, size, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -170,7 +171,7 @@
 // injectFault injects a fault and returns once it is over.
 func (d *Deployment) injectFault(ctx context.Context, f Fault) error {
 	switch f.Kind {
-	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker, FaultShrinkWorker:
+	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker, FaultShrinkWorker, FaultOddReports:
 		return d.injectWorkerFault(ctx, f, d.hosts[f.Subject])
 	case FaultCutPair, FaultCutOneWay, FaultSlowPeers, FaultIsolate:
 		d.injectPeerFault(ctx, f)
@@ -312,6 +313,9 @@
 			l.update(func(l *incarnation) { l.refusesStarts = false })
 		}
 		return nil
+	case FaultOddReports:
+		h.sendOddReports(ctx, f)
+		return nil
 	case FaultShrinkWorker:
 		if l := h.currentIncarnation(); l != nil {
 			h.resize(l, workerSize(1+f.Other%(fullSize-1)))
