--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -126,8 +126,8 @@
 	return suspects
 }
 
-// endsAsPlanned reports whether a worker incarnation was about to end: it drains, has reported its leave, or this leader has ordered the maintenance of its
-// VM. On a worker whose maintenance a previous leader has ordered, this one has started nothing.
+// endsAsPlanned reports whether a worker incarnation was about to end: it drains, has reported its leave, or this leader has ordered the
+// maintenance of its VM. On a worker whose maintenance a previous leader has ordered, this one has started nothing.
 func (l *Leader) endsAsPlanned(incarnation submission.Incarnation) bool {
 	planned := false
 	l.cfg.State.View(func(state *submission.State) {
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -102,11 +102,7 @@
 		return true
 	}
 	if released && c.GetSuspect() != nil { // once only: the end may be committed again
-		if c.GetSuspect().GetUnproven() {
-			s.suspectUnproven(on, c.GetSuspect())
-		} else {
-			s.suspect(c.GetSuspect())
-		}
+		s.suspectLost(on, c.GetSuspect())
 	}
 	if ranOnWorker(c.GetKind()) {
 		s.forgetSuspicions(ref, t)
--- a/internal/submission/suspect.go
+++ b/internal/submission/suspect.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// suspectLost records that an attempt was lost with its lease when it had only just started.
+func (s *State) suspectLost(on Incarnation, a *pb.SuspectAttempt) {
+	if a.GetUnproven() {
+		s.suspectUnproven(on, a)
+	} else {
+		s.suspect(a)
+	}
+}
+
 // suspectUnproven records the same of a worker that may only be cut off.
 func (s *State) suspectUnproven(on Incarnation, a *pb.SuspectAttempt) {
 	ref := RefOf(a.GetTask())
