TestDiskFailureStopsTheHost waits for a leader

Cause, from the trace: the test looks up the node of c.leader(), which is empty while no VM leads, as may happen on a slow machine between the first entry and that line.

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -58,10 +58,12 @@
 	c.startAll()
 	c.propose("1")
 	c.eventually("all VMs hold 1 entry", func() bool { return c.allApplied(1) })
+	leader := ""
+	c.eventually("a VM leads", func() bool { leader = c.leader(); return leader != "" })
 	broken.Store(true) // all disks fail at once: nothing may be acknowledged
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	n := c.nodes[c.leader()]
+	n := c.nodes[leader]
 	_, err := n.group.Propose(ctx, []byte("2"))
 	is.True(errors.Is(err, ErrOutcomeUnknown))
 	err = <-n.fatal
