A believed report no longer walks all sessions

Cause: contradicted ran for each report that reached the leader, also where its result was not used. Change: the report of an incarnation that is registered at its address is accepted before. Same behaviour; the tests of dispatch pass.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -51,8 +51,11 @@
 		l.ignoreReport(r, "unknown-pool", done)
 		return
 	}
-	isBelieved := isKnown && known.GetAddress() == r.GetWorker().GetAddress()
-	if sessions := l.contradicted(r.GetWorker()); !isBelieved && len(sessions) > 0 {
+	if isKnown && known.GetAddress() == r.GetWorker().GetAddress() {
+		l.acceptReport(r, known, done)
+		return
+	}
+	if sessions := l.contradicted(r.GetWorker()); len(sessions) > 0 {
 		l.verify(r.GetWorker(), sessions, func(verdict claimVerdict, err error) {
 			switch {
 			case err != nil:
