--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -56,7 +56,7 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker and FaultOddReports, which planShrinks and planOddReports add.
+// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker and FaultOddReports, which planWorkerFaults adds.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -118,22 +118,26 @@
 			}
 		}
 	}
-	faults = append(faults, planShrinks(seed, size, length)...)
-	faults = append(faults, planOddReports(seed, size, length)...)
+	faults = append(faults, planWorkerFaults(FaultShrinkWorker, shrinksPerSecond, seed, shrinkStream, size, length)...)
+	faults = append(faults, planWorkerFaults(FaultOddReports, oddReportsPerSecond, seed, oddReportStream, size, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
-// shrinksPerSecond is the mean rate of workers that shrink.
-const shrinksPerSecond = 0.4
+const (
+	// shrinksPerSecond is the mean rate of workers that shrink.
+	shrinksPerSecond = 0.4
+	// shrinkStream and oddReportStream number the random streams of these kinds.
+	shrinkStream, oddReportStream = 6, 9
+)
 
-// planShrinks generates the capacity changes of a run. They come from a random stream of their own, so that the other faults of
-// a seed stay what they were before there were capacity changes.
-func planShrinks(seed uint64, size Size, length time.Duration) []Fault {
-	r := rand.New(rand.NewPCG(seed, 6))
+// planWorkerFaults generates faults of one kind on workers, perSecond on average. They come from a random stream of their own, so that
+// the other faults of a seed stay what they were before there was this kind.
+func planWorkerFaults(kind FaultKind, perSecond float64, seed, stream uint64, size Size, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, stream))
 	var faults []Fault
-	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / shrinksPerSecond * float64(time.Second)) {
-		faults = append(faults, Fault{Kind: FaultShrinkWorker, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))),
+	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)) {
+		faults = append(faults, Fault{Kind: kind, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))),
 			Subject: r.IntN(size.Workers), Other: r.IntN(1 << 16)})
 	}
 	return faults
--- a/internal/emulator/odd.go
+++ b/internal/emulator/odd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -39,17 +38,6 @@
 	func(r *pb.PoolReport) { r.ClockMs = 1 << 52 },
 }
 
-// planOddReports generates the odd reports of a run, from a random stream of their own as planShrinks does.
-func planOddReports(seed uint64, size Size, length time.Duration) []Fault {
-	r := rand.New(rand.NewPCG(seed, 9))
-	var faults []Fault
-	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / oddReportsPerSecond * float64(time.Second)) {
-		faults = append(faults, Fault{Kind: FaultOddReports, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))),
-			Subject: r.IntN(size.Workers), Other: r.IntN(1 << 16)})
-	}
-	return faults
-}
-
 // sendOddReports sends reports of another writer that name a worker, to all control VMs in turn.
 func (h *host) sendOddReports(ctx context.Context, f Fault) {
 	for n, until := f.Other, time.Now().Add(f.Duration); ctx.Err() == nil && time.Now().Before(until); n++ {
