--- a/internal/submission/suspect.go
+++ b/internal/submission/suspect.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// suspectUnproven records the same of a worker that may only be cut off.
+// suspectUnproven records an attempt that may have crashed its worker, unless the worker is only cut off.
 func (s *State) suspectUnproven(on Incarnation, a *pb.SuspectAttempt) {
 	ref := RefOf(a.GetTask())
 	w, t := s.workers[on.ID], s.Task(ref)
