Workers that no control VM reaches are called by intake VMs

Cause: the system knew one way to a worker. Below 100 workers only the leader called it, above that control VMs. Workers that were cut off from these and still reached by intake VMs counted as silent; their leases ran out, their tasks were placed on the workers that were left, and the rest waited. Class: what one observer cannot reach is taken for gone, though another one reaches it.

Change: intake VMs offer themselves to the leader with the question that they ask it anyway. A worker that a hold does not reach is called over the next route: intake VMs and control VMs in turn, on sites of every size. The preferred route is tried every 5 s beside it. Only holds judge a route, so that a worker which leaves orders unanswered stays where it is, and neither a cancelled call nor a silent agent counts against the worker. relay.TestRouteToWorkerIsStable therefore calls Hold instead of Stop, and checks the return to the agent once it answers again (before: whatever it answers); a failed trial of the preferred route no longer interrupts the one that works.

--- a/cmd/lentilyard/fleet.go
+++ b/cmd/lentilyard/fleet.go
@@ -126,7 +126,9 @@
 }
 
 func runIntake(ctx context.Context, file string, s *pb.FleetSettings, log zerolog.Logger) error {
-	node, err := intake.New(s, log)
+	workers := platform.NewWorkers(log)
+	defer workers.Close()
+	node, err := intake.New(s, workers, log)
 	if err != nil {
 		return err
 	}
@@ -152,6 +154,7 @@
 	}
 	grace := s.GetBounds().GetGrace().AsDuration()
 	draining.Store(true)
+	node.Drain()
 	log.Info().Str("event", "draining").Dur("grace_ms", grace).Msg("")
 	// Requests are still accepted until the load balancer has noticed that this VM is not ready.
 	time.Sleep(min(balancerProbeDelay, grace/2))
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -15,7 +15,12 @@
 
 // registerHandlers registers the methods that other VMs call on this one.
 func (c *Control) registerHandlers() {
-	registerHandler(c, fleet.MethodMembers, func(context.Context, *pb.MembersRequest) proto.Message { return c.membersAnswer() })
+	registerHandlerFrom(c, fleet.MethodMembers, func(_ context.Context, from string, r *pb.MembersRequest) proto.Message {
+		if r.GetFailureDomain() != "" {
+			c.relay.RecordIntake(from, r.GetFailureDomain())
+		}
+		return c.membersAnswer()
+	})
 	registerHandler(c, fleet.MethodSubmit, func(ctx context.Context, r *pb.IntakeSubmit) proto.Message { return c.submit(ctx, r) })
 	registerHandler(c, fleet.MethodState, func(ctx context.Context, r *pb.IntakeLookup) proto.Message { return c.lookup(ctx, r) })
 	registerHandler(c, fleet.MethodCancel, func(ctx context.Context, r *pb.IntakeLookup) proto.Message { return c.cancelSubmission(ctx, r) })
@@ -31,12 +36,20 @@
 	*R
 	proto.Message
 }](c *Control, method string, f func(context.Context, P) proto.Message) {
-	c.transport.HandleCall(method, func(ctx context.Context, _ string, request []byte) (proto.Message, error) {
+	registerHandlerFrom(c, method, func(ctx context.Context, _ string, request P) proto.Message { return f(ctx, request) })
+}
+
+// registerHandlerFrom serves method with f, which gets the id of the calling VM and the decoded request.
+func registerHandlerFrom[R any, P interface {
+	*R
+	proto.Message
+}](c *Control, method string, f func(ctx context.Context, from string, request P) proto.Message) {
+	c.transport.HandleCall(method, func(ctx context.Context, from string, request []byte) (proto.Message, error) {
 		decoded := P(new(R))
 		if err := proto.Unmarshal(request, decoded); err != nil {
 			return nil, errs.From(fmt.Errorf("decode %s: %w", method, err))
 		}
-		return f(ctx, decoded), nil
+		return f(ctx, from, decoded), nil
 	})
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -218,14 +218,14 @@
 	return status.Role == replica.RoleLeader && status.Term == term
 }
 
-// followMembers periodically closes connections to VMs that are neither members of the group nor seeds.
+// followMembers periodically closes connections to VMs that are neither members of the group nor seeds nor make calls for this VM.
 func (c *Control) followMembers() {
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			c.transport.KeepOnly(append(c.members(), fleet.SeedVMs(c.settings)...))
+			c.transport.KeepOnly(slices.Concat(c.members(), fleet.SeedVMs(c.settings), c.relay.IntakesInUse()))
 		case <-c.ctx.Done():
 			return
 		}
@@ -237,7 +237,7 @@
 // (docs/CAPACITY.md).
 const relayThreshold = 100
 
-// useRelay reports whether calls to workers are made by other control VMs.
+// useRelay reports whether calls to workers are made by other control VMs even if this VM could make them.
 func (c *Control) useRelay() bool { return c.leader.Workers() >= relayThreshold }
 
 // announce periodically tells the leader that this VM can make calls for it.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -74,6 +75,14 @@
 	}
 }
 
+// AwaitConnection implements relay.Messenger.
+func (t *Transport) AwaitConnection(ctx context.Context, to string) error {
+	if err := t.Connect(to); err != nil {
+		return err
+	}
+	return t.WaitReachable(ctx, to)
+}
+
 // KeepOnly removes all peers that are not in vms and closes their connections.
 func (t *Transport) KeepOnly(vms []string) {
 	for _, vm := range t.Peers() {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
 // Package intake implements an intake VM, which accepts the requests of callers and forwards them to the leader of the
-// control VMs. It keeps no persistent state.
+// control VMs. It also calls the workers that no control VM reaches, for the leader. It keeps no persistent state.
 package intake
 
 import (
@@ -13,8 +13,10 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lentilyard/lentilyard/internal/dispatch"
 	"github.com/lentilyard/lentilyard/internal/fleet"
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/relay"
 )
 
 const (
@@ -43,11 +45,14 @@
 	ErrOutcomeUnknown = errors.New("the control VMs did not answer in time; repeat the request with the same id")
 )
 
-// Intake forwards requests to the leader of the control VMs.
+// Intake forwards requests to the leader of the control VMs and calls workers for it.
 type Intake struct {
-	log       zerolog.Logger
-	transport *fleet.Transport
-	seeds     []string
+	log           zerolog.Logger
+	transport     *fleet.Transport
+	relay         *relay.Relay
+	failureDomain string
+	draining      atomic.Bool
+	seeds         []string
 
 	mu      sync.Mutex
 	members []string
@@ -61,8 +66,9 @@
 	goroutines   sync.WaitGroup
 }
 
-// New opens the transport, connects to the seed VMs and starts to follow the members and the leader of the control VMs.
-func New(s *pb.FleetSettings, log zerolog.Logger) (*Intake, error) {
+// New opens the transport, connects to the seed VMs and starts to follow the members and the leader of the control VMs. caller makes
+// calls to workers from this VM.
+func New(s *pb.FleetSettings, caller dispatch.Caller, log zerolog.Logger) (*Intake, error) {
 	if err := fleet.Validate(s, false); err != nil {
 		return nil, err
 	}
@@ -70,7 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &Intake{log: log, transport: transport, seeds: fleet.SeedVMs(s), start: time.Now()}
+	i := &Intake{log: log, transport: transport, failureDomain: s.GetFailureDomain(), seeds: fleet.SeedVMs(s), start: time.Now()}
+	i.relay = relay.New(relay.Config{ID: s.GetId(), FailureDomain: s.GetFailureDomain(), Intake: true, Local: caller, Messenger: transport, Logger: log})
+	transport.Handle(relay.Channel, i.relay.Handle)
 	i.leaderSeenAt.Store(-1)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.members = i.seeds
@@ -83,9 +91,13 @@
 	return i, nil
 }
 
-// Close cancels the background queries and closes the transport.
+// Drain tells the leader that this VM will stop, so that it gets no more calls to workers.
+func (i *Intake) Drain() { i.draining.Store(true) }
+
+// Close cancels the background queries and the calls to workers, and closes the transport.
 func (i *Intake) Close() error {
 	i.cancel()
+	i.relay.Close()
 	i.goroutines.Wait()
 	return i.transport.Close()
 }
@@ -137,8 +149,11 @@
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, membersTimeout)
 	defer cancel()
-	answer := &pb.MembersAnswer{}
-	if err := i.transport.Call(ctx, vm, fleet.MethodMembers, &pb.MembersRequest{}, answer); err != nil {
+	request, answer := &pb.MembersRequest{}, &pb.MembersAnswer{}
+	if !i.draining.Load() {
+		request.FailureDomain = i.failureDomain
+	}
+	if err := i.transport.Call(ctx, vm, fleet.MethodMembers, request, answer); err != nil {
 		i.forgetLeader(vm)
 		return
 	}
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -66,7 +66,7 @@
 		return
 	}
 	message := b.message
-	message.FailureDomain = r.cfg.FailureDomain
+	message.FailureDomain, message.FromIntake = r.cfg.FailureDomain, r.cfg.Intake
 	b.message, b.bytes = &pb.RelayMessage{}, 0
 	r.mu.Unlock()
 	payload, err := proto.Marshal(message)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,21 +7,67 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Agent is a control VM that makes calls to workers for the leader.
+// Agent is another VM that makes calls to workers for the leader.
 type Agent struct {
 	ID, FailureDomain string
 }
 
-// ChooseAgent returns the agent that calls a worker after the given number of routes to it have failed, or "" for the
-// leader itself.
+// Candidates are the VMs that can call workers now.
+type Candidates struct {
+	// Control lists the other control VMs, Intake the intake VMs.
+	Control, Intake []Agent
+	// LeaderFirst is true if the leader makes the calls that it can make itself. Otherwise it leaves them to agents.
+	LeaderFirst bool
+}
+
+// Choose returns the VM that calls a worker after the given number of routes to it have failed, or "" for the leader itself.
+//
+// The first route leads over a control VM. After that intake VMs and control VMs take turns, because a partition between a worker and
+// one control VM often separates it from all of them.
+func (c Candidates) Choose(worker, failureDomain string, failedRoutes int) string {
+	if len(c.Intake) == 0 {
+		return c.chooseControl(worker, failureDomain, failedRoutes)
+	}
+	round := failedRoutes / 2
+	if failedRoutes%2 == 0 {
+		return c.chooseControl(worker, failureDomain, round)
+	}
+	sameDomain, otherDomains := nearAndFar(c.Intake, worker, failureDomain)
+	order := slices.Concat(sameDomain, otherDomains)
+	return order[round%len(order)]
+}
+
+func (c Candidates) chooseControl(worker, failureDomain string, failedRoutes int) string {
+	if !c.LeaderFirst {
+		return ChooseAgent(c.Control, worker, failureDomain, failedRoutes)
+	}
+	sameDomain, otherDomains := nearAndFar(c.Control, worker, failureDomain)
+	order := slices.Concat([]string{""}, sameDomain, otherDomains)
+	return order[failedRoutes%len(order)]
+}
+
+// ChooseAgent returns the control VM that calls a worker after the given number of routes to it have failed, or "" for the
+// leader itself, if calls are left to agents.
 //
 // Agents in the worker's failure domain come first. Hashing distributes the workers among them, so that calls cross domains
 // only once and a worker keeps its connections when the leader changes. If these agents do not reach the worker, the leader
 // is next and agents in other domains follow. In a domain without agents, agents in other domains come first and the
 // leader, which has the highest load, is last.
 func ChooseAgent(alive []Agent, worker, failureDomain string, failedRoutes int) string {
-	var sameDomain, otherDomains []string
-	for _, a := range alive {
+	sameDomain, otherDomains := nearAndFar(alive, worker, failureDomain)
+	order := slices.Concat(sameDomain, otherDomains)
+	if len(sameDomain) > 0 || len(otherDomains) == 0 {
+		order = slices.Concat(sameDomain, []string{""}, otherDomains)
+	} else {
+		order = append(order, "")
+	}
+	return order[failedRoutes%len(order)]
+}
+
+// nearAndFar returns the ids of the agents in the worker's failure domain and of the others, each list in an order that differs by
+// worker and depends on nothing else.
+func nearAndFar(agents []Agent, worker, failureDomain string) (sameDomain, otherDomains []string) {
+	for _, a := range agents {
 		if a.FailureDomain == failureDomain {
 			sameDomain = append(sameDomain, a.ID)
 		} else {
@@ -33,11 +79,5 @@
 	}
 	slices.SortFunc(sameDomain, byHash)
 	slices.SortFunc(otherDomains, byHash)
-	order := slices.Concat(sameDomain, otherDomains)
-	if len(sameDomain) > 0 || len(otherDomains) == 0 {
-		order = slices.Concat(sameDomain, []string{""}, otherDomains)
-	} else {
-		order = append(order, "")
-	}
-	return order[failedRoutes%len(order)]
+	return sameDomain, otherDomains
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,11 +1,13 @@
-// Package relay distributes calls to workers over the control VMs. The leader decides on every call; another control VM, its
-// agent, makes the call and returns the answer. Without agents, the leader of a few hundred workers spends most of its
-// processor time on HTTP.
+// Package relay makes calls to workers by way of other VMs. The leader decides on every call; another VM, its agent, makes the call
+// and returns the answer. There are two reasons for it:
+//
+//   - The leader of a few hundred workers would spend most of its processor time on HTTP, so other control VMs make its calls.
+//   - A worker that runs on may be out of reach of the leader, or of all control VMs. Whatever the number of workers, one that the
+//     preferred route does not reach is called over the next: by intake VMs and the other control VMs in turn.
 //
 // Agents keep no state that affects correctness. The calls themselves protect the workers: they carry the leader's fencing
 // token, leases that end at a time on the worker's clock, and attempts that a worker starts only once. A call that an agent
-// makes late is therefore no more harmful than one that the network delays. An agent that does not answer is skipped, and a
-// worker that an agent cannot reach is called by the next one.
+// makes late is therefore no more harmful than one that the network delays. An agent that does not answer is skipped.
 package relay
 
 import (
@@ -38,9 +40,11 @@
 	// maxAgentCalls bounds the concurrent calls of an agent, and with them the memory that they use. Most are long polls, one
 	// for each worker; at the target size of a deployment an agent has 2,000 workers.
 	maxAgentCalls = 8192
-	// rerouteDuration is how long a worker that was not reached is called over another route before the preferred route is
-	// tried again.
-	rerouteDuration = 20 * time.Second
+	// intakeTimeout is how long after it was last heard an intake VM still gets calls: five intervals at which intake VMs ask the leader
+	// for the members.
+	intakeTimeout = 2 * time.Second
+	// intakeUseTimeout is how long after its last call an intake VM counts as in use.
+	intakeUseTimeout = 15 * time.Second
 	// agentRetention is how long after its last message an agent is removed.
 	agentRetention = time.Minute
 	// answerMargin is the part of a call's timeout that an agent reserves for its answer to reach the leader.
@@ -52,11 +56,15 @@
 	executedTotal   = metrics.NewCounter("lentilyard_relay_made_total")
 	expiredTotal    = metrics.NewCounter("lentilyard_relay_expired_total")
 	unansweredTotal = metrics.NewCounter("lentilyard_relay_silent_total")
+	// failedRoutesTotal counts how often a route to a worker was given up for the next one.
+	failedRoutesTotal = metrics.NewCounter("lentilyard_relay_failed_routes_total")
 )
 
 // Messenger sends messages to other VMs. A message may be lost.
 type Messenger interface {
 	Send(to, channel string, payload []byte)
+	// AwaitConnection connects to a VM unless it is connected, and returns once messages can be sent to it.
+	AwaitConnection(ctx context.Context, to string) error
 }
 
 // Config configures a Relay.
@@ -64,11 +72,13 @@
 	// ID is the id of this VM.
 	ID            string
 	FailureDomain string
+	// Intake is true on an intake VM, which is never a leader.
+	Intake bool
 	// Local makes calls from this VM.
 	Local     dispatch.Caller
 	Messenger Messenger
 	Logger    zerolog.Logger
-	// UseAgents reports whether calls are given to agents; otherwise this VM makes all of them.
+	// UseAgents reports whether calls are given to agents; otherwise this VM makes all that it can make itself. It may be nil on an intake VM.
 	UseAgents func() bool
 	// Clock returns a monotonic time that includes suspensions of the VM. The default is boottime.Now.
 	Clock func() time.Duration
@@ -82,26 +92,21 @@
 	cancel  context.CancelFunc
 	pool    pond.Pool
 
-	mu       sync.Mutex // guards the fields below
-	lastID   uint64
-	pending  map[uint64]chan<- *pb.RelayAnswer
-	agents   map[string]*agent
-	reroutes map[string]*reroute // by worker id
-	batches  map[string]*batch
-}
-
-// reroute counts the failed routes to a worker, so that it is called over another one.
-type reroute struct {
-	failedRoutes int
-	// unanswered is true after a single call that the agent did not answer. The call or its answer may just have been lost.
-	unanswered bool
-	since      time.Duration
+	mu             sync.Mutex // guards the fields below
+	lastID         uint64
+	pending        map[uint64]chan<- *pb.RelayAnswer
+	agents         map[string]*agent // the other control VMs
+	intakes        map[string]*agent // the intake VMs
+	failed         map[routeKey]*failedRoutes
+	nextRouteSweep time.Duration
+	batches        map[string]*batch
 }
 
-// agent is the state that this VM keeps of another control VM.
+// agent is the state that this VM keeps of another control VM or of an intake VM.
 type agent struct {
 	failureDomain string
 	lastHeard     time.Duration
+	lastCalled    time.Duration // when a message to an intake VM was last queued
 	suspectUntil  time.Duration
 }
 
@@ -114,7 +119,8 @@
 	_, _ = rand.Read(process[:]) // never fails
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Relay{cfg: cfg, process: binary.NativeEndian.Uint64(process[:]), ctx: ctx, cancel: cancel, pool: pond.NewPool(maxAgentCalls, pond.WithContext(ctx)),
-		pending: map[uint64]chan<- *pb.RelayAnswer{}, agents: map[string]*agent{}, reroutes: map[string]*reroute{}, batches: map[string]*batch{}}
+		pending: map[uint64]chan<- *pb.RelayAnswer{}, agents: map[string]*agent{}, intakes: map[string]*agent{},
+		failed: map[routeKey]*failedRoutes{}, batches: map[string]*batch{}}
 }
 
 // Close cancels all calls that this VM makes for others.
@@ -134,7 +140,11 @@
 		r.cfg.Logger.Warn().Str("event", "malformed-message").Str("channel", Channel).Str("from", from).Err(err).Msg("")
 		return
 	}
-	r.recordAgent(from, m.GetFailureDomain())
+	if m.GetFromIntake() {
+		r.RecordIntake(from, m.GetFailureDomain())
+	} else {
+		r.recordAgent(from, m.GetFailureDomain())
+	}
 	receivedAt := r.cfg.Clock()
 	for _, c := range m.GetCalls() {
 		r.pool.Submit(func() { r.handleCall(from, c, receivedAt) })
@@ -144,25 +154,90 @@
 	}
 }
 
-// recordAgent records that a message of another VM has arrived.
-func (r *Relay) recordAgent(from, failureDomain string) {
+// recordAgent records that a message of another control VM has arrived.
+func (r *Relay) recordAgent(vm, failureDomain string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordHeard(r.agents, vm, failureDomain)
+}
+
+// RecordIntake records that an intake VM has been heard which can make calls to workers.
+func (r *Relay) RecordIntake(vm, failureDomain string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordHeard(r.intakes, vm, failureDomain)
+}
+
+// recordHeard updates one of the lists of VMs. If the VM is new there, those that have been silent for long are removed. The caller
+// holds r.mu.
+func (r *Relay) recordHeard(vms map[string]*agent, vm, failureDomain string) {
 	now := r.cfg.Clock()
-	a := r.agents[from]
+	a := vms[vm]
 	if a == nil {
-		for id, other := range r.agents {
+		for id, other := range vms {
 			if now-other.lastHeard > agentRetention {
-				delete(r.agents, id)
+				delete(vms, id)
 				delete(r.batches, id)
 			}
 		}
 		a = &agent{}
-		r.agents[from] = a
+		vms[vm] = a
 	}
 	a.failureDomain, a.lastHeard = failureDomain, now
 }
 
+// agentState returns the state of a VM, or nil if it is not known. The caller holds r.mu.
+func (r *Relay) agentState(vm string) *agent {
+	if a := r.agents[vm]; a != nil {
+		return a
+	}
+	return r.intakes[vm]
+}
+
+// isIntake reports whether a VM is a known intake VM, and if so records that it is called.
+func (r *Relay) isIntake(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.intakes[vm]
+	if a == nil {
+		return false
+	}
+	a.lastCalled = r.cfg.Clock()
+	return true
+}
+
+// IntakesInUse returns the intake VMs that make calls for this VM.
+func (r *Relay) IntakesInUse() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var vms []string
+	now := r.cfg.Clock()
+	for id, a := range r.intakes {
+		if a.lastCalled > 0 && now-a.lastCalled < intakeUseTimeout {
+			vms = append(vms, id)
+		}
+	}
+	return vms
+}
+
+// AgentFor returns the control VM that calls a worker unless calls through it fail, or "" for this VM.
+func (r *Relay) AgentFor(worker, failureDomain string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return ChooseAgent(alive(r.agents, r.cfg.Clock(), agentTimeout), worker, failureDomain, 0)
+}
+
+// alive returns the VMs that were heard within a timeout and are not suspected.
+func alive(vms map[string]*agent, now, timeout time.Duration) []Agent {
+	var list []Agent
+	for id, a := range vms {
+		if now-a.lastHeard < timeout && now >= a.suspectUntil {
+			list = append(list, Agent{id, a.failureDomain})
+		}
+	}
+	return list
+}
+
 // deliverAnswer passes an answer to the call that waits for it.
 func (r *Relay) deliverAnswer(a *pb.RelayAnswer) {
 	if a.GetProcess() != r.process {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -51,6 +51,17 @@
 	time.AfterFunc(n.delay, func() { relay.Handle(p.from, payload) })
 }
 
+// AwaitConnection succeeds unless one of the two VMs is isolated.
+func (p endpoint) AwaitConnection(ctx context.Context, to string) error {
+	p.network.mu.Lock()
+	cut := p.network.cut[p.from] || p.network.cut[to]
+	p.network.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
 // recordingCaller records the calls that one VM makes.
 type recordingCaller struct {
 	mu    sync.Mutex
@@ -122,11 +133,11 @@
 	time.Sleep(time.Second) // lets the timers of batches expire
 }
 
-// clearReroutes makes the relay forget failed routes.
-func (r *Relay) clearReroutes() {
+// clearFailedRoutes makes the relay forget failed routes.
+func (r *Relay) clearFailedRoutes() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.reroutes)
+	clear(r.failed)
 }
 
 var worker = dispatch.Target{Incarnation: submission.Incarnation{ID: "w", BornUnixMs: 9}, Address: "10.0.0.1:80", FailureDomain: "d", Fence: 6}
@@ -166,14 +177,14 @@
 		defer n.close()
 		for _, want := range outcomeErrors {
 			agentCaller.setError(want)
-			leader.clearReroutes()
+			leader.clearFailedRoutes()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			_, err := leader.Stop(ctx, dispatch.StopCall{Target: worker})
 			cancel()
 			is.True(errors.Is(err, want))
 		}
 		agentCaller.setError(errors.New("something new"))
-		leader.clearReroutes()
+		leader.clearFailedRoutes()
 		_, err := leader.Stop(t.Context(), dispatch.StopCall{Target: worker})
 		is.True(errors.Is(err, dispatch.ErrNoAnswer)) // may have been executed
 	})
@@ -328,7 +339,7 @@
 		call := func(within time.Duration) {
 			ctx, cancel := context.WithTimeout(t.Context(), within)
 			defer cancel()
-			_, _ = leader.Stop(ctx, dispatch.StopCall{Target: worker})
+			_, _ = leader.Hold(ctx, dispatch.HoldCall{Target: worker})
 		}
 		stop := make(chan struct{})
 		defer close(stop)
@@ -349,10 +360,14 @@
 		call(time.Second)
 		call(time.Second)
 		is.Equal(len(leaderCaller.recorded()), 1)
-		time.Sleep(rerouteDuration + time.Second)
-		before := len(agentCaller.recorded())
+		time.Sleep(preferredRetryInterval + time.Second)
+		agentCaller.setError(nil)
+		call(time.Second) // the agent is tried beside it
+		time.Sleep(preferredRetryTimeout)
+		before, leaderCalls := len(agentCaller.recorded()), len(leaderCaller.recorded())
 		call(time.Second)
 		is.Equal(len(agentCaller.recorded()), before+1)
+		is.Equal(len(leaderCaller.recorded()), leaderCalls)
 	})
 }
 
--- /dev/null
+++ b/internal/relay/route.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lentilyard/lentilyard/internal/dispatch"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+const (
+	// preferredRetryInterval is the interval at which the preferred route to a worker is tried while another one is in use.
+	preferredRetryInterval = 5 * time.Second
+	// preferredRetryTimeout bounds such a trial.
+	preferredRetryTimeout = 800 * time.Millisecond
+	// routeRetention is how long the failed routes to a worker that is no longer called are remembered.
+	routeRetention = time.Minute
+	// routeSweepInterval is the minimum time between two removals of old records.
+	routeSweepInterval = 10 * time.Second
+)
+
+// routeKey identifies a worker incarnation at an address.
+type routeKey struct {
+	incarnation submission.Incarnation
+	address     string
+}
+
+func keyOf(t dispatch.Target) routeKey { return routeKey{t.Incarnation, t.Address} }
+
+// route is a way to call a worker.
+type route struct {
+	// via is the VM that makes the call, "" for this VM.
+	via string
+	// number is the number of routes that had failed when this one was chosen.
+	number int
+}
+
+// failedRoutes records that routes to a worker have failed, so that it is called over another one.
+type failedRoutes struct {
+	count int
+	// unanswered is true after a single call that the agent did not answer. The call or its answer may just have been lost.
+	unanswered bool
+	// announced is the number of the route whose use was logged last.
+	announced int
+	retryAt   time.Duration // when the preferred route is tried again
+	usedAt    time.Duration
+}
+
+// route returns the route over which a worker is called now.
+func (r *Relay) route(t dispatch.Target) route {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock()
+	failed := r.failed[keyOf(t)]
+	if failed == nil || failed.count == 0 {
+		return r.routeNumber(t, 0, now)
+	}
+	failed.usedAt = now
+	if now >= failed.retryAt {
+		failed.retryAt = now + preferredRetryInterval
+		preferred := r.routeNumber(t, 0, now)
+		r.pool.Submit(func() { r.retryPreferred(t, preferred) })
+	}
+	return r.routeNumber(t, failed.count, now)
+}
+
+// routeNumber returns the route to a worker after the given number of routes have failed. The caller holds r.mu.
+func (r *Relay) routeNumber(t dispatch.Target, number int, now time.Duration) route {
+	candidates := Candidates{LeaderFirst: !r.cfg.UseAgents()}
+	if number == 0 && candidates.LeaderFirst {
+		return route{}
+	}
+	candidates.Control = alive(r.agents, now, agentTimeout)
+	if number > 0 {
+		candidates.Intake = alive(r.intakes, now, intakeTimeout)
+	}
+	return route{candidates.Choose(t.Incarnation.ID, t.FailureDomain, number), number}
+}
+
+// retryPreferred finds out whether the preferred route to a worker works again. Its hold changes nothing on the worker.
+func (r *Relay) retryPreferred(t dispatch.Target, preferred route) {
+	ctx, cancel := context.WithTimeout(r.ctx, preferredRetryTimeout)
+	defer cancel()
+	_, err := r.holdVia(ctx, preferred.via, dispatch.HoldCall{Target: t})
+	r.recordHold(ctx, t, preferred, err)
+}
+
+// recordHold records the result of a hold over a route. Only holds tell whether a route works: one is always in progress, and a worker
+// that leaves orders unanswered can still be reached.
+func (r *Relay) recordHold(ctx context.Context, t dispatch.Target, used route, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) && err != nil || errors.Is(err, errAgentSilent) {
+		return // it is not known whether the worker can be reached
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failed := r.failed[keyOf(t)]
+	if !errors.Is(err, dispatch.ErrNoAnswer) {
+		r.routeWorks(t, failed, used)
+		return
+	}
+	if failed == nil {
+		failed = r.addFailedRoutes(t)
+	}
+	switch {
+	case failed.count != used.number: // the worker is called over another route already
+	case errors.Is(err, errAnswerLost) && !failed.unanswered:
+		failed.unanswered = true
+	default:
+		failed.count++
+		failed.unanswered = false
+		failedRoutesTotal.Inc()
+	}
+}
+
+// routeWorks records that a worker was reached over a route, which is used from now on if it comes before the present one.
+func (r *Relay) routeWorks(t dispatch.Target, failed *failedRoutes, used route) {
+	if failed == nil || used.number > failed.count {
+		return
+	}
+	if failed.announced != used.number {
+		failed.announced = used.number
+		r.cfg.Logger.Info().Str("event", "route-changed").Str("worker", t.Incarnation.ID).Str("via", used.via).Int("failed_routes", used.number).Msg("")
+	}
+	if failed.count, failed.unanswered = used.number, false; failed.count == 0 {
+		delete(r.failed, keyOf(t))
+	}
+}
+
+// addFailedRoutes adds a record for a worker. The caller holds r.mu.
+func (r *Relay) addFailedRoutes(t dispatch.Target) *failedRoutes {
+	now := r.cfg.Clock()
+	if now >= r.nextRouteSweep {
+		r.nextRouteSweep = now + routeSweepInterval
+		for key, failed := range r.failed {
+			if now-failed.usedAt > routeRetention {
+				delete(r.failed, key)
+			}
+		}
+	}
+	failed := &failedRoutes{usedAt: now, retryAt: now + preferredRetryInterval}
+	r.failed[keyOf(t)] = failed
+	return failed
+}
--- /dev/null
+++ b/internal/relay/route_test.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/dispatch"
+)
+
+// fleet is a leader that calls workers itself, another control VM and two intake VMs.
+type fleet struct {
+	*network
+	leader  *Relay
+	callers map[string]*recordingCaller
+}
+
+var fleetVMs = []string{"leader", "control", "intake-1", "intake-2"}
+
+// withFleet runs f in virtual time with a fleet whose VMs announce themselves until f returns.
+func withFleet(t *testing.T, f func(is *is.I, fl *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{relays: map[string]*Relay{}, cut: map[string]bool{}, delay: time.Millisecond}
+		defer n.close()
+		fl, begin := &fleet{network: n, callers: map[string]*recordingCaller{}}, time.Now()
+		for _, id := range fleetVMs {
+			fl.callers[id] = &recordingCaller{}
+			n.relays[id] = New(Config{ID: id, FailureDomain: "d", Intake: id != "leader" && id != "control", Local: fl.callers[id], Messenger: endpoint{n, id},
+				Logger: zerolog.Nop(), UseAgents: func() bool { return false }, Clock: func() time.Duration { return time.Since(begin) + time.Hour }})
+		}
+		fl.leader = n.relays["leader"]
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				for _, id := range fleetVMs[1:] {
+					n.relays[id].Announce("leader")
+				}
+				time.Sleep(AnnounceInterval)
+			}
+		}()
+		time.Sleep(AnnounceInterval)
+		f(is.New(t), fl)
+	})
+}
+
+// reach makes only the named VMs reach the worker.
+func (f *fleet) reach(ids ...string) {
+	for _, caller := range f.callers {
+		caller.setError(dispatch.ErrNoAnswer)
+	}
+	for _, id := range ids {
+		f.callers[id].setError(nil)
+	}
+}
+
+func (f *fleet) hold() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := f.leader.Hold(ctx, dispatch.HoldCall{Target: worker})
+	return err
+}
+
+// holdsUntilAnswered returns how many holds are made until one is answered, at most 20.
+func (f *fleet) holdsUntilAnswered() int {
+	for n := 1; n < 20; n++ {
+		if f.hold() == nil {
+			return n
+		}
+	}
+	return 20
+}
+
+// Guards against a worker whose tasks are lost because no control VM reaches it, though an intake VM does.
+func TestWorkerCutOffFromControlVMsIsCalledByIntakeVMs(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		is.Equal(f.holdsUntilAnswered(), 1)
+		is.Equal(len(f.callers["leader"].recorded()), 1)
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		_, err := f.leader.Start(context.Background(), dispatch.StartCall{Target: worker})
+		is.NoErr(err)
+		is.Equal(f.holdsUntilAnswered(), 1)
+	})
+}
+
+// Guards against the same for a worker that only some of the other VMs reach, whichever they are.
+func TestWorkerReachedByOneVMIsCalledByIt(t *testing.T) {
+	for _, id := range fleetVMs {
+		withFleet(t, func(is *is.I, f *fleet) {
+			f.reach(id)
+			is.True(f.holdsUntilAnswered() <= len(fleetVMs))
+			is.Equal(f.holdsUntilAnswered(), 1)
+		})
+	}
+}
+
+// Guards against a worker that counts as lost because the intake VM that calls it is cut off from the leader or has ended.
+func TestIntakeVMThatIsSilentIsSkipped(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		used := f.leader.IntakesInUse()
+		is.Equal(len(used), 1)
+		f.mu.Lock()
+		f.cut[used[0]] = true
+		f.mu.Unlock()
+		is.True(f.holdsUntilAnswered() <= 3)
+		is.Equal(len(f.leader.IntakesInUse()), 2)
+	})
+}
+
+// Guards against a worker that is called by intake VMs for ever after the leader reaches it again.
+func TestPreferredRouteIsUsedAgain(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		time.Sleep(preferredRetryInterval)
+		is.NoErr(f.hold()) // the preferred route is tried beside it, in vain
+		time.Sleep(preferredRetryTimeout)
+		is.NoErr(f.hold())
+		f.reach(fleetVMs...)
+		time.Sleep(preferredRetryInterval)
+		is.NoErr(f.hold())
+		time.Sleep(preferredRetryTimeout)
+		before := len(f.callers["leader"].recorded())
+		is.NoErr(f.hold())
+		is.Equal(len(f.callers["leader"].recorded()), before+1)
+	})
+}
+
+// Guards against workers that are called by other VMs because they leave orders unanswered, or because a call to them was cancelled.
+func TestUnansweredOrderDoesNotChangeRoute(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		_, err := f.leader.Start(context.Background(), dispatch.StartCall{Target: worker})
+		is.True(errors.Is(err, dispatch.ErrNoAnswer))
+		cancelled, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = f.leader.Hold(cancelled, dispatch.HoldCall{Target: worker})
+		is.True(errors.Is(err, dispatch.ErrNoAnswer))
+		f.reach("leader")
+		is.Equal(f.holdsUntilAnswered(), 1)
+		is.Equal(len(f.leader.IntakesInUse()), 0)
+	})
+}
+
+// Guards against records of routes that stay in memory for workers that are no longer called.
+func TestFailedRoutesOfFormerWorkersAreForgotten(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach()
+		is.True(f.hold() != nil)
+		time.Sleep(routeRetention + time.Second)
+		other := worker
+		other.Incarnation.ID = "other"
+		_, err := f.leader.Hold(context.Background(), dispatch.HoldCall{Target: other})
+		is.True(err != nil)
+		is.Equal(len(f.leader.failed), 1)
+	})
+}
+
+// Guards against VMs that are never tried, and against a worker that waits for all control VMs before an intake VM is tried.
+func TestControlAndIntakeVMsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	c := Candidates{Control: []Agent{{"c1", "a"}, {"c2", "b"}}, Intake: []Agent{{"i1", "a"}, {"i2", "b"}, {"i3", "b"}}, LeaderFirst: true}
+	is.Equal(c.Choose("w", "a", 0), "")
+	is.Equal(c.Choose("w", "a", 1), "i1")
+	is.Equal(c.Choose("w", "a", 2), "c1")
+	tried := map[string]bool{}
+	for n := range 6 {
+		tried[c.Choose("w", "b", n)] = true
+	}
+	is.Equal(len(tried), 6)
+	c.LeaderFirst = false
+	is.Equal(c.Choose("w", "b", 0), "c2")
+	c.Intake = nil
+	is.Equal(c.Choose("w", "b", 1), "")
+}
