A worker that restarts under its id while its reports do not arrive is used again

Workers call control VMs only. One that restarts while it is cut off from them, and that other VMs reach, stayed unknown until the partition was over: the answer of its next incarnation to a hold ended the session, and only a report could open the next one.

Evidence: dispatch.TestWorkerThatRestartsWithoutReportIsUsed fails before (0 of 2 tasks run 9 s after the restart), passes now.

Change: the incarnation that has answered is registered in its place, with what stays the same at a restart. Its labels are unknown until it reports; a worker that does not guard its capacity still gets nothing before that.

Not closed: a worker that restarts under another id answers that it is not the one that was meant, and tells neither id nor birth.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -176,6 +176,7 @@
 	if s.answeredByOther(answer) {
 		l.recordReplacement(s)
 		l.onWorkerReplaced(s, "hold")
+		l.registerSuccessor(s, answer.BornUnixMs)
 		done()
 		return
 	}
