A worker that takes the place of another one while its reports do not arrive is found

Cause: a worker under a new id is known from its report only, and reports go to control VMs. A hold that reaches it by way of an intake VM is refused as meant for another worker, which proves that the former one has ended and tells nothing else.

Change: if no worker has reported from the VM 2 s later, the leader reads the platform's list of VMs, asks the worker that it names at the address of its predecessor, and registers it once it has answered with its birth. A new leader does the same for VMs whose worker has gone without notice. The search ends when a worker is known, after a minute at most. An entry of the list whose labels or capacity cannot be believed stays in the list without them.

Evidence: dispatch.TestReplacedWorkerIsUsedWithoutReport (0 of 2 tasks run without the search, 2 with it).

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -131,6 +131,10 @@
 	Up bool
 	// Worker is the id of the worker that runs on the VM.
 	Worker string
+	Rack   string
+	Labels []string
+	// Capacity is nil if the platform does not state it.
+	Capacity *pb.Resources
 }
 
 // ErrBusy means that the platform cannot carry out an order now, for example because the VM is down.
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -199,6 +199,7 @@
 		l.log.Warn().Str("event", "fenced").Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("a newer leader has called the worker; this VM stops leading")
 		l.endTerm()
 	case errors.Is(err, ErrOtherIncarnation):
+		l.expectOtherWorker(s)
 		l.onWorkerReplaced(s, "hold")
 	case l.ctx.Err() == nil:
 		l.beginSilence(s)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -133,6 +133,7 @@
 	occurrences     map[string]*openOccurrences // by submission id
 	advice          map[stepKey]*stepAdvice
 	waves           waveState
+	successors      successorSearch
 	workers         atomic.Int64 // number of sessions, for readers outside the loop
 	ended           []string     // ids of ended submissions whose tasks have to be stopped
 	endedMu         sync.Mutex   // guards ended
@@ -209,6 +210,7 @@
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
 	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
+	l.successors = successorSearch{missing: map[string]missingSuccessor{}}
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
 
@@ -267,6 +269,7 @@
 			}
 		}
 		l.takeOverUncertainStarts(s)
+		l.takeOverMissing(s)
 		l.waves.mayOrderAt = l.firstOrderAt(len(s.Waves()) > 0)
 	})
 }
@@ -412,6 +415,7 @@
 		l.commitWorkerGone(g)
 	}
 	l.advanceWaves(now)
+	l.searchSuccessors(now)
 	l.sendPressureModel(now)
 	if now >= l.nextCleanup {
 		l.nextCleanup = now + cleanupInterval
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,3 +56,88 @@
 		is.Equal(r.describe("large"), "done")
 	})
 }
+
+// listing is a platform that names the worker on each VM.
+type listing struct {
+	mu    sync.Mutex
+	vms   []VM
+	calls int
+}
+
+func (p *listing) VMs(context.Context) ([]VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return p.vms, nil
+}
+
+func (p *listing) called() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+func (p *listing) Upkeep(context.Context, string, uint64, string, uint64) error { return nil }
+
+// replaceUnreported puts worker b in the place of worker a. The platform names it, but it does not report.
+func (r *harness) replaceUnreported(p *listing) {
+	b := newFakeWorker("b", 77)
+	b.address, b.ignoreIncarnation, b.serving = "a", true, "s"
+	r.workers.update(func() {
+		r.workers.byID["a"].incarnation.ID = "b" // which refuses calls meant for a
+		clear(r.workers.byID["a"].running)
+		r.workers.byID["b"] = b
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = []VM{{ID: "vm-a", Pool: "pool", Up: true, Worker: "b", Rack: "r", Capacity: &pb.Resources{Millicores: 4000, MemoryBytes: 100}}}
+}
+
+// Guards against a VM that stays unused because the worker on it was replaced by one under another id whose reports do not arrive.
+func TestReplacedWorkerIsUsedWithoutReport(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+			platform := &listing{}
+			r.leader.Close()
+			r.platform = platform
+			r.newLeader()
+			r.lead(6)
+			r.workers.update(func() { r.workers.byID["a"].serving = "s" })
+			r.submit("s", 2, endless)
+			time.Sleep(time.Second)
+			is.Equal(r.running("a"), 2)
+			r.replaceUnreported(platform)
+			time.Sleep(2 * holdWait) // the session with a has ended
+			if newLeader {
+				r.leader.Close()
+				r.newLeader()
+				r.lead(7)
+			}
+			time.Sleep(maxOutage)
+			is.Equal(r.running("b"), 2)
+			calls := platform.called()
+			time.Sleep(successorTimeout)
+			is.Equal(platform.called(), calls) // nothing is looked for any more
+		})
+	}
+}
+
+// Guards against a platform that is asked for ever about a worker that does not come back.
+func TestSearchForSuccessorsEnds(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		platform := &listing{}
+		r.leader.Close()
+		r.platform = platform
+		r.newLeader()
+		r.lead(6)
+		time.Sleep(time.Second)
+		r.replaceUnreported(platform)
+		r.lose("b")
+		time.Sleep(2 * successorTimeout)
+		calls := platform.called()
+		is.True(calls > 2)
+		is.True(calls < 10)
+		time.Sleep(successorTimeout)
+		is.Equal(platform.called(), calls)
+	})
+}
