A preferred route that fails again and again is tried less often

By reading: a worker to which packets are lost, but not all, was called over the preferred route again after each trial that happened to succeed, and was silent for up to 2.3 s after each return. The interval between trials now doubles up to 40 s each time the route fails again within a minute. relay.TestPreferredRouteThatFailsAgainIsTriedLessOften: 6 returns in two minutes.

--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// preferredRetryInterval is the interval at which the preferred route to a worker is tried while another one is in use.
-	preferredRetryInterval = 5 * time.Second
+	// preferredRetryInterval is the interval at which the preferred route to a worker is tried while another one is in use. It doubles, up
+	// to maxPreferredRetryInterval, each time the route fails again within routeRetention.
+	preferredRetryInterval    = 5 * time.Second
+	maxPreferredRetryInterval = 40 * time.Second
 	// preferredRetryTimeout bounds such a trial.
 	preferredRetryTimeout = 800 * time.Millisecond
 	// routeRetention is how long the failed routes to a worker that is no longer called are remembered.
@@ -42,9 +44,10 @@
 	// unanswered is true after a single call that the agent did not answer. The call or its answer may just have been lost.
 	unanswered bool
 	// announced is the number of the route whose use was logged last.
-	announced int
-	retryAt   time.Duration // when the preferred route is tried again
-	usedAt    time.Duration
+	announced     int
+	retryInterval time.Duration
+	retryAt       time.Duration // when the preferred route is tried again
+	usedAt        time.Duration // when a route after the preferred one was last used
 }
 
 // route returns the route over which a worker is called now.
@@ -58,7 +61,7 @@
 	}
 	failed.usedAt = now
 	if now >= failed.retryAt {
-		failed.retryAt = now + preferredRetryInterval
+		failed.retryAt = now + failed.retryInterval
 		preferred := r.routeNumber(t, 0, now)
 		r.pool.Submit(func() { r.retryPreferred(t, preferred) })
 	}
@@ -107,12 +110,22 @@
 	case errors.Is(err, errAnswerLost) && !failed.unanswered:
 		failed.unanswered = true
 	default:
-		failed.count++
-		failed.unanswered = false
-		failedRoutesTotal.Inc()
+		r.tryNextRoute(failed)
 	}
 }
 
+// tryNextRoute records that the present route to a worker has failed. The caller holds r.mu.
+func (r *Relay) tryNextRoute(failed *failedRoutes) {
+	if failed.count == 0 {
+		now := r.cfg.Clock()
+		failed.retryInterval = min(max(2*failed.retryInterval, preferredRetryInterval), maxPreferredRetryInterval)
+		failed.retryAt, failed.usedAt = now+failed.retryInterval, now
+	}
+	failed.count++
+	failed.unanswered = false
+	failedRoutesTotal.Inc()
+}
+
 // routeWorks records that a worker was reached over a route, which is used from now on if it comes before the present one.
 func (r *Relay) routeWorks(t dispatch.Target, failed *failedRoutes, used route) {
 	if failed == nil || used.number > failed.count {
@@ -122,9 +135,7 @@
 		failed.announced = used.number
 		r.cfg.Logger.Info().Str("event", "route-changed").Str("worker", t.Incarnation.ID).Str("via", used.via).Int("failed_routes", used.number).Msg("")
 	}
-	if failed.count, failed.unanswered = used.number, false; failed.count == 0 {
-		delete(r.failed, keyOf(t))
-	}
+	failed.count, failed.unanswered = used.number, false
 }
 
 // addFailedRoutes adds a record for a worker. The caller holds r.mu.
@@ -138,7 +149,7 @@
 			}
 		}
 	}
-	failed := &failedRoutes{usedAt: now, retryAt: now + preferredRetryInterval}
+	failed := &failedRoutes{usedAt: now}
 	r.failed[keyOf(t)] = failed
 	return failed
 }
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -134,6 +134,26 @@
 	})
 }
 
+// Guards against a worker that changes its route every few seconds because the preferred one loses many packets, but not all.
+func TestPreferredRouteThatFailsAgainIsTriedLessOften(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		const round = 100 * time.Millisecond
+		returned := 0
+		for began := time.Now(); time.Since(began) < 2*time.Minute; {
+			f.reach(fleetVMs...)
+			is.NoErr(f.hold()) // a trial of the preferred route beside it succeeds
+			time.Sleep(time.Millisecond)
+			f.reach("intake-1", "intake-2")
+			if f.hold() != nil {
+				returned++
+			}
+			time.Sleep(round)
+		}
+		is.True(returned >= 4)
+		is.True(returned <= 6) // after 0, 5, 15, 35, 75 and 115 s
+	})
+}
+
 // Guards against workers that are called by other VMs because they leave orders unanswered, or because a call to them was cancelled.
 func TestUnansweredOrderDoesNotChangeRoute(t *testing.T) {
 	withFleet(t, func(is *is.I, f *fleet) {
