A worker that refuses connections is not called by all other VMs

What callers saw: nothing. A worker whose process has ended refuses connections at once, and each refusal moved it to the next route: the holds, repeated every 0.1 to 0.4 s, went round all intake VMs, to each of which the leader first connects.

Cause: a refused connection wraps ErrNoAnswer.

Change: four routes are tried at most, then the first one again.

Evidence: with the count not limited the new test has more than 2 intake VMs in use.

--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -16,6 +16,9 @@
 	maxPreferredRetryInterval = 40 * time.Second
 	// preferredRetryTimeout bounds such a trial.
 	preferredRetryTimeout = 800 * time.Millisecond
+	// refusedRoutes is the number of routes that are tried to a worker which refuses connections. Usually its process has ended; some
+	// partitions reject connections, too.
+	refusedRoutes = 4
 	// routeRetention is how long the failed routes to a worker that is no longer called are remembered.
 	routeRetention = time.Minute
 	// routeSweepInterval is the minimum time between two removals of old records.
@@ -111,6 +114,9 @@
 		failed.unanswered = true
 	default:
 		r.tryNextRoute(failed)
+		if errors.Is(err, dispatch.ErrNotListening) {
+			failed.count %= refusedRoutes
+		}
 	}
 }
 
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,3 +202,29 @@
 	c.Intake = nil
 	is.Equal(c.Choose("w", "b", 1), "")
 }
+
+// Guards against connections from all intake VMs to a worker whose process has ended: each of them is refused.
+func TestWorkerThatRefusesConnectionsIsCalledByFewVMs(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		for _, caller := range f.callers {
+			caller.setError(dispatch.ErrNotListening)
+		}
+		for n := range 10 {
+			f.leader.RecordIntake(fmt.Sprint("other-", n), "d")
+		}
+		for range 5 * refusedRoutes {
+			is.True(f.hold() != nil)
+		}
+		is.True(len(f.leader.IntakesInUse()) <= refusedRoutes/2)
+	})
+}
+
+// Guards against a worker that counts as ended because a partition rejects the connections of control VMs.
+func TestWorkerBehindRejectingPartitionIsCalledByIntakeVMs(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.callers["leader"].setError(dispatch.ErrNotListening)
+		f.callers["control"].setError(dispatch.ErrNotListening)
+		is.Equal(f.holdsUntilAnswered(), 2)
+		is.Equal(f.holdsUntilAnswered(), 1)
+	})
+}
