A cancelled call no longer makes the VM that was to make it suspect

What callers saw: nothing. A leader cancels calls that it no longer needs: the long poll of a session that closes, and parallel holds once one is answered. If nothing had been heard from the VM since the call was sent, for up to 0.4 s at an intake VM, all workers that it called took other routes for 2 s, and agent-silent was logged.

Cause: any end of the wait counted as silence.

Evidence: relay.TestCancelledCallDoesNotMakeVMSuspect fails before (2 intake VMs in use instead of 1), passes now.

--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -75,7 +76,7 @@
 	relayedTotal.Inc()
 	if r.isIntake(via) {
 		if err := r.cfg.Messenger.AwaitConnection(ctx, via); err != nil {
-			r.suspect(via, t)
+			r.suspect(ctx, via, t)
 			return nil, fmt.Errorf("%w: %w", errAgentSilent, err)
 		}
 	}
@@ -95,14 +96,14 @@
 	case a := <-done:
 		return a, errorFromAnswer(a)
 	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: %s: %w", r.unansweredBy(via, t, c.Id, sent), via, ctx.Err())
+		return nil, fmt.Errorf("%w: %s: %w", r.unansweredBy(ctx, via, t, c.Id, sent), via, ctx.Err())
 	}
 }
 
 // unansweredBy records that a VM did not answer a call and returns errAgentSilent or errAnswerLost. A VM from which nothing was received
 // since the call was sent is suspected. One that is heard may be late with many calls; its workers must not all open new connections to
 // other VMs.
-func (r *Relay) unansweredBy(via string, t dispatch.Target, id uint64, sent time.Duration) error {
+func (r *Relay) unansweredBy(ctx context.Context, via string, t dispatch.Target, id uint64, sent time.Duration) error {
 	unansweredTotal.Inc()
 	r.mu.Lock()
 	delete(r.pending, id)
@@ -112,12 +113,16 @@
 	if heard {
 		return errAnswerLost
 	}
-	r.suspect(via, t)
+	r.suspect(ctx, via, t)
 	return errAgentSilent
 }
 
-// suspect records that a VM does not answer, so that it gets no calls for suspectDuration.
-func (r *Relay) suspect(via string, t dispatch.Target) {
+// suspect records that a VM does not answer, so that it gets no calls for suspectDuration. A call that was cancelled tells nothing: its
+// answer may not have been due.
+func (r *Relay) suspect(ctx context.Context, via string, t dispatch.Target) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a, now := r.agentState(via), r.cfg.Clock()
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -228,3 +228,18 @@
 		is.Equal(f.holdsUntilAnswered(), 1)
 	})
 }
+
+// Guards against a VM that gets no calls because one to it was cancelled before its answer could arrive.
+func TestCancelledCallDoesNotMakeVMSuspect(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		time.Sleep(time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		time.AfterFunc(2*time.Millisecond, cancel)
+		_, err := f.leader.Hold(ctx, dispatch.HoldCall{Target: worker})
+		is.True(err != nil)
+		is.NoErr(f.hold())
+		is.Equal(len(f.leader.IntakesInUse()), 1)
+	})
+}
