An intake VM that stops gets no more calls to workers

What callers saw: nothing. An intake VM in its grace time got calls until it ended: the holds in progress then fail, and their workers get no new tasks for up to 2.3 s, on each stop of such a VM.

Cause: it tells the leader that it stops by no longer offering itself, but each answer to a call counted as an offer. Only VMs that make no calls were ever left out.

Change: an answer shows that the VM is alive; only the question for the members offers it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,8 +40,8 @@
 	// maxAgentCalls bounds the concurrent calls of an agent, and with them the memory that they use. Most are long polls, one
 	// for each worker; at the target size of a deployment an agent has 2,000 workers.
 	maxAgentCalls = 8192
-	// intakeTimeout is how long after it was last heard an intake VM still gets calls: five intervals at which intake VMs ask the leader
-	// for the members.
+	// intakeTimeout is how long after its last offer an intake VM still gets calls: five intervals at which intake VMs ask the leader for
+	// the members.
 	intakeTimeout = 2 * time.Second
 	// intakeUseTimeout is how long after its last call an intake VM counts as in use.
 	intakeUseTimeout = 15 * time.Second
@@ -106,6 +106,7 @@
 type agent struct {
 	failureDomain string
 	lastHeard     time.Duration
+	offeredAt     time.Duration // when it last offered to make calls
 	lastCalled    time.Duration // when a message to an intake VM was last queued
 	suspectUntil  time.Duration
 }
@@ -140,9 +141,12 @@
 		r.cfg.Logger.Warn().Str("event", "malformed-message").Str("channel", Channel).Str("from", from).Err(err).Msg("")
 		return
 	}
-	if m.GetFromIntake() {
+	switch {
+	case m.GetFromIntake() && len(m.GetAnswers()) > 0:
+		r.recordAnsweringIntake(from)
+	case m.GetFromIntake():
 		r.RecordIntake(from, m.GetFailureDomain())
-	} else {
+	default:
 		r.recordAgent(from, m.GetFailureDomain())
 	}
 	receivedAt := r.cfg.Clock()
@@ -161,13 +165,23 @@
 	r.recordHeard(r.agents, vm, failureDomain)
 }
 
-// RecordIntake records that an intake VM has been heard which can make calls to workers.
+// RecordIntake records that an intake VM has offered to make calls to workers.
 func (r *Relay) RecordIntake(vm, failureDomain string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordHeard(r.intakes, vm, failureDomain)
 }
 
+// recordAnsweringIntake records that answers of an intake VM have arrived. They are no offer, since one that stops answers the calls that
+// it still has.
+func (r *Relay) recordAnsweringIntake(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.intakes[vm]; a != nil {
+		a.lastHeard = r.cfg.Clock()
+	}
+}
+
 // recordHeard updates one of the lists of VMs. If the VM is new there, those that have been silent for long are removed. The caller
 // holds r.mu.
 func (r *Relay) recordHeard(vms map[string]*agent, vm, failureDomain string) {
@@ -183,7 +197,7 @@
 		a = &agent{}
 		vms[vm] = a
 	}
-	a.failureDomain, a.lastHeard = failureDomain, now
+	a.failureDomain, a.lastHeard, a.offeredAt = failureDomain, now, now
 }
 
 // agentState returns the state of a VM, or nil if it is not known. The caller holds r.mu.
@@ -227,11 +241,11 @@
 	return ChooseAgent(alive(r.agents, r.cfg.Clock(), agentTimeout), worker, failureDomain, 0)
 }
 
-// alive returns the VMs that were heard within a timeout and are not suspected.
+// alive returns the VMs that have offered to make calls within a timeout and are not suspected.
 func alive(vms map[string]*agent, now, timeout time.Duration) []Agent {
 	var list []Agent
 	for id, a := range vms {
-		if now-a.lastHeard < timeout && now >= a.suspectUntil {
+		if now-a.offeredAt < timeout && now >= a.suspectUntil {
 			list = append(list, Agent{id, a.failureDomain})
 		}
 	}
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -19,6 +19,8 @@
 	*network
 	leader  *Relay
 	callers map[string]*recordingCaller
+	// stopping lists the VMs that no longer announce themselves; network.mu guards it.
+	stopping map[string]bool
 }
 
 var fleetVMs = []string{"leader", "control", "intake-1", "intake-2"}
@@ -28,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{relays: map[string]*Relay{}, cut: map[string]bool{}, delay: time.Millisecond}
 		defer n.close()
-		fl, begin := &fleet{network: n, callers: map[string]*recordingCaller{}}, time.Now()
+		fl, begin := &fleet{network: n, callers: map[string]*recordingCaller{}, stopping: map[string]bool{}}, time.Now()
 		for _, id := range fleetVMs {
 			fl.callers[id] = &recordingCaller{}
 			n.relays[id] = New(Config{ID: id, FailureDomain: "d", Intake: id != "leader" && id != "control", Local: fl.callers[id], Messenger: endpoint{n, id},
@@ -40,7 +42,9 @@
 		go func() {
 			for ctx.Err() == nil {
 				for _, id := range fleetVMs[1:] {
-					n.relays[id].Announce("leader")
+					if !fl.isStopping(id) {
+						n.relays[id].Announce("leader")
+					}
 				}
 				time.Sleep(AnnounceInterval)
 			}
@@ -50,6 +54,19 @@
 	})
 }
 
+// drain makes a VM announce itself no more, though it still makes calls.
+func (f *fleet) drain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopping[id] = true
+}
+
+func (f *fleet) isStopping(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopping[id]
+}
+
 // reach makes only the named VMs reach the worker.
 func (f *fleet) reach(ids ...string) {
 	for _, caller := range f.callers {
@@ -243,3 +260,20 @@
 		is.Equal(len(f.leader.IntakesInUse()), 1)
 	})
 }
+
+// Guards against an intake VM that gets calls until it ends: its answers count as offers although it has said that it stops.
+func TestIntakeVMThatStopsGetsNoMoreCalls(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		leaving := f.leader.IntakesInUse()[0]
+		f.drain(leaving)
+		for range 2 * intakeTimeout / (500 * time.Millisecond) {
+			is.NoErr(f.hold())
+			time.Sleep(500 * time.Millisecond)
+		}
+		before := len(f.callers[leaving].recorded())
+		is.NoErr(f.hold())
+		is.Equal(len(f.callers[leaving].recorded()), before)
+	})
+}
