A hold that times out at another VM is not taken for a broken connection

What callers saw: a task that crashes its workers so that calls to them hang was started without end where other VMs make the calls: agents from 100 workers on, and since intake VMs on sites of every size. An innocent task could be blamed instead.

Cause: another VM gives a hold up a little before its deadline, to have time for its answer. The leader knew a time-out only from its own deadline, and took what came before it for a connection that broke at that moment: the worker then counts as alive until then, so that the attempt that had only just started when it crashed is not suspect, and one that was sent to it afterwards is.

Evidence: fails before, passes now: dispatch.TestCallThatTimesOutAtOtherVMIsNoBrokenConnection, and the new cases with relayed calls of TestTaskThatCrashesItsWorkersIsGivenUp (16 and 14 starts after the third crash, fewer than 3 are allowed), TestCrashesOnMaintainedVMsCount and TestNeighboursOfCrashingTaskAreNotGivenUp.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -20,6 +21,8 @@
 type crashCase struct {
 	newID bool // the next incarnation has a new id at the old address
 	dark  bool // calls to a crashed worker hang, while otherwise its connections break
+	// relayed is true if other VMs make the calls.
+	relayed bool
 	// downtime is how long the worker is away, crashDowntime if 0.
 	downtime time.Duration
 	// takesAll is true if the next incarnation, under the same id, carries out calls that are meant for the one before. It reports
@@ -28,16 +31,16 @@
 }
 
 func (c crashCase) String() string {
-	return fmt.Sprintf("new id %t, dark %t, takes all calls %t", c.newID, c.dark, c.takesAll)
+	return fmt.Sprintf("new id %t, dark %t, relayed %t, takes all calls %t", c.newID, c.dark, c.relayed, c.takesAll)
 }
 
 var crashCases = []crashCase{{newID: false, dark: false}, {newID: true, dark: false}, {newID: false, dark: true}, {newID: true, dark: true},
-	{takesAll: true}, {dark: true, takesAll: true}}
+	{takesAll: true}, {dark: true, takesAll: true}, {newID: true, dark: true, relayed: true}, {dark: true, relayed: true, takesAll: true}}
 
 // restartCrashed lets each crashed worker return after crashDowntime.
 func (r *harness) restartCrashed(c crashCase) {
 	newID, lives := c.newID, 0
-	r.workers.crashDark = c.dark
+	r.workers.crashDark, r.workers.relayed = c.dark, c.relayed
 	r.workers.crashed = func(f *fakeWorker) {
 		time.AfterFunc(cmp.Or(c.downtime, crashDowntime), func() {
 			var next *fakeWorker
@@ -362,3 +365,18 @@
 	is.NoErr(err)
 	state.Apply(1, 1, entry)
 }
+
+// Guards against a task that is blamed for a crash because a call made by another VM timed out there, which is taken for a connection
+// that broke when the task had only just started.
+func TestCallThatTimesOutAtOtherVMIsNoBrokenConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		workers := newFakeWorkers(t, time.Second)
+		workers.relayed = true
+		l := &Leader{cfg: Config{Caller: workers, Clock: func() time.Duration { return time.Since(begin) + time.Hour }}}
+		s := &session{}
+		s.recordHold(l.hold(t.Context(), s, HoldCall{WaitMs: holdWait.Milliseconds()}))
+		is.True(!s.endKnown)
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -71,6 +71,8 @@
 	deadly map[submission.Ref]bool
 	// crashDark is true if calls to a crashed worker hang. Otherwise its connections break.
 	crashDark bool
+	// relayed is true if calls that get no answer are given up a little before their deadline, as if other VMs made them.
+	relayed bool
 	// crashed is called without the lock after a worker has crashed.
 	crashed func(f *fakeWorker)
 	// crashes counts, for each task, the workers that crashed while it ran; startsByTask counts its starts.
@@ -164,9 +166,17 @@
 
 // awaitTimeout blocks until the call times out if err is ErrNoAnswer, and returns err.
 func (w *fakeWorkers) awaitTimeout(ctx context.Context, err error) error {
-	if err == ErrNoAnswer {
-		<-ctx.Done()
+	if err != ErrNoAnswer {
+		return err
 	}
+	if deadline, ok := ctx.Deadline(); ok && w.relayed {
+		select {
+		case <-time.After(time.Until(deadline) - 40*time.Millisecond):
+		case <-ctx.Done():
+		}
+		return err
+	}
+	<-ctx.Done()
 	return err
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -13,6 +13,8 @@
 	fastHoldWait = 600 * time.Millisecond
 	// holdSlack is the time allowed for a hold in addition to the wait on the worker.
 	holdSlack = 800 * time.Millisecond
+	// relayMargin is the part of a hold's time that another VM which makes the hold may keep to send its answer.
+	relayMargin = 100 * time.Millisecond
 	// reconnectInterval is the interval between two holds while a worker with a lease does not answer.
 	reconnectInterval = 400 * time.Millisecond
 	// recordWait replaces holdWait until it is committed that a silent worker answers again.
@@ -105,7 +107,8 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.WaitMs)*time.Millisecond+holdSlack)
 	defer cancel()
 	answer, err := l.cfg.Caller.Hold(ctx, c)
-	timedOut := ctx.Err() != nil
+	deadline, _ := ctx.Deadline()
+	timedOut := ctx.Err() != nil || time.Until(deadline) < relayMargin
 	holdSeconds.UpdateDuration(began)
 	if err == nil && !s.answeredByOther(answer) {
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
