The registration of a worker that has not reported is repeated if its commit fails

What callers saw: nothing. If the commit failed and the leader stayed, the worker was lost until it reported: its session was closed, and only the commit that its former incarnation is gone was repeated.

Evidence: dispatch.TestSuccessorIsRegisteredAfterFailedCommit fails before (queued after 9 s), passes now.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -414,6 +414,7 @@
 	for _, g := range gone {
 		l.commitWorkerGone(g)
 	}
+	l.repeatRegistrations()
 	l.advanceWaves(now)
 	l.searchSuccessors(now)
 	l.sendPressureModel(now)
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -34,6 +34,8 @@
 	calling bool // the platform is being asked
 	next    time.Duration
 	pause   time.Duration
+	// uncommitted holds the workers that were found and whose registration has failed.
+	uncommitted []*pb.PoolWorker
 }
 
 type missingSuccessor struct {
@@ -56,7 +58,22 @@
 func (l *Leader) registerUnreported(w *pb.PoolWorker) {
 	l.log.Info().Str("event", "successor-found").Str("worker", w.GetId()).Int64("born", w.GetBornUnixMs()).Str("vm", w.GetVm()).
 		Msg("a worker that has replaced another one is registered before it reports")
-	l.register(w, func(error) {})
+	l.register(w, func(err error) {
+		if err != nil {
+			l.successors.uncommitted = append(l.successors.uncommitted, w)
+		}
+	})
+}
+
+// repeatRegistrations registers the workers again whose registration has failed: without a session nothing else would call them.
+func (l *Leader) repeatRegistrations() {
+	failed := l.successors.uncommitted
+	l.successors.uncommitted = nil
+	for _, w := range failed {
+		if known := l.knownWorker(w.GetId()); known == nil || known.GetBornUnixMs() < w.GetBornUnixMs() {
+			l.registerUnreported(w)
+		}
+	}
 }
 
 // expectOtherWorker records that another worker answers at the address of a session.
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -141,3 +141,16 @@
 		is.Equal(platform.called(), calls)
 	})
 }
+
+// Guards against a worker that stays unused because the commit of its next incarnation failed, which had not reported.
+func TestSuccessorIsRegisteredAfterFailedCommit(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.log.failing(errNoCommit)
+		r.restart("a", 77, func(*fakeWorker) {})
+		time.Sleep(3 * time.Second)
+		r.log.failing(nil)
+		r.submit("after", 2, nil)
+		time.Sleep(maxOutage)
+		is.Equal(r.describe("after"), "done")
+	})
+}
