--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,13 +26,16 @@
 
 var fleetVMs = []string{"leader", "control", "intake-1", "intake-2"}
 
-// withFleet runs f in virtual time with a fleet whose VMs announce themselves until f returns.
-func withFleet(t *testing.T, f func(is *is.I, fl *fleet)) {
+// withFleet runs f in virtual time with the VMs of fleetVMs.
+func withFleet(t *testing.T, f func(is *is.I, fl *fleet)) { withVMs(t, fleetVMs, f) }
+
+// withVMs runs f in virtual time with a fleet whose VMs announce themselves until f returns.
+func withVMs(t *testing.T, ids []string, f func(is *is.I, fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{relays: map[string]*Relay{}, cut: map[string]bool{}, delay: time.Millisecond}
 		defer n.close()
 		fl, begin := &fleet{network: n, callers: map[string]*recordingCaller{}, stopping: map[string]bool{}}, time.Now()
-		for _, id := range fleetVMs {
+		for _, id := range ids {
 			fl.callers[id] = &recordingCaller{}
 			n.relays[id] = New(Config{ID: id, FailureDomain: "d", Intake: id != "leader" && id != "control", Local: fl.callers[id], Messenger: endpoint{n, id},
 				Logger: zerolog.Nop(), UseAgents: func() bool { return false }, Clock: func() time.Duration { return time.Since(begin) + time.Hour }})
@@ -222,13 +226,14 @@
 
 // Guards against connections from all intake VMs to a worker whose process has ended: each of them is refused.
 func TestWorkerThatRefusesConnectionsIsCalledByFewVMs(t *testing.T) {
-	withFleet(t, func(is *is.I, f *fleet) {
+	ids := slices.Clone(fleetVMs)
+	for n := range 10 {
+		ids = append(ids, fmt.Sprint("other-", n))
+	}
+	withVMs(t, ids, func(is *is.I, f *fleet) {
 		for _, caller := range f.callers {
 			caller.setError(dispatch.ErrNotListening)
 		}
-		for n := range 10 {
-			f.leader.RecordIntake(fmt.Sprint("other-", n), "d")
-		}
 		for range 5 * refusedRoutes {
 			is.True(f.hold() != nil)
 		}
