A worker that was registered before its first report may turn out to be in another pool

What callers saw: nothing. The next incarnation of a worker is registered with the pool of the former one. If the VM had changed its pool, the worker's own reports were ignored for ever (pool-changed), and its former pool kept starting tasks there.

Change: until its first report the pool of such a worker is not known, so that the report counts like that of a new worker.

Evidence: dispatch.TestSuccessorInOtherPoolIsKnownByItsReport fails before (pool stays), passes now.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -42,7 +42,7 @@
 		done(nil)
 		return
 	}
-	isKnown := known != nil && known.GetBornUnixMs() == incarnation.BornUnixMs
+	isKnown := known != nil && known.GetBornUnixMs() == incarnation.BornUnixMs && !isInferred(known)
 	switch {
 	case isKnown && known.GetPool() != r.GetWorker().GetPool():
 		l.ignoreReport(r, "pool-changed", done)
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -193,3 +193,6 @@
 	}
 	return HoldAnswer{}, false
 }
+
+// isInferred reports whether the record of a worker incarnation was not taken from a report. The platform numbers reports from 1 on.
+func isInferred(known *pb.PoolWorker) bool { return known.GetSequence() == 0 }
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // Guards against workers that stay unused because they restarted while their reports did not arrive, and against a task that is lost
@@ -154,3 +155,22 @@
 		is.Equal(r.describe("after"), "done")
 	})
 }
+
+// Guards against a worker that is used in a former pool for ever because it was registered before its first report.
+func TestSuccessorInOtherPoolIsKnownByItsReport(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		config := &pb.ServiceConfig{Version: 2}
+		r.state.View(func(s *submission.State) { config.Queues = s.Config().GetQueues() })
+		config.Pools = []*pb.Pool{{Name: "pool", Guards: true}, {Name: "other", Guards: true}}
+		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: config}})
+		r.restart("a", 77, func(*fakeWorker) {})
+		time.Sleep(3 * time.Second)
+		report := usualReport(1)
+		report.Worker.BornUnixMs, report.Worker.Pool = 77, "other"
+		is.NoErr(r.leader.Report(context.Background(), report))
+		time.Sleep(time.Second)
+		pool := ""
+		r.state.View(func(s *submission.State) { pool = s.Workers()["a"].GetPool() })
+		is.Equal(pool, "other")
+	})
+}
