A call that was on its way for longer than its timeout is dropped by the VM that was to make it

A VM that was suspended finds calls in its socket when it goes on. It counted their timeout from then, and made them seconds late. A worker under the same life refuses a late start, whose lease is on its clock. The next one under its id does not: its clock begins anew, and it has seen no fencing token. The leader waits 4 s for such starts (uncertainStartTimeout), a suspension can be longer.

Cause: sender and receiver share no clock, so that the time on the way was not known.

Change: VMs that make calls state their clock, which counts suspensions, with each message and each offer. The leader limits a call by that clock. The reading is late by the time that it was on its way, so that a call ends too soon rather than too late.

Evidence: relay.TestCallThatArrivesLateIsDropped (6 s on the way, timeout 0.9 s) fails before, passes now. Whether the transport delivers what was in the socket of a suspended VM has not been tried.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -17,7 +17,7 @@
 func (c *Control) registerHandlers() {
 	registerHandlerFrom(c, fleet.MethodMembers, func(_ context.Context, from string, r *pb.MembersRequest) proto.Message {
 		if r.GetFailureDomain() != "" {
-			c.relay.RecordIntake(from, r.GetFailureDomain())
+			c.relay.RecordIntake(from, r.GetFailureDomain(), r.GetClockMs())
 		}
 		return c.membersAnswer()
 	})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -151,7 +151,7 @@
 	defer cancel()
 	request, answer := &pb.MembersRequest{}, &pb.MembersAnswer{}
 	if !i.draining.Load() {
-		request.FailureDomain = i.failureDomain
+		request.FailureDomain, request.ClockMs = i.failureDomain, i.relay.ClockMs()
 	}
 	if err := i.transport.Call(ctx, vm, fleet.MethodMembers, request, answer); err != nil {
 		i.forgetLeader(vm)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -13,14 +13,14 @@
 const defaultTimeout = time.Second
 
 // handleCall makes a call to a worker for another VM and sends the answer back. A call whose timeout has expired, for
-// instance because this VM was suspended, is dropped: it could undo a later call.
+// instance because this VM was suspended, is dropped: it could undo a later call, or start a task at the next incarnation of its worker.
 func (r *Relay) handleCall(from string, c *pb.RelayCall, receivedAt time.Duration) {
 	timeout := defaultTimeout
 	if c.GetTimeoutMs() > 0 {
 		timeout = time.Duration(c.GetTimeoutMs()) * time.Millisecond
 	}
 	remaining := receivedAt + timeout - r.cfg.Clock()
-	if remaining <= 0 {
+	if remaining <= 0 || c.GetUntilMs() > 0 && r.ClockMs() > c.GetUntilMs() {
 		expiredTotal.Inc()
 		return
 	}
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -66,7 +66,7 @@
 		return
 	}
 	message := b.message
-	message.FailureDomain, message.FromIntake = r.cfg.FailureDomain, r.cfg.Intake
+	message.FailureDomain, message.FromIntake, message.ClockMs = r.cfg.FailureDomain, r.cfg.Intake, r.ClockMs()
 	b.message, b.bytes = &pb.RelayMessage{}, 0
 	r.mu.Unlock()
 	payload, err := proto.Marshal(message)
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -81,8 +81,10 @@
 		}
 	}
 	c.Process, c.Worker, c.WorkerBornUnixMs, c.Address, c.Fence = r.process, t.Incarnation.ID, t.Incarnation.BornUnixMs, t.Address, t.Fence
+	timeout := defaultTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		c.TimeoutMs = uint32(max(1, time.Until(deadline).Milliseconds()))
+		timeout = time.Until(deadline)
+		c.TimeoutMs = uint32(max(1, timeout.Milliseconds()))
 	}
 	done := make(chan *pb.RelayAnswer, 1)
 	r.mu.Lock()
@@ -91,6 +93,7 @@
 	r.pending[c.Id] = done
 	r.mu.Unlock()
 	sent := r.cfg.Clock()
+	c.UntilMs = r.untilMs(via, sent, timeout)
 	r.enqueue(via, c, nil)
 	select {
 	case a := <-done:
@@ -100,6 +103,18 @@
 	}
 }
 
+// untilMs returns until when a VM may make a call that is sent now, on its own clock, or 0 if that clock is not known. The reading has been
+// on its way, so that the call ends too soon rather than too late.
+func (r *Relay) untilMs(via string, now, timeout time.Duration) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.agentState(via)
+	if a == nil || a.clockMs == 0 {
+		return 0
+	}
+	return a.clockMs + (now - a.lastHeard + timeout).Milliseconds()
+}
+
 // unansweredBy records that a VM did not answer a call and returns errAgentSilent or errAnswerLost. A VM from which nothing was received
 // since the call was sent is suspected. One that is heard may be late with many calls; its workers must not all open new connections to
 // other VMs.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,6 +106,7 @@
 type agent struct {
 	failureDomain string
 	lastHeard     time.Duration
+	clockMs       int64         // the reading of its clock that arrived then, 0 if none
 	offeredAt     time.Duration // when it last offered to make calls
 	lastCalled    time.Duration // when a message to an intake VM was last queued
 	suspectUntil  time.Duration
@@ -124,6 +125,9 @@
 		failed: map[routeKey]*failedRoutes{}, batches: map[string]*batch{}}
 }
 
+// ClockMs returns the time on the clock of this VM, by which other VMs limit their calls.
+func (r *Relay) ClockMs() int64 { return r.cfg.Clock().Milliseconds() }
+
 // Close cancels all calls that this VM makes for others.
 func (r *Relay) Close() { r.cancel() }
 
@@ -143,11 +147,11 @@
 	}
 	switch {
 	case m.GetFromIntake() && len(m.GetAnswers()) > 0:
-		r.recordAnsweringIntake(from)
+		r.recordAnsweringIntake(from, m.GetClockMs())
 	case m.GetFromIntake():
-		r.RecordIntake(from, m.GetFailureDomain())
+		r.RecordIntake(from, m.GetFailureDomain(), m.GetClockMs())
 	default:
-		r.recordAgent(from, m.GetFailureDomain())
+		r.recordAgent(from, m.GetFailureDomain(), m.GetClockMs())
 	}
 	receivedAt := r.cfg.Clock()
 	for _, c := range m.GetCalls() {
@@ -159,32 +163,32 @@
 }
 
 // recordAgent records that a message of another control VM has arrived.
-func (r *Relay) recordAgent(vm, failureDomain string) {
+func (r *Relay) recordAgent(vm, failureDomain string, clockMs int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordHeard(r.agents, vm, failureDomain)
+	r.recordHeard(r.agents, vm, failureDomain, clockMs)
 }
 
-// RecordIntake records that an intake VM has offered to make calls to workers.
-func (r *Relay) RecordIntake(vm, failureDomain string) {
+// RecordIntake records that an intake VM has offered to make calls to workers, and the reading of its clock that it sent.
+func (r *Relay) RecordIntake(vm, failureDomain string, clockMs int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordHeard(r.intakes, vm, failureDomain)
+	r.recordHeard(r.intakes, vm, failureDomain, clockMs)
 }
 
 // recordAnsweringIntake records that answers of an intake VM have arrived. They are no offer, since one that stops answers the calls that
 // it still has.
-func (r *Relay) recordAnsweringIntake(vm string) {
+func (r *Relay) recordAnsweringIntake(vm string, clockMs int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a := r.intakes[vm]; a != nil {
-		a.lastHeard = r.cfg.Clock()
+		a.lastHeard, a.clockMs = r.cfg.Clock(), clockMs
 	}
 }
 
 // recordHeard updates one of the lists of VMs. If the VM is new there, those that have been silent for long are removed. The caller
 // holds r.mu.
-func (r *Relay) recordHeard(vms map[string]*agent, vm, failureDomain string) {
+func (r *Relay) recordHeard(vms map[string]*agent, vm, failureDomain string, clockMs int64) {
 	now := r.cfg.Clock()
 	a := vms[vm]
 	if a == nil {
@@ -197,7 +201,7 @@
 		a = &agent{}
 		vms[vm] = a
 	}
-	a.failureDomain, a.lastHeard, a.offeredAt = failureDomain, now, now
+	a.failureDomain, a.lastHeard, a.offeredAt, a.clockMs = failureDomain, now, now, clockMs
 }
 
 // agentState returns the state of a VM, or nil if it is not known. The caller holds r.mu.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -381,8 +381,27 @@
 		time.Sleep(agentRetention + time.Second)
 		sent := n.messages()
 		leader.enqueue("agent", &pb.RelayCall{}, nil)
-		leader.recordAgent("other", "d")
+		leader.recordAgent("other", "d", 0)
 		time.Sleep(2 * batchDelay)
 		is.Equal(n.messages(), sent)
 	})
 }
+
+// Guards against a call that is made long after its timeout because it was on its way or in a socket for that time, such as that of a
+// VM that was suspended: a start may then reach the next incarnation of its worker, when its task already runs elsewhere.
+func TestCallThatArrivesLateIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, leader, _, agentCaller := newLeaderAndAgent(t)
+		defer n.close()
+		n.mu.Lock()
+		n.delay = 6 * time.Second
+		n.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		_, err := leader.Start(ctx, dispatch.StartCall{Target: worker})
+		is.True(err != nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(agentCaller.recorded()), 0)
+	})
+}
