Choosing a route hashes each VM once

What callers saw: nothing. The route of a worker that control VMs do not reach is chosen again with each call, under the relay's lock, and the VMs were hashed in each comparison of the sort.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -67,17 +67,21 @@
 // nearAndFar returns the ids of the agents in the worker's failure domain and of the others, each list in an order that differs by
 // worker and depends on nothing else.
 func nearAndFar(agents []Agent, worker, failureDomain string) (sameDomain, otherDomains []string) {
-	for _, a := range agents {
+	type ranked struct {
+		Agent
+		hash uint64
+	}
+	list := make([]ranked, len(agents))
+	for i, a := range agents {
+		list[i] = ranked{a, xxhash.Sum64String(a.ID + " " + worker)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	for _, a := range list {
 		if a.FailureDomain == failureDomain {
 			sameDomain = append(sameDomain, a.ID)
 		} else {
 			otherDomains = append(otherDomains, a.ID)
 		}
 	}
-	byHash := func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(a+" "+worker), xxhash.Sum64String(b+" "+worker))
-	}
-	slices.SortFunc(sameDomain, byHash)
-	slices.SortFunc(otherDomains, byHash)
 	return sameDomain, otherDomains
 }
