A stop that hangs does not keep a task on a sick worker

Cause: a start that may have been carried out is stopped. If the stop gets no answer, the attempt ends once a hold that the worker answers after the end of the start's lease does not list it. handleMissing skipped this while a call was in progress for the attempt. A hanging stop takes 0.9 s and is sent again at the next tick, so that one is in progress for 0.9 to 1 s of each second. Holds are answered every 1.5 s: three stops take as long as two holds, so that the phase stays, and if both kinds of answers fall into a stop they do so for ever. Holds also renew the lease of the worker, so the lease does not end it. The test that passed had a phase that happens to fit. The end of a stop and the tick have equal virtual times there, so that which is first decides about it.

Change: whether a start is too late rests on the lease in it and the worker's clock alone. A call in progress changes nothing: a start in progress has its lease counted, and a stop starts nothing.

--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -90,20 +90,18 @@
 // that time.
 func (l *Leader) handleMissing(s *session, task submission.Ref, sent time.Duration, clockMs int64) {
 	r := l.runs[task]
-	if r == nil || r.on != s.incarnation || r.calling {
+	if r == nil || r.on != s.incarnation {
 		return
 	}
 	switch r.phase {
 	case phaseStarting:
 		// retryCalls sends the start again.
 	case phaseRunning:
-		if r.answeredAt < sent {
+		if !r.calling && r.answeredAt < sent {
 			l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, "not-listed")
 		}
 	case phaseStopping:
-		stopped := r.answeredAt > 0 && r.answeredAt < sent && r.calledAt <= r.answeredAt
-		tooLate := r.startUntilMs > 0 && clockMs > r.startUntilMs
-		if stopped || tooLate {
+		if r.hasStopped(sent) || r.isTooLate(clockMs) {
 			kind := r.endKind
 			if kind == pb.TaskEndKind_TASK_END_KIND_UNSPECIFIED {
 				kind = pb.TaskEndKind_TASK_END_KIND_STOPPED
@@ -113,6 +111,15 @@
 	}
 }
 
+// hasStopped reports whether the last stop was acknowledged before a hold was sent that does not list the attempt.
+func (r *run) hasStopped(sent time.Duration) bool {
+	return !r.calling && r.answeredAt > 0 && r.answeredAt < sent && r.calledAt <= r.answeredAt
+}
+
+// isTooLate reports whether an attempt that a worker does not list at a time of its clock cannot start there any more. A call in
+// progress changes nothing about that, and on a sick worker one may always be.
+func (r *run) isTooLate(clockMs int64) bool { return r.startUntilMs > 0 && clockMs > r.startUntilMs }
+
 // stopUnexpected stops a running attempt that is not placed on the worker, for example because a delayed start was carried out.
 func (l *Leader) stopUnexpected(s *session, running Running, sent time.Duration) {
 	r := l.runs[running.Task]
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -110,3 +110,20 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against a task or gang that a sick worker keeps since each of its answers to holds arrives while a stop is in progress.
+func TestSickWorkerKeepsNothingWheneverItAnswers(t *testing.T) {
+	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 50 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+				time.Sleep(phase)
+				r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+				r.submit("alone", 1, nil)
+				r.submit("gang", 4, func(s *pb.Step) { s.Gang = true })
+				time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+				is.Equal(r.describe("alone"), "done")
+				is.Equal(r.describe("gang"), "done")
+			})
+		})
+	}
+}
