A sick worker that looks empty does not get the same task again and again

Cause: a task avoids a worker for 3 s from the time at which its start was refused or timed out. If the worker may have carried the start out and does not answer the stop, the attempt ends only with a later answer to a hold, about 3 s after the refusal or more: 2.5 s of lease, then the next hold. The avoidance is over by then, and so is the quarantine of 1 s. A worker that starts nothing looks emptiest, so that the task is placed there again, at once after an answer to a hold, which is the phase in which the next attempt takes longest as well. So it can go on for as long as the worker is sick.

Change: when a refused attempt ends without having been listed, the task avoids the worker for another 3 s; the members of a gang do so together, also those whose attempt has ended before.

Measured: TestSickWorkerIsNotTriedAgainAndAgain (18 phases, task and gang) fails before at 8 of them:

retry_test.go:150: running != done (the task, 6 phases) retry_test.go:151: running != done (the gang, 2 phases)

and passes after.

--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -106,6 +106,9 @@
 			if kind == pb.TaskEndKind_TASK_END_KIND_UNSPECIFIED {
 				kind = pb.TaskEndKind_TASK_END_KIND_STOPPED
 			}
+			if kind == pb.TaskEndKind_TASK_END_KIND_REFUSED { // its start was refused seconds ago, and the worker looks empty
+				l.avoidWorkerTogether(task, s.incarnation.ID)
+			}
 			l.commitEnd(s, task, r.attempt, kind, "", nil)
 		}
 	}
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -127,3 +127,29 @@
 		})
 	}
 }
+
+// Guards against a task or gang that goes back to a sick worker each time that its attempt there has ended, since the worker is
+// the emptiest.
+func TestSickWorkerIsNotTriedAgainAndAgain(t *testing.T) {
+	for phase := time.Duration(0); phase < 1800*time.Millisecond; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["b"].serving = "service" })
+				r.submit("service", 1, endless)
+				time.Sleep(time.Second)
+				r.workers.update(func() {
+					a := newFakeWorker("a", 1)
+					a.unavailable, a.stopUnanswered, a.holdDelay = true, true, 300*time.Millisecond
+					r.workers.byID["a"] = a
+				})
+				r.report("a", 1)
+				time.Sleep(100*time.Millisecond + phase)
+				r.submit("alone", 1, nil)
+				r.submit("gang", 2, func(s *pb.Step) { s.Gang = true })
+				time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+				is.Equal(r.describe("alone"), "done")
+				is.Equal(r.describe("gang"), "done")
+			})
+		})
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -181,8 +181,8 @@
 // onStartRefused handles the refusal of a start, so that the task can be placed on another worker. If the worker may have carried
 // out an earlier copy of the start, or may still do so, the attempt is stopped first.
 func (l *Leader) onStartRefused(s *session, task submission.Ref, r *run, err error) {
-	l.avoidWorker(task, s.incarnation.ID)
-	l.stopGang(task, r.attempt, s.incarnation.ID)
+	l.avoidWorkerTogether(task, s.incarnation.ID)
+	l.stopGang(task, r.attempt)
 	if r.outcomeUnknown || errors.Is(err, ErrOldAttempt) {
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-refused")
 		return
@@ -224,17 +224,28 @@
 	return fills
 }
 
-// stopGang stops the other members of a gang if one member did not start on a worker, because they cannot work without
-// it. None of them is placed on that worker for the next avoidFor.
-func (l *Leader) stopGang(task submission.Ref, attempt uint32, worker string) {
+// avoidWorkerTogether avoids a worker for a task and, since the members of a gang cannot work without each other, for its whole gang.
+func (l *Leader) avoidWorkerTogether(task submission.Ref, worker string) {
+	l.avoidWorker(task, worker)
+	members := uint32(0)
+	l.cfg.State.View(func(state *submission.State) {
+		if step := stepOf(state, task); step.GetGang() {
+			members = step.GetCount()
+		}
+	})
+	for member := task; members > 0; members-- {
+		member.Index = members - 1
+		l.avoidWorker(member, worker)
+	}
+}
+
+// stopGang stops the other members of a gang if one member did not start, because they cannot work without it.
+func (l *Leader) stopGang(task submission.Ref, attempt uint32) {
 	if !l.isGang(task) {
 		return
 	}
 	for ref, r := range l.runs {
 		same := ref.Submission == task.Submission && ref.Occurrence == task.Occurrence && ref.Step == task.Step && ref.Index != task.Index
-		if same {
-			l.avoidWorker(ref, worker)
-		}
 		if same && r.attempt == attempt && r.phase != phaseStopping {
 			l.stopRun(ref, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "gang-incomplete")
 		}
@@ -307,8 +318,8 @@
 	switch {
 	case r.calling:
 	case r.phase == phaseStarting && now-r.trackedSince > l.startTimeoutOf(task):
-		l.avoidWorker(task, r.on.ID)
-		l.stopGang(task, r.attempt, r.on.ID)
+		l.avoidWorkerTogether(task, r.on.ID)
+		l.stopGang(task, r.attempt)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
 	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval && !l.hasRoom(task, r):
 		l.dropStart(task, r)
