A start is not sent again to a worker that drains by then

Cause: draining workers are left out of plans, but callStart and retryCalls look only at the room on the worker. The next leader sends the starts of placed attempts that are not listed by the same functions.

Change: an attempt may be sent while the committed state says that its worker takes tasks and has room. The drain is committed before it is acknowledged. Otherwise the start is given up as one for which the room has gone: at once if it was never sent, after a stop if it may have been carried out. A start that was carried out and whose answer was lost is stopped too, up to 0.5 s after it was sent.

Not closed: a start in progress, or one that waits for a free connection, when the drain is acknowledged.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -26,6 +26,7 @@
 	dropAnswers       bool                      // calls are carried out, but their answers are lost
 	unreachable       bool                      // calls do not arrive
 	startDelay        time.Duration             // if set, starts get no answer and are carried out after this delay
+	startsReset       bool                      // the connections of starts break before they arrive
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
@@ -187,6 +188,10 @@
 		w.mu.Unlock()
 		return 0, w.awaitTimeout(ctx, err)
 	}
+	if f.startsReset {
+		w.mu.Unlock()
+		return 0, ErrNoAnswer
+	}
 	clock, delay := f.clockMs(time.Now()), f.startDelay
 	if delay > 0 {
 		time.AfterFunc(delay, func() {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -84,7 +84,7 @@
 
 func (l *Leader) callStart(task submission.Ref, r *run) {
 	s := l.sessions[r.on.ID]
-	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || !l.hasRoom(task, r) {
+	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || !l.mayStillStart(task, r) {
 		return
 	}
 	c := StartCall{Target: s.target(l.term), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
@@ -192,14 +192,24 @@
 	l.commitEnd(s, task, r.attempt, pb.TaskEndKind_TASK_END_KIND_REFUSED, "", nil)
 }
 
-// dropStart gives up a start for which the worker no longer has room.
+// mayStillStart reports whether the worker of a placed attempt, which may drain or have shrunk since it was planned, still takes its start.
+func (l *Leader) mayStillStart(task submission.Ref, r *run) bool {
+	usable := true
+	l.cfg.State.View(func(state *submission.State) {
+		w := state.Workers()[r.on.ID]
+		usable = w == nil || w.Incarnation() != r.on || w.Usable()
+	})
+	return usable && l.hasRoom(task, r)
+}
+
+// dropStart gives up a start that the worker no longer takes.
 func (l *Leader) dropStart(task submission.Ref, r *run) {
 	s := l.sessions[r.on.ID]
 	if s == nil || s.incarnation != r.on {
 		return
 	}
 	l.log.Info().Str("decision", "start-dropped").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
-		Uint32("attempt", r.attempt).Str("worker", s.incarnation.ID).Bool("unsure", r.outcomeUnknown).Msg("the worker has shrunk since the start was planned")
+		Uint32("attempt", r.attempt).Str("worker", s.incarnation.ID).Bool("unsure", r.outcomeUnknown).Msg("the worker drains or has shrunk since the start was planned")
 	l.onStartRefused(s, task, r, ErrNoRoom)
 }
 
@@ -321,7 +331,7 @@
 		l.avoidWorkerTogether(task, r.on.ID)
 		l.stopGang(task, r.attempt)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
-	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval && !l.hasRoom(task, r):
+	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval && !l.mayStillStart(task, r):
 		l.dropStart(task, r)
 	case r.phase == phaseStarting && now-r.calledAt > startRetryInterval:
 		l.callStart(task, r)
