A sick worker keeps no task that the next leader has not started

A task stays placed on a worker that answers holds but lets stops hang, after a change of the leader.

Cause: whether an attempt can no longer start is judged by the lease in the starts that this leader has sent. If it sent none, since the worker drains, has shrunk or gets no lease, or a member of the gang was refused first, only an answered stop ended the attempt.

Change: an attempt without a start of this leader cannot start once the worker has answered a hold of this term: the worker refuses lower fencing tokens since then. It ends with the first answer that does not list it.

Measured: TestSickWorkerKeepsNothingThatNextLeaderDoesNotStart fails before in 20 of 20 runs:

retry_test.go:168: running != done

and passes after in 30 of 30. go test -race ./internal/dispatch ./internal/submission passes.

--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -120,8 +120,9 @@
 }
 
 // isTooLate reports whether an attempt that a worker does not list at a time of its clock cannot start there any more. A call in
-// progress changes nothing about that, and on a sick worker one may always be.
-func (r *run) isTooLate(clockMs int64) bool { return r.startUntilMs > 0 && clockMs > r.startUntilMs }
+// progress changes nothing about that, and on a sick worker one may always be. If this leader has sent no start, only an earlier one
+// may have, whose calls the worker has refused since it received a hold of this term.
+func (r *run) isTooLate(clockMs int64) bool { return r.startUntilMs == 0 || clockMs > r.startUntilMs }
 
 // stopUnexpected stops a running attempt that is not placed on the worker, for example because a delayed start was carried out.
 func (l *Leader) stopUnexpected(s *session, running Running, sent time.Duration) {
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -153,3 +153,18 @@
 		})
 	}
 }
+
+// Guards against a task that a sick worker keeps after a change of the leader, since the next one stops it without having sent a start.
+func TestSickWorkerKeepsNothingThatNextLeaderDoesNotStart(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startsReset, r.workers.byID["a"].stopUnanswered = true, true })
+		r.submit("s", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.reportDraining("a", 2)
+		r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
+		r.report("b", 1)
+		r.lead(6)
+		time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+		is.Equal(r.describe("s"), "done")
+	})
+}
