A wave goes on after an order that was answered too late

Cause: the order is given up after 2 s, so that the leader does not know whether it was carried out. It repeats the order once the VM is up again. The platform confirms that the maintenance is done. The leader takes that for a new one and waits for the successor of the worker that runs there now, which does not come: the VM counts as down for the rest of the term. The same happens if the leader changes before the answer, since the next one repeats the order too.

Change: a VM no longer counts as down either once another incarnation has registered there, as before, or once the incarnation that was known has answered a hold that was sent 0.5 s after the confirmation or later. The platform would have ended it at once. The same holds for a worker whose crash counts as planned, since its maintenance was ordered.

It still records every order, so that the tests count repeated ones as before.

Measured: TestWaveWithLateAnswerIsDone fails before, with the same leader and with the next:

policy_test.go:175: not true: done

and passes after, 20 of 20. go test -race ./internal/dispatch ./internal/submission passes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -135,7 +135,7 @@
 		if w == nil || w.Incarnation() != incarnation {
 			return
 		}
-		planned = w.GetDraining() || w.Leave.GetCertain() || l.sessions[incarnation.ID].mayLeave() || l.waves.down[w.GetVm()] == incarnation
+		planned = w.GetDraining() || w.Leave.GetCertain() || l.sessions[incarnation.ID].mayLeave() || l.endsByUpkeep(w.GetVm(), incarnation)
 	})
 	return planned
 }
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -69,6 +69,8 @@
 	maxDown int             // highest number of VMs that were down at the same time
 	fences  map[uint64]bool // fencing tokens of the orders
 	last    time.Time       // time of the last order
+	// firstAnswerAfter is how long the first order is under way until its answer arrives.
+	firstAnswerAfter time.Duration
 }
 
 func (f *fakePlatform) VMs(context.Context) ([]VM, error) {
@@ -81,12 +83,29 @@
 	return vms, nil
 }
 
-func (f *fakePlatform) Upkeep(_ context.Context, vm string, _ uint64, _ string, fence uint64) error {
+// Upkeep carries out the first order for a VM. Repeated ones are recorded and change nothing.
+func (f *fakePlatform) Upkeep(ctx context.Context, vm string, _ uint64, _ string, fence uint64) error {
+	if f.carryOut(vm, fence) == 1 && f.firstAnswerAfter > 0 {
+		select {
+		case <-time.After(f.firstAnswerAfter):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// carryOut records an order and returns the number of orders so far.
+func (f *fakePlatform) carryOut(vm string, fence uint64) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	repeated := slices.Contains(f.ordered, vm)
+	f.ordered, f.fences[fence], f.last = append(f.ordered, vm), true, time.Now()
+	if repeated {
+		return len(f.ordered)
+	}
 	id := vm[len("vm-"):]
-	f.down[id], f.fences[fence], f.last = true, true, time.Now()
-	f.ordered = append(f.ordered, vm)
+	f.down[id] = true
 	f.maxDown = max(f.maxDown, len(f.down))
 	restarted := newFakeWorkers(f.harness.t, time.Second, id).byID[id]
 	restarted.incarnation.BornUnixMs = 100
@@ -99,7 +118,7 @@
 		f.harness.workers.update(func() { restarted.unreachable = false })
 		f.harness.report(id, 1)
 	})
-	return nil
+	return len(f.ordered)
 }
 
 // history returns the VMs whose maintenance was ordered, the time of the last order and the fencing tokens.
@@ -134,6 +153,33 @@
 	})
 }
 
+// Guards against a wave that is never done since the order for a VM whose maintenance is over is repeated, after an answer that came
+// too late or a change of the leader: the VM then counts as down until its worker restarts.
+func TestWaveWithLateAnswerIsDone(t *testing.T) {
+	for name, newLeader := range map[string]bool{"same leader": false, "next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+				platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}, firstAnswerAfter: 2500 * time.Millisecond}
+				r.leader.Close()
+				r.platform = platform
+				r.newLeader()
+				r.lead(6)
+				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+				time.Sleep(time.Second)
+				if newLeader {
+					r.lead(7)
+				}
+				time.Sleep(30 * time.Second)
+				done := false
+				r.state.View(func(s *submission.State) { done = s.Waves()[1].GetDone() })
+				is.True(done)
+				is.Equal(platform.maxDown, 1)
+				is.Equal(len(platform.ordered), 4) // the first order is repeated
+			})
+		})
+	}
+}
+
 // Guards against two leaders that order the platform at the same time: a platform that does not check fencing tokens carries
 // out both orders. The previous leader may have sent its last order just before the new term.
 func TestNextLeaderWaitsBeforeItOrders(t *testing.T) {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -29,10 +29,19 @@
 	nextCheck time.Duration // earliest time of the next check
 	// mayOrderAt is the earliest time of an order in this term.
 	mayOrderAt time.Duration
-	// down maps each VM whose maintenance this leader has ordered to the worker incarnation that ran there.
-	down map[string]submission.Incarnation
+	// down holds the orders by VM until the maintenance is known to be over.
+	down map[string]upkeep
 }
 
+// upkeep is an order to maintain a VM that the platform has confirmed.
+type upkeep struct {
+	incarnation submission.Incarnation // the worker that ran on the VM
+	confirmedAt time.Duration
+}
+
+// upkeepSettles is how long after the confirmation of an order the worker on the VM may still answer. The platform ends it at once.
+const upkeepSettles = 500 * time.Millisecond
+
 // firstOrderAt returns the earliest time of an order in a term that begins now. Platforms that do not check fencing tokens
 // carry out an order of the previous leader, which may be on its way for orderTimeout after that leader was last confirmed.
 // The wait is not needed if there were no waves before the term.
@@ -114,16 +123,17 @@
 	l.orderUpkeep(wave, next)
 }
 
-// stillDown reports whether maintenance of the VM was ordered and no new worker incarnation has registered there since.
+// stillDown reports whether maintenance of the VM was ordered, and neither has a new worker incarnation registered there since nor the
+// known one lived on. An order that is repeated once the maintenance is over is confirmed as well.
 func (l *Leader) stillDown(vm string) bool {
-	incarnation, ok := l.waves.down[vm]
+	order, ok := l.waves.down[vm]
 	if !ok {
 		return false
 	}
-	back := false
+	back := l.outlived(order)
 	l.cfg.State.View(func(state *submission.State) {
 		for _, w := range state.Workers() {
-			back = back || w.GetVm() == vm && !w.GetGone() && w.Incarnation() != incarnation
+			back = back || w.GetVm() == vm && !w.GetGone() && w.Incarnation() != order.incarnation
 		}
 	})
 	if back {
@@ -132,6 +142,18 @@
 	return !back
 }
 
+// outlived reports whether the worker that ran on a VM has answered a hold that was sent after the platform would have ended it.
+func (l *Leader) outlived(order upkeep) bool {
+	s := l.sessions[order.incarnation.ID]
+	return s != nil && s.incarnation == order.incarnation && s.leaseSnapshot().answeredAt > order.confirmedAt+upkeepSettles
+}
+
+// endsByUpkeep reports whether this leader has ordered the maintenance of a VM and a worker incarnation on it has not outlived that.
+func (l *Leader) endsByUpkeep(vm string, incarnation submission.Incarnation) bool {
+	order, ok := l.waves.down[vm]
+	return ok && order.incarnation == incarnation && !l.outlived(order)
+}
+
 // canStopAll reports whether all tasks on a VM may be stopped without exceeding the limits of their steps on unavailable tasks.
 func (l *Leader) canStopAll(vm string) bool {
 	allowed := true
@@ -213,7 +235,7 @@
 			l.log.Info().Str("decision", "upkeep").Uint64("wave", wave.GetNumber()).Str("vm", vm).Uint64("term", term).AnErr("error", err).Msg("")
 			switch {
 			case err == nil:
-				l.waves.down[vm] = incarnation
+				l.waves.down[vm] = upkeep{incarnation, l.cfg.Clock()}
 				l.commitUpkeepBegun(wave, vm, "ordered")
 			case errors.Is(err, ErrFenced):
 				l.endTerm()
