What may be interrupted is judged by what is certain now

Cause: whether a task is at work was judged by the last list of its worker, also if the worker no longer answers, or is about to end by an order of the wave itself. The list and the placement stay for 8.6 s after the loss of a worker. Evictions by the planner use the same function.

Change: a task counts as at work only if its worker answers, has a lease, and no order for the maintenance of its VM may still end it. An order counts from when it is sent. It no longer counts if the platform refused it, or once the worker answers a hold that was sent 0.5 s after the confirmation or, without an answer, 4 s after the order was given up. Tasks on the VM that is to be taken are counted once: before, those not at work counted twice, so that an order without an answer could not have been repeated. The function has a file of its own, and a plan asks it once for each step instead of for each task.

Not closed: the loss of a worker whose connections do not break, until its hold times out, 2.3 s after its last answer at most. An order of a previous leader that is carried out after the begin of the term counts once the worker does not answer.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -204,7 +204,7 @@
 
 func (l *Leader) reset() {
 	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
-	l.advice, l.waves = map[stepKey]*stepAdvice{}, waveState{down: map[string]upkeep{}}
+	l.advice, l.waves = map[stepKey]*stepAdvice{}, waveState{orders: map[string]upkeep{}}
 	l.pressure, l.finiteDemand, l.waits = steps.NewPressure(), &steps.FiniteDemand{}, map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,13 +138,14 @@
 			return
 		}
 		snap.Expected = l.expectedRequests(state, snap.NowUnixMs, now)
-		offered := map[stepKey]int{}
+		spare := map[stepKey]int{}
 		mayStop := func(key stepKey) bool {
-			if !l.canStop(state, key, offered[key]+1) {
-				return false
+			left, ok := spare[key]
+			if !ok {
+				left = l.spareTasks(state, key, submission.Incarnation{})
 			}
-			offered[key]++
-			return true
+			spare[key] = left - 1
+			return left > 0
 		}
 		for _, w := range state.Workers() {
 			if !w.GetGone() {
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -60,7 +61,7 @@
 	})
 }
 
-// fakePlatform takes VMs down for maintenance and brings them back after two seconds.
+// fakePlatform takes VMs down for maintenance and brings them back after two seconds or upkeepTime.
 type fakePlatform struct {
 	mu      sync.Mutex
 	harness *harness
@@ -71,6 +72,9 @@
 	last    time.Time       // time of the last order
 	// firstAnswerAfter is how long the first order is under way until its answer arrives.
 	firstAnswerAfter time.Duration
+	upkeepTime       time.Duration
+	// onOrder, if set, is called with the worker id before the first order for a VM is carried out.
+	onOrder func(worker string)
 }
 
 func (f *fakePlatform) VMs(context.Context) ([]VM, error) {
@@ -106,12 +110,18 @@
 	}
 	id := vm[len("vm-"):]
 	f.down[id] = true
+	if f.onOrder != nil {
+		f.onOrder(id)
+	}
 	f.maxDown = max(f.maxDown, len(f.down))
 	restarted := newFakeWorkers(f.harness.t, time.Second, id).byID[id]
 	restarted.incarnation.BornUnixMs = 100
 	restarted.unreachable = true
-	f.harness.workers.update(func() { f.harness.workers.byID[id] = restarted })
-	time.AfterFunc(2*time.Second, func() {
+	f.harness.workers.update(func() {
+		restarted.serving = f.harness.workers.byID[id].serving
+		f.harness.workers.byID[id] = restarted
+	})
+	time.AfterFunc(cmp.Or(f.upkeepTime, 2*time.Second), func() {
 		f.mu.Lock()
 		delete(f.down, id)
 		f.mu.Unlock()
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -19,8 +19,8 @@
 	orderTimeout = 2 * time.Second
 )
 
-// errOrderExpired means that an order was not sent, because too much time had passed since the leadership was confirmed.
-var errOrderExpired = errors.New("the leadership was confirmed too long ago; the order is made again if this VM still leads")
+// errNotSent means that an order was not sent, because the leadership was not confirmed, or too long ago.
+var errNotSent = errors.New("the leadership is not confirmed in time; the order is made again if this VM still leads")
 
 // waveState is the state of maintenance waves. A wave is an operator's order to maintain a list of VMs, with a limit on how
 // many of them may be down at a time. The event loop owns the state.
@@ -29,18 +29,24 @@
 	nextCheck time.Duration // earliest time of the next check
 	// mayOrderAt is the earliest time of an order in this term.
 	mayOrderAt time.Duration
-	// down holds the orders by VM until the maintenance is known to be over.
-	down map[string]upkeep
+	// orders holds the last order for each VM, until it was refused or the maintenance is known to be over.
+	orders map[string]upkeep
 }
 
-// upkeep is an order to maintain a VM that the platform has confirmed.
+// upkeep is an order to maintain a VM.
 type upkeep struct {
 	incarnation submission.Incarnation // the worker that ran on the VM
-	confirmedAt time.Duration
+	confirmed   bool                   // the platform has confirmed the order
+	// settledAt is the time from which an answer of the worker shows that it has outlived the order; 0 while the order is in progress.
+	settledAt time.Duration
 }
 
-// upkeepSettles is how long after the confirmation of an order the worker on the VM may still answer. The platform ends it at once.
-const upkeepSettles = 500 * time.Millisecond
+const (
+	// upkeepSettles is how long after the confirmation of an order the worker on the VM may still answer. The platform ends it at once.
+	upkeepSettles = 500 * time.Millisecond
+	// lateUpkeep is how long after its time was over an order without an answer may still be carried out.
+	lateUpkeep = 4 * time.Second
+)
 
 // firstOrderAt returns the earliest time of an order in a term that begins now. Platforms that do not check fencing tokens
 // carry out an order of the previous leader, which may be on its way for orderTimeout after that leader was last confirmed.
@@ -126,8 +132,8 @@
 // stillDown reports whether maintenance of the VM was ordered, and neither has a new worker incarnation registered there since nor the
 // known one lived on. An order that is repeated once the maintenance is over is confirmed as well.
 func (l *Leader) stillDown(vm string) bool {
-	order, ok := l.waves.down[vm]
-	if !ok {
+	order, ok := l.waves.orders[vm]
+	if !ok || !order.confirmed {
 		return false
 	}
 	back := l.outlived(order)
@@ -137,81 +143,24 @@
 		}
 	})
 	if back {
-		delete(l.waves.down, vm)
+		delete(l.waves.orders, vm)
 	}
 	return !back
 }
 
-// outlived reports whether the worker that ran on a VM has answered a hold that was sent after the platform would have ended it.
+// outlived reports whether the worker that ran on a VM has answered a hold that was sent after the order would have ended it.
 func (l *Leader) outlived(order upkeep) bool {
 	s := l.sessions[order.incarnation.ID]
-	return s != nil && s.incarnation == order.incarnation && s.leaseSnapshot().answeredAt > order.confirmedAt+upkeepSettles
+	return s != nil && s.incarnation == order.incarnation && order.settledAt > 0 && s.leaseSnapshot().answeredAt > order.settledAt
 }
 
-// endsByUpkeep reports whether this leader has ordered the maintenance of a VM and a worker incarnation on it has not outlived that.
+// endsByUpkeep reports whether this leader has ordered the maintenance of a VM, perhaps without effect, and a worker incarnation on it
+// has not outlived that.
 func (l *Leader) endsByUpkeep(vm string, incarnation submission.Incarnation) bool {
-	order, ok := l.waves.down[vm]
+	order, ok := l.waves.orders[vm]
 	return ok && order.incarnation == incarnation && !l.outlived(order)
 }
 
-// canStopAll reports whether all tasks on a VM may be stopped without exceeding the limits of their steps on unavailable tasks.
-func (l *Leader) canStopAll(vm string) bool {
-	allowed := true
-	l.cfg.State.View(func(state *submission.State) {
-		for _, w := range state.Workers() {
-			if w.GetVm() != vm || w.GetGone() {
-				continue
-			}
-			taken := map[stepKey]int{}
-			for ref := range w.Attempts {
-				taken[stepKey{ref.Submission, ref.Occurrence, ref.Step}]++
-			}
-			for key, n := range taken {
-				allowed = allowed && l.canStop(state, key, n)
-			}
-		}
-	})
-	return allowed
-}
-
-// canStop reports whether n more tasks of a step may be stopped without exceeding its limit on unavailable tasks.
-func (l *Leader) canStop(state *submission.State, key stepKey, n int) bool {
-	sub := state.Submission(key.submission)
-	if sub == nil || !sub.Active() {
-		return true
-	}
-	spec := sub.Spec.GetSteps()[key.step]
-	if spec.GetMaxUnavailable() == 0 {
-		return true
-	}
-	o := sub.Occurrence(key.occurrence)
-	if o.Done {
-		return true
-	}
-	away := 0
-	for i := range o.Steps[key.step].Tasks {
-		ref := submission.Ref{Submission: key.submission, Occurrence: key.occurrence, Step: key.step, Index: uint32(i)}
-		if !l.isServing(ref, &o.Steps[key.step].Tasks[i]) {
-			away++
-		}
-	}
-	return away+n <= int(spec.GetMaxUnavailable())
-}
-
-// isServing reports whether an endless task was serving requests when its worker last answered a hold, and has not been told to
-// stop since.
-func (l *Leader) isServing(ref submission.Ref, t *submission.Task) bool {
-	s := l.sessions[t.On.ID]
-	if !t.Placed() || s == nil || s.incarnation != t.On {
-		return false
-	}
-	if r := l.runs[ref]; r != nil && r.attempt == t.Attempt && r.phase == phaseStopping {
-		return false
-	}
-	reported, ok := s.running[ref]
-	return ok && reported.Attempt == t.Attempt && reported.Percent >= servingPercent
-}
-
 func (l *Leader) orderUpkeep(wave *pb.Wave, vm string) {
 	incarnation := submission.Incarnation{}
 	l.cfg.State.View(func(state *submission.State) {
@@ -221,7 +170,8 @@
 			}
 		}
 	})
-	l.waves.calling = true
+	earlier := l.waves.orders[vm]
+	l.waves.calling, l.waves.orders[vm] = true, upkeep{incarnation: incarnation}
 	ctx, term := l.ctx, l.term
 	go func() {
 		err := l.orderConfirmed(ctx, func(ctx context.Context) error {
@@ -233,9 +183,9 @@
 			}
 			l.waves.calling = false
 			l.log.Info().Str("decision", "upkeep").Uint64("wave", wave.GetNumber()).Str("vm", vm).Uint64("term", term).AnErr("error", err).Msg("")
+			l.recordOrder(vm, incarnation, earlier, err)
 			switch {
 			case err == nil:
-				l.waves.down[vm] = upkeep{incarnation, l.cfg.Clock()}
 				l.commitUpkeepBegun(wave, vm, "ordered")
 			case errors.Is(err, ErrFenced):
 				l.endTerm()
@@ -244,6 +194,21 @@
 	}()
 }
 
+// recordOrder records the result of an order. One that was not carried out leaves the one before as it was.
+func (l *Leader) recordOrder(vm string, incarnation submission.Incarnation, earlier upkeep, err error) {
+	now := l.cfg.Clock()
+	switch {
+	case err == nil:
+		l.waves.orders[vm] = upkeep{incarnation, true, now + upkeepSettles}
+	case !errors.Is(err, ErrBusy) && !errors.Is(err, errNotSent):
+		l.waves.orders[vm] = upkeep{incarnation, false, now + lateUpkeep}
+	case earlier != upkeep{}:
+		l.waves.orders[vm] = earlier
+	default:
+		delete(l.waves.orders, vm)
+	}
+}
+
 // orderConfirmed sends an order to the platform after a quorum has confirmed that this VM leads. It sends nothing if this VM
 // was suspended or delayed so long since it asked the quorum that another leader may order by now.
 func (l *Leader) orderConfirmed(ctx context.Context, send func(context.Context) error) error {
@@ -251,10 +216,10 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if err := l.cfg.Log.ReadBarrier(ctx); err != nil {
-		return fmt.Errorf("confirm the leadership before an order: %w", err)
+		return fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	if l.cfg.Clock()-asked >= orderTimeout {
-		return errOrderExpired
+		return errNotSent
 	}
 	return send(ctx)
 }
