An intake VM that does not reach the leader is not ready

What callers saw: 503 for all requests at an intake VM that reaches control VMs but not their leader, for as long as that lasts; the platform kept sending new connections there.

Cause: readiness was taken from any control VM that names a leader. Requests go to the leader only.

Not closed: the other control VMs could pass requests on, as they do with reports (callLeader).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,7 +24,7 @@
 	membersInterval = 400 * time.Millisecond
 	// membersTimeout bounds one such query.
 	membersTimeout = 300 * time.Millisecond
-	// readyTimeout is how long this VM stays ready after a control VM last named a leader.
+	// readyTimeout is how long this VM stays ready after a control VM last named a leader that this VM reaches.
 	readyTimeout = 1500 * time.Millisecond
 	// attemptTimeout bounds one call to the leader, so that a hung leader does not use up the whole deadline of a request.
 	attemptTimeout = 800 * time.Millisecond
@@ -59,7 +59,7 @@
 	leader  string
 
 	limits       atomic.Pointer[pb.IntakeLimits]
-	leaderSeenAt atomic.Int64 // nanoseconds after start at which a control VM last named a leader; -1 if none has
+	leaderSeenAt atomic.Int64 // nanoseconds after start at which a control VM last named a leader that this VM reaches; -1 if none has
 	start        time.Time
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -114,7 +114,7 @@
 	}
 }
 
-// Ready reports whether requests can be forwarded: a control VM that knows a leader has answered within readyTimeout.
+// Ready reports whether requests can be forwarded: a control VM has named a leader that this VM reaches within readyTimeout.
 func (i *Intake) Ready() bool {
 	at := i.leaderSeenAt.Load()
 	return at >= 0 && time.Since(i.start)-time.Duration(at) < readyTimeout
@@ -166,7 +166,7 @@
 	if answer.GetLimits() != nil {
 		i.limits.Store(answer.GetLimits())
 	}
-	if answer.GetLeader() != "" {
+	if answer.GetLeader() != "" && i.transport.Reachable(answer.GetLeader()) {
 		i.leaderSeenAt.Store(int64(time.Since(i.start)))
 	}
 	i.mu.Lock()
