A route that works is kept while intake VMs come and go

What callers saw: nothing. A route was a number of failed ones, counted in the list of VMs that are alive at that moment. Each VM that came, went or was suspected for 2 s moved the workers behind it in the list to other VMs, which may not reach them: up to 2.3 s without an answer each time, in which a worker gets no new tasks.

Change: the VM over which a worker was last reached is remembered, and called as long as it is alive and reaches the worker.

Evidence: relay.TestRouteThatWorksStaysWhenOtherVMsComeAndGo fails before (a hold without an answer), passes now.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -249,13 +249,18 @@
 func alive(vms map[string]*agent, now, timeout time.Duration) []Agent {
 	var list []Agent
 	for id, a := range vms {
-		if now-a.offeredAt < timeout && now >= a.suspectUntil {
+		if a.isAlive(now, timeout) {
 			list = append(list, Agent{id, a.failureDomain})
 		}
 	}
 	return list
 }
 
+// isAlive reports whether a VM has offered to make calls within a timeout and is not suspected.
+func (a *agent) isAlive(now, timeout time.Duration) bool {
+	return now-a.offeredAt < timeout && now >= a.suspectUntil
+}
+
 // deliverAnswer passes an answer to the call that waits for it.
 func (r *Relay) deliverAnswer(a *pb.RelayAnswer) {
 	if a.GetProcess() != r.process {
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -46,6 +46,10 @@
 	count int
 	// unanswered is true after a single call that the agent did not answer. The call or its answer may just have been lost.
 	unanswered bool
+	// works is true if the worker was last reached by way of the VM via and not over the preferred route. It is kept although the numbers
+	// of the routes change whenever a VM comes or goes.
+	works bool
+	via   string
 	// announced is the number of the route whose use was logged last.
 	announced     int
 	retryInterval time.Duration
@@ -68,9 +72,24 @@
 		preferred := r.routeNumber(t, 0, now)
 		r.pool.Submit(func() { r.retryPreferred(t, preferred) })
 	}
+	if failed.works && r.isUsable(failed.via, now) {
+		return route{failed.via, failed.count}
+	}
 	return r.routeNumber(t, failed.count, now)
 }
 
+// isUsable reports whether a VM can make calls now. The caller holds r.mu.
+func (r *Relay) isUsable(via string, now time.Duration) bool {
+	if via == "" {
+		return true
+	}
+	if a := r.agents[via]; a != nil {
+		return a.isAlive(now, agentTimeout)
+	}
+	a := r.intakes[via]
+	return a != nil && a.isAlive(now, intakeTimeout)
+}
+
 // routeNumber returns the route to a worker after the given number of routes have failed. The caller holds r.mu.
 func (r *Relay) routeNumber(t dispatch.Target, number int, now time.Duration) route {
 	candidates := Candidates{LeaderFirst: !r.cfg.UseAgents()}
@@ -109,7 +128,7 @@
 		failed = r.addFailedRoutes(t)
 	}
 	switch {
-	case failed.count != used.number: // the worker is called over another route already
+	case failed.count != used.number, failed.works && failed.via != used.via: // the worker is called over another route already
 	case errors.Is(err, errAnswerLost) && !failed.unanswered:
 		failed.unanswered = true
 	default:
@@ -128,7 +147,7 @@
 		failed.retryAt, failed.usedAt = now+failed.retryInterval, now
 	}
 	failed.count++
-	failed.unanswered = false
+	failed.unanswered, failed.works = false, false
 	failedRoutesTotal.Inc()
 }
 
@@ -142,6 +161,7 @@
 		r.cfg.Logger.Info().Str("event", "route-changed").Str("worker", t.Incarnation.ID).Str("via", used.via).Int("failed_routes", used.number).Msg("")
 	}
 	failed.count, failed.unanswered = used.number, false
+	failed.works, failed.via = used.number > 0, used.via
 }
 
 // addFailedRoutes adds a record for a worker. The caller holds r.mu.
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -282,3 +282,23 @@
 		is.Equal(len(f.callers[leaving].recorded()), before)
 	})
 }
+
+// Guards against a worker that is called by a VM which does not reach it, though its present one does, because the list of intake VMs
+// has changed.
+func TestRouteThatWorksStaysWhenOtherVMsComeAndGo(t *testing.T) {
+	for _, id := range fleetVMs[2:] {
+		withFleet(t, func(is *is.I, f *fleet) {
+			f.reach(id)
+			is.True(f.holdsUntilAnswered() <= len(fleetVMs))
+			for _, others := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}, {"e"}, nil} {
+				for range 8 {
+					for _, other := range others {
+						f.leader.RecordIntake(other, "d", 1)
+					}
+					is.NoErr(f.hold())
+					time.Sleep(400 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
