A refused connection proves the end of a worker only if a second VM is refused, too

A leader that is refused the connection to a worker that has reported its leave gives up its tasks at once (leave.go), believes a report that contradicts the worker (claim.go), and takes the suspects on it for proven (crash.go). Found in the review: the same class, one observer's view is taken for the truth.

Change: a refused hold is repeated by way of another VM, an intake VM or the preferred route. Only if that is refused as well the worker has ended; if it is answered, that route is used.

Evidence: relay.TestRefusalAtOneVMDoesNotProveThatWorkerEnded fails before, passes now.

--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/dispatch"
@@ -103,6 +104,53 @@
 	return route{candidates.Choose(t.Incarnation.ID, t.FailureDomain, number), number}
 }
 
+// confirmRefusal repeats a hold by way of another VM after a VM was refused the connection. A partition may refuse connections, too, so that
+// the worker has ended only if both are refused.
+func (r *Relay) confirmRefusal(ctx context.Context, c dispatch.HoldCall, used route, refusal error) (dispatch.HoldAnswer, error) {
+	other := r.otherRoute(c.Target, used)
+	if other.via == used.via {
+		return dispatch.HoldAnswer{}, refusal
+	}
+	answer, err := r.holdVia(ctx, other.via, c)
+	switch {
+	case errors.Is(err, dispatch.ErrNotListening):
+		r.recordHold(ctx, c.Target, used, err)
+		return answer, err
+	case !errors.Is(err, dispatch.ErrNoAnswer):
+		r.use(c.Target, other)
+		return answer, err
+	}
+	err = fmt.Errorf("%w: %q is refused the connection, %q gets no answer", dispatch.ErrNoAnswer, used.via, other.via)
+	r.recordHold(ctx, c.Target, used, err)
+	return answer, err
+}
+
+// otherRoute returns the preferred route to a worker, or the one after it if that is the one in use.
+func (r *Relay) otherRoute(t dispatch.Target, used route) route {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock()
+	preferred := r.routeNumber(t, 0, now)
+	if preferred.via != used.via {
+		return preferred
+	}
+	return r.routeNumber(t, 1, now)
+}
+
+// use makes a route that works the one in use.
+func (r *Relay) use(t dispatch.Target, working route) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failed := r.failed[keyOf(t)]
+	if failed == nil {
+		failed = r.addFailedRoutes(t)
+	}
+	if failed.count == 0 && working.number > 0 {
+		r.tryNextRoute(failed)
+	}
+	r.routeWorks(t, failed, working)
+}
+
 // retryPreferred finds out whether the preferred route to a worker works again. Its hold changes nothing on the worker.
 func (r *Relay) retryPreferred(t dispatch.Target, preferred route) {
 	ctx, cancel := context.WithTimeout(r.ctx, preferredRetryTimeout)
