Failing tests: a worker whose reports do not arrive is not called again after its session was closed

What callers see: room that is not used, LOST at worst.

Cause: a session is closed after a minute of silence, and once a worker that has reported its leave refuses connections. After that nothing calls its address; only a report opens the next session. Reports reach control VMs only.

--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -174,3 +174,32 @@
 		is.Equal(pool, "other")
 	})
 }
+
+// Guards against a worker that stays unused because it restarted without a report after it had reported its leave.
+func TestWorkerThatRestartsAfterItsLeaveIsUsed(t *testing.T) {
+	for _, downtime := range []time.Duration{0, 150 * time.Millisecond, 2 * time.Second} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+				r.leaves("a")
+				r.workers.update(func() { r.workers.byID["a"].refusing = downtime > 0 })
+				time.Sleep(downtime)
+				r.restart("a", 77, func(*fakeWorker) {})
+				r.submit("after", 2, nil)
+				time.Sleep(maxOutage)
+				is.Equal(r.describe("after"), "done")
+			})
+		})
+	}
+}
+
+// Guards against a worker that is never called again because it was silent for a minute and its reports do not arrive.
+func TestWorkerThatAnswersAfterLongSilenceIsUsed(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.lose("a")
+		time.Sleep(silenceTimeout + 5*time.Second)
+		r.workers.update(func() { r.workers.byID["a"].unreachable = false })
+		r.submit("after", 2, nil)
+		time.Sleep(maxOutage)
+		is.Equal(r.describe("after"), "done")
+	})
+}
