Failing test: a task runs twice because its worker was cut off right after it had reported its leave

What callers see: TWICE.

Cause: two unanswered calls of 200 ms each prove the end of a worker that has certainly reported its leave (leaveMisses). One that is cut off right after its report, so that the confirmation does not arrive, runs on for some seconds (PROTOCOL.md: 'it ends anyway, some seconds later'). TestTasksOfWorkerThatLeftStartAtOnce/silent wants the opposite, for a worker that has ended; the leader cannot tell the two apart by silence.

Evidence: dispatch.TestWorkerThatIsCutOffWhileItLeavesKeepsItsLease: 'runs on a and on b'.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -116,3 +116,14 @@
 		is.True(!<-planned)
 	})
 }
+
+// Guards against a task that runs twice because its worker was cut off right after it had reported its leave, and ran on.
+func TestWorkerThatIsCutOffWhileItLeavesKeepsItsLease(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.leaves("a")
+		r.lose("a")
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("b"), 0)
+	})
+}
