Failing test: a task waits for silent workers while others are idle

What callers see: LOST; a task could run and does not, with most of the workers' room free.

Cause: awaitsProof. A task that was lost four times just after its start waits until its silent workers answer or are known to have ended, and gives up waiting for each only after silenceTimeout (60 s). They need not have crashed: a partition suffices.

Evidence: dispatch.TestTaskOfSilentWorkersRunsWhileOthersAreIdle: with three of seven workers idle the task runs 36.6 s after its last worker was cut off; 9 s are allowed.

--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -70,3 +70,45 @@
 	})
 	return runs
 }
+
+// Guards against an endless task that waits, while others are idle, because four workers were cut off just after it had started there.
+func TestTaskOfSilentWorkersRunsWhileOthersAreIdle(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e", "f", "g"}, func(is *is.I, r *harness) {
+		r.submit("s", 1, endless)
+		for range 4 {
+			r.loseWorkerOf(submission.Ref{Submission: "s"})
+		}
+		began := time.Now()
+		for !r.reachableRuns(submission.Ref{Submission: "s"}) && time.Since(began) < 2*silenceTimeout {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("it runs %v after its last worker was cut off", time.Since(began))
+		is.True(time.Since(began) < maxOutage)
+	})
+}
+
+// loseWorkerOf waits until a worker that can be reached runs a task and cuts that worker off right after the start.
+func (r *harness) loseWorkerOf(task submission.Ref) {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if r.reachableRuns(task) {
+			break
+		}
+	}
+	r.workers.update(func() {
+		for _, f := range r.workers.byID {
+			f.unreachable = f.unreachable || f.running[task] != nil
+		}
+	})
+}
+
+// reachableRuns reports whether a worker that can be reached runs the task.
+func (r *harness) reachableRuns(task submission.Ref) bool {
+	runs := false
+	r.workers.update(func() {
+		for _, f := range r.workers.byID {
+			r.workers.advance(f)
+			runs = runs || f.running[task] != nil && !f.unreachable
+		}
+	})
+	return runs
+}
