A worker that is reached again after long silence is used though its reports do not arrive

What callers saw: nothing yet. A session is closed after a minute of silence; after that only a report, which reaches control VMs only, could open the next one.

Change: for ten minutes such a worker is called every 5 s, 32 workers at a time at most, over one route after the other.

TestSilentWorkerReturns says that a worker which has left for good is not called forever. It looked at this 93 s after the loss, when the former code no longer called; now it looks after the ten minutes, and is as it was otherwise.

Evidence: dispatch.TestWorkerThatAnswersAfterLongSilenceIsUsed failed before, passes now.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -134,9 +134,10 @@
 	advice          map[stepKey]*stepAdvice
 	waves           waveState
 	successors      successorSearch
-	workers         atomic.Int64 // number of sessions, for readers outside the loop
-	ended           []string     // ids of ended submissions whose tasks have to be stopped
-	endedMu         sync.Mutex   // guards ended
+	former          map[string]*formerWorker // by worker id
+	workers         atomic.Int64             // number of sessions, for readers outside the loop
+	ended           []string                 // ids of ended submissions whose tasks have to be stopped
+	endedMu         sync.Mutex               // guards ended
 }
 
 // New returns a Leader and starts its event loop. It schedules nothing until Lead is called.
@@ -210,7 +211,7 @@
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
 	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
-	l.successors = successorSearch{missing: map[string]missingSuccessor{}}
+	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
 
@@ -417,6 +418,7 @@
 	l.repeatRegistrations()
 	l.advanceWaves(now)
 	l.searchSuccessors(now)
+	l.callFormerWorkers(now)
 	l.sendPressureModel(now)
 	if now >= l.nextCleanup {
 		l.nextCleanup = now + cleanupInterval
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -175,7 +175,8 @@
 // the same incarnation reports later, a new session is opened.
 func (l *Leader) closeIfSilent(s *session, now time.Duration) {
 	if now-max(s.reportedAt, s.leaseSnapshot().answeredAt) > silenceTimeout {
-		l.log.Warn().Str("event", "worker-silent").Str("worker", s.incarnation.ID).Msg("the worker neither reports nor answers; it is not called again until it reports")
+		l.log.Warn().Str("event", "worker-silent").Str("worker", s.incarnation.ID).Msg("the worker neither reports nor answers; it is called rarely until it does")
 		l.closeSession(s)
+		l.addFormer(s.incarnation.ID, now)
 	}
 }
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -43,12 +43,18 @@
 	since    time.Duration
 }
 
-// registerSuccessor registers the incarnation that has answered a hold in place of the incarnation of a session. Its labels may have
-// changed and are unknown until it reports, so that it gets no task which needs one.
+// registerSuccessor registers the incarnation that has answered a hold in place of the incarnation of a session.
 func (l *Leader) registerSuccessor(s *session, bornUnixMs int64) {
-	known := l.knownWorker(s.incarnation.ID)
-	if known == nil || known.GetBornUnixMs() != s.incarnation.BornUnixMs || bornUnixMs <= known.GetBornUnixMs() {
-		return // it has reported by now, or was started before
+	if known := l.knownWorker(s.incarnation.ID); known != nil && known.GetBornUnixMs() == s.incarnation.BornUnixMs {
+		l.registerSuccessorOf(known, bornUnixMs)
+	}
+}
+
+// registerSuccessorOf registers a later incarnation of a known worker. Its labels may have changed and are unknown until it reports, so
+// that it gets no task which needs one.
+func (l *Leader) registerSuccessorOf(known *pb.PoolWorker, bornUnixMs int64) {
+	if bornUnixMs <= known.GetBornUnixMs() {
+		return
 	}
 	w := proto.CloneOf(known)
 	w.BornUnixMs, w.Labels, w.Sequence, w.Draining, w.Gone = bornUnixMs, nil, 0, false, false
