One broken connection does not change the route to a worker

What callers saw: nothing. A short call, as those that ask a worker that leaves, could also make an intake VM suspect for 2 s while the leader was still connecting to it, and count as silence of the worker.

Change: a connection that breaks is told from silence, also over agents; only a second one in a row changes the route. A VM is suspected only if it was silent for longer than the interval at which it is heard. A call that no VM could make says nothing about a worker that leaves.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -147,6 +147,10 @@
 	ErrNoAnswer = errors.New("the worker did not answer; the call may have been or may yet be carried out")
 	// ErrNotListening means that nothing listens at the worker's address, so that its process has ended. The call was not carried out.
 	ErrNotListening = fmt.Errorf("%w: nothing listens at its address", ErrNoAnswer)
+	// ErrConnectionBroken means that the connection ended before the answer, for instance since the worker's process has ended.
+	ErrConnectionBroken = fmt.Errorf("%w: its connection broke", ErrNoAnswer)
+	// ErrAgentSilent means that nothing is heard from the VM that was to make the call. It tells nothing about the worker.
+	ErrAgentSilent = fmt.Errorf("%w: nothing is heard from the VM that makes the call", ErrNoAnswer)
 	// ErrFenced means that a newer leader has called the worker.
 	ErrFenced = errors.New("a newer leader has called the worker; this one must stop")
 	// ErrOldAttempt means that this or a later attempt of the task was stopped or has ended on the worker.
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -52,6 +52,7 @@
 		return leaveEnded
 	case errors.Is(err, ErrOtherIncarnation):
 		return leaveReplaced
+	case errors.Is(err, ErrAgentSilent): // the worker was not asked
 	case errors.Is(err, ErrNoAnswer):
 		if w.misses++; w.certain && w.misses >= leaveMisses {
 			return leaveEnded
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -127,3 +127,14 @@
 		is.Equal(r.running("b"), 0)
 	})
 }
+
+// Guards against a worker that counts as ended because the VM that was to ask it could not be reached.
+func TestUnaskedWorkerHasNotLeft(t *testing.T) {
+	is := is.New(t)
+	watch := &leaveWatch{certain: true}
+	for range 2 * leaveMisses {
+		is.Equal(watch.judge(0, ErrAgentSilent), leaveOpen)
+	}
+	is.Equal(watch.judge(0, ErrNoAnswer), leaveOpen)
+	is.Equal(watch.judge(0, ErrNoAnswer), leaveEnded)
+}
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -12,8 +12,6 @@
 
 // Errors of a call that another VM makes.
 var (
-	// errAgentSilent means that nothing was received from the VM since the call was sent.
-	errAgentSilent = fmt.Errorf("%w: nothing is heard from the VM that makes the call", dispatch.ErrNoAnswer)
 	// errAnswerLost means that the VM is heard, but has not answered the call.
 	errAnswerLost = fmt.Errorf("%w: the VM that makes the call has sent no answer to it", dispatch.ErrNoAnswer)
 )
@@ -77,10 +75,11 @@
 // callAgent sends a call to another VM and waits for its answer. It returns the errors of a dispatch.Caller.
 func (r *Relay) callAgent(ctx context.Context, via string, t dispatch.Target, c *pb.RelayCall) (*pb.RelayAnswer, error) {
 	relayedTotal.Inc()
+	began := r.cfg.Clock()
 	if r.isIntake(via) {
 		if err := r.cfg.Messenger.AwaitConnection(ctx, via); err != nil {
-			r.suspect(ctx, via, t)
-			return nil, fmt.Errorf("%w: %w", errAgentSilent, err)
+			r.suspect(ctx, via, t, began)
+			return nil, fmt.Errorf("%w: %w", dispatch.ErrAgentSilent, err)
 		}
 	}
 	c.Process, c.Worker, c.WorkerBornUnixMs, c.Address, c.Fence = r.process, t.Incarnation.ID, t.Incarnation.BornUnixMs, t.Address, t.Fence
@@ -118,7 +117,7 @@
 	return a.clockMs + (now - a.lastHeard + timeout).Milliseconds()
 }
 
-// unansweredBy records that a VM did not answer a call and returns errAgentSilent or errAnswerLost. A VM from which nothing was received
+// unansweredBy records that a VM did not answer a call and returns dispatch.ErrAgentSilent or errAnswerLost. A VM from which nothing was received
 // since the call was sent is suspected. One that is heard may be late with many calls; its workers must not all open new connections to
 // other VMs.
 func (r *Relay) unansweredBy(ctx context.Context, via string, t dispatch.Target, id uint64, sent time.Duration) error {
@@ -131,20 +130,17 @@
 	if heard {
 		return errAnswerLost
 	}
-	r.suspect(ctx, via, t)
-	return errAgentSilent
+	r.suspect(ctx, via, t, sent)
+	return dispatch.ErrAgentSilent
 }
 
-// suspect records that a VM does not answer, so that it gets no calls for suspectDuration. A call that was cancelled tells nothing: its
-// answer may not have been due.
-func (r *Relay) suspect(ctx context.Context, via string, t dispatch.Target) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
+// suspect records that a VM has not answered since a call was made, so that it gets no calls for suspectDuration. A call that was
+// cancelled, or was waited for shorter than the VM may be silent, tells nothing.
+func (r *Relay) suspect(ctx context.Context, via string, t dispatch.Target, since time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a, now := r.agentState(via), r.cfg.Clock()
-	if a == nil {
+	if a == nil || errors.Is(ctx.Err(), context.Canceled) || now-since < suspectAfter {
 		return
 	}
 	alreadySuspect := now < a.suspectUntil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,9 @@
 	AnnounceInterval = 250 * time.Millisecond
 	// agentTimeout is how long after its last message an agent still gets calls: four announce intervals.
 	agentTimeout = time.Second
+	// suspectAfter is how long an agent may be silent before it is suspected. Agents announce themselves and intake VMs ask for the
+	// members more often.
+	suspectAfter = 450 * time.Millisecond
 	// suspectDuration is how long an agent gets no calls after it did not answer one.
 	suspectDuration = 2 * time.Second
 	// maxAgentCalls bounds the concurrent calls of an agent, and with them the memory that they use. Most are long polls, one
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -45,7 +45,7 @@
 // failedRoutes records that routes to a worker have failed, so that it is called over another one.
 type failedRoutes struct {
 	count int
-	// unanswered is true after a single call that the agent did not answer. The call or its answer may just have been lost.
+	// unanswered is true after a single call that the agent did not answer or whose connection broke. The next one may be answered.
 	unanswered bool
 	// works is true if the worker was last reached by way of the VM via and not over the preferred route. It is kept although the numbers
 	// of the routes change whenever a VM comes or goes.
@@ -162,7 +162,7 @@
 // recordHold records the result of a hold over a route. Only holds tell whether a route works: one is always in progress, and a worker
 // that leaves orders unanswered can still be reached.
 func (r *Relay) recordHold(ctx context.Context, t dispatch.Target, used route, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) && err != nil || errors.Is(err, errAgentSilent) {
+	if errors.Is(ctx.Err(), context.Canceled) && err != nil || errors.Is(err, dispatch.ErrAgentSilent) {
 		return // it is not known whether the worker can be reached
 	}
 	r.mu.Lock()
@@ -177,7 +177,7 @@
 	}
 	switch {
 	case failed.count != used.number, failed.works && failed.via != used.via: // the worker is called over another route already
-	case errors.Is(err, errAnswerLost) && !failed.unanswered:
+	case (errors.Is(err, errAnswerLost) || errors.Is(err, dispatch.ErrConnectionBroken)) && !failed.unanswered:
 		failed.unanswered = true
 	default:
 		r.tryNextRoute(failed)
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -322,3 +322,40 @@
 		})
 	}
 }
+
+// Guards against all workers being called by intake VMs for seconds because the connections to them were reset once.
+func TestBrokenConnectionDoesNotChangeRoute(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		for range 3 {
+			f.callers["leader"].setError(dispatch.ErrConnectionBroken)
+			is.True(f.hold() != nil)
+			f.callers["leader"].setError(nil)
+			is.NoErr(f.hold())
+		}
+		is.Equal(len(f.leader.IntakesInUse()), 0)
+		f.callers["leader"].setError(dispatch.ErrConnectionBroken) // a partition may reset connections, too
+		is.Equal(f.holdsUntilAnswered(), 3)
+		is.Equal(len(f.leader.IntakesInUse()), 1)
+	})
+}
+
+// Guards against an intake VM that makes no calls for 2 s because a short call to it was given up while the leader was connecting.
+func TestShortCallDoesNotMakeVMSuspect(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("intake-1", "intake-2")
+		is.Equal(f.holdsUntilAnswered(), 2)
+		used := f.leader.IntakesInUse()[0]
+		f.mu.Lock()
+		f.cut[used] = true
+		f.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err := f.leader.Hold(ctx, dispatch.HoldCall{Target: worker})
+		is.True(errors.Is(err, dispatch.ErrAgentSilent))
+		f.mu.Lock()
+		f.cut[used] = false
+		f.mu.Unlock()
+		is.NoErr(f.hold())
+		is.Equal(f.leader.IntakesInUse(), []string{used})
+	})
+}
