A successor that answers no stop does not hold up a task

Cause: a worker restarts under its id, and its next incarnation may carry out a start that was meant for the one before. The task waits until the new one has acknowledged a stop and a later hold does not list the attempt, or until the lease of the new one is over. A sick worker that answers holds lets stops hang, and holds renew its lease: neither comes, and the worker gets no other task meanwhile.

Change: a hold that was sent 4 s (uncertainStartTimeout) after the leader first heard from the new incarnation, and does not list the attempt, also shows that it does not run. No start meant for the previous incarnation is sent from then on, and by the end of that time a delayed call has arrived, as is assumed for silent workers already.

Measured: TestSickSuccessorDoesNotHoldUpTask fails before in 20 of 20 runs (in a trial after 5 minutes too, 3 of 3):

uncertain_test.go:144: 0 != 1

and passes after in 20 of 20; the task is away for 6.2 s. go test -race ./internal/dispatch ./internal/submission passes.

--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -19,8 +19,10 @@
 	previous submission.Incarnation
 	attempt  uint32
 	since    time.Duration
-	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told.
-	in *session
+	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told. No start meant
+	// for the previous one is sent after inSince.
+	in      *session
+	inSince time.Duration
 	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
 	calling   bool
 	revokedAt time.Duration
@@ -138,21 +140,22 @@
 
 // resolveUncertainStarts resolves the attempts that a new incarnation may have started in place of its predecessor. It first
 // sends a stop, after which the attempt cannot start there. Once a later hold does not list the attempt, its task may be
-// placed again.
+// placed again. So it may if a hold does not list it by which a delayed call has arrived: a sick worker may answer no stop.
 func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration) {
 	for ref, u := range l.uncertainStarts {
 		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation {
 			continue
 		}
 		if u.in != s {
-			u.in, u.calling, u.revokedAt = s, false, 0
+			u.in, u.inSince, u.calling, u.revokedAt = s, l.cfg.Clock(), false, 0
 		}
+		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+uncertainStartTimeout
 		switch {
-		case u.revokedAt == 0 && !u.calling:
-			l.revoke(s, ref, u)
-		case u.revokedAt > 0 && u.revokedAt <= sent && s.running[ref].Attempt != u.attempt:
+		case cannotStart && s.running[ref].Attempt != u.attempt:
 			delete(l.uncertainStarts, ref)
 			l.dirty = true
+		case u.revokedAt == 0 && !u.calling:
+			l.revoke(s, ref, u)
 		}
 	}
 }
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -129,3 +129,18 @@
 		t.Fatal("the report is not answered")
 	}
 }
+
+// Guards against a task that waits for as long as the next incarnation of its worker answers holds but no stops.
+func TestSickSuccessorDoesNotHoldUpTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startsReset = true })
+		r.submit("s", 1, endless)
+		time.Sleep(100 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
+		r.report("b", 1)
+		r.restart("a", 77, func(f *fakeWorker) { f.stopUnanswered = true })
+		r.report("a", 1)
+		time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+		is.Equal(r.running("a")+r.running("b"), 1)
+	})
+}
