A new leader uses workers that do not guard their capacity and whose reports do not arrive

After a change of the leader nothing of a pool whose workers do not guard their capacity started any more, as long as all its workers were cut off from the control VMs, though intake VMs reached them.

Cause: a leader gives nothing to such a worker until it has reported in its term, as it may have shrunk while there was no leader. Workers report to control VMs only. Class: the absence of news is taken for news that is on its way.

Change: a worker that has reported before, answers holds and sends no report for 4.5 s (the platform's stable window and a heartbeat) counts with the capacity that it reported last. A worker that was registered without a report still gets nothing.

Weighed: it may have shrunk unseen and be filled beyond its capacity (LIMIT). That holds already in the term in which it is cut off; the test of the shrunk worker whose report comes after 1 s (TestNewLeaderAwaitsReportOfUnguardedWorker) is unchanged and passes.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/lentilyard/lentilyard/internal/placement/steps"
 	"github.com/lentilyard/lentilyard/internal/resources"
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -16,10 +18,15 @@
 	return capacity
 }
 
-// knowsCapacity reports whether the leader may rely on the capacity of a worker. One that does not guard its capacity must have
-// reported in this term: it may have shrunk while there was no leader to hear of it.
+// reportWait is how long the leader waits for the first report of a worker in its term: the platform's stable window of 3 s and a heartbeat.
+const reportWait = 4500 * time.Millisecond
+
+// knowsCapacity reports whether the leader may rely on the capacity of a worker. One that does not guard its capacity may have shrunk
+// while there was no leader to hear of it. If it answers holds and does not report within reportWait, it is cut off from the control VMs
+// and what it reported before counts, as in the term in which that happens.
 func (l *Leader) knowsCapacity(state *submission.State, w *submission.Worker, s *session) bool {
-	return s.reportedCapacity != nil || state.Pool(w.GetPool()).GetGuards()
+	hasReported := w.GetSequence() > 0
+	return s.reportedCapacity != nil || state.Pool(w.GetPool()).GetGuards() || hasReported && l.cfg.Clock()-s.reportedAt >= reportWait
 }
 
 // strays returns the attempts that the worker listed last and that are not placed on it. They are being stopped and occupy the
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -147,6 +147,24 @@
 	})
 }
 
+// Guards against unguarded workers that no new leader uses because their reports do not arrive: a whole pool stood still though intake
+// VMs reached it.
+func TestUnguardedWorkerWhoseReportsDoNotArriveIsUsed(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.unguard()
+		is.NoErr(r.reportCapacity("a", 2, 2000))
+		r.leader.Close()
+		r.newLeader()
+		r.lead(6)
+		r.submit("s", 4, endless)
+		time.Sleep(shrinkGrace)
+		is.Equal(r.running("a"), 0)
+		time.Sleep(reportWait - shrinkGrace + 500*time.Millisecond)
+		is.Equal(r.running("a"), 2)
+		is.Equal(r.peak("a"), 2)
+	})
+}
+
 // Guards against an unguarded worker that is never used because its first report, or an unchanged one, does not count as heard.
 func TestUnguardedWorkerIsUsedOnceItReports(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
