`pending` counts submissions that are placed and have not begun

Cause: a submission counted as begun with its first placement, also on a worker that is cut off or refuses the start.

Change: the leader, which answers the question, remembers of which submissions a worker has acknowledged a start or listed an attempt in this term. Besides, a submission has begun if an end (done or failed) or a checkpoint of it is recorded. The state "running" that is shown for a submission still means that it is placed; no rule asks more.

Not closed: right after a change of the leader, submissions that have begun count too until their workers have answered; one whose attempts were all lost with their workers in an earlier term counts until it runs again. The rule bounds the number from below only.

--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -110,7 +110,7 @@
 	answer := &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_NO_SUBMISSION}
 	if id == "" {
 		answer.Result, answer.Queue = pb.IntakeResult_INTAKE_RESULT_OK, true
-		c.state.View(func(s *submission.State) { answer.Pending = uint32(s.Pending(submission.QueueKey(queue))) })
+		answer.Pending = uint32(c.leader.Pending(submission.QueueKey(queue)))
 		return answer
 	}
 	c.state.View(func(s *submission.State) {
--- a/internal/dispatch/cleanup.go
+++ b/internal/dispatch/cleanup.go
@@ -20,6 +20,7 @@
 				delete(l.lastRuns, ref)
 			}
 		}
+		l.begun.keep(func(id string) bool { return alive(submission.Ref{Submission: id}) })
 		for id := range l.occurrences {
 			if !alive(submission.Ref{Submission: id}) {
 				delete(l.occurrences, id)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -124,6 +124,7 @@
 	lastEviction    time.Duration
 	avoid           map[submission.Ref]*avoidedWorkers
 	uncertainStarts map[submission.Ref]*uncertainStart
+	begun           begunSubmissions                 // guards itself
 	lastRuns        map[submission.Ref]time.Duration // when each endless task was last known to run
 	views           map[string]*steps.Worker         // planner views by worker id, reused by each plan
 	health          map[string]*workerHealth
@@ -212,6 +213,7 @@
 	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
 	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
+	l.begun.clear()
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
 
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -79,6 +79,9 @@
 		l.runs[task] = r
 	}
 	if running && r.attempt == attempt {
+		if !r.wasListed {
+			l.begun.add(task.Submission)
+		}
 		r.wasListed = true
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -163,6 +163,7 @@
 	switch {
 	case err == nil:
 		r.phase, r.answeredAt = phaseRunning, l.cfg.Clock()
+		l.begun.add(task.Submission)
 		if l.fills(task) {
 			l.throttleStarted(s)
 		}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -380,13 +380,30 @@
 	return ref.Occurrence < s.OccurrenceCount() && int(ref.Step) < len(steps) && ref.Index < steps[ref.Step].GetCount()
 }
 
-// Pending returns the number of active submissions of a queue that have not had any task placed yet.
-func (s *State) Pending(queue string) int {
+// Pending returns the number of active submissions of a queue that have not begun. One has begun if confirmed says that a worker has
+// confirmed a start, or if an end or a checkpoint of a task is recorded.
+func (s *State) Pending(queue string, confirmed func(id string) bool) int {
 	n := 0
-	for _, sub := range s.active {
-		if sub.Queue == queue && !sub.Started {
+	for id, sub := range s.active {
+		if sub.Queue == queue && !(sub.Started && (confirmed(id) || sub.hasProgress())) {
 			n++
 		}
 	}
 	return n
 }
+
+// hasProgress reports whether it is recorded that a task of the submission has finished, failed or saved a checkpoint.
+func (s *Submission) hasProgress() bool {
+	for _, o := range s.Occurrences {
+		if o.Done {
+			return true
+		}
+		for i := range o.Steps {
+			worked := func(t Task) bool { return t.Done || len(t.failed) > 0 || t.Checkpoint != "" }
+			if slices.ContainsFunc(o.Steps[i].Tasks, worked) {
+				return true
+			}
+		}
+	}
+	return false
+}
