--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -202,7 +202,6 @@
 		l.log.Warn().Str("event", "fenced").Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("a newer leader has called the worker; this VM stops leading")
 		l.endTerm()
 	case errors.Is(err, ErrOtherIncarnation):
-		l.expectOtherWorker(s)
 		l.onWorkerReplaced(s, "hold")
 	case l.ctx.Err() == nil:
 		l.beginSilence(s)
@@ -214,6 +213,7 @@
 // onWorkerReplaced commits that the worker incarnation of a session is gone and closes the session.
 func (l *Leader) onWorkerReplaced(s *session, source string) {
 	l.log.Info().Str("event", "worker-replaced").Str("worker", s.incarnation.ID).Str("source", source).Msg("another worker or another incarnation answers at the worker's address")
+	l.expectOtherWorker(s)
 	l.commitWorkerCrashed(s, s.incarnation.ID)
 	l.closeSession(s)
 }
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -125,27 +125,13 @@
 	if len(search.missing) == 0 {
 		return
 	}
-	search.calling, search.next = true, now+search.pause
+	search.next = now + search.pause
 	search.pause = min(2*search.pause, searchPauseMax)
-	ctx := l.ctx
-	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		vms, err := l.cfg.Platform.VMs(callCtx)
-		l.post(func() {
-			if l.ctx != ctx {
-				return
-			}
-			search.calling = false
-			if err != nil {
-				l.log.Warn().Str("event", "platform-unreachable").Err(err).Msg("")
-				return
-			}
-			for _, vm := range vms {
-				l.askSuccessor(vm)
-			}
-		})
-	}()
+	l.listVMs(&search.calling, func(vms []VM) {
+		for _, vm := range vms {
+			l.askSuccessor(vm)
+		}
+	})
 }
 
 // forgetFoundSuccessors forgets the VMs on which a worker is known by now, and those that were searched for long enough.
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -77,7 +77,13 @@
 	if wave == nil {
 		return
 	}
-	l.waves.calling = true
+	l.listVMs(&l.waves.calling, func(vms []VM) { l.orderNextUpkeep(wave, vms) })
+}
+
+// listVMs asks the platform for the VMs of all pools and calls then on the event loop, unless the platform fails or the term has ended.
+// calling is true meanwhile.
+func (l *Leader) listVMs(calling *bool, then func([]VM)) {
+	*calling = true
 	ctx := l.ctx
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -87,12 +93,12 @@
 			if l.ctx != ctx {
 				return
 			}
-			l.waves.calling = false
+			*calling = false
 			if err != nil {
 				l.log.Warn().Str("event", "platform-unreachable").Err(err).Msg("")
 				return
 			}
-			l.orderNextUpkeep(wave, vms)
+			then(vms)
 		})
 	}()
 }
