The soak has a fault "cut-workers": control VMs and workers do not reach each other, intake VMs reach the workers

Change: the proxy before a worker finds out who calls. A cut lasts for some time or until the submissions have ended, for calls in both directions or for answers only; reports are lost. New promise `held`: no lease lapses under a task for cuts alone; `kept` includes the lasting tasks. TestCheckerDetectsSabotage breaks `held` by workers that end their leases. The other faults of a seed stay what they were.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -39,6 +40,8 @@
 	app.Flag("report-interval", "Time between two reports of a worker.").Default("400ms").DurationVar(&c.reportInterval)
 	app.Flag("rate", "Submissions per second.").Default("12").Float64Var(&c.rate)
 	app.Flag("crashing", "Share of submissions of which one task crashes each worker that starts it.").Default("0").Float64Var(&c.crashingShare)
+	app.Flag("lasting", "Endless tasks of each queue that must run until the end.").Default("0").Uint32Var(&c.lastingTasks)
+	app.Flag("only", "Kind of faults to inject; may be repeated. The default is all.").StringsVar(&c.kinds)
 	app.Flag("length", "Time during which faults are injected.").Default("20s").DurationVar(&c.length)
 	app.Flag("slot", "Second octet of the loopback addresses of the first run; concurrent runs need different ones.").Default("20").IntVar(&c.slot)
 	seeds := app.Command("seeds", "Run seeds with faults and print a line for each.").Action(c.runSeeds)
@@ -66,6 +69,8 @@
 	size            emulator.Size
 	rate            float64
 	crashingShare   float64
+	lastingTasks    uint32
+	kinds           []string
 	reportInterval  time.Duration
 	length          time.Duration
 	firstSeed       uint64
@@ -89,8 +94,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("create the log of the run: %w", err)
 	}
-	return &emulator.Run{Seed: seed, Length: c.length, Log: zerolog.New(log).With().Timestamp().Logger(),
-		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, CrashingShare: c.crashingShare, Sabotage: c.sabotage}}, nil
+	return &emulator.Run{Seed: seed, Length: c.length, Faults: c.plan(seed), Log: zerolog.New(log).With().Timestamp().Logger(),
+		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, CrashingShare: c.crashingShare, LastingTasks: c.lastingTasks, Sabotage: c.sabotage}}, nil
 }
 
 func (c *commands) runSeeds(*kingpin.ParseContext) error {
@@ -171,8 +176,17 @@
 	return nil
 }
 
+// plan returns the faults of a seed that are of the chosen kinds.
+func (c *commands) plan(seed uint64) []emulator.Fault {
+	plan := emulator.Plan(seed, c.size, c.length)
+	if len(c.kinds) == 0 {
+		return plan
+	}
+	return slices.DeleteFunc(plan, func(f emulator.Fault) bool { return !slices.Contains(c.kinds, string(f.Kind)) })
+}
+
 func (c *commands) printPlan(*kingpin.ParseContext) error {
-	for _, f := range emulator.Plan(c.firstSeed, c.size, c.length) {
+	for _, f := range c.plan(c.firstSeed) {
 		fmt.Println(f)
 	}
 	return nil
--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -32,6 +32,8 @@
 	PromiseCancelled Promise = "cancelled"
 	// PromiseKept: an accepted submission is not lost and reaches a final state.
 	PromiseKept Promise = "kept"
+	// PromiseHeld: a task does not lose its lease on a worker that only control VMs do not reach.
+	PromiseHeld Promise = "held"
 	// PromiseState: a returned state agrees with the outcomes of the tasks.
 	PromiseState Promise = "state"
 	// PromiseConfig: a read never returns a configuration older than an acknowledged one, and an invalid configuration
@@ -86,10 +88,9 @@
 
 // submissionRecord holds what the checker has observed of a submission.
 type submissionRecord struct {
-	spec            *pb.SubmissionSpec
-	queue           *pb.Queue
-	failingAttempts uint32
-	crashesWorkers  bool // its first task crashes each worker that starts it
+	spec  *pb.SubmissionSpec
+	queue *pb.Queue
+	behaviour
 	submittedAt     time.Time
 	outcomeUnknown  bool      // some attempt to submit it returned no definite outcome
 	pendingAttempts int       // attempts that await an answer
@@ -131,6 +132,9 @@
 	violations   []Violation
 	lastFaultEnd time.Time // when a fault last ended
 	activeFaults int
+	// activeOthers and lastOtherEnd are the same for faults other than FaultCutWorkers.
+	activeOthers int
+	lastOtherEnd time.Time
 	ackedConfig  uint64 // newest acknowledged version
 	sentConfigs  map[uint64]bool
 	stats        Stats
@@ -175,18 +179,25 @@
 }
 
 // FaultStarted records the start of a fault. Each call must be followed by one of FaultEnded.
-func (c *Checker) FaultStarted() {
+func (c *Checker) FaultStarted(kind FaultKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activeFaults++
+	if kind != FaultCutWorkers {
+		c.activeOthers++
+	}
 }
 
 // FaultEnded records the end of a fault.
-func (c *Checker) FaultEnded() {
+func (c *Checker) FaultEnded(kind FaultKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activeFaults--
 	c.lastFaultEnd = time.Now()
+	if kind != FaultCutWorkers {
+		c.activeOthers--
+		c.lastOtherEnd = time.Now()
+	}
 }
 
 // noFaultSince reports whether no fault is active and the last one ended more than settleTime before t.
--- a/internal/emulator/check_callers.go
+++ b/internal/emulator/check_callers.go
@@ -12,14 +12,23 @@
 
 // This file checks what callers and the operator observe.
 
-// SubmitSent records that a caller is about to send a submission. crashesWorkers tells whether its first task crashes each worker
-// that starts it.
-func (c *Checker) SubmitSent(q *pb.Queue, spec *pb.SubmissionSpec, failures uint32, crashesWorkers bool) {
+// behaviour describes how the tasks of a submission behave.
+type behaviour struct {
+	// failingAttempts is the number of attempts of each task that fail.
+	failingAttempts uint32
+	// crashesWorkers is true if the first task crashes each worker that starts it.
+	crashesWorkers bool
+	// lasts is true if the tasks are endless and nobody cancels them.
+	lasts bool
+}
+
+// SubmitSent records that a caller is about to send a submission.
+func (c *Checker) SubmitSent(q *pb.Queue, spec *pb.SubmissionSpec, b behaviour) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.records[spec.GetId()]
 	if r == nil {
-		r = &submissionRecord{spec: spec, queue: q, failingAttempts: failures, crashesWorkers: crashesWorkers, submittedAt: time.Now()}
+		r = &submissionRecord{spec: spec, queue: q, behaviour: b, submittedAt: time.Now()}
 		c.records[spec.GetId()] = r
 		c.stats.Submitted++
 	}
@@ -130,14 +139,14 @@
 	}
 }
 
-// unfinishedTasks returns the tasks of a submission that have not finished successfully.
+// unfinishedTasks returns the tasks of a submission that have not finished successfully, or that do not run if it lasts.
 func (c *Checker) unfinishedTasks(r *submissionRecord) []submission.Ref {
 	var list []submission.Ref
 	for occurrence := range max(r.spec.GetOccurrences(), 1) {
 		for number, step := range r.spec.GetSteps() {
 			for i := range step.GetCount() {
 				ref := submission.Ref{Submission: r.spec.GetId(), Occurrence: occurrence, Step: uint32(number), Index: i}
-				if t := c.tasks[ref]; t == nil || t.doneAt.IsZero() {
+				if t := c.tasks[ref]; t == nil || t.doneAt.IsZero() && !(r.lasts && len(t.running) > 0) {
 					list = append(list, ref)
 				}
 			}
@@ -221,6 +230,9 @@
 		case r.crashesWorkers: // it cannot be done, and need not be given up
 		case r.cancelSentAt.IsZero() && !r.acceptedAt.IsZero() && r.lastState != "done" && r.lastState != "failed":
 			tasks := c.unfinishedTasks(r)
+			if r.lasts && len(tasks) == 0 {
+				continue
+			}
 			list = append(list, unfinishedSubmission{id, PromiseKept, fmt.Sprintf("was accepted, is in state %q and waits for %v", r.lastState, tasks[:min(len(tasks), 3)])})
 		}
 	}
--- a/internal/emulator/check_workers.go
+++ b/internal/emulator/check_workers.go
@@ -163,6 +163,16 @@
 	c.stats.Crashes++
 }
 
+// LeaseLapsed records that the lease of a worker has lapsed under a number of tasks. No lease lapses for faults of the kind FaultCutWorkers
+// alone: it was extended maxLease ago at the earliest, and no other fault may have acted for settleTime then.
+func (c *Checker) LeaseLapsed(worker string, tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tasks > 0 && c.activeOthers == 0 && time.Since(c.lastOtherEnd) > maxLease+settleTime {
+		c.addViolation(PromiseHeld, "the lease of %s lapsed under %d tasks, though intake VMs reach it", worker, tasks)
+	}
+}
+
 // EndCommitted records that the system has committed the end of a run. lapsed is true if the lease of the worker lapsed
 // after the run had ended.
 func (c *Checker) EndCommitted(worker string, ref submission.Ref, attempt uint32, endedAt time.Time, lapsed bool) {
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -45,6 +45,8 @@
 	Direct bool
 	// CrashingShare is the share of submissions of which one task crashes each worker that starts it.
 	CrashingShare float64
+	// LastingTasks is the number of endless tasks of each queue that are handed in at the start and must run until the end.
+	LastingTasks uint32
 	// Sabotage makes the emulator or the deployment break a guarantee, to show that the checker detects it.
 	Sabotage Sabotage
 }
@@ -82,7 +84,7 @@
 func Start(o Options, checker *Checker) (*Deployment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{options: o, checker: checker, ctx: ctx, cancel: cancel}
-	d.reportClient = &platform.APIClient{Client: &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleReportConns}}}
+	d.reportClient = &platform.APIClient{Client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleReportConns}}}
 	var seeds []string
 	for i := range o.Size.Controls {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", o.address(vmProxyBlock, i), controlPort))
@@ -202,9 +204,12 @@
 	address       string          // address that the system calls
 	proxy         *netfault.Proxy // nil with Options.Direct
 	client        *platform.APIClient
+	controlLink   *netfault.Link // between the worker and all control VMs
 
 	mu           sync.Mutex
-	incarnations int // number of incarnations so far
+	cutUntilEnd  bool   // controlLink stays as it is until the end of the run
+	reportedID   string // id under which a report was last acknowledged
+	incarnations int    // number of incarnations so far
 	incarnation  *incarnation
 	server       *http.Server
 	cancel       context.CancelFunc
@@ -228,17 +233,18 @@
 func (d *Deployment) addWorkerHost(i int) error {
 	o := d.options
 	h := &host{d: d, index: i, pool: poolGuarded, guards: true, domain: i % failureDomains, listenAddress: fmt.Sprintf("%s:%d", o.address(workerListenBlock, i), workerPort),
-		client: d.reportClient}
+		client: d.reportClient, controlLink: netfault.NewLink()}
 	if i%3 == 2 {
 		h.pool, h.guards = poolTrusting, false
 	}
 	h.address = h.listenAddress
 	if !o.Direct {
-		proxy, err := netfault.NewProxy(fmt.Sprintf("%s:%d", o.address(workerProxyBlock, i), workerPort), h.listenAddress)
+		h.address = fmt.Sprintf("%s:%d", o.address(workerProxyBlock, i), workerPort)
+		proxy, err := netfault.NewClientProxy(h.address, h.listenAddress, h.linkOf)
 		if err != nil {
 			return err
 		}
-		h.proxy, h.address = proxy, proxy.Addr()
+		h.proxy = proxy
 	}
 	d.hosts = append(d.hosts, h)
 	return h.start("")
@@ -285,7 +291,10 @@
 		l.clockSlowdown = clockSlowdown
 	}
 	l.crashHost = func() { h.crashAndRestart(l) }
-	l.maybeDelayed = func() bool { return h.proxy != nil && h.proxy.FaultySince(time.Now().Add(-settleTime)) }
+	l.maybeDelayed = func() bool {
+		since := time.Now().Add(-settleTime)
+		return h.proxy != nil && h.proxy.FaultySince(since) || h.controlLink.FaultySince(since)
+	}
 	h.incarnation, h.cancel = l, end
 	h.server = &http.Server{Handler: platform.WorkerHandler(id, l)}
 	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: l.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
@@ -349,6 +358,8 @@
 const (
 	// maxIdleReportConns is the number of idle connections to each control VM that the reports of all workers share.
 	maxIdleReportConns = 128
+	// reportTimeout bounds the wait for the answer to a report.
+	reportTimeout = time.Second
 	// reportInterval is the time between two reports of a worker.
 	reportInterval = 400 * time.Millisecond
 	// drainGracePeriod is the remaining time that a draining worker reports before it leaves.
@@ -408,8 +419,15 @@
 		candidates = append(candidates, v.clientProxy.Addr())
 	}
 	for _, c := range candidates {
+		if !h.controlLink.Forwards(false) {
+			sleep(ctx, reportTimeout)
+			continue
+		}
 		next, err := h.client.Report(ctx, c, report)
 		if err == nil {
+			h.mu.Lock()
+			h.reportedID = report.GetWorker().GetId()
+			h.mu.Unlock()
 			return next
 		}
 	}
--- a/internal/emulator/deployment_test.go
+++ b/internal/emulator/deployment_test.go
@@ -20,7 +20,7 @@
 // once, which the soak reports as a task in two places (soak seed 1 beside load).
 func TestWorkerEndsItsTasksBeforeItLeaves(t *testing.T) {
 	is := is.New(t)
-	h := &host{client: &platform.APIClient{Client: http.DefaultClient}, server: &http.Server{}}
+	h := &host{client: &platform.APIClient{Client: http.DefaultClient}, server: &http.Server{}, controlLink: netfault.NewLink()}
 	running := make(chan bool, 1)
 	control := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -56,7 +56,8 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker and FaultOddReports, which planWorkerFaults adds.
+// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, FaultOddReports and FaultCutWorkers, which
+// planWorkerFaults adds.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -120,6 +121,7 @@
 	}
 	faults = append(faults, planWorkerFaults(FaultShrinkWorker, shrinksPerSecond, seed, shrinkStream, size, length)...)
 	faults = append(faults, planWorkerFaults(FaultOddReports, oddReportsPerSecond, seed, oddReportStream, size, length)...)
+	faults = append(faults, planWorkerFaults(FaultCutWorkers, cutsPerSecond, seed, cutStream, size, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -127,8 +129,8 @@
 const (
 	// shrinksPerSecond is the mean rate of workers that shrink.
 	shrinksPerSecond = 0.4
-	// shrinkStream and oddReportStream number the random streams of these kinds.
-	shrinkStream, oddReportStream = 6, 9
+	// shrinkStream, oddReportStream and cutStream number the random streams of these kinds.
+	shrinkStream, oddReportStream, cutStream = 6, 9, 10
 )
 
 // planWorkerFaults generates faults of one kind on workers, perSecond on average. They come from a random stream of their own, so that
@@ -156,8 +158,8 @@
 		go func() {
 			defer active.Done()
 			if f.Kind != FaultShrinkWorker { // disturbs no process and no link
-				d.checker.FaultStarted()
-				defer d.checker.FaultEnded()
+				d.checker.FaultStarted(f.Kind)
+				defer d.checker.FaultEnded(f.Kind)
 			}
 			log.Info().Str("event", "fault").Str("kind", string(f.Kind)).Int("subject", f.Subject).Int("other", f.Other).Dur("for_ms", f.Duration).Msg("")
 			if err := d.injectFault(ctx, f); err != nil {
@@ -180,6 +182,9 @@
 	case FaultCutPair, FaultCutOneWay, FaultSlowPeers, FaultIsolate:
 		d.injectPeerFault(ctx, f)
 		return nil
+	case FaultCutWorkers:
+		d.injectCut(ctx, f)
+		return nil
 	case FaultResetFront, FaultSilentFront, FaultSlowFront:
 		d.injectProxyFault(ctx, f, d.vms[f.Subject].clientProxy)
 		return nil
@@ -332,7 +337,7 @@
 	return nil
 }
 
-// clearFaults ends all faults: it starts the processes and workers that are down and restores all links.
+// clearFaults ends all faults but cuts until the end: it starts the processes and workers that are down and restores all links.
 func (d *Deployment) clearFaults() error {
 	for _, v := range d.vms {
 		v.signal(syscall.SIGCONT, false)
@@ -349,9 +354,11 @@
 		if h.proxy != nil {
 			h.proxy.Set(netfault.State{})
 		}
+		h.cutOff(netfault.State{}, false)
 		if err := h.start(""); err != nil {
 			return err
 		}
+		h.endUnknownCut()
 	}
 	return nil
 }
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -37,7 +37,9 @@
 	random     *rand.Rand // owned by the goroutine that calls runCallers
 	// crashRandom chooses the submissions that crash workers. It is separate, so that they leave the load of a seed as it is.
 	crashRandom *rand.Rand
-	callers     sync.WaitGroup
+	// lastingRandom draws the ids of the submissions that last.
+	lastingRandom *rand.Rand
+	callers       sync.WaitGroup
 
 	mu          sync.Mutex
 	lastVersion uint64
@@ -47,8 +49,8 @@
 func newLoadGenerator(d *Deployment, seed uint64) *loadGenerator {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleCallerConns, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	return &loadGenerator{deployment: d, checker: d.checker, client: &platform.APIClient{Client: &http.Client{Transport: transport}}, random: rand.New(rand.NewPCG(seed, 1)),
-		crashRandom: rand.New(rand.NewPCG(seed, 6)),
-		polls:       map[string]func(){}}
+		crashRandom: rand.New(rand.NewPCG(seed, 6)), lastingRandom: rand.New(rand.NewPCG(seed, 11)),
+		polls: map[string]func(){}}
 }
 
 // queues returns the queues that every valid configuration contains.
@@ -78,7 +80,7 @@
 		case <-time.After(delay):
 		}
 		q, spec, failures := l.randomSubmission()
-		c := &caller{generator: l, queue: q, spec: spec, failingAttempts: failures, willCancel: l.random.Float64() < cancelProbability || spec.GetSteps()[0].GetEndless(),
+		c := &caller{generator: l, queue: q, spec: spec, behaviour: behaviour{failingAttempts: failures}, willCancel: l.random.Float64() < cancelProbability || spec.GetSteps()[0].GetEndless(),
 			cancelAfter: time.Duration(1+l.random.IntN(4000)) * time.Millisecond, random: rand.New(rand.NewPCG(l.random.Uint64(), 2))}
 		c.crashesWorkers = l.crashRandom.Float64() < l.deployment.options.CrashingShare && !spec.GetSteps()[0].GetEndless() && spec.GetOccurrences() == 0
 		l.callers.Add(1)
@@ -86,6 +88,21 @@
 	}
 }
 
+// startLasting hands in the endless tasks that must run until the end.
+func (l *loadGenerator) startLasting(ctx context.Context) {
+	for i, q := range queues() {
+		if l.deployment.options.LastingTasks == 0 {
+			return
+		}
+		id := fmt.Sprintf("%016x", l.lastingRandom.Uint64())
+		spec := &pb.SubmissionSpec{Id: id, Payload: "work of " + id, Steps: []*pb.Step{{Count: l.deployment.options.LastingTasks, Endless: true, EstimateMs: 100,
+			Size: &pb.Resources{Millicores: 250, MemoryBytes: 100_000_000}}}}
+		c := &caller{generator: l, queue: q, spec: spec, behaviour: behaviour{lasts: true}, random: rand.New(rand.NewPCG(uint64(i), 2))}
+		l.callers.Add(1)
+		go func() { defer l.callers.Done(); c.run(ctx) }()
+	}
+}
+
 // cancelProbability is the probability that a caller cancels a submission that would end by itself.
 const cancelProbability = 0.1
 
@@ -124,14 +141,13 @@
 
 // caller sends one submission and follows it until it ends.
 type caller struct {
-	generator       *loadGenerator
-	queue           *pb.Queue
-	spec            *pb.SubmissionSpec
-	failingAttempts uint32
-	crashesWorkers  bool
-	willCancel      bool
-	cancelAfter     time.Duration
-	random          *rand.Rand
+	behaviour
+	generator   *loadGenerator
+	queue       *pb.Queue
+	spec        *pb.SubmissionSpec
+	willCancel  bool
+	cancelAfter time.Duration
+	random      *rand.Rand
 }
 
 // run sends the submission, cancels it if planned, and polls its state until it has ended or ctx ends. If ctx has already
@@ -200,7 +216,7 @@
 
 func (c *caller) submit(ctx context.Context) Outcome {
 	l, id := c.generator, c.spec.GetId()
-	l.checker.SubmitSent(c.queue, c.spec, c.failingAttempts, c.crashesWorkers)
+	l.checker.SubmitSent(c.queue, c.spec, c.behaviour)
 	err := c.call("submission", func(ctx context.Context, address string) error { return l.client.Submit(ctx, address, c.queue, c.spec) })
 	var status *platform.StatusError
 	outcome := OutcomeUnknown
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -29,6 +29,7 @@
 	SabotageKept      Sabotage = "kept"      // all control VMs lose their disks
 	SabotageConfig    Sabotage = "config"    // reads report a version one lower than the one read
 	SabotageAnswered  Sabotage = "answered"  // connections to intake VMs break without a fault
+	SabotageHeld      Sabotage = "held"      // workers end their leases without notice
 	SabotageRuns      Sabotage = "runs"      // a process is killed without a fault
 	SabotageReady     Sabotage = "ready"     // an intake VM is killed after the last fault
 )
@@ -94,6 +95,7 @@
 	defer cancel()
 	var activities sync.WaitGroup
 	for _, activity := range []func(){
+		func() { l.startLasting(runCtx) },
 		func() { l.runCallers(runCtx, r.Rate) },
 		func() { l.runOperator(runCtx, rand.New(rand.NewPCG(r.Seed, 4))) },
 		func() { l.runOperator(runCtx, rand.New(rand.NewPCG(r.Seed, 5))) },
@@ -112,8 +114,8 @@
 		d.intakes()[0].kill()
 	}
 	faultsCleared := time.Now()
-	checker.FaultStarted() // restarts the settle time
-	checker.FaultEnded()
+	checker.FaultStarted(FaultCutWorkers) // restarts the settle time
+	checker.FaultEnded(FaultCutWorkers)
 	result.Ready = l.awaitReady(ctx, faultsCleared)
 	l.callers.Wait()
 	result.Finished = l.awaitFinished(ctx, faultsCleared, r.FinishBound)
@@ -220,6 +222,10 @@
 		d.intakes()[0].clientProxy.AbortAnswers(2 * resetTolerance)
 		sleep(ctx, 5*resetTolerance)
 		d.intakes()[0].clientProxy.AbortAnswers(0)
+	case SabotageHeld:
+		for _, h := range d.hosts {
+			h.currentIncarnation().update((*incarnation).endLease)
+		}
 	case SabotageRuns:
 		d.vms[0].mu.Lock()
 		if p := d.vms[0].process; p != nil {
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	folder, err := os.MkdirTemp("", "lentilyard-soak-")
+	folder, err := os.MkdirTemp(r.Folder, "lentilyard-soak-")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,6 +128,51 @@
 	t.Logf("%+v", result.Stats)
 }
 
+// cutPlans lists faults that cut workers off from the control VMs.
+var cutPlans = []struct {
+	name   string
+	faults []Fault
+}{
+	{"longer-than-a-lease", []Fault{cutFault(time.Second, cut{count: 6})}},
+	{"answers-lost-until-the-end", []Fault{cutFault(time.Second, cut{count: 9, answersLost: true, untilEnd: true})}},
+	{"leaders-replaced", append([]Fault{cutFault(time.Second, cut{count: 9, untilEnd: true}),
+		{Kind: FaultKillControls, At: 2 * time.Second, Duration: 2 * time.Second}}, pausesInTurn(4*time.Second)...)},
+}
+
+var smallSize = Size{Controls: 3, Intakes: 2, Workers: 9}
+
+func cutFault(at time.Duration, c cut) Fault {
+	return Fault{Kind: FaultCutWorkers, At: at, Duration: maxLease + 2*time.Second, Subject: c.first, Other: c.other(smallSize)}
+}
+
+// pausesInTurn returns a plan in which each control VM is suspended for a while, one after another.
+func pausesInTurn(from time.Duration) []Fault {
+	var faults []Fault
+	for i := range smallSize.Controls {
+		faults = append(faults, Fault{Kind: FaultPause, At: from + time.Duration(i)*2*time.Second, Duration: 1500 * time.Millisecond, Subject: i})
+	}
+	return faults
+}
+
+// memoryFolder returns a folder in memory, or "" if there is none.
+func memoryFolder() string {
+	const folder = "/dev/shm"
+	if _, err := os.Stat(folder); err != nil {
+		return ""
+	}
+	return folder
+}
+
+// Guards against tasks that lose their leases, or are not started, on workers that intake VMs reach and control VMs do not. The
+// deployments run one at a time and keep their state in memory: beside other writers a sync may take as long as a lease.
+func TestWorkersCutOffFromControlVMs(t *testing.T) {
+	for i, c := range cutPlans {
+		t.Run(c.name, func(t *testing.T) {
+			runAndCheck(t, 140+i, Run{Seed: 1, Length: 11 * time.Second, Faults: c.faults, Options: Options{Folder: memoryFolder(), LastingTasks: 2}})
+		})
+	}
+}
+
 // Guards against a task that is started without end although each worker that starts it crashes.
 func TestTasksThatCrashWorkersAreGivenUp(t *testing.T) {
 	t.Parallel()
@@ -143,14 +188,17 @@
 		{SabotageOnce, PromiseOnce}, {SabotageOrder, PromiseOrder}, {SabotageState, PromiseState}, {SabotageBudget, PromiseBudget},
 		{SabotageCrashes, PromiseCrashes},
 		{SabotageAsked, PromiseAsked}, {SabotagePlace, PromisePlace}, {SabotageShrink, PromisePlace}, {SabotageRefused, PromiseRefused}, {SabotageCancelled, PromiseCancelled},
-		{SabotageKept, PromiseKept}, {SabotageConfig, PromiseConfig}, {SabotageAnswered, PromiseAnswered}, {SabotageRuns, PromiseRuns},
+		{SabotageKept, PromiseKept}, {SabotageHeld, PromiseHeld}, {SabotageConfig, PromiseConfig}, {SabotageAnswered, PromiseAnswered}, {SabotageRuns, PromiseRuns},
 		{SabotageReady, PromiseReady},
 	} {
 		t.Run(string(c.sabotage), func(t *testing.T) {
 			t.Parallel()
 			options := Options{Sabotage: c.sabotage}
-			if c.sabotage == SabotageCrashes {
+			switch c.sabotage {
+			case SabotageCrashes:
 				options.CrashingShare = 0.2
+			case SabotageHeld:
+				options.LastingTasks = 1
 			}
 			result := runDeployment(t, 60+i, Run{Seed: 1, Length: 5 * time.Second, Faults: []Fault{}, FinishBound: 3 * time.Second, Options: options})
 			found := map[Promise]bool{}
@@ -158,7 +206,7 @@
 				found[v.Promise] = true
 			}
 			if !found[c.promise] {
-				t.Errorf("sabotage %q broke %v, not %s", c.sabotage, found, c.promise)
+				t.Errorf("sabotage %q broke %v, not %s: %+v", c.sabotage, found, c.promise, result.Stats)
 			}
 		})
 	}
@@ -198,5 +246,5 @@
 		}
 		is.True(wipes <= 1)
 	}
-	is.Equal(len(seen), len(faultWeights)+2) // and FaultShrinkWorker, FaultOddReports
+	is.Equal(len(seen), len(faultWeights)+3) // and FaultShrinkWorker, FaultOddReports, FaultCutWorkers
 }
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -171,6 +171,7 @@
 	expired := l.clock() >= l.leaseUntil
 	if expired && l.leaseUntil != 0 {
 		l.leaseUntil, l.leaseLapsedAt = 0, now
+		l.checker.LeaseLapsed(l.name(), len(l.running))
 	}
 	for task, r := range l.running {
 		progress := r.resumedProgress + now.Sub(r.startedAt)
@@ -229,6 +230,12 @@
 	l.leaseUntil = max(l.leaseUntil, min(untilMs, l.clock()+maxLease.Milliseconds()))
 }
 
+// endLease ends the lease at once, for sabotage.
+func (l *incarnation) endLease() {
+	l.leaseUntil = min(l.leaseUntil, 1)
+	l.wake()
+}
+
 // Start implements dispatch.Caller.
 func (l *incarnation) Start(_ context.Context, c dispatch.StartCall) (int64, error) {
 	l.mu.Lock()
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -69,11 +69,17 @@
 	return l.state != (State{}) || l.lastFaultAt.After(t)
 }
 
+// Forwards reports whether the link forwards data in the given direction.
+func (l *Link) Forwards(toTarget bool) bool {
+	state, _ := l.current()
+	return !(toTarget && state.CutTo || !toTarget && state.CutFrom)
+}
+
 // applyFault waits for the delay of the link. It returns false if the link drops data in the given direction.
 func (l *Link) applyFault(toTarget bool) bool {
 	state, _ := l.current()
 	time.Sleep(state.Delay)
-	return !(toTarget && state.CutTo || !toTarget && state.CutFrom)
+	return l.Forwards(toTarget)
 }
 
 // Proxy forwards TCP connections to a target. Data in a cut direction is kept until the cut ends, since TCP would
@@ -82,7 +88,8 @@
 	*Link
 	listener   net.Listener
 	target     string
-	abortPause atomic.Int64 // nanoseconds, see AbortAnswers
+	linkOf     func(client netip.AddrPort) *Link // may be nil, see NewClientProxy
+	abortPause atomic.Int64                      // nanoseconds, see AbortAnswers
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -90,12 +97,16 @@
 }
 
 // NewProxy starts a proxy that listens on an address and forwards connections to a target.
-func NewProxy(listen, target string) (*Proxy, error) {
+func NewProxy(listen, target string) (*Proxy, error) { return NewClientProxy(listen, target, nil) }
+
+// NewClientProxy starts a proxy whose connections have a second link, which linkOf chooses by the address of the client. Data passes
+// only if neither link drops it. linkOf may return nil.
+func NewClientProxy(listen, target string, linkOf func(client netip.AddrPort) *Link) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{Link: NewLink(), listener: listener, target: target, open: map[net.Conn]struct{}{}, done: make(chan struct{})}
+	p := &Proxy{Link: NewLink(), listener: listener, target: target, linkOf: linkOf, open: map[net.Conn]struct{}{}, done: make(chan struct{})}
 	p.resetConnections = p.resetAll
 	go p.accept()
 	return p, nil
@@ -155,7 +166,8 @@
 	defer client.Close()
 	p.track(client, true)
 	defer p.track(client, false)
-	if !p.waitUntilForwarded(true) {
+	links := p.linksOf(client)
+	if !p.waitUntilForwarded(links, true) {
 		return
 	}
 	upstream, err := net.Dial("tcp", p.target)
@@ -167,30 +179,43 @@
 	p.track(upstream, true)
 	defer p.track(upstream, false)
 	directionDone := make(chan struct{}, 2)
-	go func() { p.copyData(upstream, client, true); directionDone <- struct{}{} }()
-	go func() { p.copyData(client, upstream, false); directionDone <- struct{}{} }()
+	go func() { p.copyData(upstream, client, links, true); directionDone <- struct{}{} }()
+	go func() { p.copyData(client, upstream, links, false); directionDone <- struct{}{} }()
 	<-directionDone
 	<-directionDone
 }
 
-// waitUntilForwarded waits until the link forwards data in the given direction. It returns false if the proxy is closed
-// first.
-func (p *Proxy) waitUntilForwarded(toTarget bool) bool {
-	for {
-		_, changed := p.current()
-		if p.applyFault(toTarget) {
-			return true
+// linksOf returns the links that a connection of a client passes.
+func (p *Proxy) linksOf(client net.Conn) []*Link {
+	links := []*Link{p.Link}
+	if tcp, ok := client.RemoteAddr().(*net.TCPAddr); ok && p.linkOf != nil {
+		if l := p.linkOf(tcp.AddrPort()); l != nil {
+			links = append(links, l)
+		}
+	}
+	return links
+}
+
+// waitUntilForwarded waits until all links forward data in the given direction. It returns false if the proxy is closed first.
+func (p *Proxy) waitUntilForwarded(links []*Link, toTarget bool) bool {
+	for i := 0; i < len(links); {
+		_, changed := links[i].current()
+		if links[i].applyFault(toTarget) {
+			i++
+			continue
 		}
 		select {
 		case <-changed:
+			i = 0 // an earlier link may drop data by now
 		case <-p.done:
 			return false
 		}
 	}
+	return true
 }
 
 // copyData forwards one direction of a connection. The end of the data and errors are passed on to the receiving side.
-func (p *Proxy) copyData(to, from net.Conn, toTarget bool) {
+func (p *Proxy) copyData(to, from net.Conn, links []*Link, toTarget bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -199,13 +224,13 @@
 			_ = to.Close()
 			return
 		}
-		if n > 0 && p.waitUntilForwarded(toTarget) {
+		if n > 0 && p.waitUntilForwarded(links, toTarget) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				_ = from.Close()
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) && p.waitUntilForwarded(toTarget) {
+		if errors.Is(err, io.EOF) && p.waitUntilForwarded(links, toTarget) {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
--- a/internal/netfault/netfault_test.go
+++ b/internal/netfault/netfault_test.go
@@ -80,6 +80,29 @@
 	is.NoErr(roundTrip(c, answerTimeout))
 }
 
+// Guards against a cut that affects the connections of another client.
+func TestClientProxy(t *testing.T) {
+	is := is.New(t)
+	links := map[netip.Addr]*Link{netip.MustParseAddr("127.0.0.2"): NewLink()}
+	p, err := NewClientProxy("127.0.0.1:0", startEchoServer(t), func(client netip.AddrPort) *Link { return links[client.Addr()] })
+	is.NoErr(err)
+	defer p.Close()
+	dial := func(from string) net.Conn {
+		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}).Dial("tcp", p.Addr())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	open, unaffected := dial("127.0.0.2"), dial("127.0.0.3")
+	is.NoErr(roundTrip(open, answerTimeout))
+	links[netip.MustParseAddr("127.0.0.2")].Set(State{CutFrom: true})
+	is.True(roundTrip(open, noAnswerWait) != nil)
+	is.True(roundTrip(dial("127.0.0.2"), noAnswerWait) != nil)
+	is.NoErr(roundTrip(unaffected, answerTimeout))
+	links[netip.MustParseAddr("127.0.0.2")].Set(State{})
+	is.NoErr(roundTrip(open, answerTimeout))
+}
+
 // Guards against a cut that affects the packets of another client or the other direction.
 func TestRelay(t *testing.T) {
 	is := is.New(t)
