A submission of large filling tasks no longer starves behind smaller ones

Cause: a filling task starts only where the expected processor time is not used up. In a long backlog smaller tasks use up whatever becomes free. The exception for idle submissions came after that check, and counted the load of filling tasks as use of the pool, though they reserve no cores. Ruled out: workers out of reach (64 of 66 usable), suspects (no such line), memory.

Change: one task of a submission that has nothing running and has waited for 8 s starts on a busy worker while less than 0.6 of the cores is reserved, but not beside a service over its limit. What runs there becomes slower by its share.

--- a/internal/placement/steps/admit.go
+++ b/internal/placement/steps/admit.go
@@ -57,7 +57,7 @@
 		return noObstacle
 	case ReservedSize(spec).Memory > w.Capacity.Memory-w.used.Memory-w.reservedMemory:
 		return reservedForService
-	case w.load+expectedLoad(spec) > maxExpectedLoad*float64(w.Capacity.Cores):
+	case w.load+expectedLoad(spec) > maxExpectedLoad*float64(w.Capacity.Cores) && !p.starves(r):
 		return cpuFull
 	}
 	return p.serviceObstacle(w, r)
@@ -94,7 +94,14 @@
 // bypassesPressure reports whether one task of an idle submission may start although it slows down a service that is
 // within its tail limit. It may not in a busy pool, where many such submissions would slow down all services.
 func (p *planner) bypassesPressure(r *Request) bool {
-	return r.Idle && p.waitedSeconds(r) >= idleDelay && !p.started[r.Submission] && p.usage[r.Pool] < busyPoolUsage
+	return p.starves(r) || r.Idle && p.waitedSeconds(r) >= idleDelay && !p.started[r.Submission] && p.usage[r.Pool] < busyPoolUsage
+}
+
+// starves reports whether one task of an idle submission of filling work may start although the processor time is used up. In a long
+// backlog of filling tasks the smaller ones use up whatever the others leave, and a large one would never start. Filling tasks reserve no
+// cores, so that those that run only become slower.
+func (p *planner) starves(r *Request) bool {
+	return r.Idle && r.Spec.GetFills() && p.waitedSeconds(r) >= starvedDelay && !p.started[r.Submission] && p.reserved[r.Pool] < busyPoolUsage
 }
 
 // utilizationLimitFor returns the predicted utilization of a service up to which a filling task of r may start on the
--- a/internal/placement/steps/load.go
+++ b/internal/placement/steps/load.go
@@ -167,22 +167,23 @@
 	return n
 }
 
-// poolUsage returns the share of the CPU time of each pool that is in use. For each worker it counts the reserved cores or
-// the expected use, whichever is more.
-func poolUsage(workers []*Worker) map[string]float64 {
-	type sum struct{ taken, capacity float64 }
+// poolUsage returns the share of the CPU time of each pool that is in use, and the share that is reserved. As in use it counts, for each
+// worker, the reserved cores or the expected use, whichever is more.
+func poolUsage(workers []*Worker) (usage, reserved map[string]float64) {
+	type sum struct{ taken, reserved, capacity float64 }
 	pools := map[string]sum{}
 	for _, w := range workers {
 		if w.Usable {
 			s := pools[w.Pool]
 			s.taken += math.Max(float64(w.used.Cores), w.load)
+			s.reserved += float64(w.used.Cores)
 			s.capacity += float64(w.Capacity.Cores)
 			pools[w.Pool] = s
 		}
 	}
-	usage := map[string]float64{}
+	usage, reserved = map[string]float64{}, map[string]float64{}
 	for pool, s := range pools {
-		usage[pool] = s.taken / math.Max(1, s.capacity)
+		usage[pool], reserved[pool] = s.taken/math.Max(1, s.capacity), s.reserved/math.Max(1, s.capacity)
 	}
-	return usage
+	return usage, reserved
 }
--- a/internal/placement/steps/place.go
+++ b/internal/placement/steps/place.go
@@ -30,6 +30,8 @@
 	// busyPoolUsage is the usage of a pool from which idle submissions no longer start a task that slows down a service.
 	// Callers must get a start while less than half of the pool is in use.
 	busyPoolUsage = 0.6
+	// starvedDelay is the wait, in seconds, after which one task of an idle submission of filling work starts on a busy worker.
+	starvedDelay = 8.0
 )
 
 // Factors of the terms of score.
@@ -53,6 +55,8 @@
 	started map[string]bool
 	// usage is the share of the CPU time of each pool that is reserved or expected to be used.
 	usage map[string]float64
+	// reserved is the share of the cores of each pool that is reserved. Filling tasks reserve none.
+	reserved map[string]float64
 	// finiteRoom is the room for finite work in each pool that has such work.
 	finiteRoom map[string]*finiteRoom
 	unplaced   unplacedSizes
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -207,7 +207,8 @@
 	for _, w := range s.Workers {
 		w.prepare(s.Pressure)
 	}
-	p.usage, p.finiteRoom = poolUsage(s.Workers), finiteRoomByPool(s)
+	p.usage, p.reserved = poolUsage(s.Workers)
+	p.finiteRoom = finiteRoomByPool(s)
 	order := s.Order
 	if order == nil {
 		order = ByObjective
