--- a/internal/systemtest/endtoend_test.go
+++ b/internal/systemtest/endtoend_test.go
@@ -144,6 +144,12 @@
 			got := request(v, http.MethodGet, "/catalogue", "", nil)
 			return got.status == http.StatusOK && got.outcome == "executed"
 		})
+		eventually(t, 5*time.Second, v.id+" reaches all entry VMs", func() bool {
+			ctx, cancel := testContext()
+			defer cancel()
+			status, err := d.operatorClient(v).Status(ctx)
+			return err == nil && len(status.GetUnreachable()) == 0
+		})
 	}
 	key := idempotency.NewKey(time.Now())
 	first := request(d.vms[0], http.MethodPost, "/orders", key, []byte("felt"))
