A false report of a successor does not hold up a task

What callers saw: LOST is the class.

The start was given up; from then on the task waited until the lease of the worker would be over. But the worker lived, and each hold renewed it.

Change: an answer of the known incarnation to a hold sent after that shows that there is no successor.

Evidence: dispatch.TestFalseReportOfSuccessorDoesNotHoldUpTask: 0 of 1 tasks run 14 s later before, 1 now.

--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -143,6 +143,10 @@
 // placed again. So it may if a hold does not list it by which a delayed call has arrived: a sick worker may answer no stop.
 func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration) {
 	for ref, u := range l.uncertainStarts {
+		if u.previous == s.incarnation && u.successorUnseen && sent > u.since { // it lives, so that the report of a successor was false
+			delete(l.uncertainStarts, ref)
+			l.dirty = true
+		}
 		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation {
 			continue
 		}
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,3 +145,21 @@
 		is.Equal(r.running("a")+r.running("b"), 1)
 	})
 }
+
+// Guards against a task that waits for ever because a false report named a successor of its worker while that could not be asked.
+func TestFalseReportOfSuccessorDoesNotHoldUpTask(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startsReset = true })
+		r.submit("s", 1, endless)
+		time.Sleep(100 * time.Millisecond)
+		r.lose("a")
+		odd := usualReport(2)
+		odd.Worker.BornUnixMs, odd.Worker.Address = 77, "elsewhere"
+		is.NoErr(r.leader.Report(context.Background(), odd))
+		r.workers.update(func() { r.workers.byID["a"].unreachable = false })
+		time.Sleep(5 * time.Second) // the start is given up
+		r.workers.update(func() { r.workers.byID["a"].startsReset = false })
+		time.Sleep(maxOutage)
+		is.Equal(r.running("a"), 1)
+	})
+}
