--- a/review/cases-2/case_avail.go
+++ b/review/cases-2/case_avail.go
@@ -29,6 +29,7 @@
 			}
 			return 0
 		}
+		e.saves = true
 		e.onStart, e.figure, e.onStop = a.started, a.reading, a.toldToStop
 	})
 	if err != nil {
--- a/review/cases-2/case_leave.go
+++ b/review/cases-2/case_leave.go
@@ -67,6 +67,9 @@
 	time.Sleep(4 * time.Second)
 	w.note("executor i-1 drains")
 	leaving.drain()
+	if err := await(5*time.Second, "the drain was not confirmed", leaving.ping); err != nil {
+		return false, err
+	}
 	time.Sleep(2500 * time.Millisecond) // drain_ms and a little longer
 	if !leaving.ping() {
 		return false, fmt.Errorf("the last ping was not acknowledged")
--- a/review/cases-2/executor.go
+++ b/review/cases-2/executor.go
@@ -22,6 +22,7 @@
 	startTime = 200 * time.Millisecond // until a task that lasts is at work
 	pingEvery = 1100 * time.Millisecond
 	maxListed = 500 // ends in one answer
+	saveEvery = 2 * time.Second
 )
 
 // run is a run of a task on an executor.
@@ -30,8 +31,9 @@
 	spec     string
 	begun    time.Time
 	stopping time.Time
-	percent  int // of its speed
-	size     int // millicores
+	resumed  string // what it was started with
+	percent  int    // of its speed
+	size     int    // millicores
 }
 
 // executor is a stand-in for one life of an executor. It follows the platform's page on running tasks.
@@ -49,6 +51,7 @@
 	onStop        func(e *executor, task string, r *run)
 	onEnd         func(e *executor, task string, r *run, how string, number int)
 	onSeen        func(number int)
+	saves         bool // tasks save their progress every saveEvery and when they are stopped
 	cut           bool // pings do not leave the machine
 	fixedTarget   bool // pings go to the first of controls, whatever address an answer names
 	pingClient    *http.Client
@@ -176,6 +179,7 @@
 	defer e.mu.Unlock()
 	task, _ := body["task"].(string)
 	spec, _ := body["spec"].(string)
+	resumed, _ := body["checkpointed"].(string)
 	attempt, until := int(integer(body["attempt"])), integer(body["until_ms"])
 	refuse := func(reason string) (int, map[string]any) {
 		e.note("executor %s: start of run %d of %s refused: %s", e.id, attempt, task, reason)
@@ -204,7 +208,7 @@
 	if used > e.cpu {
 		return refuse("room")
 	}
-	e.running[task] = &run{attempt: attempt, spec: spec, begun: time.Now(), percent: 100, size: size}
+	e.running[task] = &run{attempt: attempt, spec: spec, resumed: resumed, begun: time.Now(), percent: 100, size: size}
 	e.note("executor %s: run %d of %s starts", e.id, attempt, task)
 	if e.onStart != nil {
 		e.onStart(e, task, attempt, spec)
@@ -264,7 +268,7 @@
 		if e.figure != nil {
 			figure = e.figure(e, task, r)
 		}
-		running = append(running, []any{task, r.attempt, "", r.progress(), figure})
+		running = append(running, []any{task, r.attempt, e.saved(r, false), r.progress(), figure})
 	}
 	finished := [][]any{}
 	finished = append(finished, e.ends[:min(len(e.ends), maxListed)]...)
@@ -280,6 +284,18 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// saved returns what a run has saved: nothing before saveEvery, unless it has been stopped.
+func (e *executor) saved(r *run, stopped bool) string {
+	work := time.Since(r.begun)
+	if !stopped {
+		work = work.Truncate(saveEvery)
+	}
+	if !e.saves || work == 0 {
+		return r.resumed
+	}
+	return fmt.Sprintf("%08x%08x", r.attempt, work.Milliseconds())
+}
+
 // progress returns the percent that a hold shows. A task that lasts is at work at 100.
 func (r *run) progress() int {
 	total := r.duration()
@@ -312,7 +328,7 @@
 	delete(e.running, task)
 	e.closed[task] = max(e.closed[task], r.attempt)
 	e.lastEnd++
-	e.ends = append(e.ends, []any{e.lastEnd, task, r.attempt, how, ""})
+	e.ends = append(e.ends, []any{e.lastEnd, task, r.attempt, how, e.saved(r, how == "stopped")})
 	e.note("executor %s: run %d of %s ends: %s", e.id, r.attempt, task, how)
 	if e.onEnd != nil {
 		e.onEnd(e, task, r, how, e.lastEnd)
