--- a/review/cases-2/case_ends.go
+++ b/review/standin-2/case_ends.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/lentilyard/lentilyard/internal/netfault"
 )
 
 const (
@@ -27,12 +25,12 @@
 	if err != nil {
 		return false, err
 	}
-	proxy, err := netfault.NewProxy(w.ip(50)+":0", e.address)
+	inbound, err := newProxy(w.ip(50), e.address)
 	if err != nil {
 		return false, err
 	}
-	defer proxy.Close()
-	e.announced, e.quiet = proxy.Addr(), true
+	defer inbound.close()
+	e.announced, e.quiet = inbound.address(), true
 	e.sizeOf = func(string) int { return 20 }
 	j := &onceJudge{w: w, done: map[string]int{}, again: map[string]int{}}
 	e.onStart, e.onEnd, e.onSeen = j.started, j.ended, j.seen
@@ -59,10 +57,10 @@
 	if w.trouble {
 		w.note("the executor is cut off from all machines")
 		e.setCut(true)
-		proxy.Set(netfault.State{CutTo: true, CutFrom: true})
+		inbound.cut(true, true)
 		time.Sleep(cutTime)
 		e.setCut(false)
-		proxy.Set(netfault.State{})
+		inbound.cut(false, false)
 		w.note("the cut is over")
 	}
 	time.Sleep(25 * time.Second)
--- a/review/cases-2/case_leave.go
+++ b/review/standin-2/case_leave.go
@@ -6,8 +6,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/lentilyard/lentilyard/internal/netfault"
 )
 
 const (
@@ -28,21 +26,21 @@
 	if err != nil {
 		return false, err
 	}
-	inbound, err := netfault.NewProxy(w.ip(50)+":0", leaving.address)
+	inbound, err := newProxy(w.ip(50), leaving.address)
 	if err != nil {
 		return false, err
 	}
-	defer inbound.Close()
-	leaving.announced = inbound.Addr()
-	var outbound []*netfault.Proxy // from the executor to the control VMs
+	defer inbound.close()
+	leaving.announced = inbound.address()
+	var outbound []*proxy // from the executor to the control VMs
 	for i, v := range w.controls() {
-		p, err := netfault.NewProxy(w.ip(60+i)+":0", strings.TrimPrefix(v.control(), "http://"))
+		p, err := newProxy(w.ip(60+i), strings.TrimPrefix(v.control(), "http://"))
 		if err != nil {
 			return false, err
 		}
-		defer p.Close()
+		defer p.close()
 		outbound = append(outbound, p)
-		leaving.controls[i] = "http://" + p.Addr()
+		leaving.controls[i] = "http://" + p.address()
 	}
 	leaving.fixedTarget = true
 	j.watch(leaving)
@@ -77,14 +75,14 @@
 	leaving.stopPings()
 	if w.trouble {
 		w.note("nothing that is sent to the executor i-1 arrives any more")
-		inbound.Set(netfault.State{CutTo: true})
+		inbound.cut(true, false)
 		for _, p := range outbound {
-			p.Set(netfault.State{CutFrom: true})
+			p.cut(false, true)
 		}
 		time.AfterFunc(leaveCut, func() {
-			inbound.Set(netfault.State{})
+			inbound.cut(false, false)
 			for _, p := range outbound {
-				p.Set(netfault.State{})
+				p.cut(false, false)
 			}
 			w.note("what is sent to the executor i-1 arrives again")
 		})
--- a/review/cases-2/executor.go
+++ b/review/standin-2/executor.go
@@ -22,7 +22,6 @@
 	startTime = 200 * time.Millisecond // until a task that lasts is at work
 	pingEvery = 1100 * time.Millisecond
 	maxListed = 500 // ends in one answer
-	saveEvery = 2 * time.Second
 )
 
 // run is a run of a task on an executor.
@@ -31,9 +30,8 @@
 	spec     string
 	begun    time.Time
 	stopping time.Time
-	resumed  string // what it was started with
-	percent  int    // of its speed
-	size     int    // millicores
+	percent  int // of its speed
+	size     int // millicores
 }
 
 // executor is a stand-in for one life of an executor. It follows the platform's page on running tasks.
@@ -47,11 +45,8 @@
 	born          time.Time
 	cpu           int
 	onStart       func(e *executor, task string, attempt int, spec string)
-	figure        func(e *executor, task string, r *run) float64
-	onStop        func(e *executor, task string, r *run)
 	onEnd         func(e *executor, task string, r *run, how string, number int)
 	onSeen        func(number int)
-	saves         bool // tasks save their progress every saveEvery and when they are stopped
 	cut           bool // pings do not leave the machine
 	fixedTarget   bool // pings go to the first of controls, whatever address an answer names
 	pingClient    *http.Client
@@ -179,7 +174,6 @@
 	defer e.mu.Unlock()
 	task, _ := body["task"].(string)
 	spec, _ := body["spec"].(string)
-	resumed, _ := body["checkpointed"].(string)
 	attempt, until := int(integer(body["attempt"])), integer(body["until_ms"])
 	refuse := func(reason string) (int, map[string]any) {
 		e.note("executor %s: start of run %d of %s refused: %s", e.id, attempt, task, reason)
@@ -208,7 +202,7 @@
 	if used > e.cpu {
 		return refuse("room")
 	}
-	e.running[task] = &run{attempt: attempt, spec: spec, resumed: resumed, begun: time.Now(), percent: 100, size: size}
+	e.running[task] = &run{attempt: attempt, spec: spec, begun: time.Now(), percent: 100, size: size}
 	e.note("executor %s: run %d of %s starts", e.id, attempt, task)
 	if e.onStart != nil {
 		e.onStart(e, task, attempt, spec)
@@ -225,9 +219,6 @@
 	if r := e.running[task]; r != nil && r.attempt == attempt && r.stopping.IsZero() {
 		r.stopping = time.Now()
 		e.note("executor %s: run %d of %s is told to stop", e.id, attempt, task)
-		if e.onStop != nil {
-			e.onStop(e, task, r)
-		}
 	}
 	return http.StatusOK, map[string]any{}
 }
@@ -264,11 +255,7 @@
 	defer e.mu.Unlock()
 	running := [][]any{}
 	for task, r := range e.running {
-		figure := float64(0)
-		if e.figure != nil {
-			figure = e.figure(e, task, r)
-		}
-		running = append(running, []any{task, r.attempt, e.saved(r, false), r.progress(), figure})
+		running = append(running, []any{task, r.attempt, "", r.progress(), r.size})
 	}
 	finished := [][]any{}
 	finished = append(finished, e.ends[:min(len(e.ends), maxListed)]...)
@@ -284,18 +271,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// saved returns what a run has saved: nothing before saveEvery, unless it has been stopped.
-func (e *executor) saved(r *run, stopped bool) string {
-	work := time.Since(r.begun)
-	if !stopped {
-		work = work.Truncate(saveEvery)
-	}
-	if !e.saves || work == 0 {
-		return r.resumed
-	}
-	return fmt.Sprintf("%08x%08x", r.attempt, work.Milliseconds())
-}
-
 // progress returns the percent that a hold shows. A task that lasts is at work at 100.
 func (r *run) progress() int {
 	total := r.duration()
@@ -328,7 +303,7 @@
 	delete(e.running, task)
 	e.closed[task] = max(e.closed[task], r.attempt)
 	e.lastEnd++
-	e.ends = append(e.ends, []any{e.lastEnd, task, r.attempt, how, e.saved(r, how == "stopped")})
+	e.ends = append(e.ends, []any{e.lastEnd, task, r.attempt, how, ""})
 	e.note("executor %s: run %d of %s ends: %s", e.id, r.attempt, task, how)
 	if e.onEnd != nil {
 		e.onEnd(e, task, r, how, e.lastEnd)
--- a/review/cases-2/main.go
+++ b/review/standin-2/main.go
@@ -1,4 +1,4 @@
-// Command cases-2 plays the cases of the second review in review/: it starts the programs of the deploy file as processes on loopback
+// Command standin-2 plays the cases of the second review in review/: it starts the programs of the deploy file as processes on loopback
 // addresses, with small stand-ins for callers, executors, the operator and the platform that follow the platform's pages.
 package main
 
@@ -27,9 +27,9 @@
 var cases = map[string]caseFunc{
 	"refused": playRefused,
 	"wave":    playWave,
-	"avail":   playAvail,
 	"leave":   playLeave,
 	"ends":    playEnds,
+	"silent":  playSilent,
 }
 
 func main() {
--- a/review/cases-2/world.go
+++ b/review/standin-2/world.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	folder, err := os.MkdirTemp("", "cases-2-")
+	folder, err := os.MkdirTemp("", "standin-2-")
 	if err != nil {
 		return nil, err
 	}
