--- a/review/standin-2/case_ends.go
+++ b/review/standin-2/case_ends.go
@@ -9,8 +9,8 @@
 
 const (
 	// manyTasks is the number of tasks of the submission, which all run at the same time on one executor.
-	manyTasks = 1500
-	taskTime  = 10 * time.Second
+	manyTasks = 3000
+	taskTime  = 12 * time.Second
 	// cutTime is within the 5.5 s for which the site cuts executors off.
 	cutTime = 5 * time.Second
 )
@@ -31,16 +31,16 @@
 	}
 	defer inbound.close()
 	e.announced, e.quiet = inbound.address(), true
-	e.sizeOf = func(string) int { return 20 }
+	e.sizeOf = func(string) int { return 10 }
 	j := &onceJudge{w: w, done: map[string]int{}, again: map[string]int{}}
 	e.onStart, e.onEnd, e.onSeen = j.started, j.ended, j.seen
 	e.begin()
-	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders")), nil); err != nil {
+	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders"))); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
 	id := newID()
-	body := fmt.Sprintf(`{"spec":"ms:%d","phases":[{"count":%d,"cpu":20,"mem_mb":1,"est_ms":%d}]}`, taskTime.Milliseconds(), manyTasks, taskTime.Milliseconds())
+	body := fmt.Sprintf(`{"spec":"ms:%d","phases":[{"count":%d,"cpu":10,"mem_mb":1,"est_ms":%d}]}`, taskTime.Milliseconds(), manyTasks, taskTime.Milliseconds())
 	got := request(client, http.MethodPost, w.intakes()[0].callers()+"/sheets/"+id, host, body)
 	w.note("POST /sheets/%s %s -> %d", id, body, got.status)
 	sent := time.Now()
--- a/review/standin-2/case_leave.go
+++ b/review/standin-2/case_leave.go
@@ -45,7 +45,7 @@
 	leaving.fixedTarget = true
 	j.watch(leaving)
 	leaving.begin()
-	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders")), nil); err != nil {
+	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders"))); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/standin-2/case_refused.go
+++ b/review/standin-2/case_refused.go
@@ -42,10 +42,16 @@
 	return list, nil
 }
 
-// rounds is how often the leader is killed.
-const rounds = 5
+const (
+	// rounds is how often the leader is killed.
+	rounds = 7
+	// requesters hand in submissions at the same time.
+	requesters = 120
+	// orderDelay is how long after the kill the operator removes the route.
+	orderDelay = 650 * time.Millisecond
+)
 
-// playRefused: requesters hand in submissions. The leader is killed, and at the same moment the operator removes their route. A submission of
+// playRefused: requesters hand in submissions. The leader is killed, and just after that the operator removes their route. A submission of
 // which all attempts were rejected must not run.
 func playRefused(w *world) (bool, error) {
 	if err := w.start(2); err != nil {
@@ -54,6 +60,7 @@
 	s := &submitter{w: w, started: map[string]time.Time{}, sent: map[string]*attempts{}}
 	executors, err := w.startFleet(4, 64000, func(e *executor) {
 		e.quiet = true
+		e.sizeOf = func(string) int { return 20 }
 		e.onStart = func(_ *executor, task string, _ int, _ string) { s.recordStart(strings.SplitN(task, ".", 2)[0]) }
 	})
 	if err != nil {
@@ -61,32 +68,37 @@
 	}
 	dyes := route("r-b", "/dyes/", "kit-orders")
 	version := 1
-	if err := w.putManifest(10*time.Second, manifest(version, route("r-a", "/sheets/", "kit-orders"), dyes), nil); err != nil {
+	if err := w.putManifest(10*time.Second, manifest(version, route("r-a", "/sheets/", "kit-orders"), dyes)); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
 	stop := make(chan struct{})
-	var requesters sync.WaitGroup
-	for i := range 60 {
-		requesters.Go(func() { s.submitAlways(i, stop) })
+	var running sync.WaitGroup
+	for i := range requesters {
+		running.Go(func() { s.submitAlways(i, stop) })
 	}
 	for range rounds {
-		time.Sleep(4 * time.Second)
+		time.Sleep(3 * time.Second)
 		leader := executors[0].leader()
 		if leader == nil {
 			return false, fmt.Errorf("the leader is not known")
 		}
-		var skip *vm
 		if w.trouble {
 			leader.kill()
-			skip = leader
+			time.Sleep(orderDelay)
 		}
 		w.note("the operator removes the route /sheets/")
 		version++
-		if err := w.putManifest(10*time.Second, manifest(version, dyes), skip); err != nil {
+		confirmed := make(chan error, len(w.controls()))
+		for _, v := range w.controls() {
+			if v != leader { // up to eight orders may be in progress at once
+				go func() { confirmed <- w.putManifestAt(10*time.Second, manifest(version, dyes), v) }()
+			}
+		}
+		if err := <-confirmed; err != nil {
 			return false, err
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
 		if w.trouble {
 			if err := leader.start(); err != nil {
 				return false, err
@@ -95,12 +107,12 @@
 		}
 		w.note("the operator adds the route /sheets/ again")
 		version++
-		if err := w.putManifest(10*time.Second, manifest(version, route("r-a", "/sheets/", "kit-orders"), dyes), nil); err != nil {
+		if err := w.putManifest(10*time.Second, manifest(version, route("r-a", "/sheets/", "kit-orders"), dyes)); err != nil {
 			return false, err
 		}
 	}
 	close(stop)
-	requesters.Wait()
+	running.Wait()
 	time.Sleep(10 * time.Second)
 	return s.judge(), nil
 }
@@ -162,7 +174,7 @@
 	for try := range 4 {
 		v := s.w.intakes()[(number+try)%len(s.w.intakes())]
 		sent := time.Since(s.w.started)
-		got := request(c, http.MethodPost, v.callers()+"/sheets/"+id, host, `{"spec":"ms:100","phases":[{"count":1,"cpu":1000,"mem_mb":64,"est_ms":100}]}`)
+		got := request(c, http.MethodPost, v.callers()+"/sheets/"+id, host, `{"spec":"ms:20","phases":[{"count":1,"cpu":20,"mem_mb":1,"est_ms":20}]}`)
 		s.mu.Lock()
 		a.statuses = append(a.statuses, got.status)
 		s.mu.Unlock()
@@ -173,7 +185,7 @@
 			return
 		}
 		if got.status == http.StatusNotFound {
-			time.Sleep(500 * time.Millisecond) // no such queue exists
+			time.Sleep(2 * time.Second) // no such queue exists
 			return
 		}
 		time.Sleep(time.Duration(100<<try) * time.Millisecond)
--- a/review/standin-2/case_silent.go
+++ b/review/standin-2/case_silent.go
@@ -39,7 +39,7 @@
 		s.proxies[e.id] = inbound
 		e.begin()
 	}
-	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders")), nil); err != nil {
+	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders"))); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin-2/case_wave.go
+++ b/review/standin-2/case_wave.go
@@ -126,7 +126,7 @@
 		}
 	}
 	c.mu.Unlock()
-	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders")), nil); err != nil {
+	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders"))); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -272,14 +272,16 @@
 func get(url, host string) answer { return request(client, http.MethodGet, url, host, "") }
 
 // putManifest sends a manifest to the control VMs in turn until it is confirmed.
-func (w *world) putManifest(limit time.Duration, manifest string, skip *vm) error {
+func (w *world) putManifest(limit time.Duration, manifest string) error {
+	return w.putManifestAt(limit, manifest, w.controls()...)
+}
+
+// putManifestAt sends a manifest to some control VMs in turn until it is confirmed.
+func (w *world) putManifestAt(limit time.Duration, manifest string, vms ...*vm) error {
 	end := time.Now().Add(limit)
 	operator := &http.Client{Timeout: time.Second}
 	for i := 0; time.Now().Before(end); i++ {
-		v := w.controls()[i%3]
-		if v == skip {
-			continue
-		}
+		v := vms[i%len(vms)]
 		a := request(operator, http.MethodPut, v.control()+"/v1/config", "", manifest)
 		w.note("operator: PUT /v1/config at %s -> %d", v.ip, a.status)
 		if a.status == http.StatusOK {
