--- a/review/standin-2/case_ends.go
+++ b/review/standin-2/case_ends.go
@@ -11,11 +11,13 @@
 	// manyTasks is the number of tasks of the submission, which all run at the same time on one executor.
 	manyTasks = 3000
 	taskTime  = 12 * time.Second
+	// idle is the number of the other executors: the site cuts off a share of 0.17 at most.
+	idle = 5
 	// cutTime is within the 5.5 s for which the site cuts executors off.
 	cutTime = 5 * time.Second
 )
 
-// playEnds: an executor that runs many small tasks is cut off for five seconds, in which they all end as done. It lists 500 ends at a time. No task
+// playEnds: one of six executors, which runs many small tasks that need its label, is cut off for five seconds, in which they all end as done. It lists 500 ends at a time. No task
 // may start again.
 func playEnds(w *world) (bool, error) {
 	if err := w.start(1); err != nil {
@@ -30,17 +32,25 @@
 		return false, err
 	}
 	defer inbound.close()
-	e.announced, e.quiet = inbound.address(), true
+	e.announced, e.kind, e.quiet = inbound.address(), "b", true
 	e.sizeOf = func(string) int { return 10 }
 	j := &onceJudge{w: w, done: map[string]int{}, again: map[string]int{}}
 	e.onStart, e.onEnd, e.onSeen = j.started, j.ended, j.seen
 	e.begin()
+	for i := range idle {
+		other, err := w.newExecutor(fmt.Sprintf("i-%d", i+2), fmt.Sprintf("m-%d", i+2), w.ip(41+i), 32000)
+		if err != nil {
+			return false, err
+		}
+		other.onStart, other.onEnd = j.started, j.ended
+		other.begin()
+	}
 	if err := w.putManifest(10*time.Second, manifest(1, route("r-a", "/sheets/", "kit-orders"))); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
 	id := newID()
-	body := fmt.Sprintf(`{"spec":"ms:%d","phases":[{"count":%d,"cpu":10,"mem_mb":1,"est_ms":%d}]}`, taskTime.Milliseconds(), manyTasks, taskTime.Milliseconds())
+	body := fmt.Sprintf(`{"spec":"ms:%d","phases":[{"count":%d,"cpu":10,"mem_mb":1,"est_ms":%d,"required_label":"b"}]}`, taskTime.Milliseconds(), manyTasks, taskTime.Milliseconds())
 	got := request(client, http.MethodPost, w.intakes()[0].callers()+"/sheets/"+id, host, body)
 	w.note("POST /sheets/%s %s -> %d", id, body, got.status)
 	sent := time.Now()
--- a/review/standin-2/case_leave.go
+++ b/review/standin-2/case_leave.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	// leaveCut is within the 8 s for which the site cuts executors off one way.
+	// others is the number of the other executors: the site cuts off a share of 0.12 one way.
+	others = 8
+	// leaveCut is within the 6 s for which the site cuts executors off one way.
 	leaveCut = 5 * time.Second
 	// lingerTime is how long an executor whose leave was not confirmed runs on: some seconds.
 	lingerTime = 3 * time.Second
@@ -56,12 +58,14 @@
 	if err := await(5*time.Second, "the tasks do not run", func() bool { return leaving.count() == 4 }); err != nil {
 		return false, err
 	}
-	other, err := w.newExecutor("i-2", "m-2", w.ip(41), 32000)
-	if err != nil {
-		return false, err
+	for i := range others {
+		other, err := w.newExecutor(fmt.Sprintf("i-%d", i+2), fmt.Sprintf("m-%d", i+2), w.ip(41+i), 32000)
+		if err != nil {
+			return false, err
+		}
+		j.watch(other)
+		other.begin()
 	}
-	j.watch(other)
-	other.begin()
 	time.Sleep(4 * time.Second)
 	w.note("executor i-1 drains")
 	leaving.drain()
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -39,6 +39,7 @@
 	w             *world
 	id, machine   string
 	zone          string
+	kind          string // its first label
 	address       string // to which it listens
 	announced     string // which its pings state
 	controls      []string
@@ -78,7 +79,7 @@
 }
 
 func (w *world) newExecutor(id, machine string, ip string, cpu int) (*executor, error) {
-	e := &executor{w: w, id: id, machine: machine, zone: zones[0], cpu: cpu, born: time.Now(), state: "ready", running: map[string]*run{},
+	e := &executor{w: w, id: id, machine: machine, zone: zones[0], kind: "a", cpu: cpu, born: time.Now(), state: "ready", running: map[string]*run{},
 		closed: map[string]int{}, changed: make(chan struct{}), pingClient: &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -322,7 +323,7 @@
 	}
 	e.seq++
 	body := fmt.Sprintf(`{"service":"kit-orders","addr":%q,"zone":%q,"machine":%q,"version":"v1","slots":8,"state":%q,"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":64000,"gpu":0},`+
-		`"labels":["a","r1-1"],"clock_ms":%d,"seq":%d,"born":%d%s}`, e.announced, e.zone, e.machine, e.state, e.cpu, e.clock(), e.seq, e.born.UnixMilli(), e.remaining())
+		`"labels":[%q,"r1-1"],"clock_ms":%d,"seq":%d,"born":%d%s}`, e.announced, e.zone, e.machine, e.state, e.cpu, e.kind, e.clock(), e.seq, e.born.UnixMilli(), e.remaining())
 	state := e.state
 	e.mu.Unlock()
 	targets := append([]string{}, e.controls...)
