--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -32,6 +32,7 @@
 	noRoom            bool                      // starts are refused with ErrNoRoom
 	unavailable       bool                      // starts are refused with ErrUnavailable
 	stopUnanswered    bool                      // stops do not arrive
+	holdUnanswered    bool                      // holds do not arrive
 	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
@@ -223,8 +224,10 @@
 	case c.Fence < f.fence:
 		return ErrFenced
 	case run != nil && run.attempt == c.Attempt:
+		w.extend(f, c.LeaseUntilMs)
 		return nil
 	case c.Attempt <= f.revoked[c.Task]:
+		w.extend(f, c.LeaseUntilMs)
 		return ErrOldAttempt
 	case c.LeaseUntilMs <= f.clockMs(time.Now()):
 		return ErrLeaseOver
@@ -233,6 +236,7 @@
 	case f.unavailable:
 		return ErrUnavailable
 	case f.noRoom:
+		w.extend(f, c.LeaseUntilMs)
 		f.refusals++
 		return ErrNoRoom
 	}
@@ -262,8 +266,15 @@
 	return nil
 }
 
+// fakeLeaseMax is the longest lease in the tests, 10 s on a clock that is 2 % slow.
+const fakeLeaseMax = 10200 * time.Millisecond
+
+// extend extends the lease of a worker to a time on its clock, but to the longest lease at most.
 func (w *fakeWorkers) extend(f *fakeWorker, untilMs int64) {
 	until := f.born.Add(time.Duration(untilMs-1000) * time.Millisecond)
+	if longest := time.Now().Add(fakeLeaseMax); until.After(longest) {
+		until = longest
+	}
 	if until.After(f.lease) {
 		f.lease = until
 	}
@@ -305,6 +316,9 @@
 	for {
 		w.mu.Lock()
 		f, err := w.receive(c.Target)
+		if f != nil && f.holdUnanswered {
+			f, err = nil, ErrNoAnswer
+		}
 		if err == nil && waitsAt != nil && f != waitsAt { // its connection ended with the process
 			w.mu.Unlock()
 			return HoldAnswer{}, ErrNoAnswer
