The clock in an answer tells whether a later incarnation of the worker has answered

Cause: a call names the worker by its id, and the answer to a start or stop names no incarnation. Its clock was recorded as that of the former incarnation if it was ahead, so that later starts were accepted by the new one; if it was behind, it was ignored. Change: a reading that does not go on from the last one is not recorded, the call counts as not answered, event=other-clock and a counter tell it, and a hold asks which incarnation has answered. A reading that goes on confirms that the same incarnation has started an attempt.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -33,6 +33,7 @@
 	unavailable       bool                      // starts are refused with ErrUnavailable
 	stopUnanswered    bool                      // stops do not arrive
 	holdUnanswered    bool                      // holds do not arrive
+	pollUnanswered    bool                      // holds that may wait do not arrive
 	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
@@ -316,7 +317,7 @@
 	for {
 		w.mu.Lock()
 		f, err := w.receive(c.Target)
-		if f != nil && f.holdUnanswered {
+		if f != nil && (f.holdUnanswered || f.pollUnanswered && c.WaitMs > 0) {
 			f, err = nil, ErrNoAnswer
 		}
 		if err == nil && waitsAt != nil && f != waitsAt { // its connection ended with the process
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -111,7 +111,9 @@
 	timedOut := ctx.Err() != nil || time.Until(deadline) < relayMargin
 	holdSeconds.UpdateDuration(began)
 	if err == nil && !s.answeredByOther(answer) {
+		s.mu.Lock()
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
+		s.mu.Unlock()
 	}
 	return holdResult{sent, l.cfg.Clock(), answer, err, timedOut}
 }
@@ -177,9 +179,7 @@
 	}
 	sent, answer := result.sent, result.answer
 	if s.answeredByOther(answer) {
-		l.recordReplacement(s)
-		l.onWorkerReplaced(s, "hold")
-		l.registerSuccessor(s, answer.BornUnixMs)
+		l.onSuccessorAnswer(s, answer)
 		done()
 		return
 	}
@@ -195,6 +195,13 @@
 	l.dirty = true
 }
 
+// onSuccessorAnswer handles the answer of a later incarnation of the worker of a session to a hold.
+func (l *Leader) onSuccessorAnswer(s *session, answer HoldAnswer) {
+	l.recordReplacement(s)
+	l.onWorkerReplaced(s, "hold")
+	l.registerSuccessor(s, answer.BornUnixMs)
+}
+
 func (l *Leader) holdFailed(s *session, err error) {
 	switch {
 	case s.leave != nil && errors.Is(err, ErrNotListening) && l.onLeaveEvidence(s, l.cfg.Clock(), err):
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -66,16 +66,6 @@
 	return c.seenEnd
 }
 
-// recordClock records a reading of the worker's clock that arrived at the given time. Readings that do not advance the clock
-// are ignored.
-func (s *session) recordClock(clockMs int64, at time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if clockMs > s.clockMs {
-		s.clockMs, s.clockAt = clockMs, at
-	}
-}
-
 // grantWindow is how long after the last answered hold leases are still granted. Otherwise a worker that receives calls but
 // whose answers are lost would keep its tasks forever.
 const grantWindow = 3 * time.Second
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -18,9 +18,11 @@
 	suspectsTotal   = metrics.NewCounter("lentilyard_dispatch_suspects_total")
 	givenUpTotal    = metrics.NewCounter("lentilyard_dispatch_given_up_total")
 	stalledTotal    = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
-	commitSeconds   = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
-	planSeconds     = metrics.NewHistogram("lentilyard_dispatch_plan_seconds")
-	holdSeconds     = metrics.NewHistogram("lentilyard_dispatch_hold_seconds")
+	// otherClocksTotal counts the answers whose clock is not that of the incarnation that the call was meant for.
+	otherClocksTotal = metrics.NewCounter("lentilyard_dispatch_other_clocks_total")
+	commitSeconds    = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
+	planSeconds      = metrics.NewHistogram("lentilyard_dispatch_plan_seconds")
+	holdSeconds      = metrics.NewHistogram("lentilyard_dispatch_hold_seconds")
 	// outageSeconds holds the times from the last run of an endless task until it starts again.
 	outageSeconds = metrics.NewHistogram("lentilyard_dispatch_endless_outage_seconds")
 )
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -79,10 +79,10 @@
 		l.runs[task] = r
 	}
 	if running && r.attempt == attempt {
-		if !r.wasListed {
+		if !r.confirmed {
 			l.begun.add(task.Submission)
 		}
-		r.wasListed = true
+		r.confirmed = true
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
 		}
@@ -149,7 +149,7 @@
 func (l *Leader) stopOnce(s *session, running Running) {
 	c := StopCall{Target: s.target(l.term), Task: running.Task, Attempt: running.Attempt}
 	l.log.Warn().Str("decision", "stop-stray").Str("request", running.Task.Submission).Uint32("attempt", running.Attempt).Str("worker", s.incarnation.ID).Msg("")
-	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(error) {})
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(error, reading) {})
 }
 
 // stopEnded stops the remaining attempts of submissions that have ended.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -39,8 +40,9 @@
 	phase   runPhase
 	// calling is true while a start or stop call is in progress.
 	calling bool
-	// wasListed is true once the worker has listed the attempt as running.
-	wasListed bool
+	// confirmed is true once this incarnation of the worker is known to have started the attempt: it has listed the attempt as running,
+	// or its clock was in the answer to the start.
+	confirmed bool
 	// outcomeUnknown is true if the result of some start call is unknown, so that the worker may have carried it out or may still
 	// do so.
 	outcomeUnknown bool
@@ -107,36 +109,54 @@
 	}
 	startsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
-		func(err error) { l.onStart(s, task, r, err) })
+		func(err error, answered reading) { l.onStart(s, task, r, err, answered) })
 }
 
 // call makes a call in the pool. It passes the result to then on the event loop, unless the term or the session has ended
-// by that time.
-func (l *Leader) call(s *session, f func(context.Context) (int64, error), then func(error)) {
+// by that time. The success of what may be a later incarnation counts as errNotIdentified.
+func (l *Leader) call(s *session, f func(context.Context) (int64, error), then func(error, reading)) {
 	ctx := l.ctx
 	l.pool.Submit(func() {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
+		sent := l.cfg.Clock()
 		clockMs, err := f(callCtx)
 		ended := l.cfg.Clock()
-		if clockMs > 0 {
-			s.recordClock(clockMs, l.cfg.Clock())
+		answered := s.readClock(clockMs, sent, ended)
+		if answered == readingOther && err == nil {
+			err = errNotIdentified
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		l.post(func() {
-			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s {
-				if err == nil {
-					s.recordAnswered(ended)
-				}
-				then(err)
+			if l.ctx != ctx || l.sessions[s.incarnation.ID] != s {
+				return
 			}
+			if err == nil {
+				s.recordAnswered(ended)
+			}
+			if answered == readingOther {
+				l.onOtherClock(s, clockMs)
+			}
+			then(err, answered)
 		})
 	})
 }
 
-func (l *Leader) onStart(s *session, task submission.Ref, r *run, err error) {
+// errNotIdentified means that a later incarnation of the worker may have carried out a call.
+var errNotIdentified = fmt.Errorf("%w: a later incarnation of the worker may have answered; ask which one it is", ErrNoAnswer)
+
+// onOtherClock handles an answer that may have come from a later incarnation of the worker of a session: a hold tells which one it is.
+func (l *Leader) onOtherClock(s *session, clockMs int64) {
+	otherClocksTotal.Inc()
+	l.log.Warn().Str("event", "other-clock").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).
+		Int64("clock_ms", clockMs).Int64("last_clock_ms", s.leaseSnapshot().clockMs).
+		Msg("a later incarnation of the worker may have answered a call, carried it out and taken the lease in it")
+	l.pollNow(s)
+}
+
+func (l *Leader) onStart(s *session, task submission.Ref, r *run, err error, answered reading) {
 	r.calling = false
 	if l.runs[task] != r {
 		return
@@ -163,6 +183,7 @@
 	switch {
 	case err == nil:
 		r.phase, r.answeredAt = phaseRunning, l.cfg.Clock()
+		r.confirmed = r.confirmed || answered == readingSame
 		l.begun.add(task.Submission)
 		if l.fills(task) {
 			l.throttleStarted(s)
@@ -280,7 +301,7 @@
 	r.calling, r.calledAt = true, l.cfg.Clock()
 	stopsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) },
-		func(err error) { l.onStop(s, task, r, err) })
+		func(err error, _ reading) { l.onStop(s, task, r, err) })
 }
 
 func (l *Leader) onStop(s *session, task submission.Ref, r *run, err error) {
@@ -315,7 +336,11 @@
 			return // the long poll of the session handles errors
 		}
 		l.post(func() {
-			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s && !s.answeredByOther(answer) {
+			switch {
+			case l.ctx != ctx || l.sessions[s.incarnation.ID] != s:
+			case s.answeredByOther(answer):
+				l.onSuccessorAnswer(s, answer)
+			default:
 				l.commitEnds(s, answer, func() {})
 				l.reconcile(s, sent, answer)
 			}
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -158,7 +158,7 @@
 	throttlesTotal.Inc()
 	s.speedLimits[share.Task] = share.Percent
 	c := ThrottleCall{Target: s.target(l.term), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
-	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error) {
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error, _ reading) {
 		if err != nil {
 			s.speedLimits[share.Task] = assumedSpeedLimit // the worker may have carried out the call
 			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.incarnation.ID).Err(err).Msg("")
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -31,10 +31,10 @@
 }
 
 // recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
-// those that the incarnation has listed to this leader and of whose start no copy can still be on its way.
+// those that the incarnation is known to have started and of whose start no copy can still be on its way.
 func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
-		if r.on == previous && (!r.wasListed || l.mayArriveLate(r)) {
+		if r.on == previous && (!r.confirmed || l.mayArriveLate(r)) {
 			l.addUncertainStart(ref, r.attempt, previous)
 		}
 	}
@@ -169,7 +169,7 @@
 	c := StopCall{Target: s.target(l.term), Task: task, Attempt: u.attempt}
 	u.calling = true
 	stopsTotal.Inc()
-	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(err error) {
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(err error, _ reading) {
 		u.calling = false
 		if err == nil {
 			u.revokedAt = l.cfg.Clock()
