A lease that a call for the former incarnation extended is counted, and such calls are refused once the new one has answered

Cause: a worker that is back under its id takes calls that were meant for its former incarnation. A start carries the end of a lease on the former clock; where that is ahead, the new incarnation shortens it to the longest lease, 10 s from the arrival, also if it refuses the start as old. The leader counted 8 s from its last reading of the new clock, for the new incarnation alone. Class: an effect of a call on another receiver than the one that it was sent to is not accounted. Change: each session has its own fencing token, higher than those of all sessions before it in the term, so that an incarnation refuses all calls for its predecessors, and those of previous leaders, once it has answered the session. Until then the leader counts the longest lease from the latest arrival of such a call (replicated: that another incarnation had the id; local: when this VM learnt of the new one); with the first answer, the longest lease from that reading of the clock. Why it works: after the first answer no call can extend the lease unknown to the leader, and before it each lease ends at most the longest lease after that answer. A control VM of an older build has lower tokens: after a return to such a build workers refuse its calls until they restart.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -24,8 +24,8 @@
 	Address     string
 	// FailureDomain is the failure domain of the worker.
 	FailureDomain string
-	// Fence is the fencing token, which is the leader's term. Workers refuse calls with a lower token than the highest
-	// that they have seen.
+	// Fence is the fencing token. It rises with the leader's term and, in a term, with each session. Workers refuse calls with a lower
+	// token than the highest that they have seen.
 	Fence uint64
 }
 
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -58,10 +58,10 @@
 func (l *Leader) verify(w *pb.PoolWorker, sessions []*session, then func(claimVerdict, error)) {
 	ctx, began := l.ctx, l.cfg.Clock()
 	claimed := Target{Incarnation: submission.Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}, Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Fence: l.term}
+		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
 	targets := make([]Target, len(sessions))
 	for i, s := range sessions {
-		targets[i] = s.target(l.term)
+		targets[i] = s.target()
 	}
 	l.pool.Submit(func() {
 		verdict := l.judgeClaim(ctx, claimed, targets)
--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -52,7 +52,7 @@
 		return
 	}
 	target := Target{Incarnation: submission.Incarnation{ID: id, BornUnixMs: known.GetBornUnixMs()}, Address: known.GetAddress(),
-		FailureDomain: known.GetFailureDomain(), Fence: l.term}
+		FailureDomain: known.GetFailureDomain(), Fence: l.fenceFor(id)}
 	l.pool.Submit(func() {
 		answer, ok := l.askRepeatedly(ctx, target)
 		l.post(func() {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -37,16 +37,16 @@
 
 // holdLoop polls a worker until ctx ends, which renews its lease and collects the ends of attempts. The event loop handles
 // each answer before the next call is made, since a call may acknowledge only ends that are committed.
-func (l *Leader) holdLoop(ctx context.Context, s *session, term uint64) {
+func (l *Leader) holdLoop(ctx context.Context, s *session) {
 	pause := holdRetryMin
 	for ctx.Err() == nil {
 		lease := s.leaseSnapshot()
 		reconnecting := lease.identityUncertain && lease.confirmed && !lease.expired
 		result := holdResult{}
 		if reconnecting {
-			result = l.reconnect(ctx, s, term)
+			result = l.reconnect(ctx, s)
 		} else {
-			result = l.identifiedHold(ctx, s, term)
+			result = l.identifiedHold(ctx, s)
 		}
 		s.setIdentity(result.err == nil && !s.answeredByOther(result.answer), l.cfg.Clock())
 		handled := make(chan struct{})
@@ -71,20 +71,20 @@
 
 // identifiedHold makes the next hold of a session. If the worker may have restarted since its last answer, a hold that neither
 // renews the lease nor acknowledges ends goes first.
-func (l *Leader) identifiedHold(ctx context.Context, s *session, term uint64) holdResult {
+func (l *Leader) identifiedHold(ctx context.Context, s *session) holdResult {
 	if s.leaseSnapshot().mayHaveRestarted(l.cfg.Clock()) {
-		check := l.hold(ctx, s, HoldCall{Target: s.target(term)})
+		check := l.hold(ctx, s, HoldCall{Target: s.target()})
 		if check.err != nil || s.answeredByOther(check.answer) {
 			return check
 		}
 	}
-	return l.hold(ctx, s, l.nextHold(s, term))
+	return l.hold(ctx, s, l.nextHold(s))
 }
 
 // nextHold returns the next hold of a session. It renews the lease unless another incarnation may receive the call.
-func (l *Leader) nextHold(s *session, term uint64) HoldCall {
+func (l *Leader) nextHold(s *session) HoldCall {
 	lease := s.leaseSnapshot()
-	c := HoldCall{Target: s.target(term), SeenEnd: lease.acknowledgedEnd()}
+	c := HoldCall{Target: s.target(), SeenEnd: lease.acknowledgedEnd()}
 	if !lease.identityUncertain {
 		c.LeaseUntilMs = s.grantLease(l.lease, l.cfg.Clock())
 	}
@@ -121,7 +121,7 @@
 // reconnect repeats the hold after a failed one at reconnectInterval, without waiting for the calls before it, until a call
 // succeeds or fails. A partition leaves calls hanging that were made before its end, and the lease may be over before they
 // time out.
-func (l *Leader) reconnect(ctx context.Context, s *session, term uint64) holdResult {
+func (l *Leader) reconnect(ctx context.Context, s *session) holdResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ticker := time.NewTicker(reconnectInterval)
@@ -129,7 +129,7 @@
 	results := make(chan holdResult, 1+holdSlack/reconnectInterval)
 	for {
 		go func() {
-			result := l.hold(ctx, s, l.nextHold(s, term))
+			result := l.hold(ctx, s, l.nextHold(s))
 			select {
 			case results <- result:
 			case <-ctx.Done():
@@ -187,7 +187,7 @@
 		s.leave.judge(sent, nil)
 	}
 	l.endSilence(s)
-	if s.recordAnswer(sent, l.lease) {
+	if l.recordAnswer(s, sent, result.ended) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
 	}
 	l.commitEnds(s, answer, done)
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -141,7 +141,7 @@
 // Guards against a leader that continues to call workers after a newer leader has called them.
 func TestFencedLeaderStops(t *testing.T) {
 	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].fence = 9 })
+		r.workers.update(func() { r.workers.byID["a"].fence = fencingToken(9, 1) })
 		time.Sleep(3 * time.Second)
 		is.Equal(r.leader.Term(), uint64(0))
 	})
@@ -399,7 +399,7 @@
 		r.leader.post(func() {
 			r.leader.uncertainStarts[submission.Ref{Submission: "gone"}] = &uncertainStart{previous: submission.Incarnation{ID: "x"}, attempt: 1, since: r.leader.cfg.Clock()}
 		})
-		time.Sleep(uncertainStartTimeout + cleanupInterval + time.Second)
+		time.Sleep(lateCallTimeout + cleanupInterval + time.Second)
 		r.leader.post(func() { left <- len(r.leader.uncertainStarts) })
 		is.Equal(<-left, 0)
 	})
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -26,6 +26,9 @@
 	// recordedLeaseOver is when the leases that previous leaders granted to a silent worker are over, 0 if they did not record it
 	// as silent.
 	recordedLeaseOver time.Duration
+	// inheritedOver is when all leases are over that calls for a former incarnation may have granted to this one; 0 if there was none, or
+	// once this one has answered.
+	inheritedOver time.Duration
 	// identifiedAt is when an answer of this incarnation last arrived.
 	identifiedAt time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
@@ -83,20 +86,34 @@
 	return until
 }
 
-// recordAnswer records the answer to a hold that was sent at the given time. It returns true if this is the first answer in
-// this term or since the lease counted as expired.
-func (s *session) recordAnswer(sent time.Duration, lease time.Duration) bool {
+// recordAnswer records the answer to a hold that was sent and has arrived at the given times. It returns true if this is the first
+// answer in this session or since the lease counted as expired.
+func (l *Leader) recordAnswer(s *session, sent, at time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fresh := !s.confirmed || s.expired
 	if !s.confirmed {
-		// A previous leader may have granted a lease that started just now.
-		s.grantedUntil = max(s.grantedUntil, s.clockMs+lease.Milliseconds())
+		// A previous leader, or a call for a former incarnation, may have granted a lease that started just now. Later such calls are refused.
+		granted := l.lease
+		if s.inheritedOver > at {
+			granted = l.cfg.Bounds.LeaseMax
+		}
+		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
 	}
-	s.confirmed, s.expired, s.answeredAt = true, false, sent
+	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, sent, 0
 	return fresh
 }
 
+// slowest returns how long a time on a worker's clock may last.
+func slowest(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - clockDrift)) }
+
+// longestLease returns how long a lease may last that a worker takes from a call for a former incarnation. The call states its end on
+// the clock of that incarnation, and the worker shortens it to the longest lease.
+func (l *Leader) longestLease() time.Duration { return slowest(l.cfg.Bounds.LeaseMax) + leaseMargin }
+
+// lateCallTimeout is how long after it was sent a call may be carried out, at the latest.
+const lateCallTimeout = 4 * time.Second
+
 func (s *session) leaseSnapshot() leaseState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,16 +122,15 @@
 
 // leaseExpiry returns the time from which the lease has certainly expired on the worker's clock.
 func (l *Leader) leaseExpiry(c leaseState) time.Duration {
-	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - clockDrift)) }
 	if !c.confirmed && c.recordedLeaseOver > 0 {
 		return c.recordedLeaseOver
 	}
 	if !c.confirmed {
 		// A previous leader may have granted leases until it noticed the end of its term.
-		return l.termStart + previousLeaderTimeout + slow(l.lease) + leaseMargin
+		return max(c.inheritedOver, l.termStart+previousLeaderTimeout+slowest(l.lease)+leaseMargin)
 	}
 	rest := time.Duration(max(0, c.grantedUntil-c.clockMs)) * time.Millisecond
-	return c.clockAt + slow(rest) + leaseMargin
+	return c.clockAt + slowest(rest) + leaseMargin
 }
 
 // previousLeaderTimeout is how long a leader may continue after it has lost its quorum: twice the election timeout.
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -117,7 +117,7 @@
 
 func (l *Leader) probe(s *session) {
 	now := l.cfg.Clock()
-	watch, ctx, target := s.leave, l.ctx, s.target(l.term)
+	watch, ctx, target := s.leave, l.ctx, s.target()
 	watch.probing, watch.probedAt = true, now
 	l.pool.Submit(func() {
 		callCtx, cancel := context.WithTimeout(ctx, leaveProbeTimeout)
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -88,7 +88,7 @@
 					r.leaves("a")
 					within := end.within
 					if newLeader { // a start of the previous leader may be on its way to the next incarnation
-						within += uncertainStartTimeout + leaveProbeTimeout
+						within += lateCallTimeout + leaveProbeTimeout
 						r.leader.Close()
 						r.newLeader()
 						r.lead(6)
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -147,7 +147,7 @@
 // stopOnce stops an attempt of a task that is tracked on another worker. It does not retry: the answer to the next hold
 // triggers another stop if the attempt still runs.
 func (l *Leader) stopOnce(s *session, running Running) {
-	c := StopCall{Target: s.target(l.term), Task: running.Task, Attempt: running.Attempt}
+	c := StopCall{Target: s.target(), Task: running.Task, Attempt: running.Attempt}
 	l.log.Warn().Str("decision", "stop-stray").Str("request", running.Task.Submission).Uint32("attempt", running.Attempt).Str("worker", s.incarnation.ID).Msg("")
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(error, reading) {})
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -89,7 +89,7 @@
 	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || !l.mayStillStart(task, r) {
 		return
 	}
-	c := StartCall{Target: s.target(l.term), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
+	c := StartCall{Target: s.target(), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
 	known := false
 	l.cfg.State.View(func(state *submission.State) {
 		sub, t := state.Submission(task.Submission), state.Task(task)
@@ -297,7 +297,7 @@
 	if s == nil || s.incarnation != r.on || r.calling {
 		return
 	}
-	c := StopCall{Target: s.target(l.term), Task: task, Attempt: r.attempt}
+	c := StopCall{Target: s.target(), Task: task, Attempt: r.attempt}
 	r.calling, r.calledAt = true, l.cfg.Clock()
 	stopsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) },
@@ -326,7 +326,7 @@
 // have restarted since its last answer, and ends are numbered per incarnation.
 func (l *Leader) pollNow(s *session) {
 	ctx := l.ctx
-	c := HoldCall{Target: s.target(l.term)}
+	c := HoldCall{Target: s.target()}
 	sent := l.cfg.Clock()
 	l.pool.Submit(func() {
 		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -17,6 +17,7 @@
 	address     string
 	domain      string // failure domain
 	vm          string
+	fence       uint64 // fencing token of all calls in the session
 	cancel      context.CancelFunc
 
 	// Owned by the event loop.
@@ -45,9 +46,9 @@
 	leaseState
 }
 
-// target returns the target of calls to the worker in a term.
-func (s *session) target(term uint64) Target {
-	return Target{Incarnation: s.incarnation, Address: s.address, FailureDomain: s.domain, Fence: term}
+// target returns the target of calls to the worker.
+func (s *session) target() Target {
+	return Target{Incarnation: s.incarnation, Address: s.address, FailureDomain: s.domain, Fence: s.fence}
 }
 
 // openSession opens a session with a worker within a view of the state.
@@ -60,16 +61,19 @@
 		l.closeSession(old)
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), vm: w.GetVm(), cancel: cancel, running: map[submission.Ref]Running{},
-		speedLimits: map[submission.Ref]int{}, fill: steps.CPUShares{}}
+	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), vm: w.GetVm(), fence: l.nextFence(),
+		cancel: cancel, running: map[submission.Ref]Running{}, speedLimits: map[submission.Ref]int{}, fill: steps.CPUShares{}}
 	s.reportedAt = l.cfg.Clock()
 	if over, silent := w.LeaseOver(); silent {
 		s.silent, s.recordedLeaseOver = true, over
 	}
+	if at, ok := w.SucceededAt(); ok {
+		s.inheritedOver = at + lateCallTimeout + l.longestLease()
+	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
 	l.log.Info().Str("event", "session-opened").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).Str("address", s.address).Msg("")
-	go l.holdLoop(ctx, s, l.term)
+	go l.holdLoop(ctx, s)
 	return s
 }
 
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -162,7 +162,7 @@
 		return
 	}
 	ctx := l.ctx
-	target := Target{Incarnation: submission.Incarnation{ID: w.GetId()}, Address: w.GetAddress(), FailureDomain: w.GetFailureDomain(), Fence: l.term}
+	target := Target{Incarnation: submission.Incarnation{ID: w.GetId()}, Address: w.GetAddress(), FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
 	l.pool.Submit(func() {
 		answer, ok := l.askRepeatedly(ctx, target)
 		l.post(func() {
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -157,7 +157,7 @@
 		Uint32("attempt", share.Attempt).Str("worker", s.incarnation.ID).Int("percent", share.Percent).Str("image", share.Image).Str("serving", share.ServiceImage).Bool("move", share.Move).Msg("")
 	throttlesTotal.Inc()
 	s.speedLimits[share.Task] = share.Percent
-	c := ThrottleCall{Target: s.target(l.term), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
+	c := ThrottleCall{Target: s.target(), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error, _ reading) {
 		if err != nil {
 			s.speedLimits[share.Task] = assumedSpeedLimit // the worker may have carried out the call
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -11,9 +11,6 @@
 // carry out a start that was meant for the previous one, at once or when a delayed call arrives. A task must not start on
 // another worker until this is ruled out.
 
-// uncertainStartTimeout bounds the wait for the new incarnation to register. Delayed calls are carried out within seconds.
-const uncertainStartTimeout = 4 * time.Second
-
 // uncertainStart is an attempt that the previous incarnation of a worker was told to start but never listed as running.
 type uncertainStart struct {
 	previous submission.Incarnation
@@ -52,7 +49,7 @@
 
 // mayArriveLate reports whether a start of a run that got no answer may still be carried out.
 func (l *Leader) mayArriveLate(r *run) bool {
-	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < uncertainStartTimeout
+	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < lateCallTimeout
 }
 
 // addUntracked records an attempt unless this leader has tracked it and knows better.
@@ -105,7 +102,7 @@
 // expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call
 // has arrived by now, and if a new incarnation has registered, its lease is over.
 func (l *Leader) expired(u *uncertainStart, now time.Duration) bool {
-	lastStart := u.since + uncertainStartTimeout
+	lastStart := u.since + lateCallTimeout
 	if now <= lastStart {
 		return false
 	}
@@ -113,9 +110,7 @@
 	if s == nil || s.incarnation == u.previous && !u.successorUnseen {
 		return true
 	}
-	// The lease in the call is on the clock of the previous incarnation; the new one shortens it to LeaseMax at most.
-	longest := time.Duration(float64(l.cfg.Bounds.LeaseMax)/(1-clockDrift)) + leaseMargin
-	return now > max(lastStart+longest, l.leaseExpiry(s.leaseSnapshot()))
+	return now > max(lastStart+l.longestLease(), l.leaseExpiry(s.leaseSnapshot()))
 }
 
 // cleanUpUncertainStarts removes the records that are out of date, including those of tasks that no longer wait.
@@ -153,7 +148,7 @@
 		if u.in != s {
 			u.in, u.inSince, u.calling, u.revokedAt = s, l.cfg.Clock(), false, 0
 		}
-		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+uncertainStartTimeout
+		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+lateCallTimeout
 		switch {
 		case cannotStart && s.running[ref].Attempt != u.attempt:
 			delete(l.uncertainStarts, ref)
@@ -166,7 +161,7 @@
 
 // revoke tells a worker incarnation to stop an attempt if it runs and never to start it.
 func (l *Leader) revoke(s *session, task submission.Ref, u *uncertainStart) {
-	c := StopCall{Target: s.target(l.term), Task: task, Attempt: u.attempt}
+	c := StopCall{Target: s.target(), Task: task, Attempt: u.attempt}
 	u.calling = true
 	stopsTotal.Inc()
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(err error, _ reading) {
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -89,7 +89,7 @@
 			f.lease = time.Now().Add(10200 * time.Millisecond)
 			r.workers.byID["b"].noRoom = false
 		})
-		time.Sleep(uncertainStartTimeout + 8*time.Second)
+		time.Sleep(lateCallTimeout + 8*time.Second)
 		is.Equal(r.running("b"), 1)
 	})
 }
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -205,7 +205,7 @@
 	if known != nil {
 		s.workerGone(known.Incarnation(), nil)
 	}
-	s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, reused: known != nil}
+	s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, reused: known != nil, registeredApplied: s.clock()}
 	return true
 }
 
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -82,7 +82,7 @@
 		s.setConfig(in.GetConfig())
 	}
 	for _, p := range in.GetWorkers() {
-		s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, goneAt: s.unixMs}
+		s.workers[p.GetId()] = &Worker{PoolWorker: p, Attempts: map[Ref]uint32{}, goneAt: s.unixMs, registeredApplied: s.clock()}
 	}
 	for _, silence := range in.GetSilences() {
 		s.setSilence(silence)
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -185,9 +185,10 @@
 	Leave *pb.WorkerLeave
 	// reused is true if an earlier incarnation with the same id has been known.
 	reused bool
-	// silenceApplied is when this VM applied the silence. It is local to the VM and decides nothing in the state machine.
-	silenceApplied time.Duration
-	goneAt         int64 // in Unix ms
+	// silenceApplied and registeredApplied are when this VM applied the silence and the first record of the incarnation. They are local to
+	// the VM and decide nothing in the state machine.
+	silenceApplied, registeredApplied time.Duration
+	goneAt                            int64 // in Unix ms
 }
 
 // SilentSince returns when this VM learnt that the worker is silent, by the clock of the state. It returns false if the worker is not
@@ -200,6 +201,10 @@
 	return w.silenceApplied + time.Duration(w.Silence.GetLeaseRestMs())*time.Millisecond, w.Silence != nil
 }
 
+// SucceededAt returns when this VM learnt of the incarnation, by the clock of the state. It returns false if no earlier incarnation
+// with the same id has been known.
+func (w *Worker) SucceededAt() (time.Duration, bool) { return w.registeredApplied, w.reused }
+
 // Incarnation returns the identity of this incarnation.
 func (w *Worker) Incarnation() Incarnation {
 	return Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}
