A task waits for the lease of an unknown successor of its lost worker

Cause: a worker restarts, its new incarnation carries out a start that was meant for the former one, and the worker is cut off before the leader knows of the new incarnation. With the end of the former incarnation's lease, 8.5 s after its last answer, the task was placed elsewhere; the new incarnation held it for up to 10.2 s after the arrival of the start. Change: an attempt that is lost with a lease, and that the incarnation is not known to have started, starts elsewhere only once the start can no longer be carried out and the longest lease from then is over. A leader that took the placement over takes it as started if it was made so long before the worker was recorded as silent, or the term began, that its predecessor would have noticed a restart.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -173,6 +173,7 @@
 		l.ensureTracked(ref, attempts[i], s.incarnation, false)
 		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] {
 			r.givenUp = true
+			l.recordUnseenStart(s, ref, r)
 		}
 	}
 	for i, ref := range lost {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -51,6 +51,7 @@
 	startUntilMs int64
 	trackedSince time.Duration // when the leader began to track the attempt
 	startedAt    time.Duration // when a start was first sent, 0 if this leader has sent none
+	lastStartAt  time.Duration // when a start was last sent, 0 if this leader has sent none
 	calledAt     time.Duration // time of the last start or stop call
 	answeredAt   time.Duration // when a start or stop was last acknowledged
 	// endKind is the kind of end to commit if a stop is acknowledged and the worker lists the attempt neither as running nor as
@@ -104,6 +105,7 @@
 		return // retryCalls tries again until the start times out or the worker's lease expires
 	}
 	r.calling, r.calledAt, r.startUntilMs = true, l.cfg.Clock(), max(r.startUntilMs, c.LeaseUntilMs)
+	r.lastStartAt = r.calledAt
 	if r.startedAt == 0 {
 		r.startedAt = r.calledAt
 	}
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -32,7 +32,7 @@
 func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
 		if r.on == previous && (!r.confirmed || l.mayArriveLate(r)) {
-			l.addUncertainStart(ref, r.attempt, previous)
+			l.addUncertainStart(ref, &uncertainStart{previous: previous, attempt: r.attempt, since: l.cfg.Clock()})
 		}
 	}
 	if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
@@ -55,17 +55,52 @@
 // addUntracked records an attempt unless this leader has tracked it and knows better.
 func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
 	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
-		l.addUncertainStart(task, attempt, previous)
+		l.addUncertainStart(task, &uncertainStart{previous: previous, attempt: attempt, since: l.cfg.Clock()})
 	}
 }
 
-func (l *Leader) addUncertainStart(task submission.Ref, attempt uint32, previous submission.Incarnation) {
-	if u := l.uncertainStarts[task]; u != nil && u.attempt >= attempt {
+func (l *Leader) addUncertainStart(task submission.Ref, u *uncertainStart) {
+	if known := l.uncertainStarts[task]; known != nil && known.attempt >= u.attempt {
 		return
 	}
-	l.uncertainStarts[task] = &uncertainStart{previous: previous, attempt: attempt, since: l.cfg.Clock()}
+	l.uncertainStarts[task] = u
 	l.log.Info().Str("decision", "unsure").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
-		Uint32("attempt", attempt).Str("worker", previous.ID).Msg("the next incarnation of the worker may have started the attempt")
+		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("age_ms", l.cfg.Clock()-u.since).Bool("successor_unseen", u.successorUnseen).
+		Msg("the next incarnation of the worker may have started the attempt")
+}
+
+// recordUnseenStart records an attempt that is lost with the lease of a worker, if the worker may have restarted since it was last
+// identified: then a later incarnation, unknown so far, may have carried out the start, with the longest lease.
+func (l *Leader) recordUnseenStart(s *session, task submission.Ref, r *run) {
+	since, confirmed := r.lastStartAt, r.confirmed
+	if since == 0 {
+		since, confirmed = l.lastStartOfPredecessor(task, r)
+		confirmed = confirmed || r.confirmed
+	}
+	lateCopy := r.confirmed && r.outcomeUnknown && s.leaseSnapshot().identifiedAt-since < lateCallTimeout
+	if confirmed && !lateCopy || l.cfg.Clock() > since+lateCallTimeout+l.longestLease() {
+		return
+	}
+	l.addUncertainStart(task, &uncertainStart{previous: s.incarnation, attempt: r.attempt, since: since, successorUnseen: true})
+}
+
+// lastStartOfPredecessor returns when a previous leader last sent the start of an attempt at the latest, and whether the incarnation that
+// the attempt was placed on must have started it: that leader would have recorded the worker as silent if it had restarted before.
+func (l *Leader) lastStartOfPredecessor(task submission.Ref, r *run) (time.Duration, bool) {
+	last, confirmed := l.termStart+previousLeaderTimeout, false
+	l.cfg.State.View(func(state *submission.State) {
+		t, w := state.Task(task), state.Workers()[r.on.ID]
+		if t == nil || t.Attempt != r.attempt || w == nil || w.Incarnation() != r.on {
+			return
+		}
+		noticed := l.termStart - previousLeaderTimeout
+		if since, silent := w.SilentSince(); silent {
+			noticed = min(l.termStart, since)
+		}
+		last = min(last, t.PlacedAt()+startTimeout+callTimeout)
+		confirmed = noticed-t.PlacedAt() >= unnoticedCrash
+	})
+	return last, confirmed
 }
 
 // forEachLost calls f for each waiting task whose last attempt was on a worker incarnation that has gone.
@@ -86,7 +121,9 @@
 // takeOverUncertainStarts records the waiting tasks whose last attempt was on a worker incarnation that has gone. The previous
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
-	forEachLost(state, func(ref submission.Ref, t *submission.Task) { l.addUncertainStart(ref, t.Attempt, t.LostOn) })
+	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
+		l.addUncertainStart(ref, &uncertainStart{previous: t.LostOn, attempt: t.Attempt, since: l.cfg.Clock()})
+	})
 }
 
 // mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake.
