The soak has a fault restart-cut, clocks of workers that start at any value, and longer leases

Its workers accept leases of 6 s, less than the 8 s that the leader asks for, so that a lease taken from a call for a former incarnation is no longer than the one that the leader counts; the clock of each incarnation began at 1 ms, never ahead of the former one; and no worker was cut off just after it had restarted under its id.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -41,6 +41,7 @@
 	app.Flag("rate", "Submissions per second.").Default("12").Float64Var(&c.rate)
 	app.Flag("crashing", "Share of submissions of which one task crashes each worker that starts it.").Default("0").Float64Var(&c.crashingShare)
 	app.Flag("lasting", "Endless tasks of each queue that must run until the end.").Default("0").Uint32Var(&c.lastingTasks)
+	app.Flag("max-lease", "Longest lease that workers accept.").Default("6s").DurationVar(&c.maxLease)
 	app.Flag("only", "Kind of faults to inject; may be repeated. The default is all.").StringsVar(&c.kinds)
 	app.Flag("length", "Time during which faults are injected.").Default("20s").DurationVar(&c.length)
 	app.Flag("slot", "Second octet of the loopback addresses of the first run; concurrent runs need different ones.").Default("20").IntVar(&c.slot)
@@ -70,6 +71,7 @@
 	rate            float64
 	crashingShare   float64
 	lastingTasks    uint32
+	maxLease        time.Duration
 	kinds           []string
 	reportInterval  time.Duration
 	length          time.Duration
@@ -95,7 +97,8 @@
 		return nil, fmt.Errorf("create the log of the run: %w", err)
 	}
 	return &emulator.Run{Seed: seed, Length: c.length, Faults: c.plan(seed), Log: zerolog.New(log).With().Timestamp().Logger(),
-		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, CrashingShare: c.crashingShare, LastingTasks: c.lastingTasks, Sabotage: c.sabotage}}, nil
+		Options: emulator.Options{Binary: c.binary, Folder: folder, Slot: slot, Size: c.size, Rate: c.rate, ReportInterval: c.reportInterval, Direct: c.direct, CrashingShare: c.crashingShare, LastingTasks: c.lastingTasks,
+			MaxLease: c.maxLease, Sabotage: c.sabotage}}, nil
 }
 
 func (c *commands) runSeeds(*kingpin.ParseContext) error {
--- a/internal/emulator/capacity_test.go
+++ b/internal/emulator/capacity_test.go
@@ -37,7 +37,7 @@
 // start starts the next task and returns the number of violations of PromisePlace so far.
 func (w *trustingWorker) start(is *is.I) int {
 	w.started++
-	_, err := w.Start(context.Background(), dispatch.StartCall{Task: w.ref(w.started), Attempt: 1, LeaseUntilMs: w.clock() + maxLease.Milliseconds()})
+	_, err := w.Start(context.Background(), dispatch.StartCall{Task: w.ref(w.started), Attempt: 1, LeaseUntilMs: w.clock() + defaultMaxLease.Milliseconds()})
 	is.NoErr(err)
 	n := 0
 	for _, v := range w.checker.Violations() {
--- a/internal/emulator/check.go
+++ b/internal/emulator/check.go
@@ -125,6 +125,7 @@
 // Checker records what callers, workers and the operator observe, and reports each broken guarantee.
 type Checker struct {
 	mu           sync.Mutex
+	maxLease     time.Duration // longest lease of the workers
 	startedAt    time.Time
 	records      map[string]*submissionRecord
 	tasks        map[submission.Ref]*taskRecord
@@ -149,7 +150,7 @@
 // NewChecker returns a checker with no observations.
 func NewChecker() *Checker {
 	now := time.Now()
-	return &Checker{startedAt: now, lastFaultEnd: now, records: map[string]*submissionRecord{}, tasks: map[submission.Ref]*taskRecord{}, endKinds: map[runKey]pb.TaskEndKind{},
+	return &Checker{maxLease: defaultMaxLease, startedAt: now, lastFaultEnd: now, records: map[string]*submissionRecord{}, tasks: map[submission.Ref]*taskRecord{}, endKinds: map[runKey]pb.TaskEndKind{},
 		sentConfigs: map[uint64]bool{}}
 }
 
--- a/internal/emulator/check_workers.go
+++ b/internal/emulator/check_workers.go
@@ -164,11 +164,11 @@
 }
 
 // LeaseLapsed records that the lease of a worker has lapsed under a number of tasks. No lease lapses for faults of the kind FaultCutWorkers
-// alone: it was extended maxLease ago at the earliest, and no other fault may have acted for settleTime then.
+// alone: it was extended one lease ago at the earliest, and no other fault may have acted for settleTime then.
 func (c *Checker) LeaseLapsed(worker string, tasks int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if tasks > 0 && c.activeOthers == 0 && time.Since(c.lastOtherEnd) > maxLease+settleTime {
+	if tasks > 0 && c.activeOthers == 0 && time.Since(c.lastOtherEnd) > c.maxLease+settleTime {
 		c.addViolation(PromiseHeld, "the lease of %s lapsed under %d tasks, though intake VMs reach it", worker, tasks)
 	}
 }
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -47,10 +48,14 @@
 	CrashingShare float64
 	// LastingTasks is the number of endless tasks of each queue that are handed in at the start and must run until the end.
 	LastingTasks uint32
+	// MaxLease is the longest lease that workers accept; 0 means defaultMaxLease.
+	MaxLease time.Duration
 	// Sabotage makes the emulator or the deployment break a guarantee, to show that the checker detects it.
 	Sabotage Sabotage
 }
 
+func (o Options) maxLease() time.Duration { return cmp.Or(o.MaxLease, defaultMaxLease) }
+
 // Deployment consists of the processes of the system and the emulated workers.
 type Deployment struct {
 	options    Options
@@ -84,6 +89,7 @@
 func Start(o Options, checker *Checker) (*Deployment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{options: o, checker: checker, ctx: ctx, cancel: cancel}
+	checker.maxLease = o.maxLease()
 	d.reportClient = &platform.APIClient{Client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleReportConns}}}
 	var seeds []string
 	for i := range o.Size.Controls {
@@ -112,7 +118,8 @@
 
 func (d *Deployment) addVM(i int, seeds []string) error {
 	o := d.options
-	v := &vm{index: i, role: "control", id: o.address(vmProxyBlock, i), listenAddress: o.address(vmListenBlock, i), binary: o.Binary, checker: d.checker, firstStart: true}
+	v := &vm{index: i, role: "control", id: o.address(vmProxyBlock, i), listenAddress: o.address(vmListenBlock, i), binary: o.Binary, checker: d.checker,
+		maxLease: o.maxLease(), firstStart: true}
 	port := controlPort
 	if i >= o.Size.Controls {
 		v.role, port = "intake", callersPort
@@ -286,7 +293,8 @@
 	}
 	ctx, end := context.WithCancel(h.d.ctx)
 	l := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
-		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1})
+		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1,
+		maxLease: h.d.options.maxLease(), clockStart: rand.Int64N(maxClockStart)})
 	if h.index%3 == 0 {
 		l.clockSlowdown = clockSlowdown
 	}
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -56,8 +56,8 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, FaultOddReports and FaultCutWorkers, which
-// planWorkerFaults adds.
+// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, FaultOddReports, FaultCutWorkers and
+// FaultRestartCut, which planWorkerFaults adds.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -122,6 +122,7 @@
 	faults = append(faults, planWorkerFaults(FaultShrinkWorker, shrinksPerSecond, seed, shrinkStream, size, length)...)
 	faults = append(faults, planWorkerFaults(FaultOddReports, oddReportsPerSecond, seed, oddReportStream, size, length)...)
 	faults = append(faults, planWorkerFaults(FaultCutWorkers, cutsPerSecond, seed, cutStream, size, length)...)
+	faults = append(faults, planWorkerFaults(FaultRestartCut, restartCutsPerSecond, seed, restartCutStream, size, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -129,8 +130,8 @@
 const (
 	// shrinksPerSecond is the mean rate of workers that shrink.
 	shrinksPerSecond = 0.4
-	// shrinkStream, oddReportStream and cutStream number the random streams of these kinds.
-	shrinkStream, oddReportStream, cutStream = 6, 9, 10
+	// shrinkStream, oddReportStream, cutStream and restartCutStream number the random streams of these kinds.
+	shrinkStream, oddReportStream, cutStream, restartCutStream = 6, 9, 10, 11
 )
 
 // planWorkerFaults generates faults of one kind on workers, perSecond on average. They come from a random stream of their own, so that
@@ -185,6 +186,8 @@
 	case FaultCutWorkers:
 		d.injectCut(ctx, f)
 		return nil
+	case FaultRestartCut:
+		return d.injectRestartCut(ctx, f)
 	case FaultResetFront, FaultSilentFront, FaultSlowFront:
 		d.injectProxyFault(ctx, f, d.vms[f.Subject].clientProxy)
 		return nil
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -28,6 +28,7 @@
 	settings      string
 	binary        string
 	checker       *Checker
+	maxLease      time.Duration   // longest lease of the workers
 	clientProxy   *netfault.Proxy // for callers, or for workers and the operator
 	readyAddress  string
 	peerRelay     *netfault.Relay               // for packets from the other VMs
@@ -201,7 +202,7 @@
 orders: call
 bounds: {leaseMax: %[12]dms, stop: %[13]dms, gang: 3s, retention: 120s, grace: %[14]dms, harm: 4s, pace: 100ms}
 `, v.id, v.index%failureDomains, v.listenAddress, callersPort, readyPort, controlPort, peerPort, metricsPort, strings.Join(seeds, `", "`), v.firstStart,
-		filepath.Join(v.folder, "state"), maxLease.Milliseconds(), taskStopTime.Milliseconds(), gracePeriod.Milliseconds())
+		filepath.Join(v.folder, "state"), v.maxLease.Milliseconds(), taskStopTime.Milliseconds(), gracePeriod.Milliseconds())
 	temporary := v.settings + ".new"
 	if err := os.WriteFile(temporary, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", v.id, err)
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -142,7 +142,7 @@
 var smallSize = Size{Controls: 3, Intakes: 2, Workers: 9}
 
 func cutFault(at time.Duration, c cut) Fault {
-	return Fault{Kind: FaultCutWorkers, At: at, Duration: maxLease + 2*time.Second, Subject: c.first, Other: c.other(smallSize)}
+	return Fault{Kind: FaultCutWorkers, At: at, Duration: defaultMaxLease + 2*time.Second, Subject: c.first, Other: c.other(smallSize)}
 }
 
 // pausesInTurn returns a plan in which each control VM is suspended for a while, one after another.
@@ -246,5 +246,5 @@
 		}
 		is.True(wipes <= 1)
 	}
-	is.Equal(len(seen), len(faultWeights)+3) // and FaultShrinkWorker, FaultOddReports, FaultCutWorkers
+	is.Equal(len(seen), len(faultWeights)+4) // and FaultShrinkWorker, FaultOddReports, FaultCutWorkers, FaultRestartCut
 }
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -3,6 +3,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -16,8 +17,10 @@
 )
 
 const (
-	// maxLease is the longest lease that a worker accepts.
-	maxLease = 6 * time.Second
+	// defaultMaxLease is the longest lease that a worker accepts unless the options state another one.
+	defaultMaxLease = 6 * time.Second
+	// maxClockStart bounds the reading with which the clock of an incarnation starts, in ms.
+	maxClockStart = 10_000_000
 	// taskStopTime is how long a worker takes to stop a task.
 	taskStopTime = 150 * time.Millisecond
 	// minWakeInterval is the shortest timer with which a worker checks its lease and its runs.
@@ -40,6 +43,8 @@
 	size          *pb.Resources
 	formerSizes   []formerSize
 	heartbeat     time.Duration // interval of its reports
+	maxLease      time.Duration // longest lease that it accepts
+	clockStart    int64         // reading of its clock at the start, in ms
 	clockSlowdown float64       // fraction by which the clock runs slow
 	successor     bool          // not the first incarnation on its host
 	checker       *Checker
@@ -86,6 +91,7 @@
 }
 
 func newIncarnation(l *incarnation) *incarnation {
+	l.maxLease = cmp.Or(l.maxLease, defaultMaxLease)
 	l.startedAt, l.changed, l.wakeup = time.Now(), make(chan struct{}), make(chan struct{}, 1)
 	l.running, l.closedAttempts = map[submission.Ref]*taskRun{}, map[submission.Ref]uint32{}
 	return l
@@ -114,7 +120,7 @@
 func (l *incarnation) untilNextEnd() time.Duration {
 	next := time.Duration(max(0, l.leaseUntil-l.clock()))*time.Millisecond + minWakeInterval
 	if l.leaseUntil == 0 {
-		next = maxLease
+		next = l.maxLease
 	}
 	for _, r := range l.running {
 		if !r.stoppedAt.IsZero() {
@@ -160,7 +166,7 @@
 
 // clock returns the worker's clock in milliseconds.
 func (l *incarnation) clock() int64 {
-	return 1 + int64(float64(time.Since(l.startedAt).Milliseconds())*(1-l.clockSlowdown))
+	return 1 + l.clockStart + int64(float64(time.Since(l.startedAt).Milliseconds())*(1-l.clockSlowdown))
 }
 
 // endDueRuns ends the runs that have finished, failed or stopped, and all runs once the lease has lapsed.
@@ -227,7 +233,7 @@
 }
 
 func (l *incarnation) extendLease(untilMs int64) {
-	l.leaseUntil = max(l.leaseUntil, min(untilMs, l.clock()+maxLease.Milliseconds()))
+	l.leaseUntil = max(l.leaseUntil, min(untilMs, l.clock()+l.maxLease.Milliseconds()))
 }
 
 // endLease ends the lease at once, for sabotage.
