--- /dev/null
+++ b/internal/dispatch/unseen_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
+
+// Guards against a task that runs twice because the leader changes while it waits for the lease of an unknown successor of its worker.
+func TestLeaderChangeDoesNotEndWaitForUnknownSuccessor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		successor := r.startOnSuccessor(is, func(f *fakeWorker) { f.dropAnswers = true })
+		r.workers.update(func() { successor.unreachable, r.workers.byID["b"].noRoom = true, false })
+		time.Sleep(targetLease + 1200*time.Millisecond) // the attempt is recorded as lost
+		r.lead(6)
+		time.Sleep(30 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against a task that runs twice because a new leader takes a start for carried out that its predecessor repeated in vain
+// until the worker restarted.
+func TestRepeatedStartOfFormerLeaderIsWaitedFor(t *testing.T) {
+	for _, phase := range holdPhases {
+		t.Run(phase.String(), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+				time.Sleep(20*time.Second + phase)
+				r.workers.update(func() { r.workers.byID["a"].startsReset = true })
+				r.submit("s", 1, nil)
+				time.Sleep(time.Second)
+				r.lose("a") // it crashes, and calls to it hang
+				time.Sleep(600 * time.Millisecond)
+				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
+				for range 150 {
+					if time.Sleep(10 * time.Millisecond); r.running("a") == 1 {
+						break
+					}
+				}
+				r.workers.update(func() { successor.unreachable = true })
+				time.Sleep(2 * time.Second) // the worker is recorded as silent
+				r.lead(6)
+				r.cutOff(successor)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
+}
+
+// Guards against a task that runs twice because its start is carried out by a second successor of its worker, after the first one has
+// been told to refuse it.
+func TestLateStartOnSecondSuccessorIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(300 * time.Millisecond)
+		r.restart("a", 77, func(f *fakeWorker) { f.noRoom = true })
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		r.report("a", 1)
+		time.Sleep(700 * time.Millisecond)
+		r.restart("a", 78, func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(30 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against a task that runs twice because its worker has left, and a successor of which nobody knows carries out its start.
+func TestLateStartOnSuccessorOfWorkerThatLeftIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.leaves("a")
+		r.workers.update(func() { r.workers.byID["a"].refusing = true })
+		time.Sleep(600 * time.Millisecond)
+		r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		time.Sleep(30 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against a task that runs twice because the end of its worker and the successor of that are recorded in two entries of the log,
+// and the task is placed between them.
+func TestTaskIsNotPlacedBetweenEndAndSuccessorOfItsWorker(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.startOnSuccessor(is, func(f *fakeWorker) { f.dropAnswers = true })
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		r.leader.post(func() {
+			for range maxEntryChanges - 1 {
+				r.leader.queueChange(&pb.SubmissionChange{}, func(_ submission.Result, _ error) {})
+			}
+			w := r.leader.knownWorker("a")
+			w.BornUnixMs = 77
+			r.leader.register(w, func(error) {})
+		})
+		time.Sleep(30 * time.Second)
+	})
+}
+
+// Guards against the same for a start that is carried out 8 s after it was sent, which the platform may do up to 12 s after it.
+func TestVeryLateStartOnUnknownSuccessorIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 8*time.Second, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(300 * time.Millisecond)
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+		r.cutOff(successor)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against an endless task that stays away for too long because its worker, which had restarted a moment ago, is lost for good.
+func TestEndlessTaskOfRestartedWorkerRunsAgainInTime(t *testing.T) {
+	for _, after := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+				time.Sleep(20 * time.Second)
+				r.workers.update(func() { r.workers.byID["a"].refusing = true })
+				time.Sleep(600 * time.Millisecond)
+				r.restart("a", 77, func(f *fakeWorker) { f.serving = "s" })
+				r.report("a", 1)
+				r.submit("s", 1, endless)
+				time.Sleep(after)
+				is.Equal(r.running("a"), 1)
+				r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
+				r.workers.update(func() { r.workers.byID["b"].serving = "s" })
+				r.report("b", 1)
+				r.lose("a")
+				r.workers.update(func() { clear(r.workers.byID["a"].running) }) // it has crashed
+				outage := r.awaitService()
+				t.Logf("away for %v", outage)
+				is.True(outage < maxOutage)
+			})
+		})
+	}
+}
