A change of the leader does not end the wait for an unknown successor of a lost worker

Cause: with the end of its worker's lease an attempt was committed as lost, and that its task waits for a possible successor was known only to the leader that committed it (uncertainStarts). The next leader found a waiting task and placed it at once. Evidence: TestLeaderChangeDoesNotEndWaitForUnknownSuccessor, with a change of the leader 9.2 s after the cut: "{s 0 0 0} runs on a and on b", always. Change: such an attempt stays placed until the wait is over, so that the next leader finds it there and waits as well. A start is not repeated once a successor may have it: otherwise the wait would begin anew (TestSilentNewIncarnationDoesNotStrandTask, whose bound is unchanged).

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -156,6 +156,7 @@
 			}
 		}
 	})
+	lost, attempts = l.withoutUnseenStarts(s, lost, attempts)
 	if over {
 		leasesOverTotal.Inc()
 	}
@@ -169,11 +170,9 @@
 		suspect.Unproven = !s.refused
 		s.mayHaveCrashed = s.mayHaveCrashed || suspect.Unproven
 	}
-	for i, ref := range lost {
-		l.ensureTracked(ref, attempts[i], s.incarnation, false)
-		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] {
+	for _, ref := range lost {
+		if r := l.runs[ref]; r.on == s.incarnation {
 			r.givenUp = true
-			l.recordUnseenStart(s, ref, r)
 		}
 	}
 	for i, ref := range lost {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -87,7 +87,7 @@
 
 func (l *Leader) callStart(task submission.Ref, r *run) {
 	s := l.sessions[r.on.ID]
-	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || !l.mayStillStart(task, r) {
+	if s == nil || s.incarnation != r.on || r.calling || r.givenUp || l.mayBeWithSuccessor(task, r) || !l.mayStillStart(task, r) {
 		return
 	}
 	c := StartCall{Target: s.target(), Task: task, Attempt: r.attempt, LeaseUntilMs: s.grantLease(min(startLease, l.lease), l.cfg.Clock())}
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -69,19 +69,43 @@
 		Msg("the next incarnation of the worker may have started the attempt")
 }
 
-// recordUnseenStart records an attempt that is lost with the lease of a worker, if the worker may have restarted since it was last
-// identified: then a later incarnation, unknown so far, may have carried out the start, with the longest lease.
-func (l *Leader) recordUnseenStart(s *session, task submission.Ref, r *run) {
+// withoutUnseenStarts removes the attempts, among those that are lost with the lease of a worker, that an unknown successor may run. They
+// stay placed until that is ruled out, so that the next leader waits for them too.
+func (l *Leader) withoutUnseenStarts(s *session, lost []submission.Ref, attempts []uint32) (refs []submission.Ref, numbers []uint32) {
+	for i, ref := range lost {
+		l.ensureTracked(ref, attempts[i], s.incarnation, false)
+		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] && l.mayRunUnseen(s, ref, r) {
+			continue
+		}
+		refs, numbers = append(refs, ref), append(numbers, attempts[i])
+	}
+	return refs, numbers
+}
+
+// mayBeWithSuccessor reports whether it is recorded that a later incarnation of the worker may have carried out the start of an attempt.
+func (l *Leader) mayBeWithSuccessor(task submission.Ref, r *run) bool {
+	u := l.uncertainStarts[task]
+	return u != nil && u.attempt == r.attempt && u.previous == r.on
+}
+
+// mayRunUnseen reports whether the worker may have restarted since it was last identified, so that a later incarnation, unknown so far, may
+// have carried out the start of an attempt, with the longest lease. It records the attempt if so.
+func (l *Leader) mayRunUnseen(s *session, task submission.Ref, r *run) bool {
+	now := l.cfg.Clock()
+	if l.mayBeWithSuccessor(task, r) {
+		return !l.expired(l.uncertainStarts[task], now)
+	}
 	since, confirmed := r.lastStartAt, r.confirmed
 	if since == 0 {
 		since, confirmed = l.lastStartOfPredecessor(task, r)
 		confirmed = confirmed || r.confirmed
 	}
 	lateCopy := r.confirmed && r.outcomeUnknown && s.leaseSnapshot().identifiedAt-since < lateCallTimeout
-	if confirmed && !lateCopy || l.cfg.Clock() > since+lateCallTimeout+l.longestLease() {
-		return
+	if confirmed && !lateCopy || now > since+lateCallTimeout+l.longestLease() {
+		return false
 	}
 	l.addUncertainStart(task, &uncertainStart{previous: s.incarnation, attempt: r.attempt, since: since, successorUnseen: true})
+	return true
 }
 
 // lastStartOfPredecessor returns when a previous leader last sent the start of an attempt at the latest, and whether the incarnation that
