A new leader waits for a start that its predecessor repeated until the worker restarted

Cause: a new leader took the start of an attempt as carried out if the attempt was placed 2.45 s before its worker was recorded as silent. A start that gets no answer is repeated for 2.5 s after the placement, and a worker is recorded as silent up to 2.3 s after it ended, so that the last copies may have reached a successor. Evidence: TestRepeatedStartOfFormerLeaderIsWaitedFor/0s: "{s 0 0 0} runs on a and on b", always; the three other phases pass before and after. Change: the time for which starts are repeated counts as well. Measured: the test passes. On a change of the leader, tasks placed up to 4.95 s instead of 2.45 s before their worker was recorded as silent wait for a possible successor; the tests that bound outages pass unchanged.

--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -109,7 +109,8 @@
 }
 
 // lastStartOfPredecessor returns when a previous leader last sent the start of an attempt at the latest, and whether the incarnation that
-// the attempt was placed on must have started it: that leader would have recorded the worker as silent if it had restarted before.
+// the attempt was placed on must have started it: that leader would have recorded the worker as silent if it had restarted while the start
+// was repeated.
 func (l *Leader) lastStartOfPredecessor(task submission.Ref, r *run) (time.Duration, bool) {
 	last, confirmed := l.termStart+previousLeaderTimeout, false
 	l.cfg.State.View(func(state *submission.State) {
@@ -122,7 +123,7 @@
 			noticed = min(l.termStart, since)
 		}
 		last = min(last, t.PlacedAt()+startTimeout+callTimeout)
-		confirmed = noticed-t.PlacedAt() >= unnoticedCrash
+		confirmed = noticed-t.PlacedAt() >= startTimeout+unnoticedCrash
 	})
 	return last, confirmed
 }
