A task is not placed between the end of its worker and the registration of the successor

Cause: that a worker incarnation is gone and that its successor is registered are two changes, which may come into two entries of the log. What the successor may have started was recorded only with the second one; a plan between them placed the task elsewhere. Evidence: TestTaskIsNotPlacedBetweenEndAndSuccessorOfItsWorker, with 511 other changes in the queue: "{s 0 0 0} runs on a and on b", always. Change: it is recorded before the first change is queued. Measured: the test passes.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -152,6 +152,9 @@
 func (l *Leader) register(w *pb.PoolWorker, done func(error)) {
 	for _, s := range l.sessions {
 		if replaces(w, s) {
+			if s.incarnation.ID == w.GetId() {
+				l.recordReplacement(s) // the end may be committed before the successor
+			}
 			l.commitWorkerCrashed(s, w.GetId())
 		}
 	}
