A leader that leads again in its term continues to count its sessions

Cause: since each session has a fencing token of its own, a VM that stops leading and leads again in the same term (control.followRole does so if only Serving changes after the dispatcher has ended its term) gives the tokens from 1 on anew. Workers that have seen a higher one refuse its calls, and it takes itself for one that a newer leader has replaced. Change: the count begins anew only with another term.

--- a/internal/dispatch/fence.go
+++ b/internal/dispatch/fence.go
@@ -18,6 +18,13 @@
 	return fencingToken(l.term, l.sessionsOpened)
 }
 
+// countSessionsIn begins to count the sessions of a term, or goes on if this VM leads again in the same one.
+func (l *Leader) countSessionsIn(term uint64) {
+	if l.countedTerm != term {
+		l.countedTerm, l.sessionsOpened = term, 0
+	}
+}
+
 // fenceFor returns the fencing token for calls to a worker outside a session. It is no higher than that of the worker's session.
 func (l *Leader) fenceFor(worker string) uint64 {
 	if s := l.sessions[worker]; s != nil {
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -126,3 +126,13 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against a leader that its own tokens fence off, because it leads again in the term in which it has stopped.
+func TestLeaderThatLeadsAgainInItsTermIsNotFenced(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e"}, func(is *is.I, r *harness) {
+		r.leader.Resign()
+		r.leader.Lead(5)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.leader.Term(), uint64(5))
+	})
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -103,7 +103,8 @@
 	cancel         context.CancelFunc
 	termStart      time.Duration // when this VM began to lead in the current term
 	sessions       map[string]*session
-	sessionsOpened uint64 // number of sessions opened in the current term
+	sessionsOpened uint64 // number of sessions opened in the last term that was led, countedTerm
+	countedTerm    uint64
 	runs           map[submission.Ref]*run
 	pendingChanges []*pb.SubmissionChange                      // changes that are not proposed yet
 	callbacks      []func(result submission.Result, err error) // one for each pending change
@@ -206,7 +207,7 @@
 }
 
 func (l *Leader) reset() {
-	l.sessions, l.sessionsOpened, l.runs = map[string]*session{}, 0, map[submission.Ref]*run{}
+	l.sessions, l.runs = map[string]*session{}, map[submission.Ref]*run{}
 	l.advice, l.waves = map[stepKey]*stepAdvice{}, waveState{orders: map[string]upkeep{}}
 	l.pressure, l.finiteDemand, l.waits = steps.NewPressure(), &steps.FiniteDemand{}, map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
@@ -261,6 +262,7 @@
 	l.endTerm()
 	l.reset()
 	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.countSessionsIn(term)
 	l.termStart = l.cfg.Clock()
 	l.setTerm(term)
 	l.importPressureModel()
