Two failed runs of one attempt, on two incarnations of its worker, count as two

A failure counted once per attempt, so that its end may be committed twice; but a late copy of its start runs the attempt a second time on the next incarnation of the worker. Evidence: TestFailedRunsOfOneAttemptOnTwoIncarnationsCountTwice: "4 != 3" starts, always. Change: a failure is identified by its attempt and the birth time of its worker, except in a gang, where it counts once for all members.

Measured: the test passes; the tests of internal/submission pass.

--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -142,3 +142,39 @@
 		})
 	}
 }
+
+// Guards against a task that is started too often because two failed runs of one attempt, on two incarnations of its worker, count as one.
+func TestFailedRunsOfOneAttemptOnTwoIncarnationsCountTwice(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a"}, func(is *is.I, r *harness) {
+		task := submission.Ref{Submission: hopeless + "s"}
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 1500 * time.Millisecond })
+		time.Sleep(20 * time.Second)
+		r.submit(task.Submission, 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["a"].failing = 0, true }) // the start is sent again
+		for r.startsOf(task) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.workers.update(func() { r.workers.byID["a"].noRoom = true })
+		time.Sleep(200 * time.Millisecond) // the end is committed
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.unreachable = true })
+		for range 100 {
+			if time.Sleep(10 * time.Millisecond); r.startsOf(task) == 2 {
+				break
+			}
+		}
+		is.Equal(r.startsOf(task), 2) // the late copy
+		r.workers.update(func() { successor.unreachable = false })
+		r.report("a", 1)
+		time.Sleep(30 * time.Second)
+		is.Equal(r.describe(task.Submission), "failed")
+		is.Equal(r.startsOf(task), 3) // as many as the queue allows
+	})
+}
+
+// startsOf returns how often the workers have started a task.
+func (r *harness) startsOf(task submission.Ref) int {
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	return r.workers.startsByTask[task]
+}
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -111,7 +111,7 @@
 	case pb.TaskEndKind_TASK_END_KIND_DONE:
 		s.taskDone(sub, ref, step, spec)
 	case pb.TaskEndKind_TASK_END_KIND_FAILED:
-		s.taskFailed(sub, step, t, spec, c.GetAttempt())
+		s.taskFailed(sub, step, t, spec, c)
 	}
 	return true
 }
@@ -161,19 +161,20 @@
 	}
 }
 
-// taskFailed records the failure of an attempt, and ends the submission once the task has used up the attempts that the
-// queue allows. An attempt counts once, even if its end is reported again. For a gang it counts once for all members.
-func (s *State) taskFailed(sub *Submission, step *Step, t *Task, spec *pb.Step, attempt uint32) {
+// taskFailed records the failure of a run, and ends the submission once the task has used up the attempts that the
+// queue allows. A run counts once, even if its end is reported again. For a gang an attempt counts once for all members.
+func (s *State) taskFailed(sub *Submission, step *Step, t *Task, spec *pb.Step, c *pb.TaskEnd) {
 	if spec.GetEndless() {
 		return
 	}
+	run := failedRun{c.GetAttempt(), c.GetWorkerBornUnixMs()}
 	if spec.GetGang() {
-		t = &step.Tasks[0]
+		t, run.bornUnixMs = &step.Tasks[0], 0
 	}
-	if slices.Contains(t.failed, attempt) {
+	if slices.ContainsFunc(t.failed, run.repeats) {
 		return
 	}
-	t.failed = append(t.failed, attempt)
+	t.failed = append(t.failed, run)
 	if limit := s.QueueOf(sub).GetAttempts(); limit > 0 && t.Failures() >= int(limit) {
 		s.finish(sub, pb.SubmissionState_SUBMISSION_STATE_FAILED)
 	}
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -59,8 +59,9 @@
 	for i := range o.Steps {
 		step := &pb.StepRecord{Gang: o.Steps[i].Gang.record()}
 		for _, t := range o.Steps[i].Tasks {
+			attempts, born := failedRecord(t.failed)
 			step.Tasks = append(step.Tasks, &pb.TaskRecord{Attempt: t.Attempt, Worker: t.On.ID, WorkerBornUnixMs: t.On.BornUnixMs,
-				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: t.failed, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs,
+				Done: t.Done, Checkpoint: t.Checkpoint, FailedAttempts: attempts, FailedBornUnixMs: born, LostWorker: t.LostOn.ID, LostWorkerBornUnixMs: t.LostOn.BornUnixMs,
 				Suspicions: t.Suspicions, Crashes: t.Crashes})
 		}
 		r.Steps = append(r.Steps, step)
@@ -68,6 +69,26 @@
 	return r
 }
 
+func failedRecord(runs []failedRun) (attempts []uint32, bornUnixMs []int64) {
+	for _, run := range runs {
+		attempts, bornUnixMs = append(attempts, run.attempt), append(bornUnixMs, run.bornUnixMs)
+	}
+	return attempts, bornUnixMs
+}
+
+// failedFromRecord returns the failed runs of a task. Older builds do not record the birth times of their workers.
+func failedFromRecord(r *pb.TaskRecord) []failedRun {
+	var runs []failedRun
+	for i, attempt := range r.GetFailedAttempts() {
+		run := failedRun{attempt: attempt}
+		if i < len(r.GetFailedBornUnixMs()) {
+			run.bornUnixMs = r.GetFailedBornUnixMs()[i]
+		}
+		runs = append(runs, run)
+	}
+	return runs
+}
+
 // Restore implements replica.StateMachine.
 func (s *State) Restore(snapshot []byte) error {
 	in := &pb.SubmissionSnapshot{}
@@ -133,7 +154,7 @@
 		tasks := make([]Task, len(step.GetTasks()))
 		for j, t := range step.GetTasks() {
 			tasks[j] = Task{Attempt: t.GetAttempt(), On: Incarnation{ID: t.GetWorker(), BornUnixMs: t.GetWorkerBornUnixMs()}, Done: t.GetDone(),
-				Checkpoint: t.GetCheckpoint(), failed: t.GetFailedAttempts(), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()},
+				Checkpoint: t.GetCheckpoint(), failed: failedFromRecord(t), LostOn: Incarnation{ID: t.GetLostWorker(), BornUnixMs: t.GetLostWorkerBornUnixMs()},
 				Suspicions: t.GetSuspicions(), Crashes: t.GetCrashes(), placedApplied: s.clock()}
 			if t.GetDone() {
 				o.Steps[i].Done++
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -68,19 +68,31 @@
 	Suspicions, Crashes uint32
 	// Unproven is the number of silent workers of which the same may be true.
 	Unproven uint32
-	// failed lists the attempts that ended in failure.
-	failed []uint32
+	// failed lists the runs that ended in failure.
+	failed []failedRun
 	// placedApplied is when this VM applied the last placement. It is local to the VM and decides nothing in the state machine.
 	placedApplied time.Duration
 }
 
+// failedRun is a run that has failed. An attempt may run on two incarnations of its worker. bornUnixMs is 0 for the members of a gang,
+// whose failures count as one.
+type failedRun struct {
+	attempt    uint32
+	bornUnixMs int64
+}
+
+// repeats reports whether a run is one that is known. Older builds have not recorded the birth time of its worker.
+func (f failedRun) repeats(known failedRun) bool {
+	return f.attempt == known.attempt && (f.bornUnixMs == known.bornUnixMs || known.bornUnixMs == 0)
+}
+
 // PlacedAt returns when this VM learnt of the current or last placement, by the clock of the state.
 func (t *Task) PlacedAt() time.Duration { return t.placedApplied }
 
 // Placed reports whether the current attempt is placed on a worker and may be running.
 func (t *Task) Placed() bool { return t.On != Incarnation{} }
 
-// Failures returns the number of attempts that failed.
+// Failures returns the number of runs that failed.
 func (t *Task) Failures() int { return len(t.failed) }
 
 // Step is the state of one step of an occurrence.
