Only a start that may have reached a successor extends the lease that is counted for it

Cause: since the longest lease counts for each incarnation that followed another one under its id, whether a call with a lease can have reached it or not. Change: a session records the starts that its incarnation is not known to have received: no answer, or one with another clock. The longest lease counts from the latest arrival of these, and of calls of previous leaders.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -126,21 +126,23 @@
 	lastEviction    time.Duration
 	avoid           map[submission.Ref]*avoidedWorkers
 	uncertainStarts map[submission.Ref]*uncertainStart
-	begun           begunSubmissions                 // guards itself
-	lastRuns        map[submission.Ref]time.Duration // when each endless task was last known to run
-	views           map[string]*steps.Worker         // planner views by worker id, reused by each plan
-	health          map[string]*workerHealth
-	pressure        *steps.Pressure
-	finiteDemand    *steps.FiniteDemand
-	waits           map[stepKey]*waitRecord
-	occurrences     map[string]*openOccurrences // by submission id
-	advice          map[stepKey]*stepAdvice
-	waves           waveState
-	successors      successorSearch
-	former          map[string]*formerWorker // by worker id
-	workers         atomic.Int64             // number of sessions, for readers outside the loop
-	ended           []string                 // ids of ended submissions whose tasks have to be stopped
-	endedMu         sync.Mutex               // guards ended
+	// strayArrivals holds, by worker id, by when the starts of closed sessions have arrived that may have reached a later incarnation.
+	strayArrivals map[string]time.Duration
+	begun         begunSubmissions                 // guards itself
+	lastRuns      map[submission.Ref]time.Duration // when each endless task was last known to run
+	views         map[string]*steps.Worker         // planner views by worker id, reused by each plan
+	health        map[string]*workerHealth
+	pressure      *steps.Pressure
+	finiteDemand  *steps.FiniteDemand
+	waits         map[stepKey]*waitRecord
+	occurrences   map[string]*openOccurrences // by submission id
+	advice        map[stepKey]*stepAdvice
+	waves         waveState
+	successors    successorSearch
+	former        map[string]*formerWorker // by worker id
+	workers       atomic.Int64             // number of sessions, for readers outside the loop
+	ended         []string                 // ids of ended submissions whose tasks have to be stopped
+	endedMu       sync.Mutex               // guards ended
 }
 
 // New returns a Leader and starts its event loop. It schedules nothing until Lead is called.
@@ -212,6 +214,7 @@
 	l.pressure, l.finiteDemand, l.waits = steps.NewPressure(), &steps.FiniteDemand{}, map[stepKey]*waitRecord{}
 	l.avoid, l.health = map[submission.Ref]*avoidedWorkers{}, map[string]*workerHealth{}
 	l.uncertainStarts, l.views = map[submission.Ref]*uncertainStart{}, map[string]*steps.Worker{}
+	l.strayArrivals = map[string]time.Duration{}
 	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
 	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -110,8 +110,11 @@
 		r.startedAt = r.calledAt
 	}
 	startsTotal.Inc()
-	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) },
-		func(err error, answered reading) { l.onStart(s, task, r, err, answered) })
+	number := s.stray.sent(r.calledAt+lateCallTimeout, r.calledAt-l.longestLease())
+	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) }, func(err error, answered reading) {
+		s.stray.answered(number, answered, l.cfg.Clock())
+		l.onStart(s, task, r, err, answered)
+	})
 }
 
 // call makes a call in the pool. It passes the result to then on the event loop, unless the term or the session has ended
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -41,6 +41,7 @@
 	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
 	mayHaveCrashed bool
 	leave          *leaveWatch // nil unless the worker has reported its leave
+	stray          strayStarts
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
 	leaseState
@@ -67,8 +68,8 @@
 	if over, silent := w.LeaseOver(); silent {
 		s.silent, s.recordedLeaseOver = true, over
 	}
-	if at, ok := w.SucceededAt(); ok {
-		s.inheritedOver = at + lateCallTimeout + l.longestLease()
+	if learnt, ok := w.SucceededAt(); ok {
+		s.inheritedOver = l.inheritedLease(w.GetId(), learnt)
 	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
@@ -79,6 +80,9 @@
 
 func (l *Leader) closeSession(s *session) {
 	s.cancel()
+	if arrival := s.stray.latest(); arrival > 0 {
+		l.strayArrivals[s.incarnation.ID] = max(l.strayArrivals[s.incarnation.ID], arrival)
+	}
 	if l.sessions[s.incarnation.ID] == s {
 		delete(l.sessions, s.incarnation.ID)
 	}
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/submission"
@@ -177,6 +178,7 @@
 
 // cleanUpUncertainStarts removes the records that are out of date, including those of tasks that no longer wait.
 func (l *Leader) cleanUpUncertainStarts(now time.Duration) {
+	maps.DeleteFunc(l.strayArrivals, func(_ string, arrival time.Duration) bool { return arrival+l.longestLease() < now })
 	for ref, u := range l.uncertainStarts {
 		if l.expired(u, now) {
 			delete(l.uncertainStarts, ref)
