Tests of the dispatcher: the change of the leader stands once

Twenty places closed the leader, made a new one and let it lead, each with the same three or four lines, three of them in successor_test.go. They now call harness.replaceLeader. What a test sets before (platform, adviser, logger) is read only when the new leader is made, so that it may stand before the former one is closed. Tests that do something between the steps, and uncertain_test.go, are as they were. No check, bound, term or case is changed; no product code is touched.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -14,9 +14,7 @@
 func TestDelayedReportDoesNotRestoreCapacity(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		is.NoErr(r.reportCapacity("a", 9, 2000))
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(100 * time.Millisecond)
 		is.NoErr(r.reportCapacity("a", 8, 4000))
 		is.Equal(r.capacity("a"), int64(2000))
@@ -153,9 +151,7 @@
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.unguard()
 		is.NoErr(r.reportCapacity("a", 2, 2000))
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.submit("s", 4, endless)
 		time.Sleep(shrinkGrace)
 		is.Equal(r.running("a"), 0)
@@ -172,9 +168,7 @@
 		r.submit("s", 1, nil)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(r.running("a"), 1)
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.report("a", 2)
 		r.submit("t", 1, nil)
 		time.Sleep(500 * time.Millisecond)
--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -30,9 +30,7 @@
 						is.True(r.taskRuns(task))
 						r.setSilent(silence, true)
 						if newLeader {
-							r.leader.Close()
-							r.newLeader()
-							r.lead(6 + round)
+							r.replaceLeader(6 + round)
 						}
 						time.Sleep(targetLease + 4*time.Second)
 						r.setSilent(silence, false)
--- a/internal/dispatch/interrupt_test.go
+++ b/internal/dispatch/interrupt_test.go
@@ -28,10 +28,8 @@
 				}
 			})
 		}
-		r.leader.Close()
 		r.platform = platform
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.workers.update(func() {
 			r.workers.byID["c"] = newFakeWorker("c", 3)
 			for _, w := range r.workers.byID {
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -26,6 +26,13 @@
 	})
 }
 
+// replaceLeader ends the leader and makes a new one lead in term, with the adviser, platform and logger that the harness has now.
+func (r *harness) replaceLeader(term uint64) {
+	r.leader.Close()
+	r.newLeader()
+	r.lead(term)
+}
+
 // Guards against a submission that is accepted but never completes.
 func TestSubmissionCompletes(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
@@ -129,9 +136,7 @@
 	withHarness(t, 3*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
 		r.submit("s", 4, nil)
 		time.Sleep(time.Second)
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(3 * time.Second)
 		is.Equal(r.describe("s"), "done")
 		is.Equal(r.workers.byID["a"].starts+r.workers.byID["b"].starts, 4)
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -89,9 +89,7 @@
 					within := end.within
 					if newLeader { // a start of the previous leader may be on its way to the next incarnation
 						within += uncertainStartTimeout + leaveProbeTimeout
-						r.leader.Close()
-						r.newLeader()
-						r.lead(6)
+						r.replaceLeader(6)
 					}
 					r.workers.update(func() {
 						end.change(r.workers.byID["a"])
--- a/internal/dispatch/occurrences_test.go
+++ b/internal/dispatch/occurrences_test.go
@@ -45,9 +45,7 @@
 			Steps: []*pb.Step{{Count: 1, Size: &pb.Resources{Millicores: 1, MemoryBytes: 1}, EstimateMs: 100}}}
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{Queue: "h /", Spec: spec}}})
 		time.Sleep(5 * time.Second)
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(8 * time.Second)
 		is.Equal(r.describe("s"), "done")
 	})
--- a/internal/dispatch/pending_test.go
+++ b/internal/dispatch/pending_test.go
@@ -54,9 +54,7 @@
 		r.setSilent(func(f *fakeWorker, silent bool) { f.unavailable = silent }, true) // nothing else starts
 		time.Sleep(11 * time.Second)
 		is.Equal(r.running("a"), 0)
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(r.pending(), 0)
 	})
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -41,10 +41,8 @@
 // Guards against starts without a valid ticket, or on workers that the policy of a queue does not allow.
 func TestPolicyDecidesWhereStepsRun(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
-		r.leader.Close()
 		r.adviser = &fakeAdviser{}
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		for _, id := range []string{"a", "b", "c"} {
 			r.report(id, 2) // the pool does not guard its capacity
 		}
@@ -143,10 +141,8 @@
 func TestWaveKeepsToItsLimit(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
 		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
-		r.leader.Close()
 		r.platform = platform
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c", "vm-gone"}, MaxAtOnce: 1}}})
 		waveDone := func() bool {
 			done := false
@@ -170,10 +166,8 @@
 		t.Run(name, func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
 				platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}, firstAnswerAfter: 2500 * time.Millisecond}
-				r.leader.Close()
 				r.platform = platform
-				r.newLeader()
-				r.lead(6)
+				r.replaceLeader(6)
 				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
 				time.Sleep(time.Second)
 				if newLeader {
@@ -195,10 +189,8 @@
 func TestNextLeaderWaitsBeforeItOrders(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
 		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
-		r.leader.Close()
 		r.platform = platform
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
 		time.Sleep(time.Second)
 		vms, _, _ := platform.history()
@@ -240,10 +232,8 @@
 func TestWaveRespectsMaxUnavailable(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
 		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
-		r.leader.Close()
 		r.platform = platform
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.submit("s", 3, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 2 })
 		time.Sleep(time.Second)
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
@@ -274,11 +264,9 @@
 // id as another kind.
 func TestPolicyIsAskedAboutNewIncarnation(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
-		r.leader.Close()
 		adviser := &kindAdviser{admitted: map[string]bool{}}
 		r.adviser = adviser
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.report("a", 2) // the pool does not guard its capacity
 		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2,
 			Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 3, TimeoutMs: 1, Advice: &pb.Advice{DecideMs: 50}}},
@@ -304,14 +292,12 @@
 		ids = append(ids, fmt.Sprintf("w%02d", i))
 	}
 	withHarness(t, time.Minute, ids, func(is *is.I, r *harness) {
-		r.leader.Close()
 		adviser := &kindAdviser{admitted: map[string]bool{}}
 		for _, id := range ids {
 			adviser.admitted[id] = true
 		}
 		r.adviser = adviser
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		for _, id := range ids {
 			r.report(id, 2) // the pool does not guard its capacity
 		}
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -99,10 +99,8 @@
 	for _, newLeader := range []bool{false, true} {
 		withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
 			platform := &listing{}
-			r.leader.Close()
 			r.platform = platform
-			r.newLeader()
-			r.lead(6)
+			r.replaceLeader(6)
 			r.workers.update(func() { r.workers.byID["a"].serving = "s" })
 			r.submit("s", 2, endless)
 			time.Sleep(time.Second)
@@ -110,9 +108,7 @@
 			r.replaceUnreported(platform)
 			time.Sleep(2 * holdWait) // the session with a has ended
 			if newLeader {
-				r.leader.Close()
-				r.newLeader()
-				r.lead(7)
+				r.replaceLeader(7)
 			}
 			time.Sleep(maxOutage)
 			is.Equal(r.running("b"), 2)
@@ -127,10 +123,8 @@
 func TestSearchForSuccessorsEnds(t *testing.T) {
 	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		platform := &listing{}
-		r.leader.Close()
 		r.platform = platform
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(time.Second)
 		r.replaceUnreported(platform)
 		r.lose("b")
--- a/internal/dispatch/throttle_test.go
+++ b/internal/dispatch/throttle_test.go
@@ -46,10 +46,8 @@
 // Guards against a leader that ends because a worker lists a task of a step that its submission does not have.
 func TestTaskOfUnknownStepIsNoFault(t *testing.T) {
 	withHarness(t, 3*time.Second, []string{"a"}, func(is *is.I, r *harness) {
-		r.leader.Close()
 		r.logger = zerolog.New(io.Discard).Level(zerolog.DebugLevel)
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.submit("s", 1, nil)
 		r.workers.update(func() {
 			r.workers.byID["a"].running[submission.Ref{Submission: "s", Step: 9, Index: 9}] = &fakeRun{attempt: 1, began: time.Now()}
