Tests of the dispatcher: waves and the fake platform are made in one place

interrupt_test.go had submitWave and waveDone, while policy_test.go and crash_test.go wrote the same change and the same look into the state out, in six places and two. VMs, limits, terms, waits and checks are the same; no product code is touched.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -152,7 +152,7 @@
 	for _, c := range crashCases {
 		t.Run(c.String(), func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+				r.submitWave(1, "vm-a", "vm-b", "vm-c")
 				for _, id := range []string{"a", "b"} {
 					r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_WaveProgress{WaveProgress: &pb.WaveProgress{Number: 1, Vm: "vm-" + id}}})
 					r.restart(id, 1000, func(*fakeWorker) {})
--- a/internal/dispatch/interrupt_test.go
+++ b/internal/dispatch/interrupt_test.go
@@ -14,7 +14,7 @@
 // fails the test if maintenance ends a task while the other one is not at work.
 func withPair(t *testing.T, f func(*is.I, *harness, *fakePlatform)) {
 	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
-		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+		platform := newFakePlatform(r)
 		platform.onOrder = func(worker string) {
 			r.workers.update(func() {
 				others := 0
@@ -44,10 +44,12 @@
 	})
 }
 
+// submitWave commits wave 1, the maintenance of the given VMs.
 func (r *harness) submitWave(maxAtOnce uint32, vms ...string) {
 	r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: vms, MaxAtOnce: maxAtOnce}}})
 }
 
+// waveDone reports whether wave 1 is done.
 func (r *harness) waveDone() bool {
 	done := false
 	r.state.View(func(s *submission.State) { done = s.Waves()[1].GetDone() })
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -75,6 +75,10 @@
 	onOrder func(worker string)
 }
 
+func newFakePlatform(r *harness) *fakePlatform {
+	return &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+}
+
 func (f *fakePlatform) VMs(context.Context) ([]VM, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -140,19 +144,14 @@
 // that never completes or counts as done too early.
 func TestWaveKeepsToItsLimit(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
-		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+		platform := newFakePlatform(r)
 		r.platform = platform
 		r.replaceLeader(6)
-		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c", "vm-gone"}, MaxAtOnce: 1}}})
-		waveDone := func() bool {
-			done := false
-			r.state.View(func(s *submission.State) { done = s.Waves()[1].GetDone() })
-			return done
-		}
+		r.submitWave(1, "vm-a", "vm-b", "vm-c", "vm-gone")
 		time.Sleep(3 * time.Second)
-		is.True(!waveDone())
+		is.True(!r.waveDone())
 		time.Sleep(12 * time.Second)
-		is.True(waveDone())
+		is.True(r.waveDone())
 		is.Equal(platform.maxDown, 1)
 		is.Equal(len(platform.ordered), 3)
 		is.Equal(platform.fences, map[uint64]bool{6: true})
@@ -165,18 +164,17 @@
 	for name, newLeader := range map[string]bool{"same leader": false, "next leader": true} {
 		t.Run(name, func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
-				platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}, firstAnswerAfter: 2500 * time.Millisecond}
+				platform := newFakePlatform(r)
+				platform.firstAnswerAfter = 2500 * time.Millisecond
 				r.platform = platform
 				r.replaceLeader(6)
-				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+				r.submitWave(1, "vm-a", "vm-b", "vm-c")
 				time.Sleep(time.Second)
 				if newLeader {
 					r.lead(7)
 				}
 				time.Sleep(30 * time.Second)
-				done := false
-				r.state.View(func(s *submission.State) { done = s.Waves()[1].GetDone() })
-				is.True(done)
+				is.True(r.waveDone())
 				is.Equal(platform.maxDown, 1)
 				is.Equal(len(platform.ordered), 4) // the first order is repeated
 			})
@@ -188,10 +186,10 @@
 // out both orders. The previous leader may have sent its last order just before the new term.
 func TestNextLeaderWaitsBeforeItOrders(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
-		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+		platform := newFakePlatform(r)
 		r.platform = platform
 		r.replaceLeader(6)
-		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, MaxAtOnce: 1}}})
+		r.submitWave(1, "vm-a", "vm-b", "vm-c")
 		time.Sleep(time.Second)
 		vms, _, _ := platform.history()
 		is.Equal(vms, []string{"vm-a"})
@@ -211,13 +209,13 @@
 	for name, late := range map[string]error{"late answer": nil, "no answer": context.DeadlineExceeded} {
 		t.Run(name, func(t *testing.T) {
 			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
-				platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+				platform := newFakePlatform(r)
 				r.leader.Close()
 				r.platform = platform
 				r.newLeader()
 				r.log.barrier = func() error { time.Sleep(orderTimeout); return late }
 				r.lead(6)
-				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
+				r.submitWave(1, "vm-a")
 				time.Sleep(10 * time.Second)
 				vms, _, _ := platform.history()
 				is.Equal(len(vms), 0)
@@ -231,12 +229,12 @@
 // Guards against maintenance that makes more tasks of a step unavailable than the step allows.
 func TestWaveRespectsMaxUnavailable(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
-		platform := &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
+		platform := newFakePlatform(r)
 		r.platform = platform
 		r.replaceLeader(6)
 		r.submit("s", 3, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 2 })
 		time.Sleep(time.Second)
-		r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: &pb.Wave{Number: 1, Vms: []string{"vm-a"}, MaxAtOnce: 1}}})
+		r.submitWave(1, "vm-a")
 		time.Sleep(4 * time.Second)
 		is.Equal(len(platform.ordered), 0) // all three tasks of the step run on this VM, and only two may be unavailable
 	})
