Tests of the dispatcher: the two tests of sick workers at all phases share their loop and their end

TestSickWorkerKeepsNothingWheneverItAnswers and TestSickWorkerIsNotTriedAgainAndAgain had one shape: a harness for each phase, then a task and a gang that must both be done 9 s later. The loop is atPhases now and the end checkTaskAndGangEnd; four tests make worker a sick by harness.sicken instead of the same line. Both tests keep their names, worker ids, phases (0 to 1.45 s by 50 ms, 0 to 1.7 s by 100 ms), gang sizes, waits and both checks; a list of the cases by go test -v is the same before and after, 30 and 18 of them. No product code is touched.

--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -51,11 +51,16 @@
 	})
 }
 
+// sicken makes a worker answer neither starts nor stops, but holds.
+func (r *harness) sicken(id string) {
+	r.workers.update(func() { r.workers.byID[id].unavailable, r.workers.byID[id].stopUnanswered = true, true })
+}
+
 // Guards against a task that stays placed on a sick worker, which answers neither starts nor stops but holds, for as long as the
 // worker is sick. The lease in the start is short, so that a later hold shows that the start cannot be carried out any more.
 func TestSickWorkerDoesNotKeepTask(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.sicken("a")
 		r.submit("s", 1, endless)
 		time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
 		is.Equal(r.running("b"), 1)
@@ -92,7 +97,7 @@
 // Guards against a gang that waits for as long as the worker of one member is sick.
 func TestSickWorkerDoesNotKeepGang(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.sicken("a")
 		r.submit("s", 4, func(s *pb.Step) { s.Gang = true })
 		time.Sleep(9 * time.Second)
 		is.Equal(r.describe("s"), "done")
@@ -102,7 +107,7 @@
 // Guards against the same across a change of the leader: the next one does not know what was sent.
 func TestSickWorkerDoesNotKeepTaskOfPreviousLeader(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
+		r.sicken("a")
 		r.submit("s", 1, endless)
 		time.Sleep(300 * time.Millisecond)
 		r.lead(6)
@@ -111,47 +116,49 @@
 	})
 }
 
-// Guards against a task or gang that a sick worker keeps since each of its answers to holds arrives while a stop is in progress.
-func TestSickWorkerKeepsNothingWheneverItAnswers(t *testing.T) {
-	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 50 * time.Millisecond {
+// atPhases runs f with a new harness for each phase below end, in steps of interval.
+func atPhases(t *testing.T, end, interval time.Duration, ids []string, f func(is *is.I, r *harness, phase time.Duration)) {
+	for phase := time.Duration(0); phase < end; phase += interval {
 		t.Run(phase.String(), func(t *testing.T) {
-			withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-				time.Sleep(phase)
-				r.workers.update(func() { r.workers.byID["a"].unavailable, r.workers.byID["a"].stopUnanswered = true, true })
-				r.submit("alone", 1, nil)
-				r.submit("gang", 4, func(s *pb.Step) { s.Gang = true })
-				time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
-				is.Equal(r.describe("alone"), "done")
-				is.Equal(r.describe("gang"), "done")
-			})
+			withHarness(t, time.Second, ids, func(is *is.I, r *harness) { f(is, r, phase) })
 		})
 	}
 }
 
+// checkTaskAndGangEnd submits a task and a gang, and checks that both are done in time although a worker is sick.
+func (r *harness) checkTaskAndGangEnd(is *is.I, gangTasks uint32) {
+	r.submit("alone", 1, nil)
+	r.submit("gang", gangTasks, func(s *pb.Step) { s.Gang = true })
+	time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
+	is.Equal(r.describe("alone"), "done")
+	is.Equal(r.describe("gang"), "done")
+}
+
+// Guards against a task or gang that a sick worker keeps since each of its answers to holds arrives while a stop is in progress.
+func TestSickWorkerKeepsNothingWheneverItAnswers(t *testing.T) {
+	atPhases(t, 1500*time.Millisecond, 50*time.Millisecond, []string{"a", "b"}, func(is *is.I, r *harness, phase time.Duration) {
+		time.Sleep(phase)
+		r.sicken("a")
+		r.checkTaskAndGangEnd(is, 4)
+	})
+}
+
 // Guards against a task or gang that goes back to a sick worker each time that its attempt there has ended, since the worker is
 // the emptiest.
 func TestSickWorkerIsNotTriedAgainAndAgain(t *testing.T) {
-	for phase := time.Duration(0); phase < 1800*time.Millisecond; phase += 100 * time.Millisecond {
-		t.Run(phase.String(), func(t *testing.T) {
-			withHarness(t, time.Second, []string{"b"}, func(is *is.I, r *harness) {
-				r.workers.update(func() { r.workers.byID["b"].serving = "service" })
-				r.submit("service", 1, endless)
-				time.Sleep(time.Second)
-				r.workers.update(func() {
-					a := newFakeWorker("a", 1)
-					a.unavailable, a.stopUnanswered, a.holdDelay = true, true, 300*time.Millisecond
-					r.workers.byID["a"] = a
-				})
-				r.report("a", 1)
-				time.Sleep(100*time.Millisecond + phase)
-				r.submit("alone", 1, nil)
-				r.submit("gang", 2, func(s *pb.Step) { s.Gang = true })
-				time.Sleep(9 * time.Second) // the rule allows 6 s without a run and 3 s more
-				is.Equal(r.describe("alone"), "done")
-				is.Equal(r.describe("gang"), "done")
-			})
+	atPhases(t, 1800*time.Millisecond, 100*time.Millisecond, []string{"b"}, func(is *is.I, r *harness, phase time.Duration) {
+		r.workers.update(func() { r.workers.byID["b"].serving = "service" })
+		r.submit("service", 1, endless)
+		time.Sleep(time.Second)
+		r.workers.update(func() {
+			a := newFakeWorker("a", 1)
+			a.unavailable, a.stopUnanswered, a.holdDelay = true, true, 300*time.Millisecond
+			r.workers.byID["a"] = a
 		})
-	}
+		r.report("a", 1)
+		time.Sleep(100*time.Millisecond + phase)
+		r.checkTaskAndGangEnd(is, 2)
+	})
 }
 
 // Guards against a task that a sick worker keeps after a change of the leader, since the next one stops it without having sent a start.
