Tests of the dispatcher: a worker that restarts or joins is made in one way

Thirteen places made a pool of fake workers only to take one out of it, with a work time that had no effect there, since the work time belongs to the pool that the harness uses; a newcomer could take it for the time that tasks on this worker take. They call newFakeWorker or harness.restart now, with the same ids and times of birth. Three tests of lost ends had the same eight lines for a new incarnation that lists an end, now restartWithEnd; two had the same ten for one that carries out starts meant for the previous one, now restartDuringStarts, whose check that the repeated start is carried out is kept. No wait, bound or check is changed; no product code is touched.

--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -88,7 +88,7 @@
 				time.Sleep(500 * time.Millisecond)
 				is.Equal(r.running("a"), 1)
 				r.workers.update(func() { c.breakWorker(r.workers.byID["a"]) })
-				r.workers.update(func() { r.workers.byID["b"] = newFakeWorkers(t, time.Second, "x", "b").byID["b"] })
+				r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
 				r.report("b", 1)
 				time.Sleep(5 * time.Second)
 				is.Equal(r.running("b"), 0)
@@ -226,8 +226,7 @@
 		r.submit("s", 2, nil)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(r.running("a"), 2)
-		restarted := newFakeWorkers(t, 2*time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs = 77
+		restarted := newFakeWorker("a", 77)
 		r.workers.update(func() { r.workers.byID["a"] = restarted })
 		r.report("a", 1)
 		time.Sleep(3 * time.Second)
@@ -238,20 +237,22 @@
 	})
 }
 
+// restartDuringStarts replaces worker a, which gets no calls, by a new incarnation that carries out repeated starts meant for the previous one.
+func (r *harness) restartDuringStarts(is *is.I) {
+	r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+	time.Sleep(100 * time.Millisecond)
+	r.submit("s", 6, nil)
+	time.Sleep(300 * time.Millisecond)
+	r.restart("a", 77, func(f *fakeWorker) { f.stopTime = 150 * time.Millisecond })
+	time.Sleep(1200 * time.Millisecond)
+	is.True(r.running("a") > 0) // the new incarnation has carried out the repeated start
+}
+
 // Guards against a task that runs twice because a worker that has restarted under the same id carries out a start meant for
 // its previous incarnation. Found by the soak test (seed 16, reuse-worker).
 func TestRestartedWorkerMayRunStartOfPreviousIncarnation(t *testing.T) {
 	withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-		restarted := newFakeWorkers(t, 2*time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation, restarted.stopTime = 77, true, 150*time.Millisecond
-		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
-		time.Sleep(100 * time.Millisecond)
-		r.submit("s", 6, nil)
-		time.Sleep(300 * time.Millisecond)
-		restarted.born = time.Now()
-		r.workers.update(func() { r.workers.byID["a"] = restarted })
-		time.Sleep(1200 * time.Millisecond)
-		is.True(r.running("a") > 0) // the new incarnation has carried out the repeated start
+		r.restartDuringStarts(is)
 		r.report("a", 1)
 		time.Sleep(6 * time.Second)
 		is.Equal(r.describe("s"), "done")
@@ -266,13 +267,11 @@
 		r.submit("s", 1, nil)
 		time.Sleep(100 * time.Millisecond)
 		r.workers.update(func() { r.workers.byID["a"].startDelay = 0 })
-		r.workers.update(func() { r.workers.byID["b"] = newFakeWorkers(t, time.Second, "x", "b").byID["b"] })
+		r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
 		r.report("b", 1)
 		time.Sleep(2700 * time.Millisecond)
 		is.Equal(r.running("a"), 1) // the second copy was carried out and listed
-		restarted := newFakeWorkers(t, 20*time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation, restarted.stopTime = 77, true, 150*time.Millisecond
-		r.workers.update(func() { r.workers.byID["a"] = restarted })
+		r.restart("a", 77, func(f *fakeWorker) { f.stopTime = 150 * time.Millisecond })
 		time.Sleep(300 * time.Millisecond)
 		is.Equal(r.running("a"), 1) // the first copy
 		r.report("a", 1)
@@ -285,16 +284,7 @@
 // carried out. Found by the soak test (seed 1796400714, reuse-worker and a pause of the leader).
 func TestNextLeaderKnowsStartsOfPreviousIncarnation(t *testing.T) {
 	withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
-		restarted := newFakeWorkers(t, 2*time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation, restarted.stopTime = 77, true, 150*time.Millisecond
-		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
-		time.Sleep(100 * time.Millisecond)
-		r.submit("s", 6, nil)
-		time.Sleep(300 * time.Millisecond)
-		restarted.born = time.Now()
-		r.workers.update(func() { r.workers.byID["a"] = restarted })
-		time.Sleep(1200 * time.Millisecond)
-		is.True(r.running("a") > 0) // the new incarnation has carried out the repeated start
+		r.restartDuringStarts(is)
 		r.lead(6)
 		time.Sleep(200 * time.Millisecond)
 		r.report("a", 1)
@@ -303,6 +293,19 @@
 	})
 }
 
+// restartWithEnd replaces worker a by a new incarnation, which carries out calls meant for the previous one. It has carried out the
+// first attempt of a task and lists its end.
+func (r *harness) restartWithEnd(task submission.Ref) *fakeWorker {
+	restarted := newFakeWorker("a", 77)
+	restarted.ignoreIncarnation = true
+	r.workers.update(func() {
+		restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
+		restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
+		r.workers.byID["a"] = restarted
+	})
+	return restarted
+}
+
 // Guards against ends of a new incarnation that are lost because a hold meant for the previous incarnation acknowledges ends
 // with the same numbers. Found by the soak test (budget, and a task that was started after it had finished).
 func TestEndsOfRestartedWorkerAreNotLost(t *testing.T) {
@@ -313,14 +316,7 @@
 		r.workers.update(func() { r.workers.byID["a"].unreachable = true })
 		r.submit("t", 1, nil)
 		time.Sleep(2500 * time.Millisecond) // the hold in progress has timed out
-		restarted := newFakeWorkers(t, time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation = 77, true
-		r.workers.update(func() {
-			task := submission.Ref{Submission: "t"}
-			restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
-			restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
-			r.workers.byID["a"] = restarted
-		})
+		restarted := r.restartWithEnd(submission.Ref{Submission: "t"})
 		time.Sleep(time.Second)
 		r.report("a", 1)
 		time.Sleep(2 * time.Second)
@@ -339,14 +335,7 @@
 		r.workers.update(func() { r.workers.byID["a"].startDelay = time.Second })
 		r.submit("t", 1, nil)
 		time.Sleep(100 * time.Millisecond)
-		restarted := newFakeWorkers(t, time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation = 77, true
-		r.workers.update(func() {
-			task := submission.Ref{Submission: "t"}
-			restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
-			restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
-			r.workers.byID["a"] = restarted
-		})
+		restarted := r.restartWithEnd(submission.Ref{Submission: "t"})
 		r.leader.post(func() { r.leader.pollNow(r.leader.sessions["a"]) })
 		time.Sleep(time.Second)
 		r.report("a", 1)
@@ -367,14 +356,7 @@
 		time.Sleep(300 * time.Millisecond)
 		r.log.update(func(f *fakeLog) { f.delay = 400 * time.Millisecond })
 		time.Sleep(300 * time.Millisecond) // the end of s is being committed
-		restarted := newFakeWorkers(t, time.Second, "a").byID["a"]
-		restarted.incarnation.BornUnixMs, restarted.ignoreIncarnation = 77, true
-		r.workers.update(func() {
-			task := submission.Ref{Submission: "t"}
-			restarted.ends, restarted.revoked[task], r.workers.done[task] = 1, 1, true
-			restarted.ended = []Ended{{Number: 1, Task: task, Attempt: 1, Kind: pb.TaskEndKind_TASK_END_KIND_DONE}}
-			r.workers.byID["a"] = restarted
-		})
+		restarted := r.restartWithEnd(submission.Ref{Submission: "t"})
 		time.Sleep(time.Second)
 		r.log.update(func(f *fakeLog) { f.delay = 0 })
 		r.report("a", 1)
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -31,7 +31,7 @@
 	r.submit("s", 1, endless)
 	time.Sleep(200 * time.Millisecond)
 	is.Equal(r.running("a"), 1)
-	r.workers.update(func() { r.workers.byID["b"] = newFakeWorkers(r.t, r.workers.work, "b").byID["b"] })
+	r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 1) })
 	r.report("b", 1)
 	time.Sleep(2 * time.Second) // a lists the task
 }
--- a/internal/dispatch/outage_test.go
+++ b/internal/dispatch/outage_test.go
@@ -22,7 +22,7 @@
 		time.Sleep(4 * time.Second)
 		is.Equal(r.running("a"), 1)
 		r.workers.update(func() {
-			r.workers.byID["b"] = newFakeWorkers(t, time.Second, "x", "b").byID["b"]
+			r.workers.byID["b"] = newFakeWorker("b", 2)
 			r.workers.byID["b"].serving = "s"
 		})
 		r.report("b", 1)
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -116,8 +116,7 @@
 		f.onOrder(id)
 	}
 	f.maxDown = max(f.maxDown, len(f.down))
-	restarted := newFakeWorkers(f.harness.t, time.Second, id).byID[id]
-	restarted.incarnation.BornUnixMs = 100
+	restarted := newFakeWorker(id, 100)
 	restarted.unreachable = true
 	f.harness.workers.update(func() {
 		restarted.serving = f.harness.workers.byID[id].serving
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -19,7 +19,7 @@
 		is.Equal(r.running("a"), 1)
 		r.workers.update(func() {
 			r.workers.byID["a"].unreachable = true
-			r.workers.byID["b"] = newFakeWorkers(t, time.Minute, "b").byID["b"]
+			r.workers.byID["b"] = newFakeWorker("b", 1)
 		})
 		r.report("b", 1)
 		r.log.failing(errors.New("no quorum for a moment"))
