placement: two parameters without a use are gone

feasibility.capacityChanged took the cache and gangRefusal the sum of the sizes of a gang; neither read them. A newcomer would look for what the sum decides there.

go test -race -count=1 ./internal/placement/...: ok (placement 4.7 s, steps 15.2 s).

--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -117,7 +117,7 @@
 	c.totalCapacity = c.totalCapacity.Plus(w.capacity)
 	c.updateReadyCount(w, wasReady)
 	c.trackState(w, oldState, now)
-	c.feasibility.capacityChanged(c, before, w.liveCapacity(), now)
+	c.feasibility.capacityChanged(before, w.liveCapacity(), now)
 	c.updateIndexes(w)
 }
 
@@ -171,7 +171,7 @@
 	c.updateReadyCount(w, wasReady)
 	delete(c.draining, w)
 	c.quarantined = slices.DeleteFunc(c.quarantined, func(o *worker) bool { return o == w })
-	c.feasibility.capacityChanged(c, before, unavailable, now)
+	c.feasibility.capacityChanged(before, unavailable, now)
 	c.updateIndexes(w)
 	c.dropIfUnused(w)
 }
--- a/internal/placement/feasible.go
+++ b/internal/placement/feasible.go
@@ -39,7 +39,7 @@
 func (f *feasibility) unmark(b *bucket) { b.infeasible = "" }
 
 // capacityChanged records that the live capacity of a worker changed from before to after.
-func (f *feasibility) capacityChanged(c *cache, before, after vector, now int64) {
+func (f *feasibility) capacityChanged(before, after vector, now int64) {
 	if before == after {
 		return
 	}
@@ -146,7 +146,7 @@
 		}
 		total = total.Plus(m.size)
 	}
-	return c.gangRefusal(b, total)
+	return c.gangRefusal(b)
 }
 
 // contractRefusal returns why the contract of t never admits tasks of the given total size, or "" if it may.
@@ -171,7 +171,7 @@
 
 // gangRefusal returns why the gang of b can never be placed on the live workers, or "" if it may. The second result is
 // true if the return of a lost worker could change this.
-func (c *cache) gangRefusal(b *bucket, total vector) (string, bool) {
+func (c *cache) gangRefusal(b *bucket) (string, bool) {
 	if !gangComplete(b) {
 		if b.broken {
 			return "a task of the gang ended before the gang started", false
