gateway: errors with an unknown outcome, and parts of a response, are made in one place

ErrAnswerNotKept uses the constant for "executed". Texts, codes, outcomes and the order of writes are the same.

--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -6,6 +6,13 @@
 	"github.com/lentilyard/lentilyard/internal/errs"
 )
 
+// withUnknownOutcome returns a copy of an error that says that the outcome of the request is unknown.
+func withUnknownOutcome(err *errs.Error) *errs.Error {
+	copied := *err
+	copied.Outcome = errs.OutcomeUnknown
+	return &copied
+}
+
 // Errors of the gateway that are sent to callers.
 var (
 	ErrKeyRequired = &errs.Error{Code: "key-required", Status: http.StatusBadRequest, Outcome: errs.OutcomeNotRun,
@@ -15,7 +22,7 @@
 		Message: "the idempotency key belongs to a different request", Remedy: "use a new key for a new request"}
 	ErrInProgress = &errs.Error{Code: "in-progress", Status: http.StatusConflict, Outcome: errs.OutcomeUnknown,
 		Message: "a request with this idempotency key is being worked on", Remedy: "ask again later with the same key"}
-	ErrAnswerNotKept = &errs.Error{Code: "answer-not-kept", Status: http.StatusConflict, Outcome: "executed",
+	ErrAnswerNotKept = &errs.Error{Code: "answer-not-kept", Status: http.StatusConflict, Outcome: outcomeExecuted,
 		Message: "the request was executed; its answer exceeded the size that is kept", Remedy: "read the result by other means; do not use a new key"}
 	ErrDigestRequired = &errs.Error{Code: "digest-required", Status: http.StatusLengthRequired, Outcome: errs.OutcomeNotRun,
 		Message: "a non-idempotent request with a large body needs a sha-256 Content-Digest", Remedy: "send Content-Digest: sha-256=:BASE64: (RFC 9530)"}
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -31,9 +31,10 @@
 	fullDuplex bool
 }
 
-func (a *responder) start(head *pb.AnswerHead) (io.Writer, error) {
-	a.started = true
-	return a.begin(head)
+// start sends the head of the response and returns the writer for its body.
+func (o *responder) start(head *pb.AnswerHead) (io.Writer, error) {
+	o.started = true
+	return o.begin(head)
 }
 
 // ServeHTTP serves /v1/services/{service}/{path...}. The context must hold the Identity of the caller.
@@ -56,19 +57,19 @@
 
 // enableFullDuplex lets the executor go on reading the request body after its response has begun.
 // Otherwise net/http would discard a part of the body that the executor still expects.
-func (a *responder) enableFullDuplex(r *http.Request, control *http.ResponseController) {
-	if r.ProtoMajor != 1 || a.body == nil || a.body.finished() {
+func (o *responder) enableFullDuplex(r *http.Request, control *http.ResponseController) {
+	if r.ProtoMajor != 1 || o.body == nil || o.body.finished() {
 		return
 	}
-	a.fullDuplex = control.EnableFullDuplex() == nil
+	o.fullDuplex = control.EnableFullDuplex() == nil
 }
 
 // endFullDuplex reads what is left of the request body in the server's buffer. In full-duplex mode
 // net/http must not reach the end of the body itself after the handler has returned: it would then read
 // the connection concurrently and panic. If the body is not read to its end, net/http closes the
 // connection.
-func (a *responder) endFullDuplex(r *http.Request, control *http.ResponseController) {
-	if !a.fullDuplex || a.body.finished() {
+func (o *responder) endFullDuplex(r *http.Request, control *http.ResponseController) {
+	if !o.fullDuplex || o.body.finished() {
 		return
 	}
 	_ = control.SetReadDeadline(time.Now())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,16 +33,14 @@
 func copyChunks(w io.Writer, source io.Reader, buffer []byte) error {
 	for {
 		n, err := source.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return fmt.Errorf("write response: %w", err)
-			}
+		if err := writeAll(w, buffer[:n]); err != nil {
+			return err
 		}
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return errTruncated.With("the answer ended early: %w", err)
+			return endedEarly(err)
 		}
 	}
 }
@@ -54,7 +52,7 @@
 	defer relayBuffers.Put(buffer)
 	n, err := readFull(source, buffer[:])
 	if err != nil && err != io.EOF {
-		return errTruncated.With("the answer ended early: %w", err)
+		return endedEarly(err)
 	}
 	if err == io.EOF && n <= maxStoredBodyBytes {
 		return commitThenRespond(ctx, head, buffer[:n], out, recorder)
@@ -75,14 +73,14 @@
 	for ended := false; !ended; {
 		m, err := readFull(source, next)
 		if err != nil && err != io.EOF {
-			return errTruncated.With("the answer ended early: %w", err)
+			return endedEarly(err)
 		}
 		ended = err == io.EOF
 		if m == 0 {
 			break
 		}
-		if _, err := w.Write(held[:n]); err != nil {
-			return fmt.Errorf("write response: %w", err)
+		if err := writeAll(w, held[:n]); err != nil {
+			return err
 		}
 		held, next, n = next, held, m
 	}
@@ -104,6 +102,10 @@
 	return writeAll(w, body)
 }
 
+// endedEarly returns the error for a response whose source failed with err.
+func endedEarly(err error) error { return errTruncated.With("the answer ended early: %w", err) }
+
+// writeAll writes a part of a response to the caller; it writes nothing if the part is empty.
 func writeAll(w io.Writer, p []byte) error {
 	if len(p) == 0 {
 		return nil
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -149,9 +149,7 @@
 		if unsent {
 			return routing.Unused, typed
 		}
-		copied := *typed
-		copied.Outcome = errs.OutcomeUnknown
-		return routing.Abandoned, &copied
+		return routing.Abandoned, withUnknownOutcome(typed)
 	case ctx.Err() != nil && unsent:
 		return routing.Unused, contextError(ctx.Err(), errs.OutcomeNotRun)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
