relay: comments that named the wrong VMs and function, and one way to isolate a VM in the tests

Channel carries messages of intake VMs, too, and it is recordHeard that removes a VM with its batch. errAnswerLost stood in a block of errors of its own whose comment said less than the one on the variable. The tests set network.cut under its lock in four places, now isolate. No code but comments and tests is touched; the cases and checks are the same.

--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// flush sends the current batch of a VM. There is none if recordAgent has dropped the VM since the batch was begun.
+// flush sends the current batch of a VM. There is none if recordHeard has removed the VM since the batch was begun.
 func (r *Relay) flush(to string) {
 	r.mu.Lock()
 	b := r.batches[to]
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -10,11 +10,8 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// Errors of a call that another VM makes.
-var (
-	// errAnswerLost means that the VM is heard, but has not answered the call.
-	errAnswerLost = fmt.Errorf("%w: the VM that makes the call has sent no answer to it", dispatch.ErrNoAnswer)
-)
+// errAnswerLost means that the VM that makes the call is heard, but has not answered the call.
+var errAnswerLost = fmt.Errorf("%w: the VM that makes the call has sent no answer to it", dispatch.ErrNoAnswer)
 
 // Start implements dispatch.Caller.
 func (r *Relay) Start(ctx context.Context, c dispatch.StartCall) (int64, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,7 +27,7 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
-// Channel is the name of the transport channel on which control VMs exchange calls and answers.
+// Channel is the name of the transport channel on which control VMs and intake VMs exchange calls and answers.
 const Channel = "relay"
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,6 +33,13 @@
 	return n.sent
 }
 
+// isolate cuts a VM off from all others, or ends that.
+func (n *network) isolate(vm string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[vm] = cut
+}
+
 // endpoint is the Messenger of one relay.
 type endpoint struct {
 	network *network
@@ -196,9 +203,7 @@
 		is := is.New(t)
 		n, leader, leaderCaller, _ := newLeaderAndAgent(t)
 		defer n.close()
-		n.mu.Lock()
-		n.cut["agent"] = true
-		n.mu.Unlock()
+		n.isolate("agent", true)
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		defer cancel()
 		_, err := leader.Hold(ctx, dispatch.HoldCall{Target: worker})
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -129,9 +129,7 @@
 		is.Equal(f.holdsUntilAnswered(), 2)
 		used := f.leader.IntakesInUse()
 		is.Equal(len(used), 1)
-		f.mu.Lock()
-		f.cut[used[0]] = true
-		f.mu.Unlock()
+		f.isolate(used[0], true)
 		is.True(f.holdsUntilAnswered() <= 3)
 		is.Equal(len(f.leader.IntakesInUse()), 2)
 	})
@@ -345,16 +343,12 @@
 		f.reach("intake-1", "intake-2")
 		is.Equal(f.holdsUntilAnswered(), 2)
 		used := f.leader.IntakesInUse()[0]
-		f.mu.Lock()
-		f.cut[used] = true
-		f.mu.Unlock()
+		f.isolate(used, true)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		_, err := f.leader.Hold(ctx, dispatch.HoldCall{Target: worker})
 		is.True(errors.Is(err, dispatch.ErrAgentSilent))
-		f.mu.Lock()
-		f.cut[used] = false
-		f.mu.Unlock()
+		f.isolate(used, false)
 		is.NoErr(f.hold())
 		is.Equal(f.leader.IntakesInUse(), []string{used})
 	})
