emulator: names that misled and parameters without a use

An incarnation of a worker was l in every method, as was the generator of the load next to it; it is w now. StateReturned and RunCrashed had a parameter that nothing read. addSample and increment were methods of Series that did not use the series and were given the list and the time; they are methods of the checker now, which knows the time (countSecond for increment). In the run, the submissions from Unfinished are no longer "unsettled". Nothing that is checked, counted or logged changes.

--- a/internal/emulator/check_callers.go
+++ b/internal/emulator/check_callers.go
@@ -56,7 +56,7 @@
 		if r.acceptedAt.IsZero() {
 			r.acceptedAt = time.Now()
 			c.stats.Accepted++
-			c.series.addSample(&c.series.Accept, r.acceptedAt.Sub(r.submittedAt), time.Since(c.startedAt))
+			c.addSample(&c.series.Accept, r.acceptedAt.Sub(r.submittedAt))
 		}
 	case OutcomeNotRun:
 		r.refusals++
@@ -100,7 +100,7 @@
 }
 
 // StateReturned checks a state that was returned to a caller.
-func (c *Checker) StateReturned(id, state string, askedAt time.Time) {
+func (c *Checker) StateReturned(id, state string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Answered++
@@ -115,7 +115,7 @@
 		}
 		if r.lastState != "done" {
 			c.stats.Done++
-			c.series.addSample(&c.series.Done, time.Since(r.submittedAt), time.Since(c.startedAt))
+			c.addSample(&c.series.Done, time.Since(r.submittedAt))
 		}
 	case "failed":
 		if !c.failureIsAllowed(r) {
--- a/internal/emulator/check_workers.go
+++ b/internal/emulator/check_workers.go
@@ -18,12 +18,12 @@
 		return taskProfile{}, false
 	}
 	step := r.spec.GetSteps()[task.Step]
-	w := taskProfile{duration: time.Duration(step.GetEstimateMs()) * time.Millisecond, failingAttempts: r.failingAttempts, memory: step.GetSize().GetMemoryBytes(),
+	p := taskProfile{duration: time.Duration(step.GetEstimateMs()) * time.Millisecond, failingAttempts: r.failingAttempts, memory: step.GetSize().GetMemoryBytes(),
 		checkpoints: step.GetCheckpoints(), endless: step.GetEndless(), crashesWorker: r.crashesWorkers && task.Step == 0 && task.Index == 0}
 	if !step.GetFills() {
-		w.millicores = step.GetSize().GetMillicores()
+		p.millicores = step.GetSize().GetMillicores()
 	}
-	return w, true
+	return p, true
 }
 
 func (c *Checker) taskRecord(ref submission.Ref) *taskRecord {
@@ -55,7 +55,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.stats.Starts++
-	c.series.increment(&c.series.Starts, time.Since(c.startedAt))
+	c.countSecond(&c.series.Starts)
 	r := c.records[e.Task.Submission]
 	if !e.Known || r == nil {
 		c.addViolation(PromiseAsked, "%v was started on %s, but no caller submitted it", e.Task, e.Worker)
@@ -84,7 +84,7 @@
 	c.checkOrder(e.Task, r, now)
 	t.running[e.Worker], t.lastStart = e.Attempt, now
 	if t.starts++; t.starts == 1 && len(r.spec.GetSteps()[e.Task.Step].GetAfter()) == 0 && r.spec.GetOccurrences() == 0 {
-		c.series.addSample(&c.series.Start, now.Sub(r.submittedAt), time.Since(c.startedAt))
+		c.addSample(&c.series.Start, now.Sub(r.submittedAt))
 	}
 	c.checkRefusedNotStarted(e.Task.Submission, r)
 }
@@ -135,7 +135,7 @@
 		t.observedFailures++
 	case pb.TaskEndKind_TASK_END_KIND_STOPPED:
 		c.stats.Stopped++
-		c.series.increment(&c.series.Stops, time.Since(c.startedAt))
+		c.countSecond(&c.series.Stops)
 	default:
 		c.stats.Lost++
 	}
@@ -149,7 +149,7 @@
 }
 
 // RunCrashed records that a run ended because its worker crashed.
-func (c *Checker) RunCrashed(worker string, ref submission.Ref, _ uint32) {
+func (c *Checker) RunCrashed(worker string, ref submission.Ref) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.taskRecord(ref).running, worker)
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -259,13 +259,13 @@
 }
 
 // resize changes the capacity of an incarnation, which its reports state from now on, unless it has ended.
-func (h *host) resize(l *incarnation, size *pb.Resources) {
+func (h *host) resize(w *incarnation, size *pb.Resources) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.incarnation != l {
+	if h.incarnation != w {
 		return
 	}
-	l.update(func(l *incarnation) { l.resize(size) })
+	w.update(func(w *incarnation) { w.resize(size) })
 	h.reportState.Worker.Capacity = size
 }
 
@@ -285,29 +285,29 @@
 		return fmt.Errorf("worker %s: %w", id, err)
 	}
 	ctx, end := context.WithCancel(h.d.ctx)
-	l := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
+	w := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
 		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1})
 	if h.index%3 == 0 {
-		l.clockSlowdown = clockSlowdown
+		w.clockSlowdown = clockSlowdown
 	}
-	l.crashHost = func() { h.crashAndRestart(l) }
-	l.maybeDelayed = func() bool {
+	w.crashHost = func() { h.crashAndRestart(w) }
+	w.maybeDelayed = func() bool {
 		since := time.Now().Add(-settleTime)
 		return h.proxy != nil && h.proxy.FaultySince(since) || h.controlLink.FaultySince(since)
 	}
-	h.incarnation, h.cancel = l, end
-	h.server = &http.Server{Handler: platform.WorkerHandler(id, l)}
-	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: l.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
+	h.incarnation, h.cancel = w, end
+	h.server = &http.Server{Handler: platform.WorkerHandler(id, w)}
+	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: w.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
 		FailureDomain: fmt.Sprintf("d%d", h.domain), Rack: fmt.Sprintf("r%d", h.index%7), Labels: []string{"a", fmt.Sprintf("r%d", h.index%7)},
-		Capacity: l.size, Vm: fmt.Sprintf("m-%d", h.index)}}
-	if l.sabotage == SabotageShrink {
-		l.resize(workerSize(0))
+		Capacity: w.size, Vm: fmt.Sprintf("m-%d", h.index)}}
+	if w.sabotage == SabotageShrink {
+		w.resize(workerSize(0))
 	}
 	server := h.server
 	h.d.goroutines.Add(3)
 	go func() { defer h.d.goroutines.Done(); _ = server.Serve(listener) }() // returns once the server is closed
-	go func() { defer h.d.goroutines.Done(); l.run(ctx) }()
-	go func() { defer h.d.goroutines.Done(); h.report(ctx, l) }()
+	go func() { defer h.d.goroutines.Done(); w.run(ctx) }()
+	go func() { defer h.d.goroutines.Done(); h.report(ctx, w) }()
 	return nil
 }
 
@@ -334,8 +334,8 @@
 
 // crashAndRestart ends an incarnation without notice to the system, and starts the next one after a while, under the same id
 // or a new one.
-func (h *host) crashAndRestart(l *incarnation) {
-	if h.currentIncarnation() != l {
+func (h *host) crashAndRestart(w *incarnation) {
+	if h.currentIncarnation() != w {
 		return
 	}
 	id := h.crash()
@@ -391,15 +391,15 @@
 func (d *Deployment) heartbeat() time.Duration { return max(d.options.ReportInterval, reportInterval) }
 
 // report sends reports until ctx ends.
-func (h *host) report(ctx context.Context, l *incarnation) {
+func (h *host) report(ctx context.Context, w *incarnation) {
 	address, interval := "", h.d.heartbeat()
-	if l.successor {
+	if w.successor {
 		sleep(ctx, reportInterval/2) // lets calls reach a new incarnation before its first report
 	}
 	for ctx.Err() == nil {
 		h.mu.Lock()
 		h.reportState.Sequence++
-		h.reportState.ClockMs = l.clock()
+		h.reportState.ClockMs = w.clock()
 		report := &pb.PoolReport{Worker: proto.Clone(h.reportState.Worker).(*pb.PoolWorker), Sequence: h.reportState.Sequence, ClockMs: h.reportState.ClockMs, RemainingMs: h.reportState.RemainingMs}
 		h.mu.Unlock()
 		address = h.send(ctx, address, report)
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -316,20 +316,20 @@
 		sleep(ctx, f.Duration)
 		return h.start("")
 	case FaultUnavailableWorker:
-		if l := h.currentIncarnation(); l != nil {
-			l.update(func(l *incarnation) { l.refusesStarts = true })
+		if w := h.currentIncarnation(); w != nil {
+			w.update(func(w *incarnation) { w.refusesStarts = true })
 			sleep(ctx, f.Duration)
-			l.update(func(l *incarnation) { l.refusesStarts = false })
+			w.update(func(w *incarnation) { w.refusesStarts = false })
 		}
 		return nil
 	case FaultOddReports:
 		h.sendOddReports(ctx, f)
 		return nil
 	case FaultShrinkWorker:
-		if l := h.currentIncarnation(); l != nil {
-			h.resize(l, workerSize(1+f.Other%(fullSize-1)))
+		if w := h.currentIncarnation(); w != nil {
+			h.resize(w, workerSize(1+f.Other%(fullSize-1)))
 			sleep(ctx, f.Duration)
-			h.resize(l, workerSize(fullSize))
+			h.resize(w, workerSize(fullSize))
 		}
 		return nil
 	}
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -244,7 +244,7 @@
 	var status *platform.StatusError
 	switch {
 	case err == nil:
-		l.checker.StateReturned(id, state, askedAt)
+		l.checker.StateReturned(id, state)
 	case errors.As(err, &status) && status.Absent():
 		l.checker.NotFoundReturned(id, askedAt)
 	}
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -30,15 +30,18 @@
 	Faults        []Fault
 }
 
-func (s *Series) addSample(list *[]sample, took, at time.Duration) {
-	*list = append(*list, sample{at, took})
+// addSample adds a duration that has ended now to one of the lists of the series.
+func (c *Checker) addSample(list *[]sample, took time.Duration) {
+	*list = append(*list, sample{time.Since(c.startedAt), took})
 }
 
-func (s *Series) increment(list *[]int, at time.Duration) {
-	for len(*list) <= int(at.Seconds()) {
+// countSecond adds one to the count of the current second in one of the lists of the series.
+func (c *Checker) countSecond(list *[]int) {
+	second := int(time.Since(c.startedAt).Seconds())
+	for len(*list) <= second {
 		*list = append(*list, 0)
 	}
-	(*list)[int(at.Seconds())]++
+	(*list)[second]++
 }
 
 // Series returns the measurements so far, together with the given faults.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -177,13 +177,13 @@
 // the faults were cleared.
 func (l *loadGenerator) awaitFinished(ctx context.Context, faultsCleared time.Time, bound time.Duration) time.Duration {
 	for ctx.Err() == nil {
-		unsettled := l.checker.Unfinished()
+		unfinished := l.checker.Unfinished()
 		took := time.Since(faultsCleared)
-		if len(unsettled) == 0 {
+		if len(unfinished) == 0 {
 			return took
 		}
 		var ids []string
-		for _, u := range unsettled {
+		for _, u := range unfinished {
 			if ids = append(ids, u.id); took > bound {
 				l.checker.ReportViolation(u.promise, "%v after the last fault %s %s", took.Truncate(time.Millisecond), u.id, u.problem)
 			}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -85,19 +85,19 @@
 	endedAt time.Time
 }
 
-func newIncarnation(l *incarnation) *incarnation {
-	l.startedAt, l.changed, l.wakeup = time.Now(), make(chan struct{}), make(chan struct{}, 1)
-	l.running, l.closedAttempts = map[submission.Ref]*taskRun{}, map[submission.Ref]uint32{}
-	return l
+func newIncarnation(w *incarnation) *incarnation {
+	w.startedAt, w.changed, w.wakeup = time.Now(), make(chan struct{}), make(chan struct{}, 1)
+	w.running, w.closedAttempts = map[submission.Ref]*taskRun{}, map[submission.Ref]uint32{}
+	return w
 }
 
 // run ends runs when they are due until ctx ends.
-func (l *incarnation) run(ctx context.Context) {
+func (w *incarnation) run(ctx context.Context) {
 	for {
-		l.mu.Lock()
-		l.endDueRuns(time.Now())
-		next, wakeup := l.untilNextEnd(), l.wakeup
-		l.mu.Unlock()
+		w.mu.Lock()
+		w.endDueRuns(time.Now())
+		next, wakeup := w.untilNextEnd(), w.wakeup
+		w.mu.Unlock()
 		timer := time.NewTimer(max(next, minWakeInterval))
 		select {
 		case <-ctx.Done():
@@ -111,12 +111,12 @@
 }
 
 // untilNextEnd returns the time until the lease or the next run may end.
-func (l *incarnation) untilNextEnd() time.Duration {
-	next := time.Duration(max(0, l.leaseUntil-l.clock()))*time.Millisecond + minWakeInterval
-	if l.leaseUntil == 0 {
+func (w *incarnation) untilNextEnd() time.Duration {
+	next := time.Duration(max(0, w.leaseUntil-w.clock()))*time.Millisecond + minWakeInterval
+	if w.leaseUntil == 0 {
 		next = maxLease
 	}
-	for _, r := range l.running {
+	for _, r := range w.running {
 		if !r.stoppedAt.IsZero() {
 			next = min(next, taskStopTime-time.Since(r.stoppedAt))
 		}
@@ -132,75 +132,75 @@
 }
 
 // wake makes run check for due ends again.
-func (l *incarnation) wake() {
+func (w *incarnation) wake() {
 	select {
-	case l.wakeup <- struct{}{}:
+	case w.wakeup <- struct{}{}:
 	default:
 	}
 }
 
 // terminate ends all runs without a report to the system.
-func (l *incarnation) terminate() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dead = true
-	for task, r := range l.running {
-		l.checker.RunCrashed(l.name(), task, r.attempt)
-	}
-	clear(l.running)
+func (w *incarnation) terminate() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for task := range w.running {
+		w.checker.RunCrashed(w.name(), task)
+	}
+	clear(w.running)
 }
 
-func (l *incarnation) update(f func(*incarnation)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(l)
+func (w *incarnation) update(f func(*incarnation)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(w)
 }
 
-func (l *incarnation) name() string { return fmt.Sprintf("%s/%d", l.id, l.startedAt.UnixMilli()) }
+func (w *incarnation) name() string { return fmt.Sprintf("%s/%d", w.id, w.startedAt.UnixMilli()) }
 
 // clock returns the worker's clock in milliseconds.
-func (l *incarnation) clock() int64 {
-	return 1 + int64(float64(time.Since(l.startedAt).Milliseconds())*(1-l.clockSlowdown))
+func (w *incarnation) clock() int64 {
+	return 1 + int64(float64(time.Since(w.startedAt).Milliseconds())*(1-w.clockSlowdown))
 }
 
 // endDueRuns ends the runs that have finished, failed or stopped, and all runs once the lease has lapsed.
-func (l *incarnation) endDueRuns(now time.Time) {
-	if l.dead {
+func (w *incarnation) endDueRuns(now time.Time) {
+	if w.dead {
 		return
 	}
-	expired := l.clock() >= l.leaseUntil
-	if expired && l.leaseUntil != 0 {
-		l.leaseUntil, l.leaseLapsedAt = 0, now
-		l.checker.LeaseLapsed(l.name(), len(l.running))
+	expired := w.clock() >= w.leaseUntil
+	if expired && w.leaseUntil != 0 {
+		w.leaseUntil, w.leaseLapsedAt = 0, now
+		w.checker.LeaseLapsed(w.name(), len(w.running))
 	}
-	for task, r := range l.running {
+	for task, r := range w.running {
 		progress := r.resumedProgress + now.Sub(r.startedAt)
 		switch {
 		case expired:
-			l.end(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, now)
+			w.end(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, now)
 		case !r.stoppedAt.IsZero() && now.Sub(r.stoppedAt) >= taskStopTime:
-			l.end(task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, now)
+			w.end(task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, now)
 		case r.profile.endless:
 		case r.attempt <= r.profile.failingAttempts && progress >= r.profile.duration/2:
-			l.end(task, r, pb.TaskEndKind_TASK_END_KIND_FAILED, now)
+			w.end(task, r, pb.TaskEndKind_TASK_END_KIND_FAILED, now)
 		case progress >= r.profile.duration:
-			l.end(task, r, pb.TaskEndKind_TASK_END_KIND_DONE, now)
+			w.end(task, r, pb.TaskEndKind_TASK_END_KIND_DONE, now)
 		}
 	}
 }
 
-func (l *incarnation) end(task submission.Ref, r *taskRun, kind pb.TaskEndKind, now time.Time) {
-	delete(l.running, task)
-	l.closedAttempts[task] = max(l.closedAttempts[task], r.attempt)
-	l.lastEndNumber++
-	e := taskEnd{dispatch.Ended{Number: l.lastEndNumber, Task: task, Attempt: r.attempt, Kind: kind, Checkpoint: r.checkpoint(task, now)}, now}
-	if l.sabotage == SabotageBudget && kind == pb.TaskEndKind_TASK_END_KIND_FAILED {
+func (w *incarnation) end(task submission.Ref, r *taskRun, kind pb.TaskEndKind, now time.Time) {
+	delete(w.running, task)
+	w.closedAttempts[task] = max(w.closedAttempts[task], r.attempt)
+	w.lastEndNumber++
+	e := taskEnd{dispatch.Ended{Number: w.lastEndNumber, Task: task, Attempt: r.attempt, Kind: kind, Checkpoint: r.checkpoint(task, now)}, now}
+	if w.sabotage == SabotageBudget && kind == pb.TaskEndKind_TASK_END_KIND_FAILED {
 		e.Kind = pb.TaskEndKind_TASK_END_KIND_LOST
 	}
-	l.ends = append(l.ends, e)
-	l.checker.TaskEnded(l.name(), task, r.attempt, kind, e.Checkpoint)
-	close(l.changed)
-	l.changed = make(chan struct{})
+	w.ends = append(w.ends, e)
+	w.checker.TaskEnded(w.name(), task, r.attempt, kind, e.Checkpoint)
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // checkpoint returns the name of the last checkpoint of a run, empty if there is none.
@@ -214,95 +214,95 @@
 
 // checkFence rejects calls to a crashed worker and calls with an outdated fencing token. For all others it remembers the
 // token and ends the runs that are due.
-func (l *incarnation) checkFence(fence uint64) error {
+func (w *incarnation) checkFence(fence uint64) error {
 	switch {
-	case l.dead:
+	case w.dead:
 		return dispatch.ErrOtherIncarnation
-	case fence < l.fence:
+	case fence < w.fence:
 		return dispatch.ErrFenced
 	}
-	l.fence = max(l.fence, fence)
-	l.endDueRuns(time.Now())
+	w.fence = max(w.fence, fence)
+	w.endDueRuns(time.Now())
 	return nil
 }
 
-func (l *incarnation) extendLease(untilMs int64) {
-	l.leaseUntil = max(l.leaseUntil, min(untilMs, l.clock()+maxLease.Milliseconds()))
+func (w *incarnation) extendLease(untilMs int64) {
+	w.leaseUntil = max(w.leaseUntil, min(untilMs, w.clock()+maxLease.Milliseconds()))
 }
 
 // endLease ends the lease at once, for sabotage.
-func (l *incarnation) endLease() {
-	l.leaseUntil = min(l.leaseUntil, 1)
-	l.wake()
+func (w *incarnation) endLease() {
+	w.leaseUntil = min(w.leaseUntil, 1)
+	w.wake()
 }
 
 // Start implements dispatch.Caller.
-func (l *incarnation) Start(_ context.Context, c dispatch.StartCall) (int64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err := l.checkFence(c.Fence); err != nil {
-		return l.clock(), err
+func (w *incarnation) Start(_ context.Context, c dispatch.StartCall) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkFence(c.Fence); err != nil {
+		return w.clock(), err
 	}
-	if l.refusesStarts {
-		return l.clock(), dispatch.ErrUnavailable
+	if w.refusesStarts {
+		return w.clock(), dispatch.ErrUnavailable
 	}
-	if c.LeaseUntilMs <= l.clock() {
-		return l.clock(), dispatch.ErrLeaseOver
+	if c.LeaseUntilMs <= w.clock() {
+		return w.clock(), dispatch.ErrLeaseOver
 	}
-	l.extendLease(c.LeaseUntilMs)
-	if r := l.running[c.Task]; r != nil && r.attempt == c.Attempt {
-		return l.clock(), nil
+	w.extendLease(c.LeaseUntilMs)
+	if r := w.running[c.Task]; r != nil && r.attempt == c.Attempt {
+		return w.clock(), nil
 	}
-	if c.Attempt <= l.closedAttempts[c.Task] {
-		return l.clock(), dispatch.ErrOldAttempt
+	if c.Attempt <= w.closedAttempts[c.Task] {
+		return w.clock(), dispatch.ErrOldAttempt
 	}
-	profile, known := l.checker.TaskProfile(c.Task)
-	if l.guards && !l.fits(profile, l.size) {
-		return l.clock(), dispatch.ErrNoRoom
+	profile, known := w.checker.TaskProfile(c.Task)
+	if w.guards && !w.fits(profile, w.size) {
+		return w.clock(), dispatch.ErrNoRoom
 	}
-	if l.sabotage == SabotageAsked {
+	if w.sabotage == SabotageAsked {
 		c.Payload += " and more"
 	}
-	l.checker.TaskStarted(StartEvent{Worker: l.name(), Pool: l.pool, Task: c.Task, Attempt: c.Attempt, Payload: c.Payload, Checkpoint: c.Checkpoint,
-		ExceedsCapacity: !l.fits(profile, l.allowedSize(time.Now())), MaybeDelayed: l.maybeDelayed(), Known: known})
-	l.running[c.Task] = &taskRun{attempt: c.Attempt, profile: profile, startedAt: time.Now(), resumedProgress: resumeFrom(c.Checkpoint)}
-	l.wake()
+	w.checker.TaskStarted(StartEvent{Worker: w.name(), Pool: w.pool, Task: c.Task, Attempt: c.Attempt, Payload: c.Payload, Checkpoint: c.Checkpoint,
+		ExceedsCapacity: !w.fits(profile, w.allowedSize(time.Now())), MaybeDelayed: w.maybeDelayed(), Known: known})
+	w.running[c.Task] = &taskRun{attempt: c.Attempt, profile: profile, startedAt: time.Now(), resumedProgress: resumeFrom(c.Checkpoint)}
+	w.wake()
 	if profile.crashesWorker {
-		time.AfterFunc(crashDelay, func() { l.crashUnder(c.Task, c.Attempt) })
+		time.AfterFunc(crashDelay, func() { w.crashUnder(c.Task, c.Attempt) })
 	}
-	switch l.sabotage {
+	switch w.sabotage {
 	case SabotageOnce:
-		l.reportFalseEnd(c.Task, c.Attempt, pb.TaskEndKind_TASK_END_KIND_LOST)
+		w.reportFalseEnd(c.Task, c.Attempt, pb.TaskEndKind_TASK_END_KIND_LOST)
 	case SabotageOrder, SabotageState:
-		l.reportFalseEnd(c.Task, c.Attempt, pb.TaskEndKind_TASK_END_KIND_DONE)
+		w.reportFalseEnd(c.Task, c.Attempt, pb.TaskEndKind_TASK_END_KIND_DONE)
 	}
-	return l.clock(), nil
+	return w.clock(), nil
 }
 
 // crashUnder crashes the worker if an attempt of a task still runs on it.
-func (l *incarnation) crashUnder(task submission.Ref, attempt uint32) {
-	l.mu.Lock()
-	r := l.running[task]
-	if l.dead || r == nil || r.attempt != attempt {
-		l.mu.Unlock()
+func (w *incarnation) crashUnder(task submission.Ref, attempt uint32) {
+	w.mu.Lock()
+	r := w.running[task]
+	if w.dead || r == nil || r.attempt != attempt {
+		w.mu.Unlock()
 		return
 	}
-	l.checker.CrashCaused(task)
-	if l.sabotage == SabotageCrashes {
-		l.end(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, time.Now())
-		l.mu.Unlock()
+	w.checker.CrashCaused(task)
+	if w.sabotage == SabotageCrashes {
+		w.end(task, r, pb.TaskEndKind_TASK_END_KIND_LOST, time.Now())
+		w.mu.Unlock()
 		return
 	}
-	l.mu.Unlock()
-	l.crashHost()
+	w.mu.Unlock()
+	w.crashHost()
 }
 
 // reportFalseEnd reports an end although the task continues to run, for sabotage.
-func (l *incarnation) reportFalseEnd(task submission.Ref, attempt uint32, kind pb.TaskEndKind) {
-	l.lastEndNumber++
-	l.ends = append(l.ends, taskEnd{dispatch.Ended{Number: l.lastEndNumber, Task: task, Attempt: attempt, Kind: kind}, time.Now()})
-	close(l.changed)
-	l.changed = make(chan struct{})
+func (w *incarnation) reportFalseEnd(task submission.Ref, attempt uint32, kind pb.TaskEndKind) {
+	w.lastEndNumber++
+	w.ends = append(w.ends, taskEnd{dispatch.Ended{Number: w.lastEndNumber, Task: task, Attempt: attempt, Kind: kind}, time.Now()})
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // resumeFrom returns the progress that a checkpoint names, or 0 if it is malformed; the checker reports unknown checkpoints.
@@ -321,12 +321,12 @@
 }
 
 // fits reports whether a task fits into a capacity beside those that run. Tasks that are being stopped still count.
-func (l *incarnation) fits(profile taskProfile, size *pb.Resources) bool {
+func (w *incarnation) fits(profile taskProfile, size *pb.Resources) bool {
 	cores, memory := profile.millicores, profile.memory
-	if l.sabotage == SabotagePlace {
+	if w.sabotage == SabotagePlace {
 		cores += size.GetMillicores() - 1 // leaves almost no capacity, whatever was reported
 	}
-	for _, r := range l.running {
+	for _, r := range w.running {
 		cores, memory = cores+r.profile.millicores, memory+r.profile.memory
 	}
 	return cores <= size.GetMillicores() && memory <= size.GetMemoryBytes()
@@ -337,10 +337,10 @@
 
 // allowedSize returns the capacity that starts may use now. A capacity that has shrunk counts stableWindow and one heartbeat
 // later, one that has grown at once.
-func (l *incarnation) allowedSize(now time.Time) *pb.Resources {
-	size := proto.CloneOf(l.size)
-	for _, former := range l.formerSizes {
-		if now.Sub(former.until) < stableWindow+l.heartbeat {
+func (w *incarnation) allowedSize(now time.Time) *pb.Resources {
+	size := proto.CloneOf(w.size)
+	for _, former := range w.formerSizes {
+		if now.Sub(former.until) < stableWindow+w.heartbeat {
 			size.Millicores = max(size.GetMillicores(), former.GetMillicores())
 			size.MemoryBytes = max(size.GetMemoryBytes(), former.GetMemoryBytes())
 		}
@@ -349,50 +349,50 @@
 }
 
 // resize changes the capacity of the worker. What runs goes on, even if it no longer fits.
-func (l *incarnation) resize(size *pb.Resources) {
-	l.formerSizes = append(l.formerSizes, formerSize{l.size, time.Now()})
-	l.size = size
+func (w *incarnation) resize(size *pb.Resources) {
+	w.formerSizes = append(w.formerSizes, formerSize{w.size, time.Now()})
+	w.size = size
 }
 
 // Stop implements dispatch.Caller.
-func (l *incarnation) Stop(_ context.Context, c dispatch.StopCall) (int64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err := l.checkFence(c.Fence); err != nil {
-		return l.clock(), err
-	}
-	l.closedAttempts[c.Task] = max(l.closedAttempts[c.Task], c.Attempt)
-	if r := l.running[c.Task]; r != nil && r.attempt <= c.Attempt && r.stoppedAt.IsZero() && l.sabotage != SabotageCancelled {
+func (w *incarnation) Stop(_ context.Context, c dispatch.StopCall) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkFence(c.Fence); err != nil {
+		return w.clock(), err
+	}
+	w.closedAttempts[c.Task] = max(w.closedAttempts[c.Task], c.Attempt)
+	if r := w.running[c.Task]; r != nil && r.attempt <= c.Attempt && r.stoppedAt.IsZero() && w.sabotage != SabotageCancelled {
 		r.stoppedAt = time.Now()
-		l.wake()
+		w.wake()
 	}
-	return l.clock(), nil
+	return w.clock(), nil
 }
 
 // Throttle implements dispatch.Caller. It only checks the fencing token, because emulated tasks do not contend for CPU.
-func (l *incarnation) Throttle(_ context.Context, c dispatch.ThrottleCall) (int64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.clock(), l.checkFence(c.Fence)
+func (w *incarnation) Throttle(_ context.Context, c dispatch.ThrottleCall) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock(), w.checkFence(c.Fence)
 }
 
 // Hold implements dispatch.Caller.
-func (l *incarnation) Hold(ctx context.Context, c dispatch.HoldCall) (dispatch.HoldAnswer, error) {
+func (w *incarnation) Hold(ctx context.Context, c dispatch.HoldCall) (dispatch.HoldAnswer, error) {
 	deadline := time.NewTimer(time.Duration(c.WaitMs) * time.Millisecond)
 	defer deadline.Stop()
 	for {
-		l.mu.Lock()
-		if err := l.checkFence(c.Fence); err != nil {
-			answer := dispatch.HoldAnswer{ClockMs: l.clock()}
-			l.mu.Unlock()
+		w.mu.Lock()
+		if err := w.checkFence(c.Fence); err != nil {
+			answer := dispatch.HoldAnswer{ClockMs: w.clock()}
+			w.mu.Unlock()
 			return answer, err
 		}
 		if c.LeaseUntilMs > 0 {
-			l.extendLease(c.LeaseUntilMs)
+			w.extendLease(c.LeaseUntilMs)
 		}
-		l.dropCommittedEnds(c.SeenEnd)
-		answer, changed := l.holdAnswer(), l.changed
-		l.mu.Unlock()
+		w.dropCommittedEnds(c.SeenEnd)
+		answer, changed := w.holdAnswer(), w.changed
+		w.mu.Unlock()
 		if len(answer.Ended) > 0 || c.WaitMs == 0 {
 			return answer, nil
 		}
@@ -407,29 +407,29 @@
 }
 
 // dropCommittedEnds drops the ends up to number seen, which the leader has committed.
-func (l *incarnation) dropCommittedEnds(seen uint64) {
-	for len(l.ends) > 0 && l.ends[0].Number <= seen {
-		e := l.ends[0]
-		l.ends = l.ends[1:]
-		l.checker.EndCommitted(l.name(), e.Task, e.Attempt, e.endedAt, l.leaseLapsedAt.After(e.endedAt))
+func (w *incarnation) dropCommittedEnds(seen uint64) {
+	for len(w.ends) > 0 && w.ends[0].Number <= seen {
+		e := w.ends[0]
+		w.ends = w.ends[1:]
+		w.checker.EndCommitted(w.name(), e.Task, e.Attempt, e.endedAt, w.leaseLapsedAt.After(e.endedAt))
 	}
 }
 
 // maxEnds bounds the ends in one answer.
 const maxEnds = 500
 
-func (l *incarnation) holdAnswer() dispatch.HoldAnswer {
-	answer, now := dispatch.HoldAnswer{ClockMs: l.clock(), BornUnixMs: l.startedAt.UnixMilli()}, time.Now()
-	for task, r := range l.running {
+func (w *incarnation) holdAnswer() dispatch.HoldAnswer {
+	answer, now := dispatch.HoldAnswer{ClockMs: w.clock(), BornUnixMs: w.startedAt.UnixMilli()}, time.Now()
+	for task, r := range w.running {
 		percent := min(100, 100*float64(r.resumedProgress+now.Sub(r.startedAt))/float64(max(r.profile.duration, time.Millisecond)))
 		if r.profile.endless {
 			percent = min(100, 100*float64(now.Sub(r.startedAt))/float64(endlessStartupTime))
 		}
 		saved := r.checkpoint(task, now)
-		l.checker.CheckpointReported(task, saved)
+		w.checker.CheckpointReported(task, saved)
 		answer.Running = append(answer.Running, dispatch.Running{Task: task, Attempt: r.attempt, Checkpoint: saved, Percent: percent, Figure: float64(r.profile.millicores)})
 	}
-	for _, e := range l.ends[:min(len(l.ends), maxEnds)] {
+	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
 		answer.Ended = append(answer.Ended, e.Ended)
 	}
 	return answer
