emulator: long functions in parts, and one list of the faults that affect a worker

Plan, Execute, Start and injectVMFault did several things each. The choice of a kind, of a duration and of the number of subjects are functions of their own; the kinds that affect one worker, which stood in Plan and in injectFault, are FaultKind.affectsWorker. Execute calls applyLoadAndFaults and awaitRecovery, Start calls startAll and closes the deployment in one place if that fails. host.d is host.deployment.

--- a/internal/emulator/cut.go
+++ b/internal/emulator/cut.go
@@ -98,7 +98,7 @@
 		return h.controlLink
 	}
 	inode := socketInode(client, server)
-	for _, v := range h.d.intakes() {
+	for _, v := range h.deployment.intakes() {
 		if inode != "" && v.ownsSocket(inode) {
 			return nil
 		}
--- a/internal/emulator/cut_test.go
+++ b/internal/emulator/cut_test.go
@@ -31,7 +31,7 @@
 		controls int
 		want     *netfault.Link
 	}{{0, nil}, {1, h.controlLink}} {
-		h.d = &Deployment{options: Options{Size: Size{Controls: c.controls}}, vms: []*vm{{process: this}}}
+		h.deployment = &Deployment{options: Options{Size: Size{Controls: c.controls}}, vms: []*vm{{process: this}}}
 		client, err := net.Dial("tcp", h.address)
 		is.NoErr(err)
 		is.Equal(h.linkOf(client.LocalAddr().(*net.TCPAddr).AddrPort()), c.want)
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -85,29 +85,38 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{options: o, checker: checker, ctx: ctx, cancel: cancel}
 	d.reportClient = &platform.APIClient{Client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleReportConns}}}
+	if err := d.startAll(); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+// startAll starts the processes, the relays and proxies in front of them, and the workers.
+func (d *Deployment) startAll() error {
+	o := d.options
 	var seeds []string
 	for i := range o.Size.Controls {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", o.address(vmProxyBlock, i), controlPort))
 	}
 	for i := range o.Size.Controls + o.Size.Intakes {
 		if err := d.addVM(i, seeds); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
 	if err := d.addPeerRelays(); err != nil {
-		return nil, errors.Join(err, d.Close())
+		return err
 	}
 	for _, v := range d.vms {
 		if err := v.start(); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
 	for i := range o.Size.Workers {
 		if err := d.addWorkerHost(i); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
-	return d, nil
+	return nil
 }
 
 func (d *Deployment) addVM(i int, seeds []string) error {
@@ -195,7 +204,7 @@
 
 // host is the VM of a worker. Incarnations of the worker follow one another there at the same address.
 type host struct {
-	d             *Deployment
+	deployment    *Deployment
 	index         int
 	pool          string
 	guards        bool
@@ -232,7 +241,7 @@
 
 func (d *Deployment) addWorkerHost(i int) error {
 	o := d.options
-	h := &host{d: d, index: i, pool: poolGuarded, guards: true, domain: i % failureDomains, listenAddress: fmt.Sprintf("%s:%d", o.address(workerListenBlock, i), workerPort),
+	h := &host{deployment: d, index: i, pool: poolGuarded, guards: true, domain: i % failureDomains, listenAddress: fmt.Sprintf("%s:%d", o.address(workerListenBlock, i), workerPort),
 		client: d.reportClient, controlLink: netfault.NewLink()}
 	if i%3 == 2 {
 		h.pool, h.guards = poolTrusting, false
@@ -273,7 +282,7 @@
 func (h *host) start(id string) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.incarnation != nil || h.d.ctx.Err() != nil {
+	if h.incarnation != nil || h.deployment.ctx.Err() != nil {
 		return nil
 	}
 	h.incarnations++
@@ -284,9 +293,9 @@
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", id, err)
 	}
-	ctx, end := context.WithCancel(h.d.ctx)
-	w := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
-		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1})
+	ctx, end := context.WithCancel(h.deployment.ctx)
+	w := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.deployment.heartbeat(),
+		checker: h.deployment.checker, sabotage: h.deployment.options.Sabotage, successor: h.incarnations > 1})
 	if h.index%3 == 0 {
 		w.clockSlowdown = clockSlowdown
 	}
@@ -297,20 +306,25 @@
 	}
 	h.incarnation, h.cancel = w, end
 	h.server = &http.Server{Handler: platform.WorkerHandler(id, w)}
-	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: w.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
-		FailureDomain: fmt.Sprintf("d%d", h.domain), Rack: fmt.Sprintf("r%d", h.index%7), Labels: []string{"a", fmt.Sprintf("r%d", h.index%7)},
-		Capacity: w.size, Vm: fmt.Sprintf("m-%d", h.index)}}
+	h.reportState = &pb.PoolReport{Worker: h.describe(w)}
 	if w.sabotage == SabotageShrink {
 		w.resize(workerSize(0))
 	}
 	server := h.server
-	h.d.goroutines.Add(3)
-	go func() { defer h.d.goroutines.Done(); _ = server.Serve(listener) }() // returns once the server is closed
-	go func() { defer h.d.goroutines.Done(); w.run(ctx) }()
-	go func() { defer h.d.goroutines.Done(); h.report(ctx, w) }()
+	h.deployment.goroutines.Add(3)
+	go func() { defer h.deployment.goroutines.Done(); _ = server.Serve(listener) }() // returns once the server is closed
+	go func() { defer h.deployment.goroutines.Done(); w.run(ctx) }()
+	go func() { defer h.deployment.goroutines.Done(); h.report(ctx, w) }()
 	return nil
 }
 
+// describe returns the description of an incarnation in its reports.
+func (h *host) describe(w *incarnation) *pb.PoolWorker {
+	rack := fmt.Sprintf("r%d", h.index%racks)
+	return &pb.PoolWorker{Id: w.id, BornUnixMs: w.startedAt.UnixMilli(), Pool: h.pool, Address: h.address, FailureDomain: fmt.Sprintf("d%d", h.domain),
+		Rack: rack, Labels: []string{"a", rack}, Capacity: w.size, Vm: fmt.Sprintf("m-%d", h.index)}
+}
+
 // crash ends the incarnation without notice to the system and returns its id, or an empty string if none was running.
 func (h *host) crash() string {
 	h.mu.Lock()
@@ -342,9 +356,9 @@
 	if rand.IntN(2) == 0 {
 		id = ""
 	}
-	sleep(h.d.ctx, minDowntime+rand.N(maxDowntime-minDowntime))
+	sleep(h.deployment.ctx, minDowntime+rand.N(maxDowntime-minDowntime))
 	if err := h.start(id); err != nil {
-		h.d.checker.ReportViolation(PromiseRuns, "after a crash: %v", err)
+		h.deployment.checker.ReportViolation(PromiseRuns, "after a crash: %v", err)
 	}
 }
 
@@ -377,14 +391,14 @@
 	h.mu.Unlock()
 	select {
 	case <-time.After(drainGracePeriod + reportInterval):
-	case <-h.d.ctx.Done():
+	case <-h.deployment.ctx.Done():
 		return
 	}
 	h.mu.Lock()
 	state := h.reportState
 	h.mu.Unlock()
 	h.crash()
-	h.send(h.d.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
+	h.send(h.deployment.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
 }
 
 // heartbeat returns the time between two reports of a worker.
@@ -392,7 +406,7 @@
 
 // report sends reports until ctx ends.
 func (h *host) report(ctx context.Context, w *incarnation) {
-	address, interval := "", h.d.heartbeat()
+	address, interval := "", h.deployment.heartbeat()
 	if w.successor {
 		sleep(ctx, reportInterval/2) // lets calls reach a new incarnation before its first report
 	}
@@ -414,8 +428,8 @@
 	if address != "" {
 		candidates = append(candidates, address)
 	}
-	for i := range h.d.controls() {
-		v := h.d.controls()[(h.index+i)%len(h.d.controls())]
+	for i := range h.deployment.controls() {
+		v := h.deployment.controls()[(h.index+i)%len(h.deployment.controls())]
 		candidates = append(candidates, v.clientProxy.Addr())
 	}
 	for _, c := range candidates {
--- a/internal/emulator/deployment_test.go
+++ b/internal/emulator/deployment_test.go
@@ -33,7 +33,7 @@
 	defer proxy.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	h.d = &Deployment{options: Options{Size: Size{Controls: 1}}, vms: []*vm{{clientProxy: proxy}}, ctx: ctx}
+	h.deployment = &Deployment{options: Options{Size: Size{Controls: 1}}, vms: []*vm{{clientProxy: proxy}}, ctx: ctx}
 	h.incarnation, h.cancel = newIncarnation(&incarnation{id: "w", checker: NewChecker()}), func() {}
 	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: "w", BornUnixMs: 1}}
 	h.drainAndStop()
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -80,38 +80,17 @@
 // Plan generates the faults of a run of the given length. The same seed gives the same plan.
 func Plan(seed uint64, size Size, length time.Duration) []Fault {
 	r := rand.New(rand.NewPCG(seed, 3))
-	total := 0
-	for _, k := range faultWeights {
-		total += k.weight
-	}
 	var faults []Fault
 	wiped := false
 	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / faultsPerSecond * float64(time.Second)) {
-		draw, kind := r.IntN(total), FaultKind("")
-		for _, k := range faultWeights {
-			if draw < k.weight {
-				kind = k.kind
-				break
-			}
-			draw -= k.weight
-		}
-		f := Fault{Kind: kind, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))), Other: r.IntN(1 << 16)}
-		switch kind {
-		case FaultKillControls, FaultIsolate, FaultDiskFull:
-			f.Subject = r.IntN(size.Controls)
-		case FaultWipe:
-			if wiped { // toleratedLosses in the settings allows for one lost disk
-				continue
-			}
-			wiped = true
-			f.Subject = r.IntN(size.Controls)
-		case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker:
-			f.Subject = r.IntN(size.Workers)
-		default:
-			f.Subject = r.IntN(size.Controls + size.Intakes)
+		f := Fault{Kind: randomKind(r), At: at, Duration: randomDuration(r), Other: r.IntN(1 << 16)}
+		if f.Kind == FaultWipe && wiped { // toleratedLosses in the settings allows for one lost disk
+			continue
 		}
+		wiped = wiped || f.Kind == FaultWipe
+		f.Subject = r.IntN(f.Kind.subjects(size))
 		faults = append(faults, f)
-		if r.Float64() < repeatProbability && kind != FaultWipe {
+		if r.Float64() < repeatProbability && f.Kind != FaultWipe {
 			for i := range 1 + r.IntN(2) {
 				repeat := f
 				repeat.At += time.Duration(i+1) * (200*time.Millisecond + time.Duration(r.Int64N(int64(time.Second))))
@@ -126,6 +105,48 @@
 	return faults
 }
 
+// randomKind returns a kind of fault with the probability that faultWeights gives it.
+func randomKind(r *rand.Rand) FaultKind {
+	total := 0
+	for _, k := range faultWeights {
+		total += k.weight
+	}
+	draw := r.IntN(total)
+	for _, k := range faultWeights {
+		if draw < k.weight {
+			return k.kind
+		}
+		draw -= k.weight
+	}
+	return "" // not reached: draw is less than the sum of the weights
+}
+
+// randomDuration returns the duration of a fault.
+func randomDuration(r *rand.Rand) time.Duration {
+	return 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration)))
+}
+
+// affectsWorker reports whether a fault of this kind affects one worker, the one whose index is Fault.Subject.
+func (k FaultKind) affectsWorker() bool {
+	switch k {
+	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker,
+		FaultShrinkWorker, FaultOddReports:
+		return true
+	}
+	return false
+}
+
+// subjects returns the number of VMs or workers among which Plan chooses the subject of a fault of this kind.
+func (k FaultKind) subjects(size Size) int {
+	switch {
+	case k == FaultKillControls, k == FaultIsolate, k == FaultDiskFull, k == FaultWipe:
+		return size.Controls
+	case k.affectsWorker():
+		return size.Workers
+	}
+	return size.Controls + size.Intakes
+}
+
 const (
 	// shrinksPerSecond is the mean rate of workers that shrink.
 	shrinksPerSecond = 0.4
@@ -139,8 +160,7 @@
 	r := rand.New(rand.NewPCG(seed, stream))
 	var faults []Fault
 	for at := time.Second; at < length; at += time.Duration(r.ExpFloat64() / perSecond * float64(time.Second)) {
-		faults = append(faults, Fault{Kind: kind, At: at, Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxRandomDuration))),
-			Subject: r.IntN(size.Workers), Other: r.IntN(1 << 16)})
+		faults = append(faults, Fault{Kind: kind, At: at, Duration: randomDuration(r), Subject: r.IntN(size.Workers), Other: r.IntN(1 << 16)})
 	}
 	return faults
 }
@@ -176,9 +196,10 @@
 
 // injectFault injects a fault and returns once it is over.
 func (d *Deployment) injectFault(ctx context.Context, f Fault) error {
-	switch f.Kind {
-	case FaultResetWorker, FaultSilentWorker, FaultMuteWorker, FaultSlowWorker, FaultCrashWorker, FaultReuseWorker, FaultLeaveWorker, FaultUnavailableWorker, FaultShrinkWorker, FaultOddReports:
+	if f.Kind.affectsWorker() {
 		return d.injectWorkerFault(ctx, f, d.hosts[f.Subject])
+	}
+	switch f.Kind {
 	case FaultCutPair, FaultCutOneWay, FaultSlowPeers, FaultIsolate:
 		d.injectPeerFault(ctx, f)
 		return nil
@@ -206,18 +227,7 @@
 		sleep(ctx, f.Duration)
 		return v.start()
 	case FaultKillControls:
-		for _, c := range d.controls() {
-			c.signal(syscall.SIGKILL, true)
-		}
-		for _, c := range d.controls() {
-			c.kill()
-		}
-		sleep(ctx, f.Duration/2)
-		for _, c := range d.controls() {
-			if err := c.start(); err != nil {
-				return err
-			}
-		}
+		return d.restartControls(ctx, f.Duration/2)
 	case FaultStop:
 		v.stop()
 		sleep(ctx, f.Duration)
@@ -248,6 +258,23 @@
 	return nil
 }
 
+// restartControls kills all control VMs at once and starts them again after a downtime.
+func (d *Deployment) restartControls(ctx context.Context, downtime time.Duration) error {
+	for _, v := range d.controls() {
+		v.signal(syscall.SIGKILL, true)
+	}
+	for _, v := range d.controls() {
+		v.kill()
+	}
+	sleep(ctx, downtime)
+	for _, v := range d.controls() {
+		if err := v.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // seeds returns the addresses of the control VMs whose bits are set in choice, and of at least one.
 func (d *Deployment) seeds(choice int) []string {
 	var list []string
--- a/internal/emulator/odd.go
+++ b/internal/emulator/odd.go
@@ -50,7 +50,7 @@
 		if odd.GetWorker() != nil {
 			odd.Sequence++ // the worker's own next report is not older than this one
 			oddReports[n%len(oddReports)](odd)
-			controls := h.d.controls()
+			controls := h.deployment.controls()
 			callCtx, cancel := context.WithTimeout(ctx, oddReportInterval)
 			_, _ = h.client.Report(callCtx, controls[n%len(controls)].clientProxy.Addr(), odd)
 			cancel()
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -217,6 +217,8 @@
 	gracePeriod = 4 * time.Second
 	// failureDomains is the number of failure domains.
 	failureDomains = 3
+	// racks is the number of racks of the workers.
+	racks = 7
 )
 
 // Ports of all VMs, below the ephemeral range of the operating system.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -91,22 +91,31 @@
 	if r.Faults == nil {
 		r.Faults = Plan(r.Seed, r.Size, r.Length)
 	}
-	runCtx, cancel := context.WithTimeout(ctx, r.Length)
+	r.applyLoadAndFaults(ctx, d, l)
+	return r.awaitRecovery(ctx, d, l), ctx.Err()
+}
+
+// applyLoadAndFaults runs the callers, the operators, the faults and the sabotage for the length of the run.
+func (r *Run) applyLoadAndFaults(ctx context.Context, d *Deployment, l *loadGenerator) {
+	ctx, cancel := context.WithTimeout(ctx, r.Length)
 	defer cancel()
 	var activities sync.WaitGroup
 	for _, activity := range []func(){
-		func() { l.startLasting(runCtx) },
-		func() { l.runCallers(runCtx, r.Rate) },
-		func() { l.runOperator(runCtx, rand.New(rand.NewPCG(r.Seed, 4))) },
-		func() { l.runOperator(runCtx, rand.New(rand.NewPCG(r.Seed, 5))) },
-		func() { d.injectPlan(runCtx, r.Faults, r.Log) },
-		func() { d.applySabotage(runCtx) },
+		func() { l.startLasting(ctx) },
+		func() { l.runCallers(ctx, r.Rate) },
+		func() { l.runOperator(ctx, rand.New(rand.NewPCG(r.Seed, 4))) },
+		func() { l.runOperator(ctx, rand.New(rand.NewPCG(r.Seed, 5))) },
+		func() { d.injectPlan(ctx, r.Faults, r.Log) },
+		func() { d.applySabotage(ctx) },
 	} {
-		activities.Add(1)
-		go func() { defer activities.Done(); activity() }()
+		activities.Go(activity)
 	}
 	activities.Wait()
-	result := &Result{Seed: r.Seed, Faults: r.Faults}
+}
+
+// awaitRecovery ends the faults, waits until the system is ready and all submissions have ended, and returns the outcome of the run.
+func (r *Run) awaitRecovery(ctx context.Context, d *Deployment, l *loadGenerator) *Result {
+	checker, result := d.checker, &Result{Seed: r.Seed, Faults: r.Faults}
 	if err := d.clearFaults(); err != nil {
 		checker.ReportViolation(PromiseRuns, "after the last fault: %v", err)
 	}
@@ -120,7 +129,7 @@
 	l.callers.Wait()
 	result.Finished = l.awaitFinished(ctx, faultsCleared, r.FinishBound)
 	result.Violations, result.Stats, result.Series = checker.Violations(), checker.Stats(), checker.Series(r.Faults)
-	return result, ctx.Err()
+	return result
 }
 
 // awaitStart sends the first configuration until it is acknowledged and waits until the intake VMs are ready.
