--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -1,3 +1,5 @@
+// Package emulator runs a whole deployment on one machine: the real programs as processes, and emulated workers, callers
+// and an operator that connect to them. It injects faults and checks the guarantees of the system.
 package emulator
 
 import (
