Test of refused connections: the further intake VMs announce themselves

TestWorkerThatRefusesConnectionsIsCalledByFewVMs makes a fleet with ten intake VMs more, but withVMs announced only the usual ones. Just two intake VMs could be called, so that its check, at most two in use, held whatever the relay did. withVMs announces the VMs that it was given now. The check and the other tests are as they were.

--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -29,7 +29,7 @@
 // withFleet runs f in virtual time with the VMs of fleetVMs.
 func withFleet(t *testing.T, f func(is *is.I, fl *fleet)) { withVMs(t, fleetVMs, f) }
 
-// withVMs runs f in virtual time with a fleet whose VMs announce themselves until f returns.
+// withVMs runs f in virtual time with a fleet whose VMs, all but the first, the leader, announce themselves until f returns.
 func withVMs(t *testing.T, ids []string, f func(is *is.I, fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{relays: map[string]*Relay{}, cut: map[string]bool{}, delay: time.Millisecond}
@@ -45,7 +45,7 @@
 		defer cancel()
 		go func() {
 			for ctx.Err() == nil {
-				for _, id := range fleetVMs[1:] {
+				for _, id := range ids[1:] {
 					if !fl.isStopping(id) {
 						n.relays[id].Announce("leader")
 					}
