gateway: three functions take only what they use

classifySendError did not use the gateway, answerHead not the call, and newAnswerHead the call only for that. They are functions without it, and the head is made where it was asked for, in one place. Heads and errors are the same.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -87,7 +87,7 @@
 	resp, err := grant.Transport().RoundTrip(req)
 	if err != nil {
 		outcome.Latency = g.config.Now().Sub(started)
-		outcome.Result, err = g.classifySendError(ctx, err, tracker)
+		outcome.Result, err = classifySendError(ctx, err, tracker)
 		return err
 	}
 	defer resp.Body.Close()
@@ -98,7 +98,7 @@
 		return errTruncated.With("the answer of %s has neither a length nor chunks, or status %d", grant.Target(), resp.StatusCode)
 	}
 	source := &timedReader{source: resp.Body, now: g.config.Now}
-	err = relay(ctx, newAnswerHead(c, resp, grant.Target()), source, out, recorder)
+	err = relay(ctx, newAnswerHead(resp, grant.Target()), source, out, recorder)
 	outcome.Latency += source.waited
 	outcome.Result = relayResult(ctx, source, err)
 	return err
@@ -140,7 +140,7 @@
 
 // classifySendError classifies an error that occurred before the first byte of the response. It returns the
 // result for the routing table and the error for the caller.
-func (g *Gateway) classifySendError(ctx context.Context, err error, tracker *sentTracker) (routing.Result, error) {
+func classifySendError(ctx context.Context, err error, tracker *sentTracker) (routing.Result, error) {
 	unsent := tracker.sealIfUnsent()
 	var typed *errs.Error
 	switch {
@@ -172,8 +172,8 @@
 }
 
 // newAnswerHead returns the head of the response of an executor, with end-to-end headers only.
-func newAnswerHead(c *call, resp *http.Response, target string) *pb.AnswerHead {
-	head := c.answerHead(resp.StatusCode, target, resp.ContentLength)
+func newAnswerHead(resp *http.Response, target string) *pb.AnswerHead {
+	head := &pb.AnswerHead{Status: uint32(resp.StatusCode), Target: target, ContentLength: resp.ContentLength}
 	for name, values := range endToEndHeaders(resp.Header) {
 		if name == "Content-Length" {
 			continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
-	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/routing"
 )
 
@@ -124,7 +123,3 @@
 }
 
 func outcomeOf(err error) errs.Outcome { return errs.From(err).Outcome }
-
-func (c *call) answerHead(status int, target string, length int64) *pb.AnswerHead {
-	return &pb.AnswerHead{Status: uint32(status), Target: target, ContentLength: length}
-}
