--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -128,7 +128,7 @@
 }
 
 // Guards against a new leader that fills workers which do not guard their capacity by what they reported to the previous one: they
-// may have shrunk while there was no leader to hear of it. Found by the soak test (seed 6 on dab1fcd, place).
+// may have shrunk while there was no leader to hear of it.
 func TestNewLeaderAwaitsReportOfUnguardedWorker(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.unguard()
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -249,7 +249,7 @@
 }
 
 // Guards against a task that runs twice because a worker that has restarted under the same id carries out a start meant for
-// its previous incarnation. Found by the soak test (seed 16, reuse-worker).
+// its previous incarnation.
 func TestRestartedWorkerMayRunStartOfPreviousIncarnation(t *testing.T) {
 	withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
 		r.restartDuringStarts(is)
@@ -281,7 +281,7 @@
 }
 
 // Guards against the same across a change of the leader: the next one did not know which starts the new incarnation may have
-// carried out. Found by the soak test (seed 1796400714, reuse-worker and a pause of the leader).
+// carried out.
 func TestNextLeaderKnowsStartsOfPreviousIncarnation(t *testing.T) {
 	withHarness(t, 2*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
 		r.restartDuringStarts(is)
@@ -307,7 +307,7 @@
 }
 
 // Guards against ends of a new incarnation that are lost because a hold meant for the previous incarnation acknowledges ends
-// with the same numbers. Found by the soak test (budget, and a task that was started after it had finished).
+// with the same numbers.
 func TestEndsOfRestartedWorkerAreNotLost(t *testing.T) {
 	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
 		r.submit("s", 1, nil)
@@ -326,7 +326,7 @@
 }
 
 // Guards against the same through a hold out of turn: after a stop, the leader asks at once what the worker runs, and the worker may
-// have restarted since its last answer. Found by the soak test (seed 3 with shrink-worker: a task was started after it had finished).
+// have restarted since its last answer.
 func TestExtraHoldDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
 	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
 		r.submit("s", 1, nil)
@@ -346,7 +346,7 @@
 }
 
 // Guards against the same through the hold after a slow commit: no hold waits at the worker meanwhile, so that none fails if it
-// restarts. Found by the soak test (seed 6 with shrink-worker: a task was started after it had finished).
+// restarts.
 func TestHoldAfterSlowCommitDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
 	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
 		r.submit("s", 1, nil)
--- a/internal/dispatch/throttle_test.go
+++ b/internal/dispatch/throttle_test.go
@@ -13,8 +13,6 @@
 )
 
 // Guards against a filling task that slows down a service at full speed until the next reading of the worker, 0.6 s later.
-// In a full pool with a stream of short filling tasks, a service stayed over its limit that way for as long as the stream
-// lasted: cimplata-sched-grown quiet-1 reported HARM.
 func TestStartedFillingTaskIsThrottledBeforeNextReading(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.leader.Resign()
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -373,8 +373,7 @@
 }
 
 // Guards against idle submissions whose tasks all start on a worker with a service over its tail limit: the filling tasks
-// there are throttled, so that the worker looks idle, and each new task keeps the service over its limit. On trouble-1 of
-// hanbit-yard with seed 3, twenty tasks in a row kept one service over its limit for 4 s.
+// there are throttled, so that the worker looks idle, and each new task keeps the service over its limit.
 func TestIdleSubmissionsAvoidServicesOverLimit(t *testing.T) {
 	is := is.New(t)
 	service := newStep(4, func(s *pb.Step) { s.Endless, s.TailLimitMs, s.Image = true, 50, "service" })
