Tests of the replica: one disk whose syncs a test can delay or fail

failingFS, slowFS and stallingFS were the same two types with the same methods and differed in what happens before a sync. They are syncFS with a function now, which fails (disk_test.go), sleeps for the set delay (drain_test.go) or waits while the disk stalls (slow_disk_test.go) as before; wrapDisk opens the folder for it and for fillingFS. Delays, errors, checks and waits are the same; no product code is touched.

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -19,30 +19,6 @@
 
 var errNoSpace = errors.New("no space left on device")
 
-// failingFS opens files whose Sync fails once broken is set.
-type failingFS struct {
-	wal.FS
-	broken *atomic.Bool
-}
-
-func (f failingFS) OpenFile(name string, flag int) (wal.File, error) {
-	file, err := f.FS.OpenFile(name, flag)
-	return failingFile{File: file, broken: f.broken}, err
-}
-
-// failingFile is a file of a failingFS.
-type failingFile struct {
-	wal.File
-	broken *atomic.Bool
-}
-
-func (f failingFile) Sync() error {
-	if f.broken.Load() {
-		return errNoSpace
-	}
-	return f.File.Sync()
-}
-
 // Guards against a voter that acknowledges an entry after a failed sync, and
 // against a disk failure that is not reported through OnFatal.
 func TestDiskFailureStopsTheHost(t *testing.T) {
@@ -50,10 +26,12 @@
 	c := newCluster(t, threeVoters, nil, threeVoters)
 	var broken atomic.Bool
 	for _, vm := range threeVoters {
-		c.openFS[vm] = func(folder string) (wal.FS, error) {
-			fs, err := wal.OpenFolder(folder)
-			return failingFS{FS: fs, broken: &broken}, err
-		}
+		c.beforeSyncs(vm, func() error {
+			if broken.Load() {
+				return errNoSpace
+			}
+			return nil
+		})
 	}
 	c.startAll()
 	c.propose("1")
--- a/internal/replica/drain_test.go
+++ b/internal/replica/drain_test.go
@@ -8,43 +8,19 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/lentilyard/lentilyard/internal/wal"
 )
 
-// slowFS opens files whose Sync takes delay longer than on the disk.
-type slowFS struct {
-	wal.FS
-	delay *atomic.Int64 // in nanoseconds
-}
-
-func (f slowFS) OpenFile(name string, flag int) (wal.File, error) {
-	file, err := f.FS.OpenFile(name, flag)
-	return slowFile{File: file, delay: f.delay}, err
-}
-
-// slowFile is a file of a slowFS.
-type slowFile struct {
-	wal.File
-	delay *atomic.Int64
-}
-
-func (f slowFile) Sync() error {
-	time.Sleep(time.Duration(f.delay.Load()))
-	return f.File.Sync()
-}
-
-// newSlowDiskCluster returns a running cluster of three voters, and the delays of their disks.
+// newSlowDiskCluster returns a running cluster of three voters, and by how many nanoseconds the syncs of each disk are delayed.
 func newSlowDiskCluster(t *testing.T) (*cluster, map[string]*atomic.Int64) {
 	c := newCluster(t, threeVoters, nil, threeVoters)
 	delays := map[string]*atomic.Int64{}
 	for _, vm := range threeVoters {
 		delay := &atomic.Int64{}
 		delays[vm] = delay
-		c.openFS[vm] = func(folder string) (wal.FS, error) {
-			fs, err := wal.OpenFolder(folder)
-			return slowFS{FS: fs, delay: delay}, err
-		}
+		c.beforeSyncs(vm, func() error {
+			time.Sleep(time.Duration(delay.Load()))
+			return nil
+		})
 	}
 	c.startAll()
 	c.propose("1")
--- a/internal/replica/full_test.go
+++ b/internal/replica/full_test.go
@@ -45,10 +45,7 @@
 	full := map[string]*atomic.Bool{}
 	for _, vm := range c.voters {
 		full[vm] = &atomic.Bool{}
-		c.openFS[vm] = func(folder string) (wal.FS, error) {
-			fs, err := wal.OpenFolder(folder)
-			return fillingFS{FS: fs, full: full[vm]}, err
-		}
+		c.wrapDisk(vm, func(disk wal.FS) wal.FS { return fillingFS{FS: disk, full: full[vm]} })
 	}
 	return full
 }
--- a/internal/replica/slow_disk_test.go
+++ b/internal/replica/slow_disk_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/lentilyard/lentilyard/internal/wal"
 )
 
 // changes proposes numbered entries one after the other, whatever the outcome of the one before.
@@ -61,10 +59,12 @@
 	c.every = 50
 	slow := &atomic.Bool{}
 	const follower = "c"
-	c.openFS[follower] = func(folder string) (wal.FS, error) {
-		fs, err := wal.OpenFolder(folder)
-		return stallingFS{FS: fs, stalls: slow}, err
-	}
+	c.beforeSyncs(follower, func() error {
+		for slow.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		return nil
+	})
 	c.startAll()
 	p := &changes{cluster: c, lastAck: time.Now()}
 	for range 3 {
@@ -79,26 +79,3 @@
 	c.start(follower)
 	c.eventually("the restarted VM holds all acknowledged entries", p.held)
 }
-
-// stallingFS is a folder whose files are not synced while stalls is set.
-type stallingFS struct {
-	wal.FS
-	stalls *atomic.Bool
-}
-
-func (f stallingFS) OpenFile(name string, flag int) (wal.File, error) {
-	file, err := f.FS.OpenFile(name, flag)
-	return stallingFile{File: file, stalls: f.stalls}, err
-}
-
-type stallingFile struct {
-	wal.File
-	stalls *atomic.Bool
-}
-
-func (f stallingFile) Sync() error {
-	for f.stalls.Load() {
-		time.Sleep(time.Millisecond)
-	}
-	return f.File.Sync()
-}
