Tests of peer connections: the transport behind a proxy is started in one place

TestSilentConnection and TestSilentStream made the transport of a, which reaches b only through the proxy, with the same configuration; it is startThrough now. The cases, bounds and checks are the same; a failed start ends the test as before. No product code is touched.

--- a/internal/peer/silent_connection_test.go
+++ b/internal/peer/silent_connection_test.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// startThrough starts the transport of VM a, which reaches VM b through a proxy and no other VM. The caller closes it.
+func (d *deployment) startThrough(p *udpProxy) *Transport {
+	d.t.Helper()
+	a, err := New(Config{ID: "a", Listen: d.addrs["a"], Peers: map[string]string{"b": p.socket.LocalAddr().String()}, Credentials: d.store("a"), Logger: zerolog.Nop()})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return a
+}
+
 // TestSilentConnection guards against calls that hang and messages that are lost for good on a connection whose packets
 // are dropped, in both directions or in one, while a new connection would work. Each case loses two connections in a row.
 func TestSilentConnection(t *testing.T) {
@@ -121,8 +131,7 @@
 			d := newDeployment(t, "a", "b")
 			b := d.start("b")
 			p := newUDPProxy(t, d.addrs["b"])
-			a, err := New(Config{ID: "a", Listen: d.addrs["a"], Peers: map[string]string{"b": p.socket.LocalAddr().String()}, Credentials: d.store("a"), Logger: zerolog.Nop()})
-			is.NoErr(err)
+			a := d.startThrough(p)
 			defer a.Close()
 			b.HandleCall("echo", echo)
 			got := make(chan []byte, 1)
@@ -165,8 +174,7 @@
 	d := newDeployment(t, "a", "b")
 	b := d.start("b")
 	p := newUDPProxy(t, d.addrs["b"])
-	a, err := New(Config{ID: "a", Listen: d.addrs["a"], Peers: map[string]string{"b": p.socket.LocalAddr().String()}, Credentials: d.store("a"), Logger: zerolog.Nop()})
-	is.NoErr(err)
+	a := d.startThrough(p)
 	defer a.Close()
 	handlerErr := make(chan error, 1)
 	b.HandleStream("hold", func(_ context.Context, _ string, s Stream) {
