Tests of the emulator: how two faults were found stands in the history, not in the comment

Only comments change.

go test -race -count=1 of the eight tests of the package that start no deployment: ok, 5.0 s.

--- a/internal/emulator/deployment_test.go
+++ b/internal/emulator/deployment_test.go
@@ -17,7 +17,7 @@
 )
 
 // Guards against a worker that reports that it has left while its tasks still run: the system may start them elsewhere at
-// once, which the soak reports as a task in two places (soak seed 1 beside load).
+// once.
 func TestWorkerEndsItsTasksBeforeItLeaves(t *testing.T) {
 	is := is.New(t)
 	h := &host{client: &platform.APIClient{Client: http.DefaultClient}, server: &http.Server{}, controlLink: netfault.NewLink()}
@@ -41,7 +41,7 @@
 }
 
 // Guards against a control VM that loses its disk and bootstraps a group of its own, since its settings still say that the
-// deployment starts for the first time (soak seed 1796400710: the VM never returned the configuration).
+// deployment starts for the first time.
 func TestControlVMsStartForTheFirstTimeOnce(t *testing.T) {
 	is := is.New(t)
 	v := &vm{id: "127.0.0.1", role: "control", listenAddress: "127.0.0.1", folder: t.TempDir(), firstStart: true}
