--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -14,9 +14,7 @@
 func TestDelayedReportDoesNotRestoreCapacity(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		is.NoErr(r.reportCapacity("a", 9, 2000))
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		time.Sleep(100 * time.Millisecond)
 		is.NoErr(r.reportCapacity("a", 8, 4000))
 		is.Equal(r.capacity("a"), int64(2000))
@@ -130,7 +128,7 @@
 }
 
 // Guards against a new leader that fills workers which do not guard their capacity by what they reported to the previous one: they
-// may have shrunk while there was no leader to hear of it. Found by the soak test (seed 6 on dab1fcd, place).
+// may have shrunk while there was no leader to hear of it.
 func TestNewLeaderAwaitsReportOfUnguardedWorker(t *testing.T) {
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.unguard()
@@ -153,9 +151,7 @@
 	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.unguard()
 		is.NoErr(r.reportCapacity("a", 2, 2000))
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.submit("s", 4, endless)
 		time.Sleep(shrinkGrace)
 		is.Equal(r.running("a"), 0)
@@ -172,9 +168,7 @@
 		r.submit("s", 1, nil)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(r.running("a"), 1)
-		r.leader.Close()
-		r.newLeader()
-		r.lead(6)
+		r.replaceLeader(6)
 		r.report("a", 2)
 		r.submit("t", 1, nil)
 		time.Sleep(500 * time.Millisecond)
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -31,7 +31,7 @@
 	r.submit("s", 1, endless)
 	time.Sleep(200 * time.Millisecond)
 	is.Equal(r.running("a"), 1)
-	r.workers.update(func() { r.workers.byID["b"] = newFakeWorkers(r.t, r.workers.work, "b").byID["b"] })
+	r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 1) })
 	r.report("b", 1)
 	time.Sleep(2 * time.Second) // a lists the task
 }
@@ -89,9 +89,7 @@
 					within := end.within
 					if newLeader { // a start of the previous leader may be on its way to the next incarnation
 						within += lateCallTimeout + leaveProbeTimeout
-						r.leader.Close()
-						r.newLeader()
-						r.lead(6)
+						r.replaceLeader(6)
 					}
 					r.workers.update(func() {
 						end.change(r.workers.byID["a"])
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -5,8 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,10 +12,7 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/lentilyard/lentilyard/internal/netfault"
-	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/platform"
 )
 
@@ -91,29 +86,38 @@
 	d := &Deployment{options: o, checker: checker, ctx: ctx, cancel: cancel}
 	checker.maxLease = o.maxLease()
 	d.reportClient = &platform.APIClient{Client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleReportConns}}}
+	if err := d.startAll(); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+// startAll starts the processes, the relays and proxies in front of them, and the workers.
+func (d *Deployment) startAll() error {
+	o := d.options
 	var seeds []string
 	for i := range o.Size.Controls {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", o.address(vmProxyBlock, i), controlPort))
 	}
 	for i := range o.Size.Controls + o.Size.Intakes {
 		if err := d.addVM(i, seeds); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
 	if err := d.addPeerRelays(); err != nil {
-		return nil, errors.Join(err, d.Close())
+		return err
 	}
 	for _, v := range d.vms {
 		if err := v.start(); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
 	for i := range o.Size.Workers {
 		if err := d.addWorkerHost(i); err != nil {
-			return nil, errors.Join(err, d.Close())
+			return err
 		}
 	}
-	return d, nil
+	return nil
 }
 
 func (d *Deployment) addVM(i int, seeds []string) error {
@@ -199,245 +203,3 @@
 	d.goroutines.Wait()
 	return nil
 }
-
-// host is the VM of a worker. Incarnations of the worker follow one another there at the same address.
-type host struct {
-	d             *Deployment
-	index         int
-	pool          string
-	guards        bool
-	domain        int
-	listenAddress string
-	address       string          // address that the system calls
-	proxy         *netfault.Proxy // nil with Options.Direct
-	client        *platform.APIClient
-	controlLink   *netfault.Link // between the worker and all control VMs
-
-	mu           sync.Mutex
-	cutUntilEnd  bool   // controlLink stays as it is until the end of the run
-	reportedID   string // id under which a report was last acknowledged
-	incarnations int    // number of incarnations so far
-	incarnation  *incarnation
-	server       *http.Server
-	cancel       context.CancelFunc
-	reportState  *pb.PoolReport
-}
-
-// Pools of the emulated deployment. Workers of the trusting pool do not check their capacity before they start a task.
-const (
-	poolGuarded  = "guarded"
-	poolTrusting = "trusting"
-)
-
-const (
-	workerMillicores = 4000
-	workerMemory     = 4_000_000_000
-	// clockSlowdown is the fraction by which the clock of every third worker runs slow: the largest drift that the
-	// protocol allows for a worker.
-	clockSlowdown = 0.02
-)
-
-func (d *Deployment) addWorkerHost(i int) error {
-	o := d.options
-	h := &host{d: d, index: i, pool: poolGuarded, guards: true, domain: i % failureDomains, listenAddress: fmt.Sprintf("%s:%d", o.address(workerListenBlock, i), workerPort),
-		client: d.reportClient, controlLink: netfault.NewLink()}
-	if i%3 == 2 {
-		h.pool, h.guards = poolTrusting, false
-	}
-	h.address = h.listenAddress
-	if !o.Direct {
-		h.address = fmt.Sprintf("%s:%d", o.address(workerProxyBlock, i), workerPort)
-		proxy, err := netfault.NewClientProxy(h.address, h.listenAddress, h.linkOf)
-		if err != nil {
-			return err
-		}
-		h.proxy = proxy
-	}
-	d.hosts = append(d.hosts, h)
-	return h.start("")
-}
-
-// fullSize is the size of a worker that has not shrunk, in the unit of workerSize.
-const fullSize = 4
-
-// workerSize returns the capacity of a worker of which so many of fullSize parts are left.
-func workerSize(parts int) *pb.Resources {
-	return &pb.Resources{Millicores: int64(workerMillicores * parts / fullSize), MemoryBytes: int64(workerMemory * parts / fullSize)}
-}
-
-// resize changes the capacity of an incarnation, which its reports state from now on, unless it has ended.
-func (h *host) resize(l *incarnation, size *pb.Resources) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.incarnation != l {
-		return
-	}
-	l.update(func(l *incarnation) { l.resize(size) })
-	h.reportState.Worker.Capacity = size
-}
-
-// start starts an incarnation of the worker unless one is running. It generates an id if id is empty.
-func (h *host) start(id string) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.incarnation != nil || h.d.ctx.Err() != nil {
-		return nil
-	}
-	h.incarnations++
-	if id == "" {
-		id = fmt.Sprintf("i-%d-%d", h.index, h.incarnations)
-	}
-	listener, err := net.Listen("tcp", h.listenAddress)
-	if err != nil {
-		return fmt.Errorf("worker %s: %w", id, err)
-	}
-	ctx, end := context.WithCancel(h.d.ctx)
-	l := newIncarnation(&incarnation{id: id, pool: h.pool, guards: h.guards, size: workerSize(fullSize), heartbeat: h.d.heartbeat(),
-		checker: h.d.checker, sabotage: h.d.options.Sabotage, successor: h.incarnations > 1,
-		maxLease: h.d.options.maxLease(), clockStart: rand.Int64N(maxClockStart)})
-	if h.index%3 == 0 {
-		l.clockSlowdown = clockSlowdown
-	}
-	l.crashHost = func() { h.crashAndRestart(l) }
-	l.maybeDelayed = func() bool {
-		since := time.Now().Add(-settleTime)
-		return h.proxy != nil && h.proxy.FaultySince(since) || h.controlLink.FaultySince(since)
-	}
-	h.incarnation, h.cancel = l, end
-	h.server = &http.Server{Handler: platform.WorkerHandler(id, l)}
-	h.reportState = &pb.PoolReport{Worker: &pb.PoolWorker{Id: id, BornUnixMs: l.startedAt.UnixMilli(), Pool: h.pool, Address: h.address,
-		FailureDomain: fmt.Sprintf("d%d", h.domain), Rack: fmt.Sprintf("r%d", h.index%7), Labels: []string{"a", fmt.Sprintf("r%d", h.index%7)},
-		Capacity: l.size, Vm: fmt.Sprintf("m-%d", h.index)}}
-	if l.sabotage == SabotageShrink {
-		l.resize(workerSize(0))
-	}
-	server := h.server
-	h.d.goroutines.Add(3)
-	go func() { defer h.d.goroutines.Done(); _ = server.Serve(listener) }() // returns once the server is closed
-	go func() { defer h.d.goroutines.Done(); l.run(ctx) }()
-	go func() { defer h.d.goroutines.Done(); h.report(ctx, l) }()
-	return nil
-}
-
-// crash ends the incarnation without notice to the system and returns its id, or an empty string if none was running.
-func (h *host) crash() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.incarnation == nil {
-		return ""
-	}
-	id := h.incarnation.id
-	h.cancel()
-	_ = h.server.Close()
-	h.incarnation.terminate()
-	h.incarnation = nil
-	return id
-}
-
-const (
-	// minDowntime and maxDowntime bound the time for which a worker is away after a task has crashed it.
-	minDowntime = time.Second
-	maxDowntime = 3 * time.Second
-)
-
-// crashAndRestart ends an incarnation without notice to the system, and starts the next one after a while, under the same id
-// or a new one.
-func (h *host) crashAndRestart(l *incarnation) {
-	if h.currentIncarnation() != l {
-		return
-	}
-	id := h.crash()
-	if rand.IntN(2) == 0 {
-		id = ""
-	}
-	sleep(h.d.ctx, minDowntime+rand.N(maxDowntime-minDowntime))
-	if err := h.start(id); err != nil {
-		h.d.checker.ReportViolation(PromiseRuns, "after a crash: %v", err)
-	}
-}
-
-// currentIncarnation returns the running incarnation of the worker, or nil.
-func (h *host) currentIncarnation() *incarnation {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.incarnation
-}
-
-const (
-	// maxIdleReportConns is the number of idle connections to each control VM that the reports of all workers share.
-	maxIdleReportConns = 128
-	// reportTimeout bounds the wait for the answer to a report.
-	reportTimeout = time.Second
-	// reportInterval is the time between two reports of a worker.
-	reportInterval = 400 * time.Millisecond
-	// drainGracePeriod is the remaining time that a draining worker reports before it leaves.
-	drainGracePeriod = 2 * time.Second
-)
-
-// drainAndStop drains the worker, ends it and reports that it has left, as a planned stop does. Its tasks end first: once the
-// report is acknowledged, they may run elsewhere.
-func (h *host) drainAndStop() {
-	h.mu.Lock()
-	if h.incarnation != nil {
-		h.reportState.Worker.Draining = true
-		h.reportState.RemainingMs = drainGracePeriod.Milliseconds()
-	}
-	h.mu.Unlock()
-	select {
-	case <-time.After(drainGracePeriod + reportInterval):
-	case <-h.d.ctx.Done():
-		return
-	}
-	h.mu.Lock()
-	state := h.reportState
-	h.mu.Unlock()
-	h.crash()
-	h.send(h.d.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
-}
-
-// heartbeat returns the time between two reports of a worker.
-func (d *Deployment) heartbeat() time.Duration { return max(d.options.ReportInterval, reportInterval) }
-
-// report sends reports until ctx ends.
-func (h *host) report(ctx context.Context, l *incarnation) {
-	address, interval := "", h.d.heartbeat()
-	if l.successor {
-		sleep(ctx, reportInterval/2) // lets calls reach a new incarnation before its first report
-	}
-	for ctx.Err() == nil {
-		h.mu.Lock()
-		h.reportState.Sequence++
-		h.reportState.ClockMs = l.clock()
-		report := &pb.PoolReport{Worker: proto.Clone(h.reportState.Worker).(*pb.PoolWorker), Sequence: h.reportState.Sequence, ClockMs: h.reportState.ClockMs, RemainingMs: h.reportState.RemainingMs}
-		h.mu.Unlock()
-		address = h.send(ctx, address, report)
-		sleep(ctx, interval)
-	}
-}
-
-// send sends a report to the address if there is one, and otherwise or on failure to one control VM after the other. It
-// returns the address for the next report, empty if every call failed.
-func (h *host) send(ctx context.Context, address string, report *pb.PoolReport) string {
-	candidates := []string{}
-	if address != "" {
-		candidates = append(candidates, address)
-	}
-	for i := range h.d.controls() {
-		v := h.d.controls()[(h.index+i)%len(h.d.controls())]
-		candidates = append(candidates, v.clientProxy.Addr())
-	}
-	for _, c := range candidates {
-		if !h.controlLink.Forwards(false) {
-			sleep(ctx, reportTimeout)
-			continue
-		}
-		next, err := h.client.Report(ctx, c, report)
-		if err == nil {
-			h.mu.Lock()
-			h.reportedID = report.GetWorker().GetId()
-			h.mu.Unlock()
-			return next
-		}
-	}
-	return ""
-}
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -29,7 +29,7 @@
 // withFleet runs f in virtual time with the VMs of fleetVMs.
 func withFleet(t *testing.T, f func(is *is.I, fl *fleet)) { withVMs(t, fleetVMs, f) }
 
-// withVMs runs f in virtual time with a fleet whose VMs announce themselves until f returns.
+// withVMs runs f in virtual time with a fleet whose VMs, all but the first, the leader, announce themselves until f returns.
 func withVMs(t *testing.T, ids []string, f func(is *is.I, fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{relays: map[string]*Relay{}, cut: map[string]bool{}, delay: time.Millisecond}
@@ -45,7 +45,7 @@
 		defer cancel()
 		go func() {
 			for ctx.Err() == nil {
-				for _, id := range fleetVMs[1:] {
+				for _, id := range ids[1:] {
 					if !fl.isStopping(id) {
 						n.relays[id].Announce("leader")
 					}
@@ -129,9 +129,7 @@
 		is.Equal(f.holdsUntilAnswered(), 2)
 		used := f.leader.IntakesInUse()
 		is.Equal(len(used), 1)
-		f.mu.Lock()
-		f.cut[used[0]] = true
-		f.mu.Unlock()
+		f.isolate(used[0], true)
 		is.True(f.holdsUntilAnswered() <= 3)
 		is.Equal(len(f.leader.IntakesInUse()), 2)
 	})
@@ -345,16 +343,12 @@
 		f.reach("intake-1", "intake-2")
 		is.Equal(f.holdsUntilAnswered(), 2)
 		used := f.leader.IntakesInUse()[0]
-		f.mu.Lock()
-		f.cut[used] = true
-		f.mu.Unlock()
+		f.isolate(used, true)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		_, err := f.leader.Hold(ctx, dispatch.HoldCall{Target: worker})
 		is.True(errors.Is(err, dispatch.ErrAgentSilent))
-		f.mu.Lock()
-		f.cut[used] = false
-		f.mu.Unlock()
+		f.isolate(used, false)
 		is.NoErr(f.hold())
 		is.Equal(f.leader.IntakesInUse(), []string{used})
 	})
