The soak reaches incarnations again whose capacity no control VM has heard of

Cause: cut-workers, until the end, and restart-cut hit all three workers of that pool. Their incarnations are known from answers to holds, but have never reported, so that their capacity is unknown: a new incarnation may be of another size, and the rule LIMIT forbids to guess. The emulator took an incarnation for known by its id. Evidence: decision=waits workers=not-usable:9, pool-usage pool=trusting workers=3 usable=0, while all three answer holds by way of an intake VM. Change: for a worker that does not guard its capacity the incarnation counts; for the others, which the product has to find behind a cut, the id, as before.

--- a/internal/emulator/cut.go
+++ b/internal/emulator/cut.go
@@ -81,16 +81,22 @@
 	h.controlLink.Set(state)
 }
 
-// endUnknownCut ends a cut of the worker if the control VMs have not heard of its incarnation, so that nobody could use it.
+// endUnknownCut ends a cut of the worker if the control VMs have not heard enough of its incarnation, so that nobody could use it.
 func (h *host) endUnknownCut() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.incarnation != nil && h.incarnation.id != h.reportedID {
+	if h.incarnation != nil && !h.isKnown(h.incarnation) {
 		h.cutUntilEnd = false
 		h.controlLink.Set(netfault.State{})
 	}
 }
 
+// isKnown reports whether the control VMs know what they need to use an incarnation that they do not reach: its id, and its capacity if
+// it does not guard that itself. An incarnation may be of another size than the one before it.
+func (h *host) isKnown(w *incarnation) bool {
+	return w.id == h.reportedID && (h.guards || w.startedAt.UnixMilli() == h.reportedBorn)
+}
+
 // linkOf returns the link of the connections from a process to a worker: h.controlLink for control VMs, otherwise nil.
 func (h *host) linkOf(client netip.AddrPort) *netfault.Link {
 	server, err := netip.ParseAddrPort(h.address)
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -32,6 +32,7 @@
 	mu           sync.Mutex
 	cutUntilEnd  bool   // controlLink stays as it is until the end of the run
 	reportedID   string // id under which a report was last acknowledged
+	reportedBorn int64  // birth time in that report, in Unix ms
 	incarnations int    // number of incarnations so far
 	incarnation  *incarnation
 	server       *http.Server
@@ -255,7 +256,7 @@
 		next, err := h.client.Report(ctx, c, report)
 		if err == nil {
 			h.mu.Lock()
-			h.reportedID = report.GetWorker().GetId()
+			h.reportedID, h.reportedBorn = report.GetWorker().GetId(), report.GetWorker().GetBornUnixMs()
 			h.mu.Unlock()
 			return next
 		}
