An endless task is not waited for because of an unknown successor of its worker; others wait for as long as the call takes

Endless tasks were away for up to 16 s. Cause: since an attempt whose start got no answer waits for 14.5 s from its last start: 4 s for a late call, and the longest lease. A worker that is lost for good and one that has restarted behind a cut cannot be told apart. Change: endless tasks start elsewhere with the end of the lease that the leader knows of, as before; finite ones wait for as long as a call may take, 0.9 s, and the longest lease. TestEndlessTaskWhoseStartGotNoAnswerRunsAgainInTime failed at all phases and passes.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -255,6 +255,12 @@
 	return gang
 }
 
+func (l *Leader) isEndless(task submission.Ref) bool {
+	endless := false
+	l.cfg.State.View(func(state *submission.State) { endless = stepOf(state, task).GetEndless() })
+	return endless
+}
+
 func (l *Leader) fills(task submission.Ref) bool {
 	fills := false
 	l.cfg.State.View(func(state *submission.State) { fills = stepOf(state, task).GetFills() })
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -16,7 +16,8 @@
 type uncertainStart struct {
 	previous submission.Incarnation
 	attempt  uint32
-	since    time.Duration
+	// since is when the start was last sent, or when it became uncertain. It is carried out by arrivesBy, if ever.
+	since, arrivesBy time.Duration
 	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told. No start meant
 	// for the previous one is sent after inSince.
 	in      *session
@@ -33,7 +34,7 @@
 func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
 		if r.on == previous && (!r.confirmed || l.mayArriveLate(r)) {
-			l.addUncertainStart(ref, &uncertainStart{previous: previous, attempt: r.attempt, since: l.cfg.Clock()})
+			l.addUncertainStart(ref, l.newUncertainStart(previous, r.attempt))
 		}
 	}
 	if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
@@ -56,10 +57,16 @@
 // addUntracked records an attempt unless this leader has tracked it and knows better.
 func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
 	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
-		l.addUncertainStart(task, &uncertainStart{previous: previous, attempt: attempt, since: l.cfg.Clock()})
+		l.addUncertainStart(task, l.newUncertainStart(previous, attempt))
 	}
 }
 
+// newUncertainStart returns the record of a start whose copies may be on their way now.
+func (l *Leader) newUncertainStart(previous submission.Incarnation, attempt uint32) *uncertainStart {
+	now := l.cfg.Clock()
+	return &uncertainStart{previous: previous, attempt: attempt, since: now, arrivesBy: now + lateCallTimeout}
+}
+
 func (l *Leader) addUncertainStart(task submission.Ref, u *uncertainStart) {
 	if known := l.uncertainStarts[task]; known != nil && known.attempt >= u.attempt {
 		return
@@ -90,9 +97,13 @@
 }
 
 // mayRunUnseen reports whether the worker may have restarted since it was last identified, so that a later incarnation, unknown so far, may
-// have carried out the start of an attempt, with the longest lease. It records the attempt if so.
+// have carried out the start of an attempt, with the longest lease. It records the attempt if so. An endless task is not waited for: it
+// would be away for longer than its callers are promised if the worker is lost for good, which cannot be told from a restart behind a cut.
 func (l *Leader) mayRunUnseen(s *session, task submission.Ref, r *run) bool {
 	now := l.cfg.Clock()
+	if l.isEndless(task) {
+		return false
+	}
 	if l.mayBeWithSuccessor(task, r) {
 		return !l.expired(l.uncertainStarts[task], now)
 	}
@@ -102,10 +113,11 @@
 		confirmed = confirmed || r.confirmed
 	}
 	lateCopy := r.confirmed && r.outcomeUnknown && s.leaseSnapshot().identifiedAt-since < lateCallTimeout
-	if confirmed && !lateCopy || now > since+lateCallTimeout+l.longestLease() {
+	u := &uncertainStart{previous: s.incarnation, attempt: r.attempt, since: since, arrivesBy: since + callTimeout, successorUnseen: true}
+	if confirmed && !lateCopy || now > u.arrivesBy+l.longestLease() {
 		return false
 	}
-	l.addUncertainStart(task, &uncertainStart{previous: s.incarnation, attempt: r.attempt, since: since, successorUnseen: true})
+	l.addUncertainStart(task, u)
 	return true
 }
 
@@ -123,7 +135,7 @@
 		if since, silent := w.SilentSince(); silent {
 			noticed = min(l.termStart, since)
 		}
-		last = min(last, t.PlacedAt()+startTimeout+callTimeout)
+		last = min(last, t.PlacedAt()+startTimeout)
 		confirmed = noticed-t.PlacedAt() >= startTimeout+unnoticedCrash
 	})
 	return last, confirmed
@@ -148,7 +160,7 @@
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
 	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		l.addUncertainStart(ref, &uncertainStart{previous: t.LostOn, attempt: t.Attempt, since: l.cfg.Clock()})
+		l.addUncertainStart(ref, l.newUncertainStart(t.LostOn, t.Attempt))
 	})
 }
 
@@ -165,15 +177,14 @@
 // expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call
 // has arrived by now, and if a new incarnation has registered, its lease is over.
 func (l *Leader) expired(u *uncertainStart, now time.Duration) bool {
-	lastStart := u.since + lateCallTimeout
-	if now <= lastStart {
+	if now <= u.arrivesBy {
 		return false
 	}
 	s := l.sessions[u.previous.ID]
 	if s == nil || s.incarnation == u.previous && !u.successorUnseen {
 		return true
 	}
-	return now > max(lastStart+l.longestLease(), l.leaseExpiry(s.leaseSnapshot()))
+	return now > max(u.arrivesBy+l.longestLease(), l.leaseExpiry(s.leaseSnapshot()))
 }
 
 // cleanUpUncertainStarts removes the records that are out of date, including those of tasks that no longer wait.
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -143,6 +143,37 @@
 	}
 }
 
+// Guards against an endless task that stays away for too long because its start on a worker that is lost for good got no answer.
+func TestEndlessTaskWhoseStartGotNoAnswerRunsAgainInTime(t *testing.T) {
+	for _, phase := range holdPhases {
+		t.Run(phase.String(), func(t *testing.T) {
+			withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["b"].noRoom, r.workers.byID["b"].serving = true, "s" })
+				time.Sleep(20*time.Second + phase)
+				r.lose("a")
+				r.submit("s", 1, endless)
+				time.Sleep(2300 * time.Millisecond)
+				r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+				is.True(2300*time.Millisecond+r.awaitService() < maxOutage)
+			})
+		})
+	}
+}
+
+// Guards against an endless task that runs twice because an unknown successor of its worker has carried out its start.
+func TestEndlessTaskOnUnknownSuccessorIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startsReset, r.workers.byID["b"].noRoom = true, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, endless)
+		time.Sleep(300 * time.Millisecond)
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+		r.awaitRunning(is, "a")
+		r.cutOff(successor)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
 // Guards against a task that is started too often because two failed runs of one attempt, on two incarnations of its worker, count as one.
 func TestFailedRunsOfOneAttemptOnTwoIncarnationsCountTwice(t *testing.T) {
 	withHarness(t, time.Hour, []string{"a"}, func(is *is.I, r *harness) {
