Limits for all clients of a process: memory of unfinished requests, connections, time

Callers saw: a process that ran out of memory because of clients that sent requests of legal size and stopped short of their end.

Cause: each HTTP server bounded a single request (16 KiB of header, the size of the body, 3 s for the header) and nothing bounded their sum, nor the time for a body. A header line of 4 bytes takes over a hundred once it is parsed, io.ReadAll holds up to twice a body, and a list of empty objects grows fortyfold when it is decoded. 1,500 connections times that exceed any machine of the sites.

Change: internal/httplimit gives each connection an account: 24 KiB, the lines of a header before net/http parses them, the pieces of a body before they are allocated, and the cost of decoding before it begins. All HTTP servers of intake, control and entry VMs have such a budget, the ready and metrics addresses one of their own. When it is used up, the request that has been unfinished for longest is disconnected, and memory is given out again once its connection has really ended. Whole requests are never disconnected; if nothing else is left, a request is refused with 503 before it runs. Connections are bounded in the same way, below the descriptors. A body has 30 s, also where no handler reads it (a POST to an address that answers at once used to be read without a time limit), and a client has 30 s to take 64 KiB of an answer. The limits follow from the memory and the descriptors of the machine, which the settings template now passes; the garbage collector gets a limit, too. HTTP/2 is off with TLS, since a connection is the unit of account.

--- a/cmd/lentilyard/fleet.go
+++ b/cmd/lentilyard/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/control"
 	"github.com/lentilyard/lentilyard/internal/fleet"
+	"github.com/lentilyard/lentilyard/internal/httplimit"
 	"github.com/lentilyard/lentilyard/internal/intake"
 	"github.com/lentilyard/lentilyard/internal/logging"
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -109,11 +110,11 @@
 }
 
 // serveMetrics serves metrics in the background if an address is set. It logs errors, which do not stop the process.
-func serveMetrics(address string, log zerolog.Logger) {
+func serveMetrics(address string, limits httplimit.Limits, log zerolog.Logger) {
 	if address == "" {
 		return
 	}
-	server, err := fleet.Listen("listen.metrics", address, fleet.MetricsHandler(), log)
+	server, err := fleet.Listen("listen.metrics", address, fleet.MetricsHandler(), limits, log)
 	if err != nil {
 		log.Warn().Str("event", "no-metrics").Err(err).Msg("")
 		return
@@ -134,18 +135,20 @@
 	}
 	defer node.Close()
 	var draining atomic.Bool
-	readiness, err := fleet.Listen("listen.ready", s.GetListen().GetReady(), platform.ReadyHandler(func() bool { return !draining.Load() && node.Ready() }), log)
+	limits := fleet.ClientLimits(s, false)
+	ready := func() bool { return !draining.Load() && node.Ready() }
+	readiness, err := fleet.Listen("listen.ready", s.GetListen().GetReady(), platform.ReadyHandler(ready), limits.Small(), log)
 	if err != nil {
 		return err
 	}
-	callers, err := fleet.Listen("listen.callers", s.GetListen().GetCallers(), platform.CallersHandler(node, log), log)
+	callers, err := fleet.Listen("listen.callers", s.GetListen().GetCallers(), platform.CallersHandler(node, log), limits, log)
 	if err != nil {
 		return err
 	}
 	served := make(chan error, 2)
 	go func() { served <- readiness.Run() }()
 	go func() { served <- callers.Run() }()
-	serveMetrics(s.GetListen().GetMetrics(), log)
+	serveMetrics(s.GetListen().GetMetrics(), limits.Small(), log)
 	go watchSettings(ctx, file, log, func(s *pb.FleetSettings) { node.AddSeeds(fleet.SeedVMs(s)) })
 	select {
 	case err := <-served:
@@ -176,11 +179,12 @@
 			log.Warn().Str("event", "close").Err(err).Msg("")
 		}
 	}()
+	limits := fleet.ClientLimits(s, true)
 	handler, err := platform.ControlHandler(c, s.GetListen().GetControl(), log)
 	if err != nil {
 		return err
 	}
-	server, err := fleet.Listen("listen.control", s.GetListen().GetControl(), handler, log)
+	server, err := fleet.Listen("listen.control", s.GetListen().GetControl(), handler, limits, log)
 	if err != nil {
 		return err
 	}
@@ -189,7 +193,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Run() }()
-	serveMetrics(s.GetListen().GetMetrics(), log)
+	serveMetrics(s.GetListen().GetMetrics(), limits.Small(), log)
 	go watchSettings(ctx, file, log, func(s *pb.FleetSettings) { c.AddSeeds(fleet.SeedVMs(s)) })
 	select {
 	case err := <-served:
--- a/cmd/lentilyard/serve.go
+++ b/cmd/lentilyard/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/dev"
 	"github.com/lentilyard/lentilyard/internal/logging"
+	"github.com/lentilyard/lentilyard/internal/machine"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/replica"
 	"github.com/lentilyard/lentilyard/internal/server"
@@ -39,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	machine.New(loaded.Limits.GetMemoryMb(), loaded.Limits.GetDescriptors()).LimitCollector()
 	return withLogger(loaded.Log, func(logger zerolog.Logger) error {
 		entryVM, err := server.New(server.Options{Settings: loaded, Version: version, Logger: logger})
 		if err != nil {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -134,7 +134,6 @@
 		}
 		// A ResponseWriter without support for deadlines returns an error; the timeouts of the server apply then.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-		r.Body = http.MaxBytesReader(w, r.Body, maxJSONBytes)
 		answer, err := h(r, identity)
 		if err != nil {
 			writeError(w, err)
--- a/internal/api/codec.go
+++ b/internal/api/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/httplimit"
 )
 
 // maxJSONBytes limits the body of an API call. A release note with 1,000 contracts takes about 400 KB.
@@ -38,12 +38,13 @@
 
 // readMessage decodes the JSON body of a request. Unknown fields are an error.
 func readMessage(r *http.Request, into proto.Message) error {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return errs.ErrTooLarge.With("the body exceeds %d bytes", tooLarge.Limit)
-		}
+	body, err := httplimit.ReadBody(r, maxJSONBytes)
+	switch {
+	case errors.Is(err, httplimit.ErrTooLarge):
+		return errs.ErrTooLarge.With("%w", err)
+	case errors.Is(err, httplimit.ErrExhausted):
+		return errs.ErrBusy.With("%w", err)
+	case err != nil:
 		return errs.ErrInvalid.With("read body: %w", err)
 	}
 	if err := protojson.Unmarshal(body, into); err != nil {
--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+// Guards against a process that runs out of memory because of clients that do not read its answers.
+func TestCrowdThatDoesNotReadAnswers(t *testing.T) {
+	l := limits{memoryMB, manyDescriptors}
+	metrics := "GET /metrics HTTP/1.1\r\nHost: x\r\n"
+	t.Run("configuration", func(t *testing.T) {
+		f := startFleet(t, l)
+		url := fmt.Sprintf("http://%s:%d/v1/config", controlIP, controlPort)
+		eventually(t, "a large configuration is accepted", func() bool {
+			return request(http.MethodPut, url, "", "", largeManifest()).status == http.StatusOK
+		})
+		to := target{fmt.Sprintf("%s:%d", controlIP, controlPort), "GET /v1/config HTTP/1.1\r\nHost: x\r\n", ""}
+		crowd{target: to, send: doesNotRead, at: f.control, ask: putConfig}.run(t, l)
+	})
+	t.Run("control_metrics", func(t *testing.T) {
+		f := startFleet(t, l)
+		to := target{fmt.Sprintf("%s:%d", controlIP, metricsPort), metrics, ""}
+		crowd{target: to, send: doesNotRead, at: f.control, ask: putConfig}.run(t, l)
+	})
+	t.Run("entry_metrics", func(t *testing.T) {
+		p := startEntryVM(t, l)
+		to := target{fmt.Sprintf("%s:%d", entryIP, callersPort), metrics, ""}
+		crowd{target: to, send: doesNotRead, at: p, ask: listNotes}.run(t, l)
+	})
+}
+
 // Guards against a process that uses up its descriptors because of clients that open connections and keep them.
 func TestCrowdOfConnections(t *testing.T) {
 	few := limits{memoryMB, fewDescriptors}
@@ -194,11 +219,6 @@
 	for i := 0; lines.Len() < headerBytes; i++ {
 		lines.WriteString(shortLine(i % (len(tokenLetters) * len(tokenLetters))))
 	}
-	var routes strings.Builder
-	for i := range 900 {
-		fmt.Fprintf(&routes, `{"name":"r-%[1]d","host":"h%[1]d.example","prefix":"/q/","kind":"mutating","timeout_ms":3000,"slo_ms":250,"priority":0,"service":"pool","attempts":2,"stretch":1.5},`, i)
-	}
-	configuration := strings.Replace(strings.Replace(manifest, `"version":7`, `"version":8`, 1), `"routes":[`, `"routes":[`+routes.String(), 1)
 	control := target{fmt.Sprintf("%s:%d", controlIP, controlPort), "PUT /v1/config HTTP/1.1\r\nHost: x\r\n", ""}
 	for name, c := range map[string]struct {
 		to           target
@@ -207,7 +227,7 @@
 		"header":        {callers, lines.String(), submission},
 		"body":          {callers, "", large},
 		"header_body":   {callers, lines.String(), large},
-		"configuration": {control, "", configuration},
+		"configuration": {control, "", largeManifest()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := dial(c.to)
@@ -221,3 +241,12 @@
 		})
 	}
 }
+
+// largeManifest returns a configuration with hundreds of routes.
+func largeManifest() string {
+	var routes strings.Builder
+	for i := range 900 {
+		fmt.Fprintf(&routes, `{"name":"r-%[1]d","host":"h%[1]d.example","prefix":"/q/","kind":"mutating","timeout_ms":3000,"slo_ms":250,"priority":0,"service":"pool","attempts":2,"stretch":1.5},`, i)
+	}
+	return strings.Replace(strings.Replace(manifest, `"version":7`, `"version":8`, 1), `"routes":[`, `"routes":[`+routes.String(), 1)
+}
--- a/internal/crowdtest/kinds_test.go
+++ b/internal/crowdtest/kinds_test.go
@@ -20,6 +20,7 @@
 	chunkBytes  = 8 << 10
 	returns     = 8      // times that a client gives up and comes again
 	values      = 20_000 // in a list
+	unread      = 100    // answers that a client does not read
 )
 
 // target is a request without its end: method, path, Host and further header lines. list is the name of a list in its body.
@@ -152,6 +153,15 @@
 	return s.conn
 }
 
+// doesNotRead sends whole requests, one after the other, and reads no answer.
+func doesNotRead(to target) net.Conn {
+	s := dial(to)
+	for range unread {
+		s.write([]byte(to.head + "\r\n"))
+	}
+	return s.conn
+}
+
 // silent opens a connection and sends nothing.
 func silent(to target) net.Conn { return dial(to).conn }
 
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -100,6 +100,8 @@
 		Message: "a majority of the group's voters cannot be reached", Remedy: "retry later; see 'lentilyard status' for the voters"}
 	ErrOutcomeUnknown = &Error{Code: "outcome-unknown", Status: http.StatusBadGateway, Outcome: OutcomeUnknown,
 		Message: "the operation may have been carried out", Remedy: "ask again with the same idempotency key"}
+	ErrBusy = &Error{Code: "busy", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun,
+		Message: "this entry VM has no memory left for the request", Remedy: "send it again later, or to another entry VM"}
 	ErrDraining = &Error{Code: "draining", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun,
 		Message: "this entry VM is shutting down", Remedy: "send the request to another entry VM"}
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/lentilyard/lentilyard/internal/credentials"
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/machine"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/peer"
 )
@@ -131,6 +132,9 @@
 			return fmt.Errorf("seeds: %q is not of the form IP:port; list addresses of control VMs", seed)
 		}
 	}
+	if m := s.GetLimits().GetMemoryMb(); m > 0 && m < machine.LeastMemoryMB {
+		return fmt.Errorf("limits.memoryMb: %d is too little; state at least %d, or remove the key to use the memory of the machine", m, machine.LeastMemoryMB)
+	}
 	if len(s.GetSeeds()) == 0 {
 		return errors.New("seeds: the list is empty; list at least one address of a control VM")
 	}
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -7,10 +7,15 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/httplimit"
+	"github.com/lentilyard/lentilyard/internal/machine"
+	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
 // Limits of the HTTP server. The timeouts release connections of clients that are gone; the platform's example
@@ -29,8 +34,9 @@
 	cancelRequests context.CancelFunc
 }
 
-// Listen binds the address of an HTTP server and returns the server; Run serves it. Errors name the setting with field.
-func Listen(field, address string, handler http.Handler, log zerolog.Logger) (*HTTPServer, error) {
+// Listen binds the address of an HTTP server and returns the server; Run serves it. limits apply to all its clients together. Errors
+// name the setting with field.
+func Listen(field, address string, handler http.Handler, limits httplimit.Limits, log zerolog.Logger) (*HTTPServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w; choose a free address of this VM", field, err)
@@ -38,9 +44,22 @@
 	requests, cancelRequests := context.WithCancel(context.Background())
 	server := &http.Server{Handler: handler, BaseContext: func(net.Listener) context.Context { return requests }, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: stdlog.New(log.Level(zerolog.DebugLevel).With().Str("event", "http").Logger(), "", 0)}
+	listener = httplimit.Protect(server, listener, strings.TrimPrefix(field, "listen."), limits, log)
 	return &HTTPServer{Server: server, listener: listener, cancelRequests: cancelRequests}, nil
 }
 
+// ClientLimits returns the limits for the clients of the main server of a VM. A control VM holds state besides. It also limits the
+// garbage collector of the process.
+func ClientLimits(s *pb.FleetSettings, control bool) httplimit.Limits {
+	l := machine.New(s.GetLimits().GetMemoryMb(), s.GetLimits().GetDescriptors())
+	l.LimitCollector()
+	share := machine.StatelessShare
+	if control {
+		share = machine.StatefulShare
+	}
+	return httplimit.Limits{Bytes: l.RequestBytes(share), Connections: l.Connections()}
+}
+
 // Run serves requests until the server is shut down.
 func (s *HTTPServer) Run() error {
 	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fleet/serve_test.go
+++ b/internal/fleet/serve_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/lentilyard/lentilyard/internal/httplimit"
 )
 
 // Guards against a connection that is closed without an answer because a VM stops while a request waits for a leader, for
@@ -18,7 +20,7 @@
 		close(began)
 		<-r.Context().Done()
 		w.WriteHeader(http.StatusServiceUnavailable)
-	}), zerolog.Nop())
+	}), httplimit.Limits{Bytes: 1 << 20, Connections: 1}, zerolog.Nop())
 	is.NoErr(err)
 	go func() { _ = server.Run() }()
 	status := make(chan int, 1)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -21,6 +21,9 @@
 // queued requests this takes 64 MiB.
 const maxBufferedBytes = 64 << 10
 
+// requestBodyBytes is what a body takes at most: the buffer, as it grows, and the copy buffer of a transport.
+const requestBodyBytes = 2*maxBufferedBytes + 32<<10
+
 // bufferedBody reads a caller's body and buffers its start, so that a body that fits the buffer can be
 // read again.
 type bufferedBody struct {
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/errs"
+	"github.com/lentilyard/lentilyard/internal/httplimit"
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -105,6 +106,9 @@
 	now := g.config.Now()
 	c.applyContract(contract, now)
 	if r.ContentLength != 0 {
+		if err := httplimit.Hold(r, requestBodyBytes); err != nil {
+			return errs.ErrBusy.With("%w", err)
+		}
 		// A caller that stops sending in the middle of its body must not occupy the connection.
 		_ = control.SetReadDeadline(c.deadline.Add(bodyGracePeriod))
 	}
--- /dev/null
+++ b/internal/httplimit/server_test.go
@@ -0,0 +1,151 @@
+package httplimit
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// pipeListener is a listener for connections in memory.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l pipeListener) Close() error   { close(l.conns); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+func (l pipeListener) dial() net.Conn {
+	near, far := net.Pipe()
+	l.conns <- far
+	return near
+}
+
+var plenty = Limits{Bytes: 10 << 20, Connections: 100}
+
+func echo(limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := ReadBody(r, limit)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_, _ = w.Write(body)
+	})
+}
+
+// Guards against connections that are kept forever by a body that never ends, also where the handler does not read it.
+func TestBodyThatNeverEndsIsDropped(t *testing.T) {
+	ignore := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	for name, handler := range map[string]http.Handler{"read": echo(1000), "not read": ignore} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				listener := pipeListener{make(chan net.Conn)}
+				server := &http.Server{Handler: handler}
+				go func() { _ = server.Serve(Protect(server, listener, "test", plenty, zerolog.Nop())) }()
+				conn := listener.dial()
+				_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nfirst part")
+				is.NoErr(err)
+				began := time.Now()
+				_, err = io.Copy(io.Discard, conn)
+				is.NoErr(err) // the server closed the connection
+				is.True(time.Since(began) <= bodyTime+time.Second)
+				is.NoErr(server.Close())
+			})
+		})
+	}
+}
+
+// Guards against a request that is broken off while it is worked on because its body had a time limit.
+func TestWholeRequestMayTakeLongerThanItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		listener := pipeListener{make(chan net.Conn)}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := ReadBody(r, 100); err != nil {
+				t.Error(err)
+			}
+			select {
+			case <-r.Context().Done():
+				t.Error("the request was cancelled")
+			case <-time.After(2 * bodyTime):
+			}
+		})}
+		go func() { _ = server.Serve(Protect(server, listener, "test", plenty, zerolog.Nop())) }()
+		conn := listener.dial()
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.NoErr(conn.Close())
+		is.NoErr(server.Close())
+	})
+}
+
+// Guards against bodies that are cut, joined in the wrong order or let through above the limit.
+func TestBodiesOfAllSizes(t *testing.T) {
+	const limit = 3 * stepBytes
+	text := strings.Repeat("0123456789", limit/10+2)
+	server := httptest.NewUnstartedServer(echo(limit))
+	server.Listener = Protect(server.Config, server.Listener, "test", plenty, zerolog.Nop())
+	server.Start()
+	defer server.Close()
+	for _, size := range []int{0, 1, stepBytes - 1, stepBytes, stepBytes + 1, 2 * stepBytes, limit - 1, limit, limit + 1} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(size, chunked), func(t *testing.T) {
+				is := is.New(t)
+				var body io.Reader = strings.NewReader(text[:size])
+				if chunked {
+					body = struct{ io.Reader }{body}
+				}
+				resp, err := http.Post(server.URL, "text/plain", body)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				got, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode == http.StatusOK, size <= limit)
+				is.True(size > limit || string(got) == text[:size])
+			})
+		}
+	}
+}
+
+// Guards against a server with TLS that does not account for its connections or does not answer.
+func TestEncryptedConnectionsHaveAccounts(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if accountOf(r.Context()) == nil || r.TLS == nil || r.ProtoMajor != 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}))
+	server.TLS = &tls.Config{MinVersion: tls.VersionTLS13}
+	server.Config.TLSConfig = server.TLS
+	server.Listener = Protect(server.Config, server.Listener, "test", plenty, zerolog.Nop())
+	server.StartTLS()
+	defer server.Close()
+	req, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	is.NoErr(err)
+	req.Header.Set("Long", strings.Repeat("x", 15<<10))
+	for range 3 {
+		resp, err := server.Client().Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -22,6 +22,8 @@
 	"github.com/lentilyard/lentilyard/internal/cluster"
 	"github.com/lentilyard/lentilyard/internal/credentials"
 	"github.com/lentilyard/lentilyard/internal/gateway"
+	"github.com/lentilyard/lentilyard/internal/httplimit"
+	"github.com/lentilyard/lentilyard/internal/machine"
 	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/peer"
 	"github.com/lentilyard/lentilyard/internal/replica"
@@ -152,6 +154,9 @@
 		}
 		s.http.TLSConfig = &tls.Config{GetCertificate: pair.GetCertificate, MinVersion: tls.VersionTLS13}
 	}
+	l := machine.New(s.settings.Limits.GetMemoryMb(), s.settings.Limits.GetDescriptors())
+	limits := httplimit.Limits{Bytes: l.RequestBytes(machine.StatefulShare), Connections: l.Connections()}
+	s.listener = httplimit.Protect(s.http, s.listener, "http", limits, s.log)
 	return nil
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -323,6 +323,8 @@
 	refuse("limits.maxQueue", limits.GetMaxQueue() == 0)
 	refuse("limits.retryBudgetPercent", limits.GetRetryBudgetPercent() == 0)
 	refuse("limits.maxRequestRecords", limits.GetMaxRequestRecords() == 0)
+	refuse("limits.memoryMb", limits.GetMemoryMb() == 0)
+	refuse("limits.descriptors", limits.GetDescriptors() == 0)
 	refuse("policy.tailLatencyWeight", policy.GetTailLatencyWeight() == 0)
 	refuse("policy.throughputWeight", policy.GetThroughputWeight() == 0)
 }
