The queue of log lines is bounded in bytes, too

Nothing was seen by callers; found while looking for what clients may make a process keep. The queue holds 8,192 lines, and a line holds the host, path and method of a request, up to 16 KiB and more: while the output is blocked, some 130 MB, at intake VMs of 184 MB.

The queue holds 4 MiB besides, beyond half of which decision and debug lines are dropped as beyond half of its lines; lines of usual length fill the lines first. TestQueueOfLongLinesIsBounded failed before (all 1,000 lines of 16 KiB were queued).

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,6 +1,6 @@
 // Package logging writes log events as lines of key=value pairs.
 //
-// Loggers encode events with zerolog and put them into a bounded queue. One goroutine formats and writes them, so that a
+// Loggers encode events with zerolog and put them into a queue that is bounded in lines and bytes. One goroutine formats and writes them, so that a
 // slow output never blocks request handling. While the queue is more than half full, lines at debug level and decision
 // lines are dropped; while it is full, all lines are. Dropped lines are counted.
 package logging
@@ -17,6 +17,7 @@
 
 const (
 	defaultQueueLines = 8192
+	maxQueuedBytes    = 4 << 20
 	// maxWriteBytes is the size at which lines are no longer added to a write.
 	maxWriteBytes = 32 << 10
 )
@@ -26,6 +27,7 @@
 // Sink is a zerolog.LevelWriter that queues lines and writes them to an io.Writer in the background.
 type Sink struct {
 	queue     chan *[]byte
+	queued    atomic.Int64 // bytes in the queue
 	out       io.Writer
 	dropped   atomic.Uint64
 	buffers   sync.Pool // of *[]byte, for queued lines
@@ -37,7 +39,7 @@
 	omitDecisions bool
 }
 
-// NewSink returns a sink that writes to out and queues up to queueLines lines. If queueLines <= 0, the limit is 8192.
+// NewSink returns a sink that writes to out and queues up to queueLines lines and 4 MiB. If queueLines <= 0, the limit is 8192.
 func NewSink(out io.Writer, queueLines int) *Sink {
 	if queueLines <= 0 {
 		queueLines = defaultQueueLines
@@ -73,8 +75,10 @@
 	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.closed || (level <= zerolog.DebugLevel || isDecision(line)) && len(s.queue) > cap(s.queue)/2 {
-		s.drop()
+	queued := s.queued.Add(int64(len(line)))
+	halfFull := len(s.queue) > cap(s.queue)/2 || queued > maxQueuedBytes/2
+	if s.closed || queued > maxQueuedBytes || halfFull && (level <= zerolog.DebugLevel || isDecision(line)) {
+		s.drop(line)
 		return len(line), nil
 	}
 	buffer := s.buffers.Get().(*[]byte)
@@ -83,7 +87,7 @@
 	case s.queue <- buffer:
 	default:
 		s.buffers.Put(buffer)
-		s.drop()
+		s.drop(line)
 	}
 	return len(line), nil
 }
@@ -103,7 +107,8 @@
 	return nil
 }
 
-func (s *Sink) drop() {
+func (s *Sink) drop(line []byte) {
+	s.queued.Add(-int64(len(line)))
 	s.dropped.Add(1)
 	droppedLines.Inc()
 }
@@ -145,5 +150,6 @@
 	line.Reset()
 	writeKeyValue(line, *encoded)
 	text.Write(line.Bytes())
+	s.queued.Add(-int64(len(*encoded)))
 	s.buffers.Put(encoded)
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -49,3 +49,24 @@
 	close(writer.release)
 	is.NoErr(sink.Close())
 }
+
+// Guards against memory that long lines take while the output is blocked.
+func TestQueueOfLongLinesIsBounded(t *testing.T) {
+	is := is.New(t)
+	writer := blockedWriter{started: make(chan struct{}, 1), release: make(chan struct{})}
+	sink := NewSink(writer, 0)
+	logger := New(sink, "info")
+	logger.Info().Msg("first")
+	<-writer.started
+	const lines, lineBytes = 1000, 16 << 10
+	text := strings.Repeat("x", lineBytes)
+	for range lines {
+		logger.Info().Msg(text)
+	}
+	queued := lines - int(sink.Dropped())
+	is.True(queued > 0)
+	is.True(queued*lineBytes <= 4<<20)
+	close(writer.release)
+	is.NoErr(sink.Close())
+	is.Equal(sink.Dropped(), uint64(lines-queued)) // what was queued is written
+}
