Clients that do not read their answers make room for others

Their requests were whole and so were left alone, for up to 30 s in each write.

Change: a client that has taken nothing of an answer for a second is the first to be disconnected when others need room. A new connection waits for up to a second until a request has been answered. Each process of crowdtest has loopback addresses of its own, as two runs beside each other failed; crowd and bounds are unchanged.

--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -22,11 +22,19 @@
 	"github.com/lentilyard/lentilyard/internal/credentials"
 )
 
-// Addresses of the processes. No other package uses 127.0.9.0/24.
+// Addresses of the processes. Each test process has its own; other packages use 127.0.0.0/16.
+var (
+	controlIP = loopback(1)
+	intakeIP  = loopback(2)
+	entryIP   = loopback(3)
+)
+
+func loopback(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, host)
+}
+
 const (
-	controlIP   = "127.0.9.1"
-	intakeIP    = "127.0.9.2"
-	entryIP     = "127.0.9.3"
 	controlPort = 18191
 	peerPort    = 18192
 	metricsPort = 18193
--- a/internal/httplimit/account.go
+++ b/internal/httplimit/account.go
@@ -9,7 +9,7 @@
 
 	// The fields below are guarded by budget.mu.
 	held     int64
-	list     *list.List    // idle or unfinished of the budget; nil while a whole request is worked on
+	list     *list.List    // idle, unfinished or stalled of the budget; nil while a whole request is worked on
 	element  *list.Element // in list
 	waiting  *list.Element // in the queue of the budget
 	expelled bool          // disconnected by the budget
@@ -41,7 +41,8 @@
 	switch {
 	case a.expelled || a.ended:
 		return nil, ErrDisconnected
-	case !b.makeRoom(bytes, 0, a):
+	case b.makeRoom(bytes, 0, a) != "":
+		b.observer.refused(limitMemory)
 		return nil, ErrExhausted
 	case b.queue.Len() == 0 && b.used+bytes <= b.maxBytes:
 		b.change(a, bytes)
@@ -136,11 +137,25 @@
 	held := a.held
 	if a.expelled {
 		b.disconnecting--
-		b.changed.Broadcast()
 	} else {
 		b.connections--
 	}
 	b.change(a, -held)
+	b.changed.Broadcast()
+}
+
+// setStalled notes that the client of a whole request does not take its answer, or does so again.
+func (a *Account) setStalled(stalled bool) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.unlock()
+	switch {
+	case a.expelled || a.ended:
+	case stalled && a.list == nil:
+		b.move(a, &b.stalled)
+	case !stalled && a.list == &b.stalled:
+		b.move(a, nil)
+	}
 }
 
 // timedOut notes that no more of an unfinished request arrived in time.
--- a/internal/httplimit/budget.go
+++ b/internal/httplimit/budget.go
@@ -1,13 +1,14 @@
 // Package httplimit bounds the memory and the connections that the clients of an HTTP server may hold. Each connection has an
 // account: what it holds while it waits for a request, while it sends one, and until the request is answered. When the memory or
-// the connections are used up, the request that has been unfinished for longest is disconnected, so that newcomers and ordinary
-// clients go on. A request that has arrived in full is never disconnected.
+// the connections are used up, a client that does not take its answer or whose request has been unfinished for longest is
+// disconnected, so that newcomers and ordinary clients go on. A request that has arrived in full is worked on and answered.
 package httplimit
 
 import (
 	"container/list"
 	"errors"
 	"sync"
+	"time"
 )
 
 const (
@@ -31,13 +32,14 @@
 	observer       *observer
 
 	mu      sync.Mutex
-	changed sync.Cond // signals that a disconnected client has ended
+	changed sync.Cond // signals that an account has ended or may be disconnected from now on
 	// used is what all accounts hold. leaving is the part of it that belongs to disconnected clients that have not ended.
 	used, leaving int64
 	connections   int // without disconnected clients
 	disconnecting int // disconnected clients that have not ended
-	// idle holds the accounts without a request, unfinished those whose requests have arrived in part, the oldest first.
-	idle, unfinished list.List
+	// idle holds the accounts without a request, unfinished those whose requests have arrived in part, and stalled those whose clients
+	// do not take their answers, the oldest first.
+	idle, unfinished, stalled list.List
 	// queue holds the requests for memory (*wait) that wait until disconnected clients have ended, and queued is their sum.
 	queue  list.List
 	queued int64
@@ -59,16 +61,36 @@
 	return b
 }
 
-// open returns the account of a new connection, which disconnect closes. It returns ErrExhausted if there is no place for it.
-func (b *Budget) open(disconnect func()) (*Account, error) {
+// open returns the account of a new connection, which disconnect closes. If there is no place for it, open waits until a request has
+// been answered or has ended, at most for the given time, and then returns ErrExhausted.
+func (b *Budget) open(disconnect func(), patience time.Duration) (*Account, error) {
 	b.mu.Lock()
 	defer b.unlock()
-	for b.disconnecting >= maxDisconnecting {
+	expired := false
+	timer := time.AfterFunc(patience, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		expired = true
+		b.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for {
+		limit := ""
+		if b.disconnecting < maxDisconnecting {
+			if limit = b.makeRoom(connectionBytes, 1, nil); limit == "" {
+				break
+			}
+		}
+		if limit != "" && (expired || patience == 0) {
+			b.observer.refused(limit)
+			return nil, ErrExhausted
+		}
+		if len(b.victims) > 0 {
+			b.disconnectVictims() // unlocks, so that the state may have changed
+			continue
+		}
 		b.changed.Wait()
 	}
-	if !b.makeRoom(connectionBytes, 1, nil) {
-		return nil, ErrExhausted
-	}
 	a := &Account{budget: b, disconnect: disconnect, header: true}
 	b.connections++
 	b.change(a, connectionBytes)
@@ -77,24 +99,19 @@
 }
 
 // makeRoom disconnects clients until there is memory and a connection for one more, not counting what disconnected clients hold
-// still. It returns false if there is not and the remaining clients have no unfinished request, or no older one than self.
-func (b *Budget) makeRoom(bytes int64, connections int, self *Account) bool {
+// still. It returns the limit that is reached if there is not and the remaining clients have whole requests, or unfinished ones not older than self's.
+func (b *Budget) makeRoom(bytes int64, connections int, self *Account) (limit string) {
 	for b.connections+connections > b.maxConnections {
-		if !b.evict(self, limitConnections, &b.idle, &b.unfinished) {
-			return b.refuse(limitConnections)
+		if !b.evict(self, limitConnections, &b.stalled, &b.idle, &b.unfinished) {
+			return limitConnections
 		}
 	}
 	for b.used-b.leaving+b.queued+bytes > b.maxBytes {
-		if !b.evict(self, limitMemory, &b.unfinished, &b.idle) {
-			return b.refuse(limitMemory)
+		if !b.evict(self, limitMemory, &b.stalled, &b.unfinished, &b.idle) {
+			return limitMemory
 		}
 	}
-	return true
-}
-
-func (b *Budget) refuse(limit string) bool {
-	b.observer.refused(limit)
-	return false
+	return ""
 }
 
 // evict disconnects the oldest client of the first list that is not empty. It returns false if that is self or there is none.
@@ -131,15 +148,25 @@
 	}
 }
 
-// unlock unlocks mu and then disconnects the victims.
+// unlock unlocks mu after it has disconnected the victims.
 func (b *Budget) unlock() {
+	b.disconnectVictims()
+	b.observer.observe(b.used, b.connections)
+	b.mu.Unlock()
+}
+
+// disconnectVictims unlocks mu while it disconnects the victims.
+func (b *Budget) disconnectVictims() {
+	if len(b.victims) == 0 {
+		return
+	}
 	victims := b.victims
 	b.victims = nil
-	b.observer.observe(b.used, b.connections)
 	b.mu.Unlock()
 	for _, disconnect := range victims {
 		disconnect()
 	}
+	b.mu.Lock()
 }
 
 // change adds bytes, which may be negative, to what an account holds.
@@ -182,5 +209,6 @@
 	a.list, a.element = l, nil
 	if l != nil {
 		a.element = l.PushBack(a)
+		b.changed.Broadcast()
 	}
 }
--- a/internal/httplimit/budget_test.go
+++ b/internal/httplimit/budget_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -17,21 +18,21 @@
 	once    sync.Once
 }
 
-func connect(b *Budget, lingers bool) (*client, error) {
+func connect(b *Budget, lingers bool, patience time.Duration) (*client, error) {
 	c := &client{gone: make(chan struct{})}
 	account, err := b.open(func() {
 		c.once.Do(func() { close(c.gone) })
 		if !lingers {
 			c.account.end()
 		}
-	})
+	}, patience)
 	c.account = account
 	return c, err
 }
 
 func mustConnect(t *testing.T, b *Budget, lingers bool) *client {
 	t.Helper()
-	c, err := connect(b, lingers)
+	c, err := connect(b, lingers, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +106,7 @@
 	is.True(!idle.connected())
 	is.True(unfinished.connected())
 	is.True(unfinished.account.complete() == nil && third.account.complete() == nil)
-	_, err := connect(b, false)
+	_, err := connect(b, false, 0)
 	is.True(errors.Is(err, ErrExhausted)) // all requests are worked on
 }
 
@@ -130,6 +131,36 @@
 	is.NoErr(<-w.done)
 }
 
+// Guards against newcomers that are refused because a crowd does not read its answers.
+func TestStalledAnswersMakeRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBudget(1<<20, 2, nil)
+	stalled, idle := mustConnect(t, b, false), mustConnect(t, b, false)
+	is.True(stalled.account.received())
+	is.NoErr(stalled.account.complete())
+	stalled.account.setStalled(true)
+	mustConnect(t, b, false)
+	is.True(!stalled.connected())
+	is.True(idle.connected())
+}
+
+// Guards against newcomers that are refused while others' requests are worked on for a moment.
+func TestNewcomerWaitsForWholeRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBudget(1<<20, 1, nil)
+		whole := mustConnect(t, b, false)
+		is.NoErr(whole.account.complete())
+		time.AfterFunc(admitTime/2, whole.account.answered)
+		next, err := connect(b, false, admitTime)
+		is.NoErr(err)
+		is.True(!whole.connected())
+		is.NoErr(next.account.complete())
+		_, err = connect(b, false, admitTime)
+		is.True(errors.Is(err, ErrExhausted))
+	})
+}
+
 // Guards against sums that drift from what the accounts hold, and against more memory than the limit.
 func TestBudgetProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -139,9 +170,9 @@
 		var waits []*wait
 		pick := func() *client { return clients[rapid.IntRange(0, len(clients)-1).Draw(t, "client")] }
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			action := rapid.IntRange(0, 6).Draw(t, "action")
+			action := rapid.IntRange(0, 7).Draw(t, "action")
 			if action == 0 || len(clients) == 0 {
-				if c, err := connect(b, rapid.Bool().Draw(t, "lingers")); err == nil {
+				if c, err := connect(b, rapid.Bool().Draw(t, "lingers"), 0); err == nil {
 					clients = append(clients, c)
 				}
 				continue
@@ -162,6 +193,8 @@
 				if c.account.waiting == nil {
 					c.account.answered()
 				}
+			case 5:
+				c.account.setStalled(rapid.Bool().Draw(t, "stalled"))
 			default:
 				c.account.end()
 			}
--- a/internal/httplimit/server_test.go
+++ b/internal/httplimit/server_test.go
@@ -98,6 +98,36 @@
 	})
 }
 
+// Guards against an answer that is cut because its client pauses, and against a connection that is kept for a client that takes none of it.
+func TestAnswerWaitsForSlowClient(t *testing.T) {
+	for pause, whole := range map[time.Duration]bool{10 * time.Second: true, writeTime + time.Second: false} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const size = 3 * writeBytes
+				listener := pipeListener{make(chan net.Conn)}
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = w.Write(make([]byte, size))
+				})}
+				go func() { _ = server.Serve(Protect(server, listener, "test", plenty, zerolog.Nop())) }()
+				conn := listener.dial()
+				_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+				is.NoErr(err)
+				time.Sleep(pause)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.Equal(err == nil, whole)
+				if whole {
+					n, err := io.Copy(io.Discard, resp.Body)
+					is.NoErr(err)
+					is.Equal(n, int64(size))
+				}
+				is.NoErr(conn.Close())
+				is.NoErr(server.Close())
+			})
+		})
+	}
+}
+
 // Guards against bodies that are cut, joined in the wrong order or let through above the limit.
 func TestBodiesOfAllSizes(t *testing.T) {
 	const limit = 3 * stepBytes
