--- a/internal/submission/crash_test.go
+++ b/internal/submission/crash_test.go
@@ -132,3 +132,20 @@
 		})
 	}
 }
+
+// Guards against a run that is forgotten, or counts again, across a restored snapshot because another incarnation has run the same attempt.
+func TestFailedRunsOfOneAttemptSurviveSnapshot(t *testing.T) {
+	is := is.New(t)
+	w := newDriver()
+	ref := Ref{Submission: "a"}
+	w.apply(queueConfig(3), accept("a", oneTask()), worker("w", 1), start(ref, 1, "w", 1), end(ref, 1, "w", 1, failed))
+	w.apply(worker("w", 2), end(ref, 1, "w", 2, failed))
+	is.Equal(w.state.Task(ref).Failures(), 2)
+	snapshot, err := w.state.Snapshot()
+	is.NoErr(err)
+	w.state = New(retentionMs, nil)
+	is.NoErr(w.state.Restore(snapshot))
+	w.apply(end(ref, 1, "w", 1, failed), end(ref, 1, "w", 2, failed))
+	is.Equal(w.state.Task(ref).Failures(), 2)
+	is.Equal(w.state.Submission("a").Describe(), "running")
+}
