A hold acknowledges ends only while the worker lists some

What callers saw: a task that is done runs once more (TWICE).

Cause: each hold of a session named the number of the last committed end for as long as the session lasted, also when there was nothing left to acknowledge. Ends are numbered per incarnation. A hold that gets no answer may be carried out seconds later; where the worker has restarted under its id by then and has carried out, as its first, a start meant for the former incarnation, that hold makes it forget the end of this run. The leader finds the attempt neither running nor ended and places the task again.

Evidence: the new test, on the code before: harness_test.go:213: {t 0 0 0} is started after it was done The late hold of the test is carried out 3.2 s after it was sent; the worker has restarted 0.5 s after it was sent.

Change: a hold names the number only if the last answer lists ends; at other times it names 0. No call is added. What is left: the one hold that acknowledges an end may itself be late.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -50,6 +50,7 @@
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
+	holdLate          time.Duration             // if set, holds get no answer and are carried out after this delay
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -331,6 +332,11 @@
 		if waitsAt == nil {
 			f.holds++
 		}
+		if late := f.holdLate; late > 0 {
+			time.AfterFunc(late, func() { w.holdLater(c) })
+			w.mu.Unlock()
+			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
+		}
 		if f.overloaded {
 			w.mu.Unlock()
 			select {
@@ -358,6 +364,15 @@
 	}
 }
 
+// holdLater carries out a late hold, on the incarnation that has the id by now.
+func (w *fakeWorkers) holdLater(c HoldCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f, err := w.receive(c.Target); err == nil {
+		w.hold(f, c)
+	}
+}
+
 func (w *fakeWorkers) hold(f *fakeWorker, c HoldCall) (HoldAnswer, bool) {
 	if c.LeaseUntilMs > 0 {
 		w.extend(f, c.LeaseUntilMs)
--- /dev/null
+++ b/internal/dispatch/latehold_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startOnSuccessorAfterLateHold lets task s end on worker a, whose holds then get no answer and are carried out 3 s later. a restarts under
+// its id and carries out the start of task t, which was meant for the former incarnation. The late hold arrives last.
+func (r *harness) startOnSuccessorAfterLateHold(is *is.I) *fakeWorker {
+	r.submit("s", 1, nil)
+	time.Sleep(20*time.Second + 200*time.Millisecond) // a hold has just begun
+	is.Equal(r.describe("s"), "done")
+	r.workers.update(func() { r.workers.byID["a"].holdLate, r.workers.byID["a"].startsReset = 3*time.Second, true })
+	r.submit("t", 1, nil)
+	time.Sleep(300 * time.Millisecond)
+	return r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
+}
+
+// Guards against a task that is started again after it was done, because a late hold for the former incarnation of its worker acknowledges
+// the end, whose number the former incarnation had used before.
+func TestLateHoldForFormerIncarnationAcknowledgesNoEnd(t *testing.T) {
+	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		successor := r.startOnSuccessorAfterLateHold(is)
+		time.Sleep(4 * time.Second)
+		r.workers.update(func() { successor.holdUnanswered, successor.dropAnswers = false, false })
+		r.report("a", 1)
+		time.Sleep(10 * time.Second)
+		is.Equal(r.describe("t"), "done")
+	})
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -19,6 +19,7 @@
 	clockAt      time.Duration // when the clock was read
 	grantedUntil int64         // latest end of a granted lease, on the worker's clock; 0 if none was granted in this term
 	seenEnd      uint64        // number of the last committed end
+	listsEnds    bool          // the last answer lists ends
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
 	// silent is true while the worker is or may be recorded as silent. No lease is granted then.
@@ -61,9 +62,9 @@
 }
 
 // acknowledgedEnd returns the number up to which ends are acknowledged to the worker. Ends are numbered per incarnation, so it
-// returns 0 while another incarnation may receive the call.
+// returns 0 while another incarnation may receive the call, and once the worker lists no ends: the call may arrive late.
 func (c leaseState) acknowledgedEnd() uint64 {
-	if c.identityUncertain {
+	if c.identityUncertain || !c.listsEnds {
 		return 0
 	}
 	return c.seenEnd
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -126,7 +126,7 @@
 // commitEnds commits the ends that a worker lists, unless they are committed already. If all commits succeed, the next hold acknowledges the ends. done is called
 // once all results are known.
 func (l *Leader) commitEnds(s *session, answer HoldAnswer, done func()) {
-	seen := s.leaseSnapshot().seenEnd
+	seen := s.recordListedEnds(len(answer.Ended) > 0)
 	ended := slices.DeleteFunc(slices.Clone(answer.Ended), func(e Ended) bool { return e.Number <= seen })
 	if len(ended) == 0 {
 		done()
@@ -155,6 +155,14 @@
 	}
 }
 
+// recordListedEnds records whether the last answer lists ends, and returns the number of the last committed one.
+func (s *session) recordListedEnds(any bool) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listsEnds = any
+	return s.seenEnd
+}
+
 // commitEnd commits the end of an attempt on the worker of a session.
 func (l *Leader) commitEnd(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string, after func(error)) {
 	l.queueEnd(endOf(s, task, attempt, kind, checkpoint), after)
