The lease in a hold that the next incarnation has answered is counted

What callers saw: a task runs twice, on a worker that has restarted under its id and on another one.

Cause: a hold goes out with a lease if the last answer arrived less than 100 ms ago (identityWindow). That time does not contain the way of the answer: a worker may have restarted while it was on its way. The hold then reaches the next incarnation, which takes the lease in it, up to the longest one, as the end is stated on the former clock. Only starts were counted as calls that a later incarnation may have received.

Evidence: the new test (an answer that takes 300 ms, a worker that is back 0.16 s before it arrives), on the code before: harness_test.go:213: {s 0 0 0} runs on a and on b

Change: such a hold counts among the stray calls of the session, from when its answer has arrived.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -31,6 +31,8 @@
 	sent, ended time.Duration
 	answer      HoldAnswer
 	err         error
+	// leased is true if the call renews the lease.
+	leased bool
 	// timedOut is true if the call was given up. Otherwise the worker answered, or its connection broke when the call ended.
 	timedOut bool
 }
@@ -115,7 +117,7 @@
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
 		s.mu.Unlock()
 	}
-	return holdResult{sent, l.cfg.Clock(), answer, err, timedOut}
+	return holdResult{sent, l.cfg.Clock(), answer, err, c.LeaseUntilMs > 0, timedOut}
 }
 
 // reconnect repeats the hold after a failed one at reconnectInterval, without waiting for the calls before it, until a call
@@ -179,6 +181,9 @@
 	}
 	sent, answer := result.sent, result.answer
 	if s.answeredByOther(answer) {
+		if result.leased {
+			s.stray.sent(result.ended, result.ended-l.longestLease())
+		}
 		l.onSuccessorAnswer(s, answer)
 		done()
 		return
--- a/internal/dispatch/latehold_test.go
+++ b/internal/dispatch/latehold_test.go
@@ -31,3 +31,19 @@
 		is.Equal(r.describe("t"), "done")
 	})
 }
+
+// Guards against a task that runs twice because the new incarnation of its worker has answered a hold for the former one, with the lease in it.
+func TestLeaseFromHoldThatSuccessorAnswersCounts(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		time.Sleep(20*time.Second + 200*time.Millisecond) // a hold has just begun
+		r.workers.update(func() { r.workers.byID["a"].holdDelay = 300 * time.Millisecond })
+		time.Sleep(950 * time.Millisecond) // its answer is on the way
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.ended = []Ended{{Number: 1}} })
+		time.Sleep(300 * time.Millisecond)
+		r.submit("s", 1, nil)
+		r.registerSuccessor(is, successor)
+		r.cutOff(successor)
+		is.Equal(r.running("b"), 1)
+	})
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -126,7 +126,7 @@
 	lastEviction    time.Duration
 	avoid           map[submission.Ref]*avoidedWorkers
 	uncertainStarts map[submission.Ref]*uncertainStart
-	// strayArrivals holds, by worker id, by when the starts of closed sessions have arrived that may have reached a later incarnation.
+	// strayArrivals holds, by worker id, by when the calls of closed sessions have arrived that may have reached a later incarnation.
 	strayArrivals map[string]time.Duration
 	begun         begunSubmissions                 // guards itself
 	lastRuns      map[submission.Ref]time.Duration // when each endless task was last known to run
--- a/internal/dispatch/stray.go
+++ b/internal/dispatch/stray.go
@@ -2,18 +2,17 @@
 
 import "time"
 
-// strayStarts are the starts of a session that its incarnation is not known to have received. A later incarnation may have received them
-// and taken the leases in them. Holds are not among them: they carry a lease only if they certainly reach the same incarnation. The event
-// loop owns it.
-type strayStarts struct {
-	// arrivals maps a number to the time by which the start has arrived, if ever.
+// strayCalls are the starts of a session that its incarnation is not known to have received, and a hold that a later incarnation has
+// answered. That one may have taken the leases in them. Holds without an answer are not among them. The event loop owns it.
+type strayCalls struct {
+	// arrivals maps a number to the time by which the call has arrived, if ever.
 	arrivals map[uint64]time.Duration
 	last     uint64
 }
 
-// sent records a start that arrives by the given time, if ever, and returns its number. It forgets those whose leases are over, as they
+// sent records a call that arrives by the given time, if ever, and returns its number. It forgets those whose leases are over, as they
 // arrived before the other given time.
-func (s *strayStarts) sent(arrives, over time.Duration) uint64 {
+func (s *strayCalls) sent(arrives, over time.Duration) uint64 {
 	for number, arrival := range s.arrivals {
 		if arrival < over {
 			delete(s.arrivals, number)
@@ -28,7 +27,7 @@
 }
 
 // answered records that a start was answered at the given time, by the incarnation that the reading of the clock in the answer tells.
-func (s *strayStarts) answered(number uint64, by reading, at time.Duration) {
+func (s *strayCalls) answered(number uint64, by reading, at time.Duration) {
 	switch by {
 	case readingSame:
 		delete(s.arrivals, number)
@@ -38,7 +37,7 @@
 }
 
 // latest returns the time by which all of them have arrived, 0 if there are none.
-func (s *strayStarts) latest() time.Duration {
+func (s *strayCalls) latest() time.Duration {
 	latest := time.Duration(0)
 	for _, arrival := range s.arrivals {
 		latest = max(latest, arrival)
@@ -47,7 +46,7 @@
 }
 
 // inheritedLease returns when all leases are over that calls for former incarnations may have granted to one that this VM learnt of at the
-// given time: by the starts of this term, and by calls of previous leaders.
+// given time: by the calls of this term, and by those of previous leaders.
 func (l *Leader) inheritedLease(worker string, learnt time.Duration) time.Duration {
 	previousTerms := min(learnt, l.termStart+previousLeaderTimeout) + lateCallTimeout
 	return max(l.strayArrivals[worker], previousTerms) + l.longestLease()
