A start, stop or throttle call that has waited too long for its turn is not sent

What callers saw: a task runs twice, after many calls have hung at a time (256 at most are in progress; on a large site each silent worker takes one for 0.9 s).

Cause: all bounds for calls that arrive late count from when the leader has queued the call. In the pool's queue it waited without a limit, and its own time limit began only when it was sent. A start that is sent seconds later reaches a worker that has restarted under its id, where the end of the lease, on the former clock, does not make it too late.

Change: the limit of 0.9 s begins when the call is queued. A call that has used it up there is not sent and counts as unanswered, so that it is repeated as before.

Not measured: how long calls wait on a site of 890 workers.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -118,14 +118,18 @@
 }
 
 // call makes a call in the pool. It passes the result to then on the event loop, unless the term or the session has ended
-// by that time. The success of what may be a later incarnation counts as errNotIdentified.
+// by that time. The success of what may be a later incarnation counts as errNotIdentified. The time in the pool's queue counts towards
+// callTimeout, and a call that has used it up there is not sent.
 func (l *Leader) call(s *session, f func(context.Context) (int64, error), then func(error, reading)) {
 	ctx := l.ctx
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	l.pool.Submit(func() {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		sent := l.cfg.Clock()
-		clockMs, err := f(callCtx)
+		clockMs, err := int64(0), errNotSentInTime
+		if callCtx.Err() == nil {
+			clockMs, err = f(callCtx)
+		}
 		ended := l.cfg.Clock()
 		answered := s.readClock(clockMs, sent, ended)
 		if answered == readingOther && err == nil {
@@ -152,6 +156,9 @@
 // errNotIdentified means that a later incarnation of the worker may have carried out a call.
 var errNotIdentified = fmt.Errorf("%w: a later incarnation of the worker may have answered; ask which one it is", ErrNoAnswer)
 
+// errNotSentInTime means that a call has waited for a place in the pool until its time was over.
+var errNotSentInTime = fmt.Errorf("%w: it waited too long for its turn; send it again", ErrNoAnswer)
+
 // onOtherClock handles an answer that may have come from a later incarnation of the worker of a session: a hold tells which one it is.
 func (l *Leader) onOtherClock(s *session, clockMs int64) {
 	otherClocksTotal.Inc()
