A leader repeats a start for no longer than the one that has placed the attempt

What callers saw: a task runs twice after two changes of the leader in a row.

Cause: a leader that takes a placed attempt over began its own 2.5 s in which the start is repeated. The next one knows when the attempt was placed, and takes a start for one that was sent within 2.5 s of that at the latest (lastStartOfPredecessor): for an attempt that is placed for 5 s without a recorded silence it concludes that the known incarnation has carried the start out, and does not wait for an unknown successor that did. Found by a random search over restarts, cuts, late calls and changes of the leader.

Evidence: the new test, on the code before, at two of its four phases: harness_test.go:213: {s 0 0 0} runs on a and on b

Change: the 2.5 s count from the placement, whoever leads. A start that is older is not repeated: the attempt is stopped and placed anew.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -256,6 +256,18 @@
 	return startTimeout
 }
 
+// startingSince returns when the start of an attempt was first due. A leader that has taken the attempt over repeats the start for no longer
+// than the one that has placed it, so that the next one knows for how long.
+func (l *Leader) startingSince(task submission.Ref, r *run) time.Duration {
+	since := r.trackedSince
+	l.cfg.State.View(func(state *submission.State) {
+		if t := state.Task(task); t != nil && t.Attempt == r.attempt && t.On == r.on {
+			since = min(since, t.PlacedAt())
+		}
+	})
+	return since
+}
+
 func (l *Leader) isGang(task submission.Ref) bool {
 	gang := false
 	l.cfg.State.View(func(state *submission.State) { gang = stepOf(state, task).GetGang() })
@@ -371,7 +383,7 @@
 func (l *Leader) retryCalls(task submission.Ref, r *run, now time.Duration) {
 	switch {
 	case r.calling:
-	case r.phase == phaseStarting && now-r.trackedSince > l.startTimeoutOf(task):
+	case r.phase == phaseStarting && now-l.startingSince(task, r) > l.startTimeoutOf(task):
 		l.avoidWorkerTogether(task, r.on.ID)
 		l.stopGang(task, r.attempt)
 		l.stopRun(task, r, pb.TaskEndKind_TASK_END_KIND_REFUSED, "start-not-acknowledged")
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// Guards against a task that runs twice because the second of two leaders has repeated the start of the first for longer than a leader
+// repeats one of its own, and the third one takes it for carried out.
+func TestStartRepeatedByTwoFormerLeadersIsWaitedFor(t *testing.T) {
+	for _, phase := range holdPhases {
+		t.Run(phase.String(), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+				time.Sleep(20 * time.Second)
+				r.workers.update(func() { r.workers.byID["a"].startsReset = true })
+				r.submit("s", 1, nil)
+				time.Sleep(2200 * time.Millisecond)
+				r.lead(6)
+				time.Sleep(time.Second + phase/2)
+				r.lose("a") // it crashes, and calls to it hang
+				time.Sleep(600 * time.Millisecond)
+				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
+				for range 150 {
+					if time.Sleep(10 * time.Millisecond); r.running("a") == 1 {
+						break
+					}
+				}
+				r.workers.update(func() { successor.unreachable = true })
+				time.Sleep(2 * time.Second) // the worker is recorded as silent
+				r.lead(7)
+				r.cutOff(successor)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
+}
+
 // Guards against a task that runs twice because its start is carried out by a second successor of its worker, after the first one has
 // been told to refuse it.
 func TestLateStartOnSecondSuccessorIsWaitedFor(t *testing.T) {
