A hold that another VM repeats after a refused connection names neither a lease nor an end to forget

Cause: a refused connection means that the worker's process has ended, or that a partition refuses connections. The same hold was then made by way of another VM to tell the two apart, with its lease and with the number of the last committed end. A worker that is back under its id by then takes the lease, whose end is stated on the clock of its former incarnation, and forgets ends of its own with these numbers.

Evidence: the new test, on the code before: route_test.go:282: hold until 5000 seen 7 wait 1500 != hold until 0 seen 0 wait 0

Change: the repeated hold only asks. The next one, by the route that works, renews the lease.

Measured: go test -count=1 ./internal/relay passes.

--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -105,13 +105,14 @@
 }
 
 // confirmRefusal repeats a hold by way of another VM after a VM was refused the connection. A partition may refuse connections, too, so that
-// the worker has ended only if both are refused.
+// the worker has ended only if both are refused. The repeated hold names neither a lease nor an end to forget: the worker may have restarted
+// under its id meanwhile.
 func (r *Relay) confirmRefusal(ctx context.Context, c dispatch.HoldCall, used route, refusal error) (dispatch.HoldAnswer, error) {
 	other := r.otherRoute(c.Target, used)
 	if other.via == used.via {
 		return dispatch.HoldAnswer{}, refusal
 	}
-	answer, err := r.holdVia(ctx, other.via, c)
+	answer, err := r.holdVia(ctx, other.via, dispatch.HoldCall{Target: c.Target})
 	switch {
 	case errors.Is(err, dispatch.ErrNotListening):
 		r.recordHold(ctx, c.Target, used, err)
--- a/internal/relay/route_test.go
+++ b/internal/relay/route_test.go
@@ -269,6 +269,22 @@
 	})
 }
 
+// Guards against a new incarnation of a worker that takes the lease in a hold for the former one, or forgets its ends: the former one has
+// refused the connection, and the hold is repeated by way of another VM.
+func TestHoldRepeatedAfterRefusalChangesNothing(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		f.reach("control", "intake-1", "intake-2")
+		f.callers["leader"].setError(dispatch.ErrNotListening)
+		_, err := f.leader.Hold(context.Background(), dispatch.HoldCall{Target: worker, LeaseUntilMs: 5000, SeenEnd: 7, WaitMs: 1500})
+		is.NoErr(err)
+		for _, id := range fleetVMs[1:] {
+			for _, call := range f.callers[id].recorded() {
+				is.Equal(call, "hold until 0 seen 0 wait 0")
+			}
+		}
+	})
+}
+
 // Guards against a VM that gets no calls because one to it was cancelled before its answer could arrive.
 func TestCancelledCallDoesNotMakeVMSuspect(t *testing.T) {
 	withFleet(t, func(is *is.I, f *fleet) {
