A finite task waits for copies of its start that are carried out up to 12 s after they were sent

Cause: the leader took 4 s, or for an unknown successor 0.9 s, for the longest delay of a call; the platform's list of troubles says 2 to 12 s. Evidence: TestVeryLateStartOnUnknownSuccessorIsWaitedFor on the old code, for the same leader and for a new one: "{s 0 0 0} runs on a and on b". Change: each attempt records when its last start was sent that its incarnation is not known to have received. A finite task waits until 12.9 s (12 s and the time of a call) after that, and for the longest lease from then where the successor is unknown. An answer whose clock goes on leaves nothing to wait for; neither does an incarnation that has answered after that time. A new leader takes the last start of its predecessor to be as late as the end of that one's term, or the time for which a start is repeated after the placement, and no longer infers that it was carried out. Endless tasks keep their 4 s.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -111,8 +111,12 @@
 // the clock of that incarnation, and the worker shortens it to the longest lease.
 func (l *Leader) longestLease() time.Duration { return slowest(l.cfg.Bounds.LeaseMax) + leaseMargin }
 
-// lateCallTimeout is how long after it was sent a call may be carried out, at the latest.
-const lateCallTimeout = 4 * time.Second
+const (
+	// maxCallDelay is how long after the leader has made it a call may be carried out, at the latest.
+	maxCallDelay = 12*time.Second + callTimeout
+	// lateCallTimeout takes its place for endless tasks, which may not be away for as long.
+	lateCallTimeout = 4 * time.Second
+)
 
 func (s *session) leaseSnapshot() leaseState {
 	s.mu.Lock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -51,9 +51,12 @@
 	startUntilMs int64
 	trackedSince time.Duration // when the leader began to track the attempt
 	startedAt    time.Duration // when a start was first sent, 0 if this leader has sent none
-	lastStartAt  time.Duration // when a start was last sent, 0 if this leader has sent none
-	calledAt     time.Duration // time of the last start or stop call
-	answeredAt   time.Duration // when a start or stop was last acknowledged
+	// unansweredAt is when this leader last sent a start that this incarnation is not known to have received, 0 if there is none.
+	unansweredAt time.Duration
+	// takenOver is true if a previous leader may have sent starts.
+	takenOver  bool
+	calledAt   time.Duration // time of the last start or stop call
+	answeredAt time.Duration // when a start or stop was last acknowledged
 	// endKind is the kind of end to commit if a stop is acknowledged and the worker lists the attempt neither as running nor as
 	// ended.
 	endKind pb.TaskEndKind
@@ -105,7 +108,8 @@
 		return // retryCalls tries again until the start times out or the worker's lease expires
 	}
 	r.calling, r.calledAt, r.startUntilMs = true, l.cfg.Clock(), max(r.startUntilMs, c.LeaseUntilMs)
-	r.lastStartAt = r.calledAt
+	unansweredBefore := r.unansweredAt
+	r.unansweredAt = r.calledAt
 	if r.startedAt == 0 {
 		r.startedAt = r.calledAt
 	}
@@ -113,6 +117,9 @@
 	number := s.stray.sent(r.calledAt+lateCallTimeout, r.calledAt-l.longestLease())
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) }, func(err error, answered reading) {
 		s.stray.answered(number, answered, l.cfg.Clock())
+		if answered == readingSame {
+			r.unansweredAt = unansweredBefore
+		}
 		l.onStart(s, task, r, err, answered)
 	})
 }
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -16,7 +16,7 @@
 type uncertainStart struct {
 	previous submission.Incarnation
 	attempt  uint32
-	// since is when the start was last sent, or when it became uncertain. It is carried out by arrivesBy, if ever.
+	// since is when the start became uncertain. It is carried out by arrivesBy, if ever.
 	since, arrivesBy time.Duration
 	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told. No start meant
 	// for the previous one is sent after inSince.
@@ -29,51 +29,86 @@
 	successorUnseen bool
 }
 
-// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
-// those that the incarnation is known to have started and of whose start no copy can still be on its way.
+// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor.
 func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
-		if r.on == previous && (!r.confirmed || l.mayArriveLate(r)) {
-			l.addUncertainStart(ref, l.newUncertainStart(previous, r.attempt))
+		if r.on == previous {
+			l.addUncertainStart(ref, l.uncertainStartOf(state, ref, r))
 		}
 	}
 	if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
 		for ref, attempt := range w.Attempts {
-			l.addUntracked(ref, attempt, previous)
+			l.addUntracked(state, ref, attempt, previous)
 		}
 	}
 	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
 		if t.LostOn == previous {
-			l.addUntracked(ref, t.Attempt, previous)
+			l.addUntracked(state, ref, t.Attempt, previous)
 		}
 	})
 }
 
-// mayArriveLate reports whether a start of a run that got no answer may still be carried out.
+// uncertainStartOf returns the record of an attempt whose start a later incarnation of the worker may have carried out or may yet carry
+// out, nil if there is no such start.
+func (l *Leader) uncertainStartOf(state *submission.State, task submission.Ref, r *run) *uncertainStart {
+	now, last := l.cfg.Clock(), r.unansweredAt
+	if stepOf(state, task).GetEndless() {
+		if r.confirmed && !l.mayArriveLate(r) {
+			return nil
+		}
+		return newUncertainStart(r.on, r.attempt, now, now+lateCallTimeout)
+	}
+	if r.takenOver {
+		last = max(last, lastStart(state.Task(task), r.attempt, l.termStart+previousLeaderTimeout))
+	}
+	arrivesBy := last + maxCallDelay
+	s := l.sessions[r.on.ID]
+	received := s != nil && s.incarnation == r.on && s.leaseSnapshot().identifiedAt >= arrivesBy // by that incarnation
+	if last == 0 || received || now > arrivesBy+l.longestLease() {
+		return nil
+	}
+	return newUncertainStart(r.on, r.attempt, now, arrivesBy)
+}
+
+// lastStart returns when a start of an attempt that is not tracked since its placement was last sent, at the latest: before the given
+// time, and for as long as a start is repeated.
+func lastStart(t *submission.Task, attempt uint32, before time.Duration) time.Duration {
+	if t == nil || t.Attempt != attempt {
+		return before
+	}
+	return min(before, t.PlacedAt()+startTimeout)
+}
+
+// mayArriveLate reports whether a start of a run that got no answer may still be carried out, for an endless task.
 func (l *Leader) mayArriveLate(r *run) bool {
 	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < lateCallTimeout
 }
 
-// addUntracked records an attempt unless this leader has tracked it and knows better.
-func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
-	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
-		l.addUncertainStart(task, l.newUncertainStart(previous, attempt))
+// addUntracked records an attempt unless this leader has tracked it and knows better. The previous leader may have sent its start.
+func (l *Leader) addUntracked(state *submission.State, task submission.Ref, attempt uint32, previous submission.Incarnation) {
+	if r := l.runs[task]; r != nil && r.attempt == attempt && r.on == previous {
+		return
 	}
+	now := l.cfg.Clock()
+	arrivesBy := now + lateCallTimeout
+	if !stepOf(state, task).GetEndless() {
+		arrivesBy = lastStart(state.Task(task), attempt, max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
+	}
+	l.addUncertainStart(task, newUncertainStart(previous, attempt, now, arrivesBy))
 }
 
-// newUncertainStart returns the record of a start whose copies may be on their way now.
-func (l *Leader) newUncertainStart(previous submission.Incarnation, attempt uint32) *uncertainStart {
-	now := l.cfg.Clock()
-	return &uncertainStart{previous: previous, attempt: attempt, since: now, arrivesBy: now + lateCallTimeout}
+func newUncertainStart(previous submission.Incarnation, attempt uint32, now, arrivesBy time.Duration) *uncertainStart {
+	return &uncertainStart{previous: previous, attempt: attempt, since: now, arrivesBy: arrivesBy}
 }
 
+// addUncertainStart adds a record, which may be nil.
 func (l *Leader) addUncertainStart(task submission.Ref, u *uncertainStart) {
-	if known := l.uncertainStarts[task]; known != nil && known.attempt >= u.attempt {
+	if known := l.uncertainStarts[task]; u == nil || known != nil && known.attempt >= u.attempt {
 		return
 	}
 	l.uncertainStarts[task] = u
 	l.log.Info().Str("decision", "unsure").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
-		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("age_ms", l.cfg.Clock()-u.since).Bool("successor_unseen", u.successorUnseen).
+		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("arrives_in_ms", u.arrivesBy-u.since).Bool("successor_unseen", u.successorUnseen).
 		Msg("the next incarnation of the worker may have started the attempt")
 }
 
@@ -96,7 +131,7 @@
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
 	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		l.addUncertainStart(ref, l.newUncertainStart(t.LostOn, t.Attempt))
+		l.addUntracked(state, ref, t.Attempt, t.LostOn)
 	})
 }
 
--- a/internal/dispatch/unseen.go
+++ b/internal/dispatch/unseen.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -14,7 +12,7 @@
 func (l *Leader) withoutUnseenStarts(s *session, lost []submission.Ref, attempts []uint32) (refs []submission.Ref, numbers []uint32) {
 	for i, ref := range lost {
 		l.ensureTracked(ref, attempts[i], s.incarnation, false)
-		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] && l.mayRunUnseen(s, ref, r) {
+		if r := l.runs[ref]; r.on == s.incarnation && r.attempt == attempts[i] && l.mayRunUnseen(ref, r) {
 			continue
 		}
 		refs, numbers = append(refs, ref), append(numbers, attempts[i])
@@ -31,44 +29,18 @@
 // mayRunUnseen reports whether the worker may have restarted since it was last identified, so that a later incarnation, unknown so far, may
 // have carried out the start of an attempt, with the longest lease. It records the attempt if so. An endless task is not waited for: it
 // would be away for longer than its callers are promised if the worker is lost for good, which cannot be told from a restart behind a cut.
-func (l *Leader) mayRunUnseen(s *session, task submission.Ref, r *run) bool {
-	now := l.cfg.Clock()
+func (l *Leader) mayRunUnseen(task submission.Ref, r *run) bool {
 	if l.isEndless(task) {
 		return false
 	}
-	if l.mayBeWithSuccessor(task, r) {
-		return !l.expired(l.uncertainStarts[task], now)
-	}
-	since, confirmed := r.lastStartAt, r.confirmed
-	if since == 0 {
-		since, confirmed = l.lastStartOfPredecessor(task, r)
-		confirmed = confirmed || r.confirmed
-	}
-	lateCopy := r.confirmed && r.outcomeUnknown && s.leaseSnapshot().identifiedAt-since < lateCallTimeout
-	u := &uncertainStart{previous: s.incarnation, attempt: r.attempt, since: since, arrivesBy: since + callTimeout, successorUnseen: true}
-	if confirmed && !lateCopy || now > u.arrivesBy+l.longestLease() {
-		return false
-	}
-	l.addUncertainStart(task, u)
-	return true
-}
-
-// lastStartOfPredecessor returns when a previous leader last sent the start of an attempt at the latest, and whether the incarnation that
-// the attempt was placed on must have started it: that leader would have recorded the worker as silent if it had restarted while the start
-// was repeated.
-func (l *Leader) lastStartOfPredecessor(task submission.Ref, r *run) (time.Duration, bool) {
-	last, confirmed := l.termStart+previousLeaderTimeout, false
-	l.cfg.State.View(func(state *submission.State) {
-		t, w := state.Task(task), state.Workers()[r.on.ID]
-		if t == nil || t.Attempt != r.attempt || w == nil || w.Incarnation() != r.on {
-			return
+	if !l.mayBeWithSuccessor(task, r) {
+		var u *uncertainStart
+		l.cfg.State.View(func(state *submission.State) { u = l.uncertainStartOf(state, task, r) })
+		if u == nil {
+			return false
 		}
-		noticed := l.termStart - previousLeaderTimeout
-		if since, silent := w.SilentSince(); silent {
-			noticed = min(l.termStart, since)
-		}
-		last = min(last, t.PlacedAt()+startTimeout)
-		confirmed = noticed-t.PlacedAt() >= startTimeout+unnoticedCrash
-	})
-	return last, confirmed
+		u.successorUnseen = true
+		l.addUncertainStart(task, u)
+	}
+	return !l.expired(l.uncertainStarts[task], l.cfg.Clock())
 }
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -106,13 +107,36 @@
 
 // Guards against the same for a start that is carried out 8 s after it was sent, which the platform may do up to 12 s after it.
 func TestVeryLateStartOnUnknownSuccessorIsWaitedFor(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %v", newLeader), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 8*time.Second, true })
+				time.Sleep(20 * time.Second)
+				r.submit("s", 1, nil)
+				time.Sleep(300 * time.Millisecond)
+				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+				if newLeader {
+					r.workers.update(func() { successor.unreachable = true })
+					r.lead(6)
+				}
+				r.cutOff(successor)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
+}
+
+// Guards against a task that waits for late copies of a start that its worker has answered.
+func TestAnsweredStartIsNotWaitedFor(t *testing.T) {
 	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 8*time.Second, true })
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
 		time.Sleep(20 * time.Second)
 		r.submit("s", 1, nil)
-		time.Sleep(300 * time.Millisecond)
-		successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
-		r.cutOff(successor)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(r.running("a"), 1)
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		r.lose("a")
+		time.Sleep(targetLease + time.Second)
 		is.Equal(r.running("b"), 1)
 	})
 }
