A finite task waits for the lease of a successor of its worker that nobody has heard of, also after that worker has gone

Cause: without a session with a worker of that id, the wait ended once the start could no longer be carried out; the successor holds the task for the longest lease from then. Change: then a finite task waits for the longest lease as well. Endless tasks wait as long as before.

--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -16,6 +16,7 @@
 type uncertainStart struct {
 	previous submission.Incarnation
 	attempt  uint32
+	endless  bool
 	// since is when the start became uncertain. It is carried out by arrivesBy, if ever.
 	since, arrivesBy time.Duration
 	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told. No start meant
@@ -25,7 +26,7 @@
 	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
 	calling   bool
 	revokedAt time.Duration
-	// successorUnseen is true if a later incarnation may exist that this leader has not reached.
+	// successorUnseen is true if a later incarnation may exist although this leader has a session with the previous one.
 	successorUnseen bool
 }
 
@@ -56,7 +57,7 @@
 		if r.confirmed && !l.mayArriveLate(r) {
 			return nil
 		}
-		return newUncertainStart(r.on, r.attempt, now, now+lateCallTimeout)
+		return &uncertainStart{previous: r.on, attempt: r.attempt, endless: true, since: now, arrivesBy: now + lateCallTimeout}
 	}
 	if r.takenOver {
 		last = max(last, lastStart(state.Task(task), r.attempt, l.termStart+previousLeaderTimeout))
@@ -67,7 +68,7 @@
 	if last == 0 || received || now > arrivesBy+l.longestLease() {
 		return nil
 	}
-	return newUncertainStart(r.on, r.attempt, now, arrivesBy)
+	return &uncertainStart{previous: r.on, attempt: r.attempt, since: now, arrivesBy: arrivesBy}
 }
 
 // lastStart returns when a start of an attempt that is not tracked since its placement was last sent, at the latest: before the given
@@ -90,15 +91,11 @@
 		return
 	}
 	now := l.cfg.Clock()
-	arrivesBy := now + lateCallTimeout
-	if !stepOf(state, task).GetEndless() {
-		arrivesBy = lastStart(state.Task(task), attempt, max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
+	u := &uncertainStart{previous: previous, attempt: attempt, endless: stepOf(state, task).GetEndless(), since: now, arrivesBy: now + lateCallTimeout}
+	if !u.endless {
+		u.arrivesBy = lastStart(state.Task(task), attempt, max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
 	}
-	l.addUncertainStart(task, newUncertainStart(previous, attempt, now, arrivesBy))
-}
-
-func newUncertainStart(previous submission.Incarnation, attempt uint32, now, arrivesBy time.Duration) *uncertainStart {
-	return &uncertainStart{previous: previous, attempt: attempt, since: now, arrivesBy: arrivesBy}
+	l.addUncertainStart(task, u)
 }
 
 // addUncertainStart adds a record, which may be nil.
@@ -145,14 +142,18 @@
 	return u == nil
 }
 
-// expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call
-// has arrived by now, and if a new incarnation has registered, its lease is over.
+// expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call has arrived by
+// now, and the lease is over that it may have granted. Without a session with a new incarnation, nobody may know of it; an endless task
+// is waited for only if there is a sign of one.
 func (l *Leader) expired(u *uncertainStart, now time.Duration) bool {
 	if now <= u.arrivesBy {
 		return false
 	}
 	s := l.sessions[u.previous.ID]
-	if s == nil || s.incarnation == u.previous && !u.successorUnseen {
+	if s == nil {
+		return u.endless || now > u.arrivesBy+l.longestLease()
+	}
+	if s.incarnation == u.previous && !u.successorUnseen {
 		return true
 	}
 	return now > max(u.arrivesBy+l.longestLease(), l.leaseExpiry(s.leaseSnapshot()))
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -72,19 +72,28 @@
 
 // Guards against a task that runs twice because its worker has left, and a successor of which nobody knows carries out its start.
 func TestLateStartOnSuccessorOfWorkerThatLeftIsWaitedFor(t *testing.T) {
-	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
-		time.Sleep(20 * time.Second)
-		r.submit("s", 1, nil)
-		time.Sleep(100 * time.Millisecond)
-		r.leaves("a")
-		r.workers.update(func() { r.workers.byID["a"].refusing = true })
-		time.Sleep(600 * time.Millisecond)
-		r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
-		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
-		time.Sleep(30 * time.Second)
-		is.Equal(r.running("b"), 1)
-	})
+	for _, delay := range []time.Duration{2500 * time.Millisecond, 8 * time.Second, 12 * time.Second} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, new leader %v", delay, newLeader), func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+					r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = delay, true })
+					time.Sleep(20 * time.Second)
+					r.submit("s", 1, nil)
+					time.Sleep(100 * time.Millisecond)
+					r.leaves("a")
+					r.workers.update(func() { r.workers.byID["a"].refusing = true })
+					time.Sleep(600 * time.Millisecond)
+					r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+					if newLeader {
+						r.lead(6)
+					}
+					r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+					time.Sleep(30 * time.Second)
+					is.Equal(r.running("b"), 1)
+				})
+			})
+		}
+	}
 }
 
 // Guards against a task that runs twice because the end of its worker and the successor of that are recorded in two entries of the log,
