A finite task whose start may be carried out late starts only on the successor of its worker, or elsewhere once that is over

Cause: that one incarnation refuses a start was taken for proof that none can carry it out. Change: once an incarnation refuses the start, the task may start there at once, since that incarnation ends before the next one under its id runs; on another worker only once all copies have arrived while this incarnation was alive, or the longest lease after that. The planner gets a task that may start on one worker only. The task's record keeps the lost incarnation while the task is placed under the same id (not for endless tasks), so that a new leader waits as well; LostOn decides nothing in the state machine, so that replicas of both builds agree. Endless tasks start as before.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -312,14 +312,16 @@
 			continue
 		}
 		ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: uint32(i)}
-		if !l.mayStart(ref, now) || l.awaitsProof(state, ref, t) {
+		only, ok := l.mayStart(ref, now)
+		if !ok || l.awaitsProof(state, ref, t) {
 			if r.Spec.GetGang() { // the members of a gang start together or not at all
 				r.Waiting = nil
 				return
 			}
 			continue
 		}
-		r.Waiting = append(r.Waiting, steps.WaitingTask{Index: uint32(i), Attempt: max(attempt, t.Attempt+1), AvoidWorkers: l.avoided(ref, now), Suspect: t.Suspect()})
+		r.Waiting = append(r.Waiting, steps.WaitingTask{Index: uint32(i), Attempt: max(attempt, t.Attempt+1), AvoidWorkers: l.avoided(ref, now), OnlyWorker: only,
+			Suspect: t.Suspect()})
 	}
 }
 
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -26,6 +26,8 @@
 	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
 	calling   bool
 	revokedAt time.Duration
+	// refusedBy is the session with a new incarnation that neither runs the attempt nor will start it, if there is one. The next one may.
+	refusedBy *session
 	// successorUnseen is true if a later incarnation may exist although this leader has a session with the previous one.
 	successorUnseen bool
 }
@@ -42,9 +44,9 @@
 			l.addUntracked(state, ref, attempt, previous)
 		}
 	}
-	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		if t.LostOn == previous {
-			l.addUntracked(state, ref, t.Attempt, previous)
+	forEachLost(state, func(ref submission.Ref, attempt uint32, on submission.Incarnation) {
+		if on == previous {
+			l.addUntracked(state, ref, attempt, previous)
 		}
 	})
 }
@@ -60,7 +62,7 @@
 		return &uncertainStart{previous: r.on, attempt: r.attempt, endless: true, since: now, arrivesBy: now + lateCallTimeout}
 	}
 	if r.takenOver {
-		last = max(last, lastStart(state.Task(task), r.attempt, l.termStart+previousLeaderTimeout))
+		last = max(last, lastStart(state.Task(task), l.termStart+previousLeaderTimeout))
 	}
 	arrivesBy := last + maxCallDelay
 	s := l.sessions[r.on.ID]
@@ -71,10 +73,10 @@
 	return &uncertainStart{previous: r.on, attempt: r.attempt, since: now, arrivesBy: arrivesBy}
 }
 
-// lastStart returns when a start of an attempt that is not tracked since its placement was last sent, at the latest: before the given
-// time, and for as long as a start is repeated.
-func lastStart(t *submission.Task, attempt uint32, before time.Duration) time.Duration {
-	if t == nil || t.Attempt != attempt {
+// lastStart returns when a start of the current or an earlier attempt of a task was last sent by a leader that does not track it now, at
+// the latest: before the given time, and for as long as a start is repeated. t may be nil.
+func lastStart(t *submission.Task, before time.Duration) time.Duration {
+	if t == nil {
 		return before
 	}
 	return min(before, t.PlacedAt()+startTimeout)
@@ -93,53 +95,71 @@
 	now := l.cfg.Clock()
 	u := &uncertainStart{previous: previous, attempt: attempt, endless: stepOf(state, task).GetEndless(), since: now, arrivesBy: now + lateCallTimeout}
 	if !u.endless {
-		u.arrivesBy = lastStart(state.Task(task), attempt, max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
+		u.arrivesBy = lastStart(state.Task(task), max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
 	}
 	l.addUncertainStart(task, u)
 }
 
-// addUncertainStart adds a record, which may be nil.
+// addUncertainStart adds a record, which may be nil. It stands for the earlier attempts too, of which copies may be on their way.
 func (l *Leader) addUncertainStart(task submission.Ref, u *uncertainStart) {
-	if known := l.uncertainStarts[task]; u == nil || known != nil && known.attempt >= u.attempt {
+	known := l.uncertainStarts[task]
+	if u == nil || known != nil && known.attempt >= u.attempt {
 		return
 	}
+	if known != nil {
+		u.arrivesBy = max(u.arrivesBy, known.arrivesBy)
+	}
 	l.uncertainStarts[task] = u
 	l.log.Info().Str("decision", "unsure").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
 		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("arrives_in_ms", u.arrivesBy-u.since).Bool("successor_unseen", u.successorUnseen).
 		Msg("the next incarnation of the worker may have started the attempt")
 }
 
-// forEachLost calls f for each waiting task whose last attempt was on a worker incarnation that has gone.
-func forEachLost(state *submission.State, f func(submission.Ref, *submission.Task)) {
+// forEachLost calls f for each task of which an attempt was lost on a worker incarnation that has gone and may still be started by a later
+// one, with the highest number that this attempt can have.
+func forEachLost(state *submission.State, f func(task submission.Ref, attempt uint32, on submission.Incarnation)) {
 	for id, sub := range state.Active() {
 		for number, o := range sub.Occurrences {
 			for i := range o.Steps {
 				for j := range o.Steps[i].Tasks {
-					if t := &o.Steps[i].Tasks[j]; t.LostOn != (submission.Incarnation{}) {
-						f(submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, t)
+					t := &o.Steps[i].Tasks[j]
+					if t.LostOn == (submission.Incarnation{}) {
+						continue
+					}
+					attempt := t.Attempt
+					if t.Placed() {
+						attempt--
 					}
+					f(submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, attempt, t.LostOn)
 				}
 			}
 		}
 	}
 }
 
-// takeOverUncertainStarts records the waiting tasks whose last attempt was on a worker incarnation that has gone. The previous
+// takeOverUncertainStarts records the tasks of which an attempt was lost on a worker incarnation that has gone. The previous
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
-	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		l.addUntracked(state, ref, t.Attempt, t.LostOn)
+	forEachLost(state, func(ref submission.Ref, attempt uint32, on submission.Incarnation) {
+		l.addUntracked(state, ref, attempt, on)
 	})
 }
 
-// mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake.
-func (l *Leader) mayStart(task submission.Ref, now time.Duration) bool {
+// mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake. only is the
+// id of the only worker on which it may start, "" if it may on any: an incarnation that refuses the earlier attempt ends before the next
+// one under its id can start that.
+func (l *Leader) mayStart(task submission.Ref, now time.Duration) (only string, ok bool) {
 	u := l.uncertainStarts[task]
-	if u != nil && l.expired(u, now) {
+	switch {
+	case u == nil:
+		return "", true
+	case l.expired(u, now):
 		delete(l.uncertainStarts, task)
-		return true
+		return "", true
+	case u.refusedBy != nil && u.refusedBy == l.sessions[u.previous.ID]:
+		return u.previous.ID, true
 	}
-	return u == nil
+	return "", false
 }
 
 // expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call has arrived by
@@ -173,7 +193,7 @@
 // These occupy resources that the planner would count as free.
 func (l *Leader) mayRunUncertainStarts(s *session) bool {
 	for _, u := range l.uncertainStarts {
-		if u.previous.ID == s.incarnation.ID && u.previous != s.incarnation {
+		if u.previous.ID == s.incarnation.ID && u.previous != s.incarnation && u.refusedBy != s {
 			return true
 		}
 	}
@@ -197,15 +217,23 @@
 		}
 		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+lateCallTimeout
 		switch {
-		case cannotStart && s.running[ref].Attempt != u.attempt:
-			delete(l.uncertainStarts, ref)
-			l.dirty = true
+		case cannotStart && !s.mayRunUpTo(ref, u.attempt):
+			u.refusedBy, l.dirty = s, true
+			if u.endless || sent > u.arrivesBy {
+				delete(l.uncertainStarts, ref)
+			}
 		case u.revokedAt == 0 && !u.calling:
 			l.revoke(s, ref, u)
 		}
 	}
 }
 
+// mayRunUpTo reports whether the last answer to a hold lists an attempt of a task as running that is not later than the given one.
+func (s *session) mayRunUpTo(task submission.Ref, attempt uint32) bool {
+	running, ok := s.running[task]
+	return ok && running.Attempt <= attempt
+}
+
 // revoke tells a worker incarnation to stop an attempt if it runs and never to start it.
 func (l *Leader) revoke(s *session, task submission.Ref, u *uncertainStart) {
 	c := StopCall{Target: s.target(), Task: task, Attempt: u.attempt}
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -55,18 +55,44 @@
 // Guards against a task that runs twice because its start is carried out by a second successor of its worker, after the first one has
 // been told to refuse it.
 func TestLateStartOnSecondSuccessorIsWaitedFor(t *testing.T) {
+	for _, delay := range []time.Duration{2500 * time.Millisecond, 8 * time.Second} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, new leader %v", delay, newLeader), func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+					r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = delay, true })
+					time.Sleep(20 * time.Second)
+					r.submit("s", 1, nil)
+					time.Sleep(300 * time.Millisecond)
+					r.restart("a", 77, func(f *fakeWorker) { f.noRoom = true })
+					r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+					r.report("a", 1)
+					time.Sleep(200 * time.Millisecond)
+					if newLeader {
+						r.lead(6)
+					}
+					time.Sleep(500 * time.Millisecond)
+					r.restart("a", 78, func(f *fakeWorker) { f.unreachable = true })
+					time.Sleep(30 * time.Second)
+					is.Equal(r.running("b"), 1)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that waits for late copies of its start although its worker is back and refuses them.
+func TestTaskStartsAtOnceOnSuccessorThatRefusesItsLateStart(t *testing.T) {
 	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 8*time.Second, true })
 		time.Sleep(20 * time.Second)
 		r.submit("s", 1, nil)
 		time.Sleep(300 * time.Millisecond)
-		r.restart("a", 77, func(f *fakeWorker) { f.noRoom = true })
-		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		r.restart("a", 77, func(*fakeWorker) {})
 		r.report("a", 1)
-		time.Sleep(700 * time.Millisecond)
-		r.restart("a", 78, func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(time.Second)
+		is.Equal(r.running("a"), 1)
 		time.Sleep(30 * time.Second)
-		is.Equal(r.running("b"), 1)
+		is.Equal(r.startsOf(submission.Ref{Submission: "s"}), 1)
 	})
 }
 
--- a/internal/placement/steps/evict.go
+++ b/internal/placement/steps/evict.go
@@ -61,7 +61,7 @@
 	var victims []int
 	lowest := 0.0
 	for _, w := range p.Workers {
-		if o := p.obstacleFor(w, r); o != noCores && o != noMemory || slices.Contains(t.AvoidWorkers, w.Incarnation.ID) {
+		if o := p.obstacleFor(w, r); o != noCores && o != noMemory || !t.mayStartOn(w.Incarnation.ID) {
 			continue
 		}
 		chosen, cost := w.victims(r, endless)
--- a/internal/placement/steps/room.go
+++ b/internal/placement/steps/room.go
@@ -45,7 +45,7 @@
 	w := m.workers[position]
 	slots := 0
 	for _, t := range r.Waiting {
-		if !slices.Contains(t.AvoidWorkers, w.Incarnation.ID) {
+		if t.mayStartOn(w.Incarnation.ID) {
 			slots++
 		}
 	}
--- a/internal/placement/steps/search.go
+++ b/internal/placement/steps/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 
 	"github.com/lentilyard/lentilyard/internal/resources"
 )
@@ -61,7 +60,7 @@
 	switch {
 	case !p.leavesFiniteRoom(w, r):
 		return keptForFinite
-	case slices.Contains(t.AvoidWorkers, w.Incarnation.ID):
+	case !t.mayStartOn(w.Incarnation.ID):
 		return avoidedWorker
 	case t.Isolated && w.youngBeside(r.Submission) > 0:
 		return otherStarting
@@ -146,7 +145,7 @@
 // record adds the size of a task that no worker could take. It ignores tasks that may not run on all workers with room,
 // since another task of that size may find one.
 func (u unplacedSizes) record(p *planner, r *Request, t WaitingTask, found *searchResult) {
-	if len(t.AvoidWorkers) > 0 || t.Isolated || r.Advice != nil || r.Spec.GetMaxPerWorker() > 0 {
+	if len(t.AvoidWorkers) > 0 || t.OnlyWorker != "" || t.Isolated || r.Advice != nil || r.Spec.GetMaxPerWorker() > 0 {
 		return
 	}
 	n := unplacedSize{resources.FromProto(r.Spec.GetSize()), p.utilizationLimitFor(r), r.overdue(p.NowUnixMs), formatObstacles(found.obstacles)}
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -128,6 +128,8 @@
 	Attempt uint32
 	// AvoidWorkers holds the IDs of workers on which the task failed or was refused before.
 	AvoidWorkers []string
+	// OnlyWorker is the ID of the only worker on which the task may start, "" if it may start on any.
+	OnlyWorker string
 	// Suspect is true if the task may have crashed a worker. Nothing of another submission starts beside it while it is young.
 	Suspect bool
 	// Isolated is true if the task starts only where no task of another submission has only just started, so that it is known
@@ -135,6 +137,11 @@
 	Isolated bool
 }
 
+// mayStartOn reports whether the task may start on a worker.
+func (t WaitingTask) mayStartOn(id string) bool {
+	return (t.OnlyWorker == "" || t.OnlyWorker == id) && !slices.Contains(t.AvoidWorkers, id)
+}
+
 // Start is a proposed placement.
 type Start struct {
 	Task    submission.Ref
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -68,7 +68,10 @@
 	if t.Done || t.Placed() || c.GetAttempt() <= t.Attempt {
 		return false
 	}
-	t.Attempt, t.On, t.LostOn, t.placedApplied = c.GetAttempt(), w.Incarnation(), Incarnation{}, s.clock()
+	t.Attempt, t.On, t.placedApplied = c.GetAttempt(), w.Incarnation(), s.clock()
+	if t.On.ID != t.LostOn.ID || sub.Spec.GetSteps()[ref.Step].GetEndless() {
+		t.LostOn = Incarnation{}
+	}
 	if sub.Spec.GetSteps()[ref.Step].GetGang() {
 		t.Checkpoint = step.Gang.startValue(t.Attempt)
 	}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -57,8 +57,8 @@
 	// On is the worker incarnation that the current attempt is placed on; the zero value while the task waits or is done.
 	On   Incarnation
 	Done bool
-	// LostOn is the worker incarnation that went while the last attempt was placed on it; the zero value otherwise and once
-	// the task is placed again. A later incarnation of the worker may still carry out the start of that attempt.
+	// LostOn is the worker incarnation that went while an attempt was placed on it; the zero value otherwise and once the task is placed
+	// on another worker, or anywhere if it is endless. A later incarnation of the worker may still carry out the start of that attempt.
 	LostOn Incarnation
 	// Checkpoint is the progress from which the current or next attempt resumes. A member of a gang gets that of its gang when it is
 	// placed.
