A start whose connection was refused leaves no copy to wait for

Callers saw: a finite task whose worker is lost starts elsewhere 23 s after its start instead of 9 s, though that start found nothing listening. Cause: any start without an answer counted as one that may be carried out late. Change: ErrNotListening, which says that the call was not carried out, counts as received by no later incarnation, for the attempt and for the lease that a successor may have from it. Measured: the test passes; it takes TestAnsweredStartIsNotWaitedFor in as refused_false.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -27,6 +27,7 @@
 	unreachable       bool                      // calls do not arrive
 	startDelay        time.Duration             // if set, starts get no answer and are carried out after this delay
 	startsReset       bool                      // the connections of starts break before they arrive
+	startsRefused     bool                      // the connections of starts are refused
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
@@ -186,6 +187,9 @@
 func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (int64, error) {
 	w.mu.Lock()
 	f, err := w.receive(c.Target)
+	if known := w.byID[c.Incarnation.ID]; known != nil && known.startsRefused {
+		err = ErrNotListening
+	}
 	if err != nil {
 		w.mu.Unlock()
 		return 0, w.awaitTimeout(ctx, err)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -116,9 +116,12 @@
 	startsTotal.Inc()
 	number := s.stray.sent(r.calledAt+lateCallTimeout, r.calledAt-l.longestLease())
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) }, func(err error, answered reading) {
-		s.stray.answered(number, answered, l.cfg.Clock())
-		if answered == readingSame {
+		switch {
+		case answered == readingSame, errors.Is(err, ErrNotListening): // no later incarnation receives it
+			s.stray.forget(number)
 			r.unansweredAt = unansweredBefore
+		case answered == readingOther:
+			s.stray.arrived(number, l.cfg.Clock())
 		}
 		l.onStart(s, task, r, err, answered)
 	})
--- a/internal/dispatch/stray.go
+++ b/internal/dispatch/stray.go
@@ -27,15 +27,11 @@
 	return s.last
 }
 
-// answered records that a start was answered at the given time, by the incarnation that the reading of the clock in the answer tells.
-func (s *strayStarts) answered(number uint64, by reading, at time.Duration) {
-	switch by {
-	case readingSame:
-		delete(s.arrivals, number)
-	case readingOther:
-		s.arrivals[number] = at
-	}
-}
+// forget forgets a start that no later incarnation can have received.
+func (s *strayStarts) forget(number uint64) { delete(s.arrivals, number) }
+
+// arrived records that a start has arrived by the given time, at a later incarnation.
+func (s *strayStarts) arrived(number uint64, at time.Duration) { s.arrivals[number] = at }
 
 // latest returns the time by which all of them have arrived, 0 if there are none.
 func (s *strayStarts) latest() time.Duration {
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -161,19 +161,23 @@
 	}
 }
 
-// Guards against a task that waits for late copies of a start that its worker has answered.
-func TestAnsweredStartIsNotWaitedFor(t *testing.T) {
-	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
-		time.Sleep(20 * time.Second)
-		r.submit("s", 1, nil)
-		time.Sleep(200 * time.Millisecond)
-		is.Equal(r.running("a"), 1)
-		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
-		r.lose("a")
-		time.Sleep(targetLease + time.Second)
-		is.Equal(r.running("b"), 1)
-	})
+// Guards against a task that waits for late copies of a start that its worker has answered, or whose connection was refused.
+func TestStartWithoutLateCopiesIsNotWaitedFor(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		t.Run(fmt.Sprintf("refused %v", refused), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["a"].startsRefused, r.workers.byID["b"].noRoom = refused, true })
+				time.Sleep(20 * time.Second)
+				r.submit("s", 1, nil)
+				time.Sleep(200 * time.Millisecond)
+				is.Equal(r.running("a") == 0, refused)
+				r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+				r.lose("a")
+				time.Sleep(targetLease + time.Second)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
 }
 
 // Guards against an endless task that stays away for too long because its worker, which had restarted a moment ago, is lost for good.
