A task that may have crashed its worker does not start on the successor of that, while its start may be carried out late

With a start without an answer it was sent to the same unsound worker time and again. Change: a task that is a suspect waits until the start can no longer run anywhere.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -313,7 +313,7 @@
 		}
 		ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: uint32(i)}
 		only, ok := l.mayStart(ref, now)
-		if !ok || l.awaitsProof(state, ref, t) {
+		if !ok || only != "" && t.Suspect() || l.awaitsProof(state, ref, t) {
 			if r.Spec.GetGang() { // the members of a gang start together or not at all
 				r.Waiting = nil
 				return
