The lease that a late hold for its former incarnation has granted to a worker is counted for finite tasks

Cause: holds were left out of the calls that may have extended the lease of a successor, since they are sent only while the incarnation is known to live. That says nothing about the one that lives when they are carried out. Change: finite attempts on a worker that has followed another incarnation count as held until the longest lease after its first answer, or after the time by which all calls for the former one have been carried out. Endless ones count as before: they would be away for longer than their callers are promised. A late stop does no harm: it names an attempt that was to end.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -26,6 +26,7 @@
 	dropAnswers       bool                      // calls are carried out, but their answers are lost
 	unreachable       bool                      // calls do not arrive
 	startDelay        time.Duration             // if set, starts get no answer and are carried out after this delay
+	holdLateBy        time.Duration             // if set, holds that may wait get no answer and are carried out after this delay
 	startsReset       bool                      // the connections of starts break before they arrive
 	startsRefused     bool                      // the connections of starts are refused
 	stalled           bool                      // tasks make no progress
@@ -200,15 +201,7 @@
 	}
 	clock, delay := f.clockMs(time.Now()), f.startDelay
 	if delay > 0 {
-		time.AfterFunc(delay, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if now := w.byID[c.Incarnation.ID]; now != nil && now.ignoreIncarnation {
-				f = now
-			}
-			w.advance(f)
-			_ = w.begin(f, c)
-		})
+		w.carryOutLate(f, delay, func(f *fakeWorker) { _ = w.begin(f, c) })
 		w.mu.Unlock()
 		return 0, w.awaitTimeout(ctx, ErrNoAnswer)
 	}
@@ -315,12 +308,33 @@
 	return 0, err
 }
 
+// carryOutLate carries a call out after a delay, on the incarnation that runs then if that takes calls for others. The lock is held.
+func (w *fakeWorkers) carryOutLate(f *fakeWorker, delay time.Duration, call func(*fakeWorker)) {
+	time.AfterFunc(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if now := w.byID[f.incarnation.ID]; now != nil && now.ignoreIncarnation {
+			f = now
+		}
+		w.advance(f)
+		call(f)
+	})
+}
+
 func (w *fakeWorkers) Hold(ctx context.Context, c HoldCall) (HoldAnswer, error) {
 	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
 	var waitsAt *fakeWorker
 	for {
 		w.mu.Lock()
 		f, err := w.receive(c.Target)
+		if f != nil && f.holdLateBy > 0 && c.WaitMs > 0 && waitsAt == nil {
+			w.carryOutLate(f, f.holdLateBy, func(f *fakeWorker) {
+				if c.Fence >= f.fence {
+					w.hold(f, c)
+				}
+			})
+			f, err = nil, ErrNoAnswer
+		}
 		if f != nil && (f.holdUnanswered || f.pollUnanswered && c.WaitMs > 0) {
 			f, err = nil, ErrNoAnswer
 		}
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,6 +128,40 @@
 	})
 }
 
+// Guards against a task that runs twice because a hold for the former incarnation of its worker was carried out late, and has extended the
+// lease of the new one just before that has answered.
+func TestLeaseFromLateHoldForFormerIncarnationCounts(t *testing.T) {
+	for _, delay := range []time.Duration{5 * time.Second, 12 * time.Second} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, new leader %v", delay, newLeader), func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+					time.Sleep(20 * time.Second)
+					r.workers.update(func() { r.workers.byID["a"].holdLateBy, r.workers.byID["b"].noRoom = delay, true })
+					time.Sleep(1600 * time.Millisecond) // the next hold has been sent
+					successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+					for successor.leaseEnd(r).IsZero() {
+						time.Sleep(10 * time.Millisecond)
+					}
+					r.submit("s", 1, nil)
+					r.registerSuccessor(is, successor)
+					if newLeader {
+						r.lead(6)
+						time.Sleep(100 * time.Millisecond)
+					}
+					r.cutOff(successor)
+					is.Equal(r.running("b"), 1)
+				})
+			})
+		}
+	}
+}
+
+func (f *fakeWorker) leaseEnd(r *harness) time.Time {
+	r.workers.mu.Lock()
+	defer r.workers.mu.Unlock()
+	return f.lease
+}
+
 // Guards against a leader that its own tokens fence off, because it leads again in the term in which it has stopped.
 func TestLeaderThatLeadsAgainInItsTermIsNotFenced(t *testing.T) {
 	withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e"}, func(is *is.I, r *harness) {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -29,6 +29,9 @@
 	// inheritedOver is when all leases are over that calls for a former incarnation may have granted to this one; 0 if there was none, or
 	// once this one has answered.
 	inheritedOver time.Duration
+	// lateOver is when all leases are over that calls for a former incarnation, holds as well, may have granted to this one however late they
+	// were carried out; 0 if there was none. Finite tasks wait for it.
+	lateOver time.Duration
 	// identifiedAt is when an answer of this incarnation last arrived.
 	identifiedAt time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
@@ -99,6 +102,7 @@
 			granted = l.cfg.Bounds.LeaseMax
 		}
 		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
+		s.lateOver = min(s.lateOver, at+l.longestLease())
 	}
 	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, sent, 0
 	return fresh
@@ -160,7 +164,7 @@
 			}
 		}
 	})
-	lost, attempts = l.withoutUnseenStarts(s, lost, attempts)
+	lost, attempts = l.withoutHeld(s, lost, attempts)
 	if over {
 		leasesOverTotal.Inc()
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -70,6 +70,7 @@
 	}
 	if learnt, ok := w.SucceededAt(); ok {
 		s.inheritedOver = l.inheritedLease(w.GetId(), learnt)
+		s.lateOver = learnt + maxCallDelay + l.longestLease()
 	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
--- a/internal/dispatch/stray.go
+++ b/internal/dispatch/stray.go
@@ -3,8 +3,8 @@
 import "time"
 
 // strayStarts are the starts of a session that its incarnation is not known to have received. A later incarnation may have received them
-// and taken the leases in them. Holds are not among them: they carry a lease only if they certainly reach the same incarnation. The event
-// loop owns it.
+// and taken the leases in them. Holds, which may be carried out late as well, are not among them: endless tasks cannot wait for that, and
+// for finite ones lateOver counts. The event loop owns it.
 type strayStarts struct {
 	// arrivals maps a number to the time by which the start has arrived, if ever.
 	arrivals map[uint64]time.Duration
