Ends are acknowledged to a worker until it has taken the acknowledgement, not in each hold

Callers would see: a task that is done runs again (TWICE): a hold gets no answer, the worker restarts under its id and carries a late start out to its end, and then the hold, which acknowledges ends of the former incarnation by number, makes the new one forget that end. Cause: each hold of a session repeated the number of the last committed end, also long after the worker had dropped all ends up to it. While it is sent, the incarnation is known to live; that says nothing about the one that lives when it is carried out. Evidence: TestLateHoldDoesNotLoseEndsOfRestartedWorker on the former commit: "{t 0 0 0} is started after it was done", "1 != 0". Change: a hold acknowledges ends only if a former one that did so has not been answered. Remains: the hold that first acknowledges an end may be late itself.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -113,6 +113,7 @@
 	if err == nil && !s.answeredByOther(answer) {
 		s.mu.Lock()
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
+		s.acknowledged = max(s.acknowledged, c.SeenEnd)
 		s.mu.Unlock()
 	}
 	return holdResult{sent, l.cfg.Clock(), answer, err, timedOut}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -345,6 +345,27 @@
 	})
 }
 
+// Guards against the same through a hold that is carried out late, long after the ends that it acknowledges were acknowledged.
+func TestLateHoldDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
+	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		r.submit("s", 1, nil)
+		time.Sleep(3 * time.Second)
+		is.Equal(r.describe("s"), "done")
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["a"].holdLateBy = time.Second, 5*time.Second })
+		time.Sleep(1600 * time.Millisecond) // the next hold has been sent
+		r.submit("t", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		restarted := r.restartWithEnd(submission.Ref{Submission: "t"})
+		r.workers.update(func() { restarted.unreachable = true })
+		time.Sleep(5 * time.Second)
+		r.workers.update(func() { restarted.unreachable = false })
+		r.report("a", 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.describe("t"), "done")
+		is.Equal(restarted.starts, 0)
+	})
+}
+
 // Guards against the same through the hold after a slow commit: no hold waits at the worker meanwhile, so that none fails if it
 // restarts.
 func TestHoldAfterSlowCommitDoesNotLoseEndsOfRestartedWorker(t *testing.T) {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -20,6 +20,8 @@
 	grantedUntil int64         // latest end of a granted lease, on the worker's clock; 0 if none was granted in this term
 	grantedAt    time.Duration // when a call with a lease was last sent, 0 if none was in this session
 	seenEnd      uint64        // number of the last committed end
+	// acknowledged is the highest number up to which this incarnation has taken an acknowledgement of ends.
+	acknowledged uint64
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
 	// silent is true while the worker is or may be recorded as silent. No lease is granted then.
@@ -64,10 +66,11 @@
 	return c.confirmed && !c.identityUncertain && now-c.identifiedAt > identityWindow
 }
 
-// acknowledgedEnd returns the number up to which ends are acknowledged to the worker. Ends are numbered per incarnation, so it
-// returns 0 while another incarnation may receive the call.
+// acknowledgedEnd returns the number up to which ends are to be acknowledged to the worker, 0 for none. Ends are numbered per incarnation,
+// so it returns 0 while another incarnation may receive the call, and once the worker has taken the acknowledgement: each hold may be
+// carried out late, by a later incarnation.
 func (c leaseState) acknowledgedEnd() uint64 {
-	if c.identityUncertain {
+	if c.identityUncertain || c.seenEnd <= c.acknowledged {
 		return 0
 	}
 	return c.seenEnd
