--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -60,7 +60,7 @@
 		first := r.restart("a", 77, func(f *fakeWorker) { f.noRoom = true })
 		r.report("a", 1)
 		time.Sleep(300 * time.Millisecond)
-		is.True(first.holds > 1) // it has answered its session
+		r.workers.update(func() { is.True(first.holds > 1) }) // it has answered its session
 		second := r.restart("a", 78, func(f *fakeWorker) { f.unreachable = true })
 		r.awaitRunning(is, "a")
 		r.workers.update(func() { second.unreachable, r.workers.byID["b"].noRoom = false, false })
