A task whose worker was replaced under another id does not wait for copies of its start after a change of the leader

Cause: a new leader takes each lost attempt for one that a successor under the same id may start. Evidence: TestTaskOfReplacedWorkerStartsAtOnceAfterLeaderChange on the former commit: "0 != 1" (nothing runs 4 s later), with the other worker registered before and after the change. Change: a worker with another id at the address refuses all calls for the one before it; its session drops the records of that one's attempts.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -74,6 +74,7 @@
 	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
+	l.dropReplaced(state, s)
 	l.log.Info().Str("event", "session-opened").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).Str("address", s.address).Msg("")
 	go l.holdLoop(ctx, s)
 	return s
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -143,8 +143,30 @@
 // takeOverUncertainStarts records the tasks of which an attempt was lost on a worker incarnation that has gone. The previous
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
+	occupants := map[string]string{} // worker ids by address
+	for id, s := range l.sessions {
+		occupants[s.address] = id
+	}
 	forEachLost(state, func(ref submission.Ref, attempt uint32, on submission.Incarnation) {
-		l.addUntracked(state, ref, attempt, on)
+		if occupant, ok := occupants[addressOf(state, on)]; !ok || occupant == on.ID {
+			l.addUntracked(state, ref, attempt, on)
+		}
+	})
+}
+
+// addressOf returns the address of the worker that an incarnation belongs to, "" if it is unknown.
+func addressOf(state *submission.State, incarnation submission.Incarnation) string {
+	if w := state.Workers()[incarnation.ID]; w != nil {
+		return w.GetAddress()
+	}
+	return ""
+}
+
+// dropReplaced removes the records of attempts on workers that the one of a new session has replaced under another id: that refuses all
+// calls for them.
+func (l *Leader) dropReplaced(state *submission.State, s *session) {
+	maps.DeleteFunc(l.uncertainStarts, func(_ submission.Ref, u *uncertainStart) bool {
+		return u.previous.ID != s.incarnation.ID && addressOf(state, u.previous) == s.address
 	})
 }
 
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,6 +162,40 @@
 	}
 }
 
+// Guards against a task that waits for late copies of its start after a change of the leader although another worker has replaced its own.
+func TestTaskOfReplacedWorkerStartsAtOnceAfterLeaderChange(t *testing.T) {
+	for _, registeredBefore := range []bool{false, true} {
+		t.Run(fmt.Sprintf("registered before %v", registeredBefore), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a"}, func(is *is.I, r *harness) {
+				time.Sleep(20 * time.Second)
+				r.submit("s", 1, nil)
+				time.Sleep(200 * time.Millisecond)
+				is.Equal(r.running("a"), 1)
+				next := newFakeWorker("c", 77)
+				next.address = "a"
+				r.workers.update(func() {
+					clear(r.workers.byID["a"].running)
+					r.workers.byID["a"].refusing, r.workers.byID["c"] = true, next
+				})
+				r.leaves("a")
+				time.Sleep(time.Second)
+				changes := []func(){func() { is.NoErr(r.reportCapacity("c", 1, 100)) }, func() { r.lead(6) }}
+				if !registeredBefore {
+					slices.Reverse(changes)
+				}
+				for _, change := range changes {
+					change()
+					time.Sleep(200 * time.Millisecond)
+				}
+				r.workers.update(func() { r.workers.byID["b"] = newFakeWorker("b", 2) })
+				r.report("b", 1)
+				time.Sleep(4 * time.Second)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
+}
+
 // Guards against a task that runs twice because an unknown successor of its worker has carried out a late copy of its start, and then a late
 // hold, which has extended the lease.
 func TestLateHoldOnUnknownSuccessorIsWaitedFor(t *testing.T) {
