A red test: a start that was given up on a living worker may be carried out by the next incarnation

A worker answers holds but not a start; after 2.5 s the task is placed elsewhere; the worker restarts, is cut off before that is known, and carries the start out 8 s after it was sent.

--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -162,6 +162,22 @@
 	}
 }
 
+// Guards against a task that runs twice because its worker, which answers holds but no starts, restarts after the start was given up, and
+// a successor of which nobody knows carries it out.
+func TestLateStartThatWasGivenUpIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 8*time.Second, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(300 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		time.Sleep(5 * time.Second)
+		r.restart("a", 77, func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(30 * time.Second)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
 // Guards against a task that waits for late copies of its start after a change of the leader although another worker has replaced its own.
 func TestTaskOfReplacedWorkerStartsAtOnceAfterLeaderChange(t *testing.T) {
 	for _, registeredBefore := range []bool{false, true} {
