--- a/internal/placement/steps/strand_test.go
+++ b/internal/placement/steps/strand_test.go
@@ -22,6 +22,19 @@
 	is.Equal(p.Waiting[0].Task.Index, uint32(0))
 }
 
+// Guards against a task that starts on another worker than the only one on which it may, and against others that wait because that one is
+// full.
+func TestTaskWithOneWorkerDoesNotHoldUpOthers(t *testing.T) {
+	is := is.New(t)
+	tied := newRequest("a", 1, newStep(2, nil))
+	tied.Waiting[0].OnlyWorker = "full"
+	p := plan([]*Worker{newWorker("full", 1), newWorker("free", 8)}, tied, newRequest("b", 1, newStep(2, nil)))
+	is.Equal(len(p.Starts), 1)
+	is.Equal(p.Starts[0].Task.Submission, "b")
+	tied.Waiting[0].OnlyWorker = "free"
+	is.Equal(placesOf(plan([]*Worker{newWorker("full", 8), newWorker("free", 8)}, tied)), map[string]int{"free": 1})
+}
+
 // Guards against a task that is not tried, although a worker has room for it, because a smaller one of another kind found none in
 // the same plan: a filling task needs processor time but reserves none, and a worker may be reserved for one submission only.
 func TestUnplacedSizeRulesOutOnlyItsKind(t *testing.T) {
