--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -26,7 +26,10 @@
 	dropAnswers       bool                      // calls are carried out, but their answers are lost
 	unreachable       bool                      // calls do not arrive
 	startDelay        time.Duration             // if set, starts get no answer and are carried out after this delay
+	holdLate          time.Duration             // if set, holds, also those that wait, get no answer and are carried out after this delay
+	pollLate          time.Duration             // if set, the same for new holds that may wait
 	startsReset       bool                      // the connections of starts break before they arrive
+	startsRefused     bool                      // the connections of starts are refused
 	stalled           bool                      // tasks make no progress
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
@@ -34,7 +37,6 @@
 	stopUnanswered    bool                      // stops do not arrive
 	holdUnanswered    bool                      // holds do not arrive
 	pollUnanswered    bool                      // holds that may wait do not arrive
-	mutedByStop       bool                      // holds get no answer once a stop has arrived
 	refuseAfterStart  bool                      // starts are carried out and answered with ErrUnavailable
 	ignoreIncarnation bool                      // calls meant for another incarnation with the same id are carried out
 	stopTime          time.Duration             // how long a stop takes
@@ -50,7 +52,6 @@
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
-	holdLate          time.Duration             // if set, holds get no answer and are carried out after this delay
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -187,6 +188,9 @@
 func (w *fakeWorkers) Start(ctx context.Context, c StartCall) (int64, error) {
 	w.mu.Lock()
 	f, err := w.receive(c.Target)
+	if known := w.byID[c.Incarnation.ID]; known != nil && known.startsRefused {
+		err = ErrNotListening
+	}
 	if err != nil {
 		w.mu.Unlock()
 		return 0, w.awaitTimeout(ctx, err)
@@ -197,15 +201,7 @@
 	}
 	clock, delay := f.clockMs(time.Now()), f.startDelay
 	if delay > 0 {
-		time.AfterFunc(delay, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if now := w.byID[c.Incarnation.ID]; now != nil && now.ignoreIncarnation {
-				f = now
-			}
-			w.advance(f)
-			_ = w.begin(f, c)
-		})
+		w.carryOutLate(f, delay, func(f *fakeWorker) { _ = w.begin(f, c) })
 		w.mu.Unlock()
 		return 0, w.awaitTimeout(ctx, ErrNoAnswer)
 	}
@@ -312,12 +308,44 @@
 	return 0, err
 }
 
+// carryOutLate carries a call out after a delay, on the incarnation that runs then if that takes calls for others. The lock is held.
+func (w *fakeWorkers) carryOutLate(f *fakeWorker, delay time.Duration, call func(*fakeWorker)) {
+	time.AfterFunc(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if now := w.byID[f.incarnation.ID]; now != nil && now.ignoreIncarnation {
+			f = now
+		}
+		w.advance(f)
+		call(f)
+	})
+}
+
+// latenessOf returns after how long a hold is carried out that gets no answer, 0 if it is carried out at once. f may be nil.
+func (f *fakeWorker) latenessOf(c HoldCall, waits bool) time.Duration {
+	switch {
+	case f == nil:
+		return 0
+	case f.holdLate == 0 && c.WaitMs > 0 && !waits:
+		return f.pollLate
+	}
+	return f.holdLate
+}
+
 func (w *fakeWorkers) Hold(ctx context.Context, c HoldCall) (HoldAnswer, error) {
 	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
 	var waitsAt *fakeWorker
 	for {
 		w.mu.Lock()
 		f, err := w.receive(c.Target)
+		if late := f.latenessOf(c, waitsAt != nil); late > 0 {
+			w.carryOutLate(f, late, func(f *fakeWorker) {
+				if c.Fence >= f.fence {
+					w.hold(f, c)
+				}
+			})
+			f, err = nil, ErrNoAnswer
+		}
 		if f != nil && (f.holdUnanswered || f.pollUnanswered && c.WaitMs > 0) {
 			f, err = nil, ErrNoAnswer
 		}
@@ -332,11 +360,6 @@
 		if waitsAt == nil {
 			f.holds++
 		}
-		if late := f.holdLate; late > 0 {
-			time.AfterFunc(late, func() { w.holdLater(c) })
-			w.mu.Unlock()
-			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
-		}
 		if f.overloaded {
 			w.mu.Unlock()
 			select {
@@ -347,7 +370,7 @@
 		}
 		waitsAt = f
 		answer, ready := w.hold(f, c)
-		answerLost, delay := f.dropAnswers || f.mutedByStop && len(f.revoked) > 0, f.holdDelay
+		answerLost, delay := f.dropAnswers, f.holdDelay
 		w.mu.Unlock()
 		if answerLost {
 			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
@@ -364,15 +387,6 @@
 	}
 }
 
-// holdLater carries out a late hold, on the incarnation that has the id by now.
-func (w *fakeWorkers) holdLater(c HoldCall) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if f, err := w.receive(c.Target); err == nil {
-		w.hold(f, c)
-	}
-}
-
 func (w *fakeWorkers) hold(f *fakeWorker, c HoldCall) (HoldAnswer, bool) {
 	if c.LeaseUntilMs > 0 {
 		w.extend(f, c.LeaseUntilMs)
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -18,8 +18,10 @@
 	clockMs      int64         // last reading of the worker's clock, 0 if none
 	clockAt      time.Duration // when the clock was read
 	grantedUntil int64         // latest end of a granted lease, on the worker's clock; 0 if none was granted in this term
+	grantedAt    time.Duration // when a call with a lease was last sent, 0 if none was in this session
 	seenEnd      uint64        // number of the last committed end
-	listsEnds    bool          // the last answer lists ends
+	// acknowledged is the highest number up to which this incarnation has taken an acknowledgement of ends.
+	acknowledged uint64
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
 	// silent is true while the worker is or may be recorded as silent. No lease is granted then.
@@ -30,6 +32,9 @@
 	// inheritedOver is when all leases are over that calls for a former incarnation may have granted to this one; 0 if there was none, or
 	// once this one has answered.
 	inheritedOver time.Duration
+	// lateOver is when all leases are over that calls for a former incarnation, holds as well, may have granted to this one however late they
+	// were carried out; 0 if there was none. Finite tasks wait for it.
+	lateOver time.Duration
 	// identifiedAt is when an answer of this incarnation last arrived.
 	identifiedAt time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
@@ -61,10 +66,11 @@
 	return c.confirmed && !c.identityUncertain && now-c.identifiedAt > identityWindow
 }
 
-// acknowledgedEnd returns the number up to which ends are acknowledged to the worker. Ends are numbered per incarnation, so it
-// returns 0 while another incarnation may receive the call, and once the worker lists no ends: the call may arrive late.
+// acknowledgedEnd returns the number up to which ends are to be acknowledged to the worker, 0 for none. Ends are numbered per incarnation,
+// so it returns 0 while another incarnation may receive the call, and once the worker has taken the acknowledgement: each hold may be
+// carried out late, by a later incarnation.
 func (c leaseState) acknowledgedEnd() uint64 {
-	if c.identityUncertain || !c.listsEnds {
+	if c.identityUncertain || c.seenEnd <= c.acknowledged {
 		return 0
 	}
 	return c.seenEnd
@@ -83,7 +89,7 @@
 		return 0
 	}
 	until := s.clockMs + lease.Milliseconds()
-	s.grantedUntil = max(s.grantedUntil, until)
+	s.grantedUntil, s.grantedAt = max(s.grantedUntil, until), now
 	return until
 }
 
@@ -100,6 +106,7 @@
 			granted = l.cfg.Bounds.LeaseMax
 		}
 		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
+		s.lateOver = min(s.lateOver, at+l.longestLease())
 	}
 	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, sent, 0
 	return fresh
@@ -112,8 +119,12 @@
 // the clock of that incarnation, and the worker shortens it to the longest lease.
 func (l *Leader) longestLease() time.Duration { return slowest(l.cfg.Bounds.LeaseMax) + leaseMargin }
 
-// lateCallTimeout is how long after it was sent a call may be carried out, at the latest.
-const lateCallTimeout = 4 * time.Second
+const (
+	// maxCallDelay is how long after the leader has made it a call may be carried out, at the latest.
+	maxCallDelay = 12*time.Second + callTimeout
+	// lateCallTimeout takes its place for endless tasks, which may not be away for as long.
+	lateCallTimeout = 4 * time.Second
+)
 
 func (s *session) leaseSnapshot() leaseState {
 	s.mu.Lock()
@@ -157,7 +168,7 @@
 			}
 		}
 	})
-	lost, attempts = l.withoutUnseenStarts(s, lost, attempts)
+	lost, attempts = l.withoutHeld(s, lost, attempts)
 	if over {
 		leasesOverTotal.Inc()
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -70,9 +70,11 @@
 	}
 	if learnt, ok := w.SucceededAt(); ok {
 		s.inheritedOver = l.inheritedLease(w.GetId(), learnt)
+		s.lateOver = learnt + maxCallDelay + l.longestLease()
 	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
+	l.dropReplaced(state, s)
 	l.log.Info().Str("event", "session-opened").Str("worker", s.incarnation.ID).Int64("born", s.incarnation.BornUnixMs).Str("address", s.address).Msg("")
 	go l.holdLoop(ctx, s)
 	return s
@@ -126,7 +128,7 @@
 // commitEnds commits the ends that a worker lists, unless they are committed already. If all commits succeed, the next hold acknowledges the ends. done is called
 // once all results are known.
 func (l *Leader) commitEnds(s *session, answer HoldAnswer, done func()) {
-	seen := s.recordListedEnds(len(answer.Ended) > 0)
+	seen := s.leaseSnapshot().seenEnd
 	ended := slices.DeleteFunc(slices.Clone(answer.Ended), func(e Ended) bool { return e.Number <= seen })
 	if len(ended) == 0 {
 		done()
@@ -155,14 +157,6 @@
 	}
 }
 
-// recordListedEnds records whether the last answer lists ends, and returns the number of the last committed one.
-func (s *session) recordListedEnds(any bool) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listsEnds = any
-	return s.seenEnd
-}
-
 // commitEnd commits the end of an attempt on the worker of a session.
 func (l *Leader) commitEnd(s *session, task submission.Ref, attempt uint32, kind pb.TaskEndKind, checkpoint string, after func(error)) {
 	l.queueEnd(endOf(s, task, attempt, kind, checkpoint), after)
--- a/internal/dispatch/stray.go
+++ b/internal/dispatch/stray.go
@@ -3,7 +3,8 @@
 import "time"
 
 // strayCalls are the starts of a session that its incarnation is not known to have received, and a hold that a later incarnation has
-// answered. That one may have taken the leases in them. Holds without an answer are not among them. The event loop owns it.
+// answered. That one may have taken the leases in them. Holds without an answer, which may be carried out late as well, are not among them:
+// endless tasks cannot wait for that, and for finite ones lateOver counts. The event loop owns it.
 type strayCalls struct {
 	// arrivals maps a number to the time by which the call has arrived, if ever.
 	arrivals map[uint64]time.Duration
@@ -26,15 +27,11 @@
 	return s.last
 }
 
-// answered records that a start was answered at the given time, by the incarnation that the reading of the clock in the answer tells.
-func (s *strayCalls) answered(number uint64, by reading, at time.Duration) {
-	switch by {
-	case readingSame:
-		delete(s.arrivals, number)
-	case readingOther:
-		s.arrivals[number] = at
-	}
-}
+// forget forgets a call that no later incarnation can have received.
+func (s *strayCalls) forget(number uint64) { delete(s.arrivals, number) }
+
+// arrived records that a call has arrived by the given time, at a later incarnation.
+func (s *strayCalls) arrived(number uint64, at time.Duration) { s.arrivals[number] = at }
 
 // latest returns the time by which all of them have arrived, 0 if there are none.
 func (s *strayCalls) latest() time.Duration {
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"maps"
 	"time"
 
@@ -16,111 +15,193 @@
 type uncertainStart struct {
 	previous submission.Incarnation
 	attempt  uint32
-	// since is when the start was last sent, or when it became uncertain. It is carried out by arrivesBy, if ever.
+	endless  bool
+	// since is when the start became uncertain. It is carried out by arrivesBy, if ever.
 	since, arrivesBy time.Duration
-	// in is the session with a new incarnation in which the attempt was last revoked; each new incarnation has to be told. No start meant
-	// for the previous one is sent after inSince.
-	in      *session
-	inSince time.Duration
-	// calling is true while the stop call in that session is in progress. revokedAt is when the call was acknowledged.
-	calling   bool
-	revokedAt time.Duration
-	// successorUnseen is true if a later incarnation may exist that this leader has not reached.
+	// leasesArriveBy is by when all other calls have been carried out, if ever, that extend the lease of an unknown incarnation which may run
+	// the attempt.
+	leasesArriveBy time.Duration
+	// refusedBy is the session with a new incarnation that neither runs the attempt nor will start it, if there is one. The next one may.
+	refusedBy *session
+	// successorUnseen is true if a later incarnation may exist although this leader has a session with the previous one.
 	successorUnseen bool
 }
 
-// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor: all but
-// those that the incarnation is known to have started and of whose start no copy can still be on its way.
+// recordUncertainStarts records the attempts of a replaced incarnation whose start may be carried out by its successor.
 func (l *Leader) recordUncertainStarts(state *submission.State, previous submission.Incarnation) {
 	for ref, r := range l.runs {
-		if r.on == previous && (!r.confirmed || l.mayArriveLate(r)) {
-			l.addUncertainStart(ref, l.newUncertainStart(previous, r.attempt))
+		if r.on == previous {
+			l.addUncertainStart(ref, l.uncertainStartOf(state, ref, r))
 		}
 	}
 	if w := state.Workers()[previous.ID]; w != nil && w.Incarnation() == previous {
 		for ref, attempt := range w.Attempts {
-			l.addUntracked(ref, attempt, previous)
+			l.addUntracked(state, ref, attempt, previous)
 		}
 	}
-	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		if t.LostOn == previous {
-			l.addUntracked(ref, t.Attempt, previous)
+	forEachLost(state, func(ref submission.Ref, attempt uint32, on submission.Incarnation) {
+		if on == previous {
+			l.addUntracked(state, ref, attempt, previous)
 		}
 	})
 }
 
-// mayArriveLate reports whether a start of a run that got no answer may still be carried out.
-func (l *Leader) mayArriveLate(r *run) bool {
-	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < lateCallTimeout
+// uncertainStartOf returns the record of an attempt whose start a later incarnation of the worker may have carried out or may yet carry
+// out, nil if there is no such start.
+func (l *Leader) uncertainStartOf(state *submission.State, task submission.Ref, r *run) *uncertainStart {
+	now, last := l.cfg.Clock(), r.unansweredAt
+	if stepOf(state, task).GetEndless() {
+		if r.confirmed && !l.mayArriveLate(r) {
+			return nil
+		}
+		return &uncertainStart{previous: r.on, attempt: r.attempt, endless: true, since: now, arrivesBy: now + lateCallTimeout}
+	}
+	if r.takenOver {
+		last = max(last, lastStart(state.Task(task), l.termStart+previousLeaderTimeout))
+	}
+	u := &uncertainStart{previous: r.on, attempt: r.attempt, since: now, arrivesBy: last + maxCallDelay}
+	received := false // by that incarnation
+	if s := l.sessions[r.on.ID]; s != nil && s.incarnation == r.on {
+		lease := s.leaseSnapshot()
+		received, u.leasesArriveBy = lease.identifiedAt >= u.arrivesBy, lease.grantedAt+maxCallDelay
+	}
+	if last == 0 || received || now > l.unseenLeaseOver(u) {
+		return nil
+	}
+	return u
+}
+
+// unseenLeaseOver returns when the lease is over of an unknown incarnation that may run an attempt.
+func (l *Leader) unseenLeaseOver(u *uncertainStart) time.Duration {
+	return max(u.arrivesBy, u.leasesArriveBy) + l.longestLease()
 }
 
-// addUntracked records an attempt unless this leader has tracked it and knows better.
-func (l *Leader) addUntracked(task submission.Ref, attempt uint32, previous submission.Incarnation) {
-	if r := l.runs[task]; r == nil || r.attempt != attempt || r.on != previous {
-		l.addUncertainStart(task, l.newUncertainStart(previous, attempt))
+// lastStart returns when a start of the current or an earlier attempt of a task was last sent by a leader that does not track it now, at
+// the latest: before the given time, and for as long as a start is repeated. t may be nil.
+func lastStart(t *submission.Task, before time.Duration) time.Duration {
+	if t == nil {
+		return before
 	}
+	return min(before, t.PlacedAt()+startTimeout)
+}
+
+// mayArriveLate reports whether a start of a run that got no answer may still be carried out, for an endless task.
+func (l *Leader) mayArriveLate(r *run) bool {
+	return r.outcomeUnknown && l.cfg.Clock()-max(r.calledAt, r.trackedSince) < lateCallTimeout
 }
 
-// newUncertainStart returns the record of a start whose copies may be on their way now.
-func (l *Leader) newUncertainStart(previous submission.Incarnation, attempt uint32) *uncertainStart {
+// addUntracked records an attempt unless this leader has tracked it and knows better. The previous leader may have sent its start.
+func (l *Leader) addUntracked(state *submission.State, task submission.Ref, attempt uint32, previous submission.Incarnation) {
+	if r := l.runs[task]; r != nil && r.attempt == attempt && r.on == previous {
+		return
+	}
 	now := l.cfg.Clock()
-	return &uncertainStart{previous: previous, attempt: attempt, since: now, arrivesBy: now + lateCallTimeout}
+	u := &uncertainStart{previous: previous, attempt: attempt, endless: stepOf(state, task).GetEndless(), since: now, arrivesBy: now + lateCallTimeout}
+	if !u.endless {
+		u.arrivesBy = lastStart(state.Task(task), max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
+	}
+	l.addUncertainStart(task, u)
 }
 
+// addUncertainStart adds a record, which may be nil. It stands for the earlier attempts too, of which copies may be on their way.
 func (l *Leader) addUncertainStart(task submission.Ref, u *uncertainStart) {
-	if known := l.uncertainStarts[task]; known != nil && known.attempt >= u.attempt {
+	known := l.uncertainStarts[task]
+	if u == nil || known != nil && known.attempt >= u.attempt {
 		return
 	}
+	if known != nil {
+		u.arrivesBy, u.leasesArriveBy = max(u.arrivesBy, known.arrivesBy), max(u.leasesArriveBy, known.leasesArriveBy)
+	}
 	l.uncertainStarts[task] = u
 	l.log.Info().Str("decision", "unsure").Str("request", task.Submission).Uint32("step", task.Step).Uint32("task", task.Index).
-		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("age_ms", l.cfg.Clock()-u.since).Bool("successor_unseen", u.successorUnseen).
+		Uint32("attempt", u.attempt).Str("worker", u.previous.ID).Dur("arrives_in_ms", u.arrivesBy-u.since).Bool("successor_unseen", u.successorUnseen).
 		Msg("the next incarnation of the worker may have started the attempt")
 }
 
-// forEachLost calls f for each waiting task whose last attempt was on a worker incarnation that has gone.
-func forEachLost(state *submission.State, f func(submission.Ref, *submission.Task)) {
+// forEachLost calls f for each task of which an attempt was lost on a worker incarnation that has gone and may still be started by a later
+// one, with the highest number that this attempt can have.
+func forEachLost(state *submission.State, f func(task submission.Ref, attempt uint32, on submission.Incarnation)) {
 	for id, sub := range state.Active() {
 		for number, o := range sub.Occurrences {
 			for i := range o.Steps {
 				for j := range o.Steps[i].Tasks {
-					if t := &o.Steps[i].Tasks[j]; t.LostOn != (submission.Incarnation{}) {
-						f(submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, t)
+					t := &o.Steps[i].Tasks[j]
+					if t.LostOn == (submission.Incarnation{}) {
+						continue
+					}
+					attempt := t.Attempt
+					if t.Placed() {
+						attempt--
 					}
+					f(submission.Ref{Submission: id, Occurrence: number, Step: uint32(i), Index: uint32(j)}, attempt, t.LostOn)
 				}
 			}
 		}
 	}
 }
 
-// takeOverUncertainStarts records the waiting tasks whose last attempt was on a worker incarnation that has gone. The previous
+// takeOverUncertainStarts records the tasks of which an attempt was lost on a worker incarnation that has gone. The previous
 // leader may have known that such an attempt cannot run any more; this one does not.
 func (l *Leader) takeOverUncertainStarts(state *submission.State) {
-	forEachLost(state, func(ref submission.Ref, t *submission.Task) {
-		l.addUncertainStart(ref, l.newUncertainStart(t.LostOn, t.Attempt))
+	occupants := map[string]string{} // worker ids by address
+	for id, s := range l.sessions {
+		occupants[s.address] = id
+	}
+	forEachLost(state, func(ref submission.Ref, attempt uint32, on submission.Incarnation) {
+		if occupant, ok := occupants[addressOf(state, on)]; !ok || occupant == on.ID {
+			l.addUntracked(state, ref, attempt, on)
+		}
+	})
+}
+
+// addressOf returns the address of the worker that an incarnation belongs to, "" if it is unknown.
+func addressOf(state *submission.State, incarnation submission.Incarnation) string {
+	if w := state.Workers()[incarnation.ID]; w != nil {
+		return w.GetAddress()
+	}
+	return ""
+}
+
+// dropReplaced removes the records of attempts on workers that the one of a new session has replaced under another id: that refuses all
+// calls for them.
+func (l *Leader) dropReplaced(state *submission.State, s *session) {
+	maps.DeleteFunc(l.uncertainStarts, func(_ submission.Ref, u *uncertainStart) bool {
+		return u.previous.ID != s.incarnation.ID && addressOf(state, u.previous) == s.address
 	})
 }
 
-// mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake.
-func (l *Leader) mayStart(task submission.Ref, now time.Duration) bool {
+// mayStart reports whether the task may be placed: no worker incarnation can still start an earlier attempt of it by mistake. only is the
+// id of the only worker on which it may start, "" if it may on any: an incarnation that refuses the earlier attempt ends before the next
+// one under its id can start that.
+func (l *Leader) mayStart(task submission.Ref, now time.Duration) (only string, ok bool) {
 	u := l.uncertainStarts[task]
-	if u != nil && l.expired(u, now) {
+	switch {
+	case u == nil:
+		return "", true
+	case l.expired(u, now):
 		delete(l.uncertainStarts, task)
-		return true
+		return "", true
+	case u.refusedBy != nil && u.refusedBy == l.sessions[u.previous.ID]:
+		return u.previous.ID, true
 	}
-	return u == nil
+	return "", false
 }
 
-// expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call
-// has arrived by now, and if a new incarnation has registered, its lease is over.
+// expired reports whether no new incarnation can start the attempt any more, or run it any longer if it did: a delayed call has arrived by
+// now, and the lease is over that it may have granted. Without a session with a new incarnation, nobody may know of it; an endless task
+// is waited for only if there is a sign of one.
 func (l *Leader) expired(u *uncertainStart, now time.Duration) bool {
 	if now <= u.arrivesBy {
 		return false
 	}
 	s := l.sessions[u.previous.ID]
-	if s == nil || s.incarnation == u.previous && !u.successorUnseen {
+	if s == nil {
+		return u.endless || now > l.unseenLeaseOver(u)
+	}
+	if s.incarnation == u.previous && !u.successorUnseen {
 		return true
 	}
-	return now > max(u.arrivesBy+l.longestLease(), l.leaseExpiry(s.leaseSnapshot()))
+	return now > max(l.unseenLeaseOver(u), l.leaseExpiry(s.leaseSnapshot()))
 }
 
 // cleanUpUncertainStarts removes the records that are out of date, including those of tasks that no longer wait.
@@ -137,49 +218,34 @@
 // These occupy resources that the planner would count as free.
 func (l *Leader) mayRunUncertainStarts(s *session) bool {
 	for _, u := range l.uncertainStarts {
-		if u.previous.ID == s.incarnation.ID && u.previous != s.incarnation {
+		if u.previous.ID == s.incarnation.ID && u.previous != s.incarnation && u.refusedBy != s {
 			return true
 		}
 	}
 	return false
 }
 
-// resolveUncertainStarts resolves the attempts that a new incarnation may have started in place of its predecessor. It first
-// sends a stop, after which the attempt cannot start there. Once a later hold does not list the attempt, its task may be
-// placed again. So it may if a hold does not list it by which a delayed call has arrived: a sick worker may answer no stop.
+// resolveUncertainStarts resolves the attempts that a new incarnation may have started in place of its predecessor. With its first answer
+// in its session it refuses all calls meant for that one, so that an attempt which it does not list then cannot run there any more. One that
+// it lists is stopped. sent is when the answered hold was sent.
 func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration) {
 	for ref, u := range l.uncertainStarts {
 		if u.previous == s.incarnation && u.successorUnseen && sent > u.since { // it lives, so that the report of a successor was false
 			delete(l.uncertainStarts, ref)
 			l.dirty = true
 		}
-		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation {
+		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation || s.mayRunUpTo(ref, u.attempt) {
 			continue
 		}
-		if u.in != s {
-			u.in, u.inSince, u.calling, u.revokedAt = s, l.cfg.Clock(), false, 0
-		}
-		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+lateCallTimeout
-		switch {
-		case cannotStart && s.running[ref].Attempt != u.attempt:
+		u.refusedBy, l.dirty = s, true
+		if u.endless || sent > u.arrivesBy {
 			delete(l.uncertainStarts, ref)
-			l.dirty = true
-		case u.revokedAt == 0 && !u.calling:
-			l.revoke(s, ref, u)
 		}
 	}
 }
 
-// revoke tells a worker incarnation to stop an attempt if it runs and never to start it.
-func (l *Leader) revoke(s *session, task submission.Ref, u *uncertainStart) {
-	c := StopCall{Target: s.target(), Task: task, Attempt: u.attempt}
-	u.calling = true
-	stopsTotal.Inc()
-	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Stop(ctx, c) }, func(err error, _ reading) {
-		u.calling = false
-		if err == nil {
-			u.revokedAt = l.cfg.Clock()
-			l.pollNow(s)
-		}
-	})
+// mayRunUpTo reports whether the last answer to a hold lists an attempt of a task as running that is not later than the given one.
+func (s *session) mayRunUpTo(task submission.Ref, attempt uint32) bool {
+	running, ok := s.running[task]
+	return ok && running.Attempt <= attempt
 }
