Dispatch: a full list of ends proves nothing about the tasks that it lacks

Cause: a worker lists 500 ends at a time; the next ones follow once these are acknowledged. An attempt that an answer listed neither as running nor as ended counted as lost, also if the answer held only the first part.

From such an answer nothing follows about an attempt that it lacks. The next part is asked for without a wait. Looked at, no change: the list of running attempts is whole in each answer, which is what strays and room (capacity.go), serving tasks (interrupt.go), speed limits, stalls and `listed` go by. Probes of leaves, claims, former workers and routes use only who answers. What a worker no longer lists since it was acknowledged is committed before. Leases and incarnations that are over end attempts by time, not by a list. Not changed: a row that cannot be decoded is left out as before, and counts for the limit. A VM of an older version that makes a hold does not tell that ends may lack.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -97,6 +97,9 @@
 	BornUnixMs int64
 	Running    []Running
 	Ended      []Ended
+	// MayLackEnds is true if attempts may have ended that are not in Ended, since a worker lists a limited number at a time. It lists the next
+	// ones once these are acknowledged. An attempt that is in neither list may have ended in any way then.
+	MayLackEnds bool
 }
 
 // Caller makes calls to workers. After ErrNoAnswer the worker may have carried out the call already, may still do so
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -50,6 +50,8 @@
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
+	endsListed        int                       // ends in an answer to a hold at most, 0 if there is no limit
+	waitsFully        bool                      // a hold takes its whole wait, whatever it lists
 }
 
 // hopeless is the prefix of the ids of submissions whose tasks fail at once on every worker.
@@ -366,6 +368,9 @@
 		f.ended = f.ended[1:]
 	}
 	answer := HoldAnswer{ClockMs: f.clockMs(time.Now()), BornUnixMs: f.incarnation.BornUnixMs, Ended: append([]Ended(nil), f.ended...)}
+	if f.endsListed > 0 && len(answer.Ended) >= f.endsListed {
+		answer.Ended, answer.MayLackEnds = answer.Ended[:f.endsListed], true
+	}
 	for ref, run := range f.running {
 		percent := 0.0
 		if !f.stalled {
@@ -376,7 +381,7 @@
 		}
 		answer.Running = append(answer.Running, Running{Task: ref, Attempt: run.attempt, Percent: percent, Figure: 1000})
 	}
-	return answer, len(answer.Ended) > 0
+	return answer, len(answer.Ended) > 0 && !f.waitsFully
 }
 
 // update runs f while no call is being processed.
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -89,6 +89,7 @@
 		c.LeaseUntilMs = s.grantLease(l.lease, l.cfg.Clock())
 	}
 	switch {
+	case lease.mayLackEnds: // the next ones are needed at once
 	case lease.silent && lease.confirmed && !lease.identityUncertain:
 		c.WaitMs = recordWait.Milliseconds()
 	case c.LeaseUntilMs == 0:
@@ -187,7 +188,7 @@
 		s.leave.judge(sent, nil)
 	}
 	l.endSilence(s)
-	if l.recordAnswer(s, sent, result.ended) {
+	if l.recordAnswer(s, result) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
 	}
 	l.commitEnds(s, answer, done)
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -19,6 +19,8 @@
 	clockAt      time.Duration // when the clock was read
 	grantedUntil int64         // latest end of a granted lease, on the worker's clock; 0 if none was granted in this term
 	seenEnd      uint64        // number of the last committed end
+	// mayLackEnds is true if the last answer to a hold of the session may have lacked ends.
+	mayLackEnds bool
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
 	identityUncertain bool
 	// silent is true while the worker is or may be recorded as silent. No lease is granted then.
@@ -86,21 +88,21 @@
 	return until
 }
 
-// recordAnswer records the answer to a hold that was sent and has arrived at the given times. It returns true if this is the first
-// answer in this session or since the lease counted as expired.
-func (l *Leader) recordAnswer(s *session, sent, at time.Duration) bool {
+// recordAnswer records the answer to a hold of the session. It returns true if this is the first answer in this session or since the lease
+// counted as expired.
+func (l *Leader) recordAnswer(s *session, result holdResult) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fresh := !s.confirmed || s.expired
 	if !s.confirmed {
 		// A previous leader, or a call for a former incarnation, may have granted a lease that started just now. Later such calls are refused.
 		granted := l.lease
-		if s.inheritedOver > at {
+		if s.inheritedOver > result.ended {
 			granted = l.cfg.Bounds.LeaseMax
 		}
 		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
 	}
-	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, sent, 0
+	s.confirmed, s.expired, s.answeredAt, s.inheritedOver, s.mayLackEnds = true, false, result.sent, 0, result.answer.MayLackEnds
 	return fresh
 }
 
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -146,8 +146,9 @@
 
 // resolveUncertainStarts resolves the attempts that a new incarnation may have started in place of its predecessor. It first
 // sends a stop, after which the attempt cannot start there. Once a later hold does not list the attempt, its task may be
-// placed again. So it may if a hold does not list it by which a delayed call has arrived: a sick worker may answer no stop.
-func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration) {
+// placed again. So it may if a hold does not list it by which a delayed call has arrived: a sick worker may answer no stop. complete
+// is false if attempts may have ended there that the answer to the hold does not list.
+func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration, complete bool) {
 	for ref, u := range l.uncertainStarts {
 		if u.previous == s.incarnation && u.successorUnseen && sent > u.since { // it lives, so that the report of a successor was false
 			delete(l.uncertainStarts, ref)
@@ -161,7 +162,7 @@
 		}
 		cannotStart := u.revokedAt > 0 && u.revokedAt <= sent || sent > u.inSince+lateCallTimeout
 		switch {
-		case cannotStart && s.running[ref].Attempt != u.attempt:
+		case complete && cannotStart && s.running[ref].Attempt != u.attempt:
 			delete(l.uncertainStarts, ref)
 			l.dirty = true
 		case u.revokedAt == 0 && !u.calling:
--- a/internal/relay/convert_test.go
+++ b/internal/relay/convert_test.go
@@ -38,3 +38,11 @@
 	}
 	is.Equal(len(leaderCaller.recorded()), 0)
 }
+
+// Guards against a part of the ends of a worker that counts as all of them because another VM made the hold.
+func TestRelayedAnswerTellsThatEndsMayLack(t *testing.T) {
+	is := is.New(t)
+	for _, mayLackEnds := range []bool{false, true} {
+		is.Equal(decodeHoldAnswer(encodeHoldAnswer(dispatch.HoldAnswer{MayLackEnds: mayLackEnds}, nil)).MayLackEnds, mayLackEnds)
+	}
+}
