--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -195,7 +195,7 @@
 		s.leave.judge(sent, nil)
 	}
 	l.endSilence(s)
-	if l.recordAnswer(s, sent, result.ended) {
+	if l.recordAnswer(s, result) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
 	}
 	l.commitEnds(s, answer, done)
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -93,22 +93,22 @@
 	return until
 }
 
-// recordAnswer records the answer to a hold that was sent and has arrived at the given times. It returns true if this is the first
-// answer in this session or since the lease counted as expired.
-func (l *Leader) recordAnswer(s *session, sent, at time.Duration) bool {
+// recordAnswer records the answer to a hold of the session. It returns true if this is the first answer in this session or since the lease
+// counted as expired.
+func (l *Leader) recordAnswer(s *session, result holdResult) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fresh := !s.confirmed || s.expired
 	if !s.confirmed {
 		// A previous leader, or a call for a former incarnation, may have granted a lease that started just now. Later such calls are refused.
 		granted := l.lease
-		if s.inheritedOver > at {
+		if s.inheritedOver > result.ended {
 			granted = l.cfg.Bounds.LeaseMax
 		}
 		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
-		s.lateOver = min(s.lateOver, at+l.longestLease())
+		s.lateOver = min(s.lateOver, result.ended+l.longestLease())
 	}
-	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, sent, 0
+	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, result.sent, 0
 	return fresh
 }
 
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -227,14 +227,14 @@
 
 // resolveUncertainStarts resolves the attempts that a new incarnation may have started in place of its predecessor. With its first answer
 // in its session it refuses all calls meant for that one, so that an attempt which it does not list then cannot run there any more. One that
-// it lists is stopped. sent is when the answered hold was sent.
-func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration) {
+// it lists is stopped. sent is when the answered hold was sent; complete is false if attempts may have ended that the answer does not list.
+func (l *Leader) resolveUncertainStarts(s *session, sent time.Duration, complete bool) {
 	for ref, u := range l.uncertainStarts {
 		if u.previous == s.incarnation && u.successorUnseen && sent > u.since { // it lives, so that the report of a successor was false
 			delete(l.uncertainStarts, ref)
 			l.dirty = true
 		}
-		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation || s.mayRunUpTo(ref, u.attempt) {
+		if u.previous.ID != s.incarnation.ID || u.previous == s.incarnation || !complete || s.mayRunUpTo(ref, u.attempt) {
 			continue
 		}
 		u.refusedBy, l.dirty = s, true
