--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"net/http"
@@ -161,6 +162,9 @@
 	body   string
 }
 
+// anyCertificate accepts the certificate of every server.
+var anyCertificate = &tls.Config{InsecureSkipVerify: true}
+
 func request(method, url, host, token, body string) answer {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
@@ -172,7 +176,7 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
-	client := http.Client{Timeout: requestLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: requestLimit, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: anyCertificate}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{body: err.Error()}
@@ -202,18 +206,27 @@
 
 func startFleet(t *testing.T, l limits) *fleet {
 	t.Helper()
-	const common = "failureDomain: z\nseeds: [\"%s:%d\"]\n"
-	seeds := fmt.Sprintf(common, controlIP, controlPort)
 	f := &fleet{}
 	f.control = startProcess(t, "control", fmt.Sprintf("id: %[1]s\n%[2]slisten: {control: \"%[1]s:%[3]d\", peer: \"%[1]s:%[4]d\", metrics: \"%[1]s:%[5]d\"}\n"+
-		"firstStart: true\ndataFolder: %[6]s\nbounds: {leaseMax: 10s}\n%[7]s", controlIP, seeds, controlPort, peerPort, metricsPort, t.TempDir(), l.yaml()))
-	f.intake = startProcess(t, "intake", fmt.Sprintf("id: %[1]s\n%[2]slisten: {callers: \"%[1]s:%[3]d\", ready: \"%[1]s:%[4]d\", peer: \"%[1]s:%[5]d\", metrics: \"%[1]s:%[6]d\"}\n%[7]s",
-		intakeIP, seeds, callersPort, readyPort, peerPort, metricsPort, l.yaml()))
+		"firstStart: true\ndataFolder: %[6]s\nbounds: {leaseMax: 10s}\n%[7]s", controlIP, common(), controlPort, peerPort, metricsPort, t.TempDir(), l.yaml()))
+	f.intake = startIntake(t, intakeIP, l)
 	eventually(t, "the configuration is accepted", func() bool { return putConfig().status == http.StatusOK })
 	eventually(t, "a submission is accepted", func() bool { return submit("00000000000000aa").status == http.StatusOK })
 	return f
 }
 
+// startIntake starts an intake VM.
+func startIntake(t *testing.T, ip string, l limits) *process {
+	t.Helper()
+	return startProcess(t, "intake", fmt.Sprintf("id: %[1]s\n%[2]slisten: {callers: \"%[1]s:%[3]d\", ready: \"%[1]s:%[4]d\", peer: \"%[1]s:%[5]d\", metrics: \"%[1]s:%[6]d\"}\n%[7]s",
+		ip, common(), callersPort, readyPort, peerPort, metricsPort, l.yaml()))
+}
+
+// common returns the settings that all VMs of a fleet share.
+func common() string {
+	return fmt.Sprintf("failureDomain: z\nseeds: [\"%s:%d\"]\n", controlIP, controlPort)
+}
+
 func putConfig() answer {
 	return request(http.MethodPut, fmt.Sprintf("http://%s:%d/v1/config", controlIP, controlPort), "", "", manifest)
 }
@@ -223,8 +236,12 @@
 		`{"spec":"text","phases":[{"count":3,"cpu":500,"mem_mb":10,"est_ms":200}]}`)
 }
 
-// startEntryVM starts the only entry VM of a deployment.
-func startEntryVM(t *testing.T, l limits) *process {
+// startEntryVM starts the only entry VM of a deployment, without TLS.
+func startEntryVM(t *testing.T, l limits) *process { return startEntryVMWith(t, l, "http", "") }
+
+// startEntryVMWith starts the only entry VM of a deployment, with the given scheme of its HTTP address and further settings. CERT and
+// KEY in them stand for the files of its certificate.
+func startEntryVMWith(t *testing.T, l limits, scheme, further string) *process {
 	t.Helper()
 	folder := t.TempDir()
 	path := func(name string) string { return filepath.Join(folder, name) }
@@ -240,9 +257,10 @@
 		"entryVms:\n  - {id: vm-a, failureDomain: a, httpAddress: \"%[1]s\", peerAddress: \"%[2]s\", disk: true}\n"+
 		"failureDomains:\n  - {name: a, region: r, voters: [vm-a]}\nconfigVoters: [vm-a]\n"+
 		"peerTls: {caFile: %[4]s, certFile: %[5]s, keyFile: %[6]s}\ntokens:\n  - {name: operator, sha256: %[7]s, role: operator}\n"+
-		"units:\n  - {name: core, dimension: processor, factor: \"1000\"}\n%[8]s",
-		http, peer, path("data"), path("ca.pem"), path("vm.pem"), path("vm-key.pem"), hex.EncodeToString(digest[:]), l.yaml()))
-	eventually(t, "the entry VM is ready", func() bool { return request("GET", "http://"+http+"/readyz", "", "", "").status == 200 })
+		"units:\n  - {name: core, dimension: processor, factor: \"1000\"}\n%[8]s%[9]s",
+		http, peer, path("data"), path("ca.pem"), path("vm.pem"), path("vm-key.pem"), hex.EncodeToString(digest[:]), l.yaml(),
+		strings.NewReplacer("CERT", path("vm.pem"), "KEY", path("vm-key.pem")).Replace(further)))
+	eventually(t, "the entry VM is ready", func() bool { return request("GET", scheme+"://"+http+"/readyz", "", "", "").status == 200 })
 	return p
 }
 
