--- a/internal/crowdtest/decoded_test.go
+++ b/internal/crowdtest/decoded_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 )
@@ -117,25 +118,46 @@
 	checkMemory(t, "control", f.control, l)
 }
 
+// largestRequests are requests of the largest size to a control VM with lists of as many values as possible.
+var largestRequests = map[string]struct{ head, body string }{
+	"routes":   {configHead, filled(`{"version":9,"routes":[{}`, ",{}", "]}", reportBytes)},
+	"services": {configHead, filled(`{"version":9,"services":[{}`, ",{}", "]}", reportBytes)},
+	"labels":   {reportHead, filled(`{"labels":[""`, `,""`, "]}", reportBytes)},
+	"nested":   {reportHead, filled(`{"other":`, "[", "", reportBytes)},
+	"machines": {waveHead, filled(`{"wave":1,"max_count":1,"machines":[""`, `,""`, "]}", reportBytes)},
+}
+
+const (
+	configHead = "PUT /v1/config HTTP/1.1\r\nHost: x\r\n"
+	reportHead = "PUT /v1/instances/w-ID HTTP/1.1\r\nHost: x\r\n"
+	waveHead   = "POST /v1/wave-start HTTP/1.1\r\nHost: x\r\n"
+)
+
 // Guards against a control VM that runs out of memory because of few whole requests of the largest size.
 func TestLargestRequestsWithManyValues(t *testing.T) {
+	sendLargestRequests(t, 1)
+}
+
+// Guards against a control VM that runs out of memory because of whole requests of the largest size at the same time.
+func TestLargestRequestsAtTheSameTime(t *testing.T) {
+	sendLargestRequests(t, 20)
+}
+
+func sendLargestRequests(t *testing.T, clients int) {
 	l := limits{reportedMemoryMB, reportedDescriptors}
-	config, report := "PUT /v1/config HTTP/1.1\r\nHost: x\r\n", "PUT /v1/instances/w-ID HTTP/1.1\r\nHost: x\r\n"
-	wave := "POST /v1/wave-start HTTP/1.1\r\nHost: x\r\n"
-	for name, c := range map[string]struct{ head, body string }{
-		"routes":   {config, filled(`{"version":9,"routes":[{}`, ",{}", "]}", reportBytes)},
-		"services": {config, filled(`{"version":9,"services":[{}`, ",{}", "]}", reportBytes)},
-		"labels":   {report, filled(`{"labels":[""`, `,""`, "]}", reportBytes)},
-		"nested":   {report, filled(`{"other":`, "[", "", reportBytes)},
-		"machines": {wave, filled(`{"wave":1,"max_count":1,"machines":[""`, `,""`, "]}", reportBytes)},
-	} {
+	for name, c := range largestRequests {
 		t.Run(name, func(t *testing.T) {
 			f := startFleet(t, l)
 			to := target{address: fmt.Sprintf("%s:%d", controlIP, controlPort)}
-			send := whole(c.head, c.body)
-			if conn := send(to); conn != nil {
-				conn.Close()
+			send, group := whole(c.head, c.body), sync.WaitGroup{}
+			for range clients {
+				group.Go(func() {
+					if conn := send(to); conn != nil {
+						conn.Close()
+					}
+				})
 			}
+			group.Wait()
 			eventually(t, "an ordinary request is served afterwards", func() bool { return putConfig().status == http.StatusOK })
 			checkMemory(t, "control", f.control, l)
 		})
