Submissions with many due occurrences share the plan

What callers saw: nothing; found in a review. 1,600 accepted submissions of 100 bytes, each due four billion times, took the leader to 1,608 MB of 76 in one run; in another it served no ordinary request for 20 s.

Cause: a plan considers occurrences with 4,096 tasks of each submission, and the sum over all submissions is bounded by nothing.

Change: all submissions share 65,536 tasks. Up to 16 submissions with more occurrences than that are planned as before. Occurrences whose tasks are all placed do not count, so that ones that never end keep no later one away.

Evidence: TestCrowdOfWholeSubmissions/many_times on: 'not within 20s: an ordinary request is served after the crowd' and 'the control VM had up to bytes of memory or has ended; its machine has 76 MB'. TestSubmissionsShareThePlan needs the new signature and was not run on the former code.

--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -6,9 +6,13 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-// maxOpenTasks bounds the tasks in the occurrences of a submission that are due and not done, as far as a plan considers them. Later
-// occurrences follow as the earlier ones are done. One occurrence is considered whatever its size.
-const maxOpenTasks = 4096
+const (
+	// maxOpenTasks bounds the tasks in the occurrences of a submission that are due and not done, as far as a plan considers them. Later
+	// occurrences follow as the earlier ones are done. One occurrence is considered whatever its size.
+	maxOpenTasks = 4096
+	// maxPlannedTasks bounds, in the same way, the tasks in occurrences that wait, of all submissions together. Each has the same share.
+	maxPlannedTasks = 16 * maxOpenTasks
+)
 
 // openOccurrences are the occurrences of a submission that plans consider. A plan must not walk all that are due: a submission may have
 // billions, due at the same time.
@@ -18,8 +22,9 @@
 	open []uint32
 }
 
-// update drops the occurrences that are done and adds those that are due, as far as the bound allows.
-func (o *openOccurrences) update(sub *submission.Submission, unixMs int64) {
+// update drops the occurrences that are done, adds those that are due, as far as the bounds allow, and returns those with waiting tasks.
+// submissions is the number of submissions that share the plan.
+func (o *openOccurrences) update(sub *submission.Submission, unixMs int64, submissions int) []uint32 {
 	isDone := func(number uint32) bool {
 		o := sub.Occurrences[number]
 		return o != nil && o.Done
@@ -29,23 +34,35 @@
 		tasks += int(step.GetCount())
 	}
 	limit := max(1, maxOpenTasks/max(1, tasks))
+	share := min(limit, max(1, maxPlannedTasks/max(1, tasks*submissions)))
 	o.open = slices.DeleteFunc(o.open, isDone)
-	for ; o.next < sub.OccurrenceCount() && len(o.open) < limit && sub.DueUnixMs(o.next) <= unixMs; o.next++ {
+	var waiting []uint32
+	for _, number := range o.open {
+		if len(waiting) < share && waits(sub.Occurrences[number]) {
+			waiting = append(waiting, number)
+		}
+	}
+	for ; o.next < sub.OccurrenceCount() && len(o.open) < limit && len(waiting) < share && sub.DueUnixMs(o.next) <= unixMs; o.next++ {
 		if !isDone(o.next) {
-			o.open = append(o.open, o.next)
+			o.open, waiting = append(o.open, o.next), append(waiting, o.next)
 		}
 	}
+	return waiting
+}
+
+// waits reports whether an occurrence, which is nil before its first start, has waiting tasks.
+func waits(o *submission.Occurrence) bool {
+	return o == nil || slices.ContainsFunc(o.Steps, func(s submission.Step) bool { return s.Waiting() > 0 })
 }
 
-// dueOccurrences returns the numbers of the occurrences of a submission that are due and not done, in order, as far as maxOpenTasks
-// allows.
-func (l *Leader) dueOccurrences(sub *submission.Submission, unixMs int64) []uint32 {
+// dueOccurrences returns the numbers of the occurrences of a submission that are due and have waiting tasks, in order, as far as
+// maxOpenTasks and maxPlannedTasks allow.
+func (l *Leader) dueOccurrences(state *submission.State, sub *submission.Submission, unixMs int64) []uint32 {
 	id := sub.Spec.GetId()
 	o := l.occurrences[id]
 	if o == nil {
 		o = &openOccurrences{}
 		l.occurrences[id] = o
 	}
-	o.update(sub, unixMs)
-	return o.open
+	return o.update(sub, unixMs, len(state.Active()))
 }
--- a/internal/dispatch/occurrences_test.go
+++ b/internal/dispatch/occurrences_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
+	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
 // Guards against one accepted submission that stops the control plane: each of its steps waits for all earlier ones, or it has
@@ -50,3 +52,19 @@
 		is.Equal(r.describe("s"), "done")
 	})
 }
+
+// Guards against a plan that considers thousands of occurrences of each of many submissions, and against one that considers none of some.
+func TestSubmissionsShareThePlan(t *testing.T) {
+	is := is.New(t)
+	spec := &pb.SubmissionSpec{Steps: []*pb.Step{{Count: 2}}, Occurrences: math.MaxUint32}
+	for _, submissions := range []int{1, 16, 100, 1600, 1_000_000} {
+		sub, o := &submission.Submission{Spec: spec, Occurrences: map[uint32]*submission.Occurrence{}}, &openOccurrences{}
+		got := o.update(sub, 0, submissions)
+		is.Equal(len(got), max(1, min(maxOpenTasks, maxPlannedTasks/submissions)/2))
+		is.Equal(got, o.update(sub, 0, submissions)) // as nothing has started
+		sub.Occurrences[got[0]] = &submission.Occurrence{Steps: []submission.Step{{Tasks: make([]submission.Task, 2), Placed: 2}}}
+		is.True(!slices.Contains(o.update(sub, 0, submissions), got[0])) // all its tasks are placed
+		is.True(len(o.update(sub, 0, submissions)) > 0 || submissions == 1)
+		is.Equal(len(o.update(sub, 0, 1_000_000)), 1) // of those that were open before
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -222,7 +222,7 @@
 	if queue == nil {
 		return nil
 	}
-	for _, number := range l.dueOccurrences(sub, unixMs) {
+	for _, number := range l.dueOccurrences(state, sub, unixMs) {
 		o := sub.Occurrence(number)
 		runs := slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Placed > 0 })
 		begun := runs || slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Done > 0 })
