The leader bounds the memory of the submissions that it accepts

What callers saw: nothing; found in a review. 1,600 whole submissions of legal size, accepted with 200, took the leader to 995 and 1,057 MB of 76 (20,000 tasks each, in 80 bytes) and to 126 and 137 MB (256 steps with long labels). They stay for as long as nobody runs or cancels them, also after a restart of all VMs.

Cause: clients are accounted for until they are answered. What an accepted submission leaves behind was bounded by nothing.

Change: a submission has a weight, from its size, steps and tasks; the state machine keeps the sum. The leader refuses with 429 and Retry-After what there is room for less than four times, so that small submissions are still accepted when large ones are not. Before it refuses, it commits an empty entry: all that was proposed before is then known, and a known submission is acknowledged as ever. A submission whose commit is in progress under the same id is not refused either. An intake VM that has had an attempt with an unknown outcome answers 504 instead of passing the 429 on. Limit: 0.55 of the memory beside the program, 143 MB of 284; a usual submission of 16 tasks weighs 4.4 KB, 1.9 KB once it is done (in use, measured with a throw-away test: 1.1 to 3.9 KB, and 1.3).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,7 @@
 	leader    *dispatch.Leader
 	relay     *relay.Relay
 	forwarded forwardedReports
+	admission admission
 
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -70,6 +71,7 @@
 		return nil, err
 	}
 	c := &Control{settings: options.Settings, log: options.Logger, roleChanged: make(chan struct{}, 1), fatal: make(chan error, 1)}
+	c.admission.limit = fleet.StateLimit(c.settings)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	transport, err := fleet.OpenTransport(c.settings, c.log)
 	if err != nil {
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -81,6 +81,11 @@
 	if err := submission.Check(spec); err != nil {
 		return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_INVALID, Message: err.Error()}
 	}
+	release, refusal := c.admit(ctx, spec)
+	if refusal != nil {
+		return refusal
+	}
+	defer release()
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Accept{Accept: &pb.AcceptSubmission{Spec: spec, Queue: submission.QueueKey(queue)}}}
 	results, err := dispatch.Commit(ctx, c.group, change)
 	if err != nil {
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -57,7 +57,12 @@
 	if control {
 		share = machine.StatefulShare
 	}
-	return httplimit.Limits{Bytes: l.RequestBytes(share), Connections: l.Connections()}
+	return httplimit.Limits{Bytes: l.Bytes(share), Connections: l.Connections()}
+}
+
+// StateLimit returns the memory in bytes that the submissions of a control VM may take.
+func StateLimit(s *pb.FleetSettings) int64 {
+	return machine.New(s.GetLimits().GetMemoryMb(), s.GetLimits().GetDescriptors()).Bytes(machine.StateShare)
 }
 
 // Run serves requests until the server is shut down.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -254,6 +254,8 @@
 			switch {
 			case err == nil && answer.GetResult() == pb.IntakeResult_INTAKE_RESULT_UNKNOWN:
 				maybeExecuted = true
+			case err == nil && answer.GetResult() == pb.IntakeResult_INTAKE_RESULT_OVERLOADED && maybeExecuted:
+				return nil, callError(maybeExecuted, method, round+1) // an earlier attempt may still be accepted
 			case err == nil && answer.GetResult() != pb.IntakeResult_INTAKE_RESULT_NOT_LEADER:
 				i.setLeader(vm)
 				return answer, nil
--- a/internal/machine/limits.go
+++ b/internal/machine/limits.go
@@ -22,6 +22,8 @@
 	// StatelessShare and StatefulShare are the shares for unfinished requests of clients in a process without and with state.
 	StatelessShare = 0.4
 	StatefulShare  = 0.2
+	// StateShare is the share for the submissions in a process with state.
+	StateShare = 0.55
 	// workerShare is the share of the descriptors that connections to workers may take (platform.NewWorkers).
 	workerShare = 0.5
 	// connectionShare is the share of the descriptors beside files and workers for connections of clients, and leastShare their least
@@ -71,8 +73,8 @@
 // LimitCollector makes the garbage collector run earlier when the process comes near the memory of its machine.
 func (l Limits) LimitCollector() { debug.SetMemoryLimit(int64(collectorShare * l.free())) }
 
-// RequestBytes returns the memory that unfinished requests of clients may hold if they get a share of the memory.
-func (l Limits) RequestBytes(share float64) int64 { return int64(share * l.free()) }
+// Bytes returns a share of the memory beside the program.
+func (l Limits) Bytes(share float64) int64 { return int64(share * l.free()) }
 
 // Connections returns the number of connections that clients may open.
 func (l Limits) Connections() int {
--- a/internal/machine/limits_test.go
+++ b/internal/machine/limits_test.go
@@ -11,7 +11,7 @@
 func TestLimitsFitTheMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := New(rapid.Uint32Range(LeastMemoryMB, 1_000_000).Draw(t, "MB"), rapid.Uint32Range(3*fileDescriptors, 1_000_000).Draw(t, "descriptors"))
-		if programBytes+int64(collectorShare*l.free()) > l.MemoryBytes || StatelessShare >= collectorShare || StatefulShare >= collectorShare {
+		if programBytes+int64(collectorShare*l.free()) > l.MemoryBytes || StatelessShare >= collectorShare || StatefulShare+StateShare >= collectorShare {
 			t.Fatalf("%+v: more memory than the machine has", l)
 		}
 		if n := l.Connections(); n < 1 || float64(n)+fileDescriptors+workerShare*float64(l.Descriptors) > float64(l.Descriptors) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -155,7 +155,7 @@
 		s.http.TLSConfig = &tls.Config{GetCertificate: pair.GetCertificate, MinVersion: tls.VersionTLS13}
 	}
 	l := machine.New(s.settings.Limits.GetMemoryMb(), s.settings.Limits.GetDescriptors())
-	limits := httplimit.Limits{Bytes: l.RequestBytes(machine.StatefulShare), Connections: l.Connections()}
+	limits := httplimit.Limits{Bytes: l.Bytes(machine.StatefulShare), Connections: l.Connections()}
 	s.listener = httplimit.Protect(s.http, s.listener, "http", limits, s.log)
 	return nil
 }
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -24,6 +24,7 @@
 		Graph: newGraph(c.GetSpec().GetSteps()),
 	}
 	s.submissions[id], s.active[id] = sub, sub
+	s.weigh(sub)
 	return Result{Applied: true, Found: true}
 }
 
@@ -42,6 +43,7 @@
 // finish ends a submission. Attempts that may still run stay recorded on their workers until their ends are committed.
 func (s *State) finish(sub *Submission, state pb.SubmissionState) {
 	sub.State, sub.EndedUnixMs = state, s.unixMs
+	s.weigh(sub)
 	delete(s.active, sub.Spec.GetId())
 	s.endedByEntry = append(s.endedByEntry, sub.Spec.GetId())
 }
@@ -337,6 +339,7 @@
 	}
 	for id, sub := range s.submissions {
 		if !sub.Active() && s.unixMs-sub.EndedUnixMs > s.retentionMs {
+			s.weight -= sub.weight
 			delete(s.submissions, id)
 		}
 	}
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -139,6 +139,7 @@
 	}
 	id := sub.Spec.GetId()
 	s.submissions[id] = sub
+	s.weigh(sub)
 	if sub.Active() {
 		s.active[id] = sub
 	}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -132,6 +132,8 @@
 	OccurrencesDone uint32
 	// Graph follows from Spec.
 	Graph *Graph
+	// weight is the part of State.weight.
+	weight int64
 }
 
 // QueueKey returns the identity of a queue: the host and path prefix at which callers reach it. Its name may change with a
@@ -244,6 +246,7 @@
 	waves       map[uint64]*pb.Wave
 	unixMs      int64 // latest time of an applied entry
 	version     uint64
+	weight      int64 // the sum for submissions, see Weight
 	// endedByEntry lists the submissions that were ended by the entry being applied.
 	endedByEntry []string
 	changed      func(ended []string)
@@ -266,7 +269,7 @@
 	s.queues, s.pools = map[string]*pb.Queue{}, map[string]*pb.Pool{}
 	s.submissions, s.active = map[string]*Submission{}, map[string]*Submission{}
 	s.workers, s.waves = map[string]*Worker{}, map[uint64]*pb.Wave{}
-	s.unixMs = 0
+	s.unixMs, s.weight = 0, 0
 }
 
 // Result is the outcome of one change of an entry.
