Submissions share a plan of 16,384 tasks instead of 65,536

Cause: what a plan holds for each due occurrence is some hundred bytes (1,608 MB for 6.5 million, without the bound), more while the collector lags behind, and the former plan is garbage beside it.

--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -11,7 +11,7 @@
 	// occurrences follow as the earlier ones are done. One occurrence is considered whatever its size.
 	maxOpenTasks = 4096
 	// maxPlannedTasks bounds, in the same way, the tasks in occurrences that wait, of all submissions together. Each has the same share.
-	maxPlannedTasks = 16 * maxOpenTasks
+	maxPlannedTasks = 4 * maxOpenTasks
 )
 
 // openOccurrences are the occurrences of a submission that plans consider. A plan must not walk all that are due: a submission may have
