The leader bounds the memory of the waves that it accepts, too

What callers saw: nothing; found in a review. 1,600 waves of 250 KB with different numbers took the leader to 84 MB of 76. A wave is never forgotten.

Change: waves weigh on the same limit as submissions. One for which there is no memory is refused with 503, as it was not executed and may be sent again; one that is known is acknowledged. All calls of a control VM to the leader, not only configurations, share its 512 KiB for large requests.

Evidence: TestCrowdOfOrders/waves without the change: 'the process had up to bytes of memory; its machine has 76 MB'; now 55 MB (load 20 to 25 from others). TestCrowdOfOrders/reports passed before (58 MB) and after (57 MB): 1,600 reports of different executors. Not bounded: their number over a longer time. The largest legal report, 4 MiB, three times on one connection, is served in calm.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -81,6 +81,11 @@
 // sent or that reached a VM other than the leader; then it returns ErrNotExecuted. A call that fails in any other way may
 // have been executed and returns ErrOutcomeUnknown.
 func (c *Control) callLeader(ctx context.Context, method string, request proto.Message, answer resultAnswer) error {
+	end, err := c.large.Begin(ctx, proto.Size(request))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	defer end()
 	for {
 		leader := c.group.Status().Leader
 		if leader != "" {
@@ -108,11 +113,6 @@
 func (c *Control) PutConfig(ctx context.Context, config *pb.ServiceConfig) error {
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
-	end, err := c.large.Begin(ctx, proto.Size(config))
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotExecuted, err)
-	}
-	defer end()
 	answer := &pb.IntakeAnswer{}
 	if err := c.callLeader(ctx, fleet.MethodPutConfig, config, answer); err != nil {
 		return err
@@ -145,6 +145,9 @@
 	if err := c.callLeader(ctx, fleet.MethodStartWave, wave, answer); err != nil {
 		return err
 	}
+	if answer.GetResult() == pb.IntakeResult_INTAKE_RESULT_OVERLOADED {
+		return fmt.Errorf("%w: %s", ErrNotExecuted, answer.GetMessage())
+	}
 	if answer.GetResult() != pb.IntakeResult_INTAKE_RESULT_OK {
 		return fmt.Errorf("%w: %s", ErrOutcomeUnknown, answer.GetMessage())
 	}
--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -81,7 +81,7 @@
 	if err := submission.Check(spec); err != nil {
 		return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_INVALID, Message: err.Error()}
 	}
-	release, refusal := c.admit(ctx, spec)
+	release, refusal := c.admitSubmission(ctx, spec)
 	if refusal != nil {
 		return refusal
 	}
@@ -199,6 +199,11 @@
 	if !c.Leading() {
 		return c.notLeader()
 	}
+	release, refusal := c.admitWave(ctx, wave)
+	if refusal != nil {
+		return refusal
+	}
+	defer release()
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Wave{Wave: wave}}
 	if _, err := dispatch.Commit(ctx, c.group, change); err != nil {
 		return c.answerForError(err)
--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -228,6 +228,7 @@
 		"body":          {callers, "", large},
 		"header_body":   {callers, lines.String(), large},
 		"configuration": {control, "", largeManifest()},
+		"report":        {target{control.address, reportHead, ""}, "", usualReport + strings.Repeat(" ", reportBytes-len(usualReport))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := dial(c.to)
@@ -242,6 +243,8 @@
 	}
 }
 
+const usualReport = `{"service":"pool","addr":"127.0.0.1:1","zone":"z","state":"ready","born":1700000000000,"seq":1,"clock_ms":1,"capacity":{"cpu":1,"mem_mb":1}}`
+
 // largeManifest returns a configuration with hundreds of routes.
 func largeManifest() string {
 	var routes strings.Builder
--- a/internal/crowdtest/decoded_test.go
+++ b/internal/crowdtest/decoded_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// Guards against a control VM that runs out of memory because of waves and reports that it accepts.
+func TestCrowdOfOrders(t *testing.T) {
+	l := limits{memoryMB, manyDescriptors}
+	machines := filled(`{"wave":ID,"max_count":1,"deadline_s":1,"machines":["m"`, `,"`+strings.Repeat("m", labelBytes)+`"`, "]}", specBytes)
+	labels := strings.TrimSuffix(strings.Repeat(`"`+strings.Repeat("x", 250)+`",`, 32), ",")
+	report := `{"service":"pool","addr":"127.0.0.1:1","zone":"z","state":"ready","born":1700000000000,"seq":1,"clock_ms":1,"capacity":{"cpu":1,"mem_mb":1},"labels":[` + labels + "]}"
+	for name, c := range map[string]struct{ head, body string }{"waves": {waveHead, machines}, "reports": {reportHead, report}} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, l)
+			to := target{address: fmt.Sprintf("%s:%d", controlIP, controlPort)}
+			crowd{target: to, send: whole(c.head, c.body), at: f.control, ask: putConfig}.run(t, l)
+		})
+	}
+}
+
 // Guards against a leader that runs out of memory because many intake VMs pass on large submissions at the same time.
 func TestCrowdAtSeveralIntakeVMs(t *testing.T) {
 	l := limits{memoryMB, manyDescriptors}
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -312,6 +312,7 @@
 		return false
 	}
 	s.waves[wave.GetNumber()] = wave
+	s.weight += WaveWeight(wave)
 	return true
 }
 
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -117,7 +117,7 @@
 		s.setLeave(leave)
 	}
 	for _, wave := range in.GetWaves() {
-		s.waves[wave.GetNumber()] = wave
+		s.addWave(wave)
 	}
 	for _, r := range in.GetSubmissions() {
 		s.restoreSubmission(r)
