Test: connections that end in odd ways give back what they held

Twenty kinds of unfinished, malformed and whole requests, each ended by a close, a reset and a half close. No fault was found: it passed on the code as it stood (1.6 s).

--- a/internal/httplimit/server_test.go
+++ b/internal/httplimit/server_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -179,3 +180,64 @@
 		is.Equal(resp.StatusCode, http.StatusOK)
 	}
 }
+
+// Guards against connections whose odd ends do not give back what they held, until ordinary clients are shut out for good.
+func TestOddEndsGiveBackWhatWasHeld(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: x\r\n"
+	large := strings.Repeat("x", 20<<10)
+	sends := map[string]string{
+		"nothing": "", "part of a line": "POST", "part of a header": head + "a:\n", "header too large": head + "a: " + large + large + "\r\n\r\n",
+		"no request": "\x16\x03\x01\r\n\r\n", "two lengths": head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", "continuation": head + " a\r\n\r\n",
+		"no name": head + ": a\r\n\r\n", "waits for 100": head + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n", "odd expectation": head + "Expect: x\r\n\r\n",
+		"part of a body": head + "Content-Length: 30000\r\n\r\n" + large, "body too large": head + "Content-Length: 300000\r\n\r\n" + large,
+		"bad chunk": head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", "long extension": head + "Transfer-Encoding: chunked\r\n\r\n1;" + large,
+		"endless chunks": head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 500), "panic": "GET /panic HTTP/1.1\r\nHost: x\r\n\r\n",
+		"trailers": head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\na: b\r\n\r\n", "HTTP/1.0": "POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nx",
+		"many": strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 100) + "GET", "upgrade": "GET / HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+	}
+	server := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/panic" {
+			panic("wanted")
+		}
+		echo(100_000).ServeHTTP(w, r)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	protected := Protect(server, listener, "odd", plenty, zerolog.Nop())
+	budget := protected.(*protectedListener).budget
+	go func() { _ = server.Serve(protected) }()
+	defer server.Close()
+	for name, sent := range sends {
+		for _, end := range []string{"closes", "resets", "half closes"} {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(conn, sent)
+			switch tcp := conn.(*net.TCPConn); end {
+			case "resets":
+				_ = tcp.SetLinger(0)
+			case "half closes":
+				_ = tcp.CloseWrite()
+				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+				_, _ = io.Copy(io.Discard, conn)
+			}
+			conn.Close()
+			held := func() (int64, int) {
+				budget.mu.Lock()
+				defer budget.mu.Unlock()
+				return budget.used, budget.connections + budget.disconnecting
+			}
+			for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(time.Millisecond) {
+				if bytes, open := held(); bytes == 0 && open == 0 {
+					break
+				}
+			}
+			if bytes, open := held(); bytes != 0 || open != 0 {
+				t.Fatalf("a client that sends %q and %s leaves %d bytes and %d connections", name, end, bytes, open)
+			}
+		}
+	}
+}
