--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -95,6 +95,8 @@
 	DefaultHeartbeat     = 50 * time.Millisecond
 	DefaultElection      = 300 * time.Millisecond
 	DefaultSnapshotEvery = 10000
+	// DefaultSnapshotBytes is the size of the entries after which there is a snapshot, however few they are.
+	DefaultSnapshotBytes = 16 << 20
 )
 
 // MaxEntryBytes is the largest entry that Propose accepts.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -21,7 +21,8 @@
 const maxQueuedBytes = 32 << 20
 
 // After a snapshot, SnapshotEvery/retentionDivisor applied entries stay in
-// memory, so that a member that is slightly behind needs no snapshot.
+// memory, but no more of them than DefaultSnapshotBytes/retentionDivisor, so that
+// a member that is slightly behind needs no snapshot.
 const retentionDivisor = 4
 
 // A snapshot for which the disk had no room is tried again after SnapshotEvery/snapshotRetryDivisor
@@ -54,11 +55,15 @@
 	discarding         bool
 	otherGroupLogged   bool // message of another group was logged
 	snapshotAt         uint64
-	waiters            map[uint64][]*waiter
-	pendingReads       map[uint64]*waiter
-	appliedWaiters     []appliedWaiter
-	lastReadToken      uint64
-	ticksSinceLeading  int // ticks since this VM last led the group
+	// appliedBytes is the size of the entries applied since the last snapshot began. lastQuarter is the index at which it reached three
+	// quarters of DefaultSnapshotBytes; 0 before.
+	appliedBytes      int
+	lastQuarter       uint64
+	waiters           map[uint64][]*waiter
+	pendingReads      map[uint64]*waiter
+	appliedWaiters    []appliedWaiter
+	lastReadToken     uint64
+	ticksSinceLeading int // ticks since this VM last led the group
 	// diskFull is true while a write waits for room on the disk. ticksToHandover counts down to the next try to hand the leadership over.
 	diskFull        bool
 	ticksToHandover int
@@ -263,6 +268,9 @@
 	if e.GetType() == pb.RaftEntryType_RAFT_ENTRY_TYPE_COMMAND {
 		result = g.cfg.Machine.Apply(e.GetIndex(), e.GetTerm(), e.GetData())
 	}
+	if g.appliedBytes += len(e.GetData()); g.lastQuarter == 0 && g.appliedBytes >= DefaultSnapshotBytes/retentionDivisor*(retentionDivisor-1) {
+		g.lastQuarter = e.GetIndex()
+	}
 	g.resolve(e, result)
 }
 
@@ -272,7 +280,7 @@
 		g.host.fail(fmt.Errorf("group %q: restore snapshot %d: %w", g.cfg.Name, s.GetIndex(), err))
 		return
 	}
-	g.snapshotAt = s.GetIndex()
+	g.snapshotAt, g.appliedBytes, g.lastQuarter = s.GetIndex(), 0, 0
 	g.metrics.installed.Inc()
 	g.abandonWaiters(s.GetIndex())
 	g.host.cfg.Logger.Info().Str("group", g.cfg.Name).Uint64("index", s.GetIndex()).Int("bytes", len(s.GetData())).Msg("snapshot installed")
@@ -287,14 +295,15 @@
 	g.node.ProvideSnapshot(data)
 }
 
-// maybeSnapshot begins a snapshot once SnapshotEvery entries were applied since the last one.
+// maybeSnapshot begins a snapshot once SnapshotEvery entries, or DefaultSnapshotBytes of them, were applied since the last one.
 func (g *Group) maybeSnapshot(applied uint64) {
 	every := g.host.cfg.SnapshotEvery
-	if g.host.fatal != nil || g.discarding || g.snapshotInProgress || applied < g.snapshotAt+every {
+	due := applied >= g.snapshotAt+every || g.appliedBytes >= DefaultSnapshotBytes
+	if g.host.fatal != nil || g.discarding || g.snapshotInProgress || !due {
 		return
 	}
-	g.snapshotAt = applied
-	compactTo := applied - every/retentionDivisor
+	compactTo := max(applied-min(applied, every/retentionDivisor), g.lastQuarter)
+	g.snapshotAt, g.appliedBytes, g.lastQuarter = applied, 0, 0
 	if g.isInMemory() {
 		g.node.Compact(compactTo)
 		return
@@ -315,7 +324,7 @@
 func (g *Group) snapshotSaved(compactTo uint64, err error) {
 	g.snapshotInProgress = false
 	if errors.Is(err, wal.ErrDiskFull) {
-		g.snapshotAt -= g.host.cfg.SnapshotEvery - g.host.cfg.SnapshotEvery/snapshotRetryDivisor
+		g.snapshotAt -= min(g.snapshotAt, g.host.cfg.SnapshotEvery-g.host.cfg.SnapshotEvery/snapshotRetryDivisor)
 		g.host.cfg.Logger.Warn().Str("group", g.cfg.Name).Err(err).Msg("no room for a snapshot; it is taken later, and the log grows until then")
 		return
 	}
