--- a/internal/crowdtest/decoded_test.go
+++ b/internal/crowdtest/decoded_test.go
@@ -150,16 +150,20 @@
 
 // Guards against a control VM that runs out of memory because of few whole requests of the largest size.
 func TestLargestRequestsWithManyValues(t *testing.T) {
-	sendLargestRequests(t, 1)
+	sendLargestRequests(t, 1, limits{reportedMemoryMB, reportedDescriptors})
+}
+
+// Guards against a control VM with little memory that runs out of it because of one whole request of the largest size.
+func TestLargestRequestsAtSmallMachine(t *testing.T) {
+	sendLargestRequests(t, 1, limits{memoryMB, manyDescriptors})
 }
 
 // Guards against a control VM that runs out of memory because of whole requests of the largest size at the same time.
 func TestLargestRequestsAtTheSameTime(t *testing.T) {
-	sendLargestRequests(t, 20)
+	sendLargestRequests(t, 20, limits{reportedMemoryMB, reportedDescriptors})
 }
 
-func sendLargestRequests(t *testing.T, clients int) {
-	l := limits{reportedMemoryMB, reportedDescriptors}
+func sendLargestRequests(t *testing.T, clients int, l limits) {
 	for name, c := range largestRequests {
 		t.Run(name, func(t *testing.T) {
 			f := startFleet(t, l)
