--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -117,7 +117,7 @@
 		s.setLeave(leave)
 	}
 	for _, wave := range in.GetWaves() {
-		s.waves[wave.GetNumber()] = wave
+		s.addWave(wave)
 	}
 	for _, r := range in.GetSubmissions() {
 		s.restoreSubmission(r)
@@ -139,6 +139,7 @@
 	}
 	id := sub.Spec.GetId()
 	s.submissions[id] = sub
+	s.weigh(sub)
 	if sub.Active() {
 		s.active[id] = sub
 	}
