A report of an incarnation that does not answer is not believed because the others have ended

Its own reports, born earlier, were taken for late to the end of the term.

Cause: a report that contradicts a session was believed if all the others had ended, which a worker that is down does; one that contradicts the record of a worker without a session (it has left, or was silent for a minute) was believed unasked. PROTOCOL.md: "An entry or a ping may come from another writer ... It names no executor to use".

Evidence: TestFalseReportOfWorkerThatIsDownIsNotBelieved before: "claim_test.go:161: queued != done" in six of eight cases (connections refused, silent for long, left; at its own address and where nothing listens); the two cases of a worker that is dark passed.

Change: a report of another incarnation or address of a known worker, or one with the address of another known worker, is believed only if the incarnation in it answers at its address. Where nothing listens it is refuted, so that no successor is waited for. If nobody answers, the incarnation is asked on for up to 4 s after the acknowledgement: it may be slow, or its next reports may be lost. Of a worker with a new id nothing is asked, as before. The fake workers of the tests listen at their address only, and an answer that comes after the end of its call is lost.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -11,12 +11,39 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-// A report may come from another writer. One that says that a worker with a session has ended, since its id or its address now belongs to
-// another incarnation, would end all attempts on that worker. It is believed only if the incarnation in the report answers at its
-// address, or the worker is shown to have ended.
+// A report may come from another writer. One that says that a known worker has ended or moved, since its id or its address now belongs to
+// another incarnation, would end all attempts on that worker and turn its own later reports away. It is believed only if the incarnation in
+// the report answers at its address. That the known worker has ended does not make it true.
 
-// claimProbeTimeout bounds each call that verifies a claim. Two calls leave time to acknowledge the report within a second.
-const claimProbeTimeout = 250 * time.Millisecond
+const (
+	// claimProbeTimeout bounds each call that verifies a claim. Two calls leave time to acknowledge the report within a second.
+	claimProbeTimeout = 250 * time.Millisecond
+	// claimAttempts is the number of further calls, of holdSlack at most, to a claimed incarnation that may only be slow.
+	claimAttempts = 5
+	// maxOpenClaims bounds the number of claims that are verified by further calls at a time.
+	maxOpenClaims = 32
+)
+
+// claim identifies a claimed incarnation and its address.
+type claim struct {
+	submission.Incarnation
+	address string
+}
+
+// isClaim reports whether a record of a worker has to be verified, because it contradicts sessions or the replicated state. known is the
+// present record of the worker, or nil.
+func (l *Leader) isClaim(w, known *pb.PoolWorker, contradicted []*session) bool {
+	if len(contradicted) > 0 || known != nil && (known.GetBornUnixMs() != w.GetBornUnixMs() || known.GetAddress() != w.GetAddress()) {
+		return true
+	}
+	taken := false
+	l.cfg.State.View(func(state *submission.State) {
+		for id, other := range state.Workers() {
+			taken = taken || id != w.GetId() && !other.GetGone() && other.GetAddress() == w.GetAddress()
+		}
+	})
+	return taken
+}
 
 // unbelievedReports counts the reports that were acknowledged without effect, by reason.
 func unbelievedReports(reason string) *metrics.Counter {
@@ -48,17 +75,16 @@
 type claimVerdict int
 
 const (
-	claimOpen    claimVerdict = iota // neither the claimed incarnation nor all the others have answered
-	claimTrue                        // the claimed incarnation answers, or all the others have ended
-	claimRefuted                     // one of the others answers
+	claimOpen    claimVerdict = iota // nobody has answered
+	claimTrue                        // the claimed incarnation answers
+	claimRefuted                     // nothing listens at its address, or a worker answers that it would replace
 )
 
 // verify finds out whether a record that contradicts the given sessions is true. It calls then on the event loop, with errResigned if the
 // term has ended.
 func (l *Leader) verify(w *pb.PoolWorker, sessions []*session, then func(claimVerdict, error)) {
 	ctx, began := l.ctx, l.cfg.Clock()
-	claimed := Target{Incarnation: submission.Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}, Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
+	claimed := l.claimedTarget(w)
 	targets := make([]Target, len(sessions))
 	for i, s := range sessions {
 		targets[i] = s.target()
@@ -80,27 +106,64 @@
 	})
 }
 
+// claimedTarget returns the target of calls that ask the incarnation in a report.
+func (l *Leader) claimedTarget(w *pb.PoolWorker) Target {
+	return Target{Incarnation: submission.Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}, Address: w.GetAddress(),
+		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
+}
+
 // judgeClaim asks the claimed incarnation, and if it does not answer those that it would replace.
 func (l *Leader) judgeClaim(ctx context.Context, claimed Target, others []Target) claimVerdict {
-	if answer, err := l.probeTarget(ctx, claimed); err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs {
+	answer, err := l.probeTarget(ctx, claimed)
+	switch {
+	case err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs:
 		return claimTrue
+	case errors.Is(err, ErrNotListening):
+		return claimRefuted
 	}
-	ended := 0
 	for _, t := range others {
-		answer, err := l.probeTarget(ctx, t)
-		switch {
-		case err == nil && answer.BornUnixMs == t.Incarnation.BornUnixMs:
+		if answer, err := l.probeTarget(ctx, t); err == nil && answer.BornUnixMs == t.Incarnation.BornUnixMs {
 			return claimRefuted
-		case err == nil, errors.Is(err, ErrNotListening), errors.Is(err, ErrOtherIncarnation):
-			ended++
 		}
 	}
-	if ended == len(others) {
-		return claimTrue
-	}
 	return claimOpen
 }
 
+// pursueClaim goes on to ask the incarnation in a report that nobody has confirmed or refuted, and accepts the report if it answers.
+func (l *Leader) pursueClaim(r *pb.PoolReport) {
+	ctx, target := l.ctx, l.claimedTarget(r.GetWorker())
+	c := claim{target.Incarnation, target.Address}
+	if l.openClaims[c] || len(l.openClaims) >= maxOpenClaims {
+		return
+	}
+	l.openClaims[c] = true
+	l.pool.Submit(func() {
+		answers := l.answersSlowly(ctx, target)
+		l.post(func() {
+			if l.ctx != ctx {
+				return
+			}
+			delete(l.openClaims, c)
+			if answers {
+				l.acceptReport(r, l.knownWorker(c.ID), func(error) {})
+			}
+		})
+	})
+}
+
+// answersSlowly reports whether a worker incarnation answers one of claimAttempts calls.
+func (l *Leader) answersSlowly(ctx context.Context, t Target) bool {
+	for range claimAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
+		answer, err := l.cfg.Caller.Hold(callCtx, HoldCall{Target: t})
+		cancel()
+		if err == nil {
+			return answer.BornUnixMs == t.Incarnation.BornUnixMs
+		}
+	}
+	return false
+}
+
 func (l *Leader) probeTarget(ctx context.Context, t Target) (HoldAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
 	defer cancel()
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -112,3 +112,81 @@
 		is.True(holds()-before < 5)
 	})
 }
+
+// falseReport reports a later incarnation of worker a as another writer would.
+func (r *harness) falseReport(is *is.I, address string) {
+	is.Helper()
+	odd := usualReport(2)
+	odd.Worker.BornUnixMs, odd.Worker.Address = 1<<40, address
+	is.NoErr(r.leader.Report(context.Background(), odd))
+}
+
+// worksAsBorn checks that worker a is known with a birth time and gets tasks.
+func (r *harness) worksAsBorn(is *is.I, born int64) {
+	is.Helper()
+	r.submit("after", 2, nil)
+	time.Sleep(maxOutage)
+	is.Equal(r.describe("after"), "done")
+	r.state.View(func(s *submission.State) { is.Equal(s.Workers()["a"].GetBornUnixMs(), born) })
+}
+
+// Guards against a worker that is never used again because a false report was believed while it was down.
+func TestFalseReportOfWorkerThatIsDownIsNotBelieved(t *testing.T) {
+	for name, down := range map[string]func(r *harness, f *fakeWorker){
+		"connections refused": func(r *harness, f *fakeWorker) { r.workers.crash(f) },
+		"dark": func(r *harness, f *fakeWorker) {
+			r.workers.crashDark = true
+			r.workers.crash(f)
+		},
+		"for long": func(r *harness, f *fakeWorker) {
+			r.workers.crash(f)
+			time.Sleep(silenceTimeout + 5*time.Second)
+		},
+		"left": func(r *harness, f *fakeWorker) {
+			r.leaves("a")
+			r.workers.crash(f)
+			time.Sleep(time.Second)
+		},
+	} {
+		for _, address := range []string{"a", "nowhere"} {
+			t.Run(name+"/"+address, func(t *testing.T) {
+				withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+					down(r, r.workers.byID["a"])
+					for range 20 {
+						r.falseReport(is, address)
+						time.Sleep(100 * time.Millisecond)
+					}
+					r.restart("a", 77, func(*fakeWorker) {})
+					r.report("a", 1)
+					r.worksAsBorn(is, 77)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a worker that stays unused because its true report came before calls reached it, or because it answers slowly.
+func TestTrueReportIsBelievedOnceWorkerAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(f *fakeWorker)
+		reports uint64
+	}{
+		"reached later":      {func(f *fakeWorker) { f.unreachable = true }, 5},
+		"slow":               {func(f *fakeWorker) { f.holdDelay = 2 * claimProbeTimeout }, 5},
+		"slow, reports lost": {func(f *fakeWorker) { f.holdDelay = 2 * claimProbeTimeout }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+				r.workers.crash(r.workers.byID["a"])
+				next := r.restart("a", 77, func(f *fakeWorker) { f.address = "elsewhere" })
+				r.workers.update(func() { c.change(next) })
+				for sequence := range c.reports {
+					r.report("a", sequence+1)
+					time.Sleep(time.Second)
+					r.workers.update(func() { next.unreachable = false })
+				}
+				r.worksAsBorn(is, 77)
+			})
+		})
+	}
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -150,7 +151,7 @@
 // receive receives a call. It returns the worker, or an error if the call does not arrive or is refused.
 func (w *fakeWorkers) receive(t Target) (*fakeWorker, error) {
 	f := w.byID[t.Incarnation.ID]
-	if f != nil && f.refusing {
+	if f != nil && (f.refusing || t.Address != cmp.Or(f.address, t.Incarnation.ID)) {
 		return nil, ErrNotListening
 	}
 	if f == nil || f.unreachable {
@@ -347,7 +348,9 @@
 			return HoldAnswer{}, w.awaitTimeout(ctx, ErrNoAnswer)
 		}
 		if ready || !time.Now().Before(deadline) {
-			time.Sleep(delay)
+			if time.Sleep(delay); ctx.Err() != nil {
+				return HoldAnswer{}, ErrNoAnswer
+			}
 			return answer, nil
 		}
 		select {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -140,6 +140,7 @@
 	waves         waveState
 	successors    successorSearch
 	former        map[string]*formerWorker // by worker id
+	openClaims    map[claim]bool           // claims that are verified by further calls
 	workers       atomic.Int64             // number of sessions, for readers outside the loop
 	ended         []string                 // ids of ended submissions whose tasks have to be stopped
 	endedMu       sync.Mutex               // guards ended
@@ -218,6 +219,7 @@
 	l.occurrences = map[string]*openOccurrences{}
 	l.lastRuns, l.unexplainedUntil = map[submission.Ref]time.Duration{}, 0
 	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
+	l.openClaims = map[claim]bool{}
 	l.begun.clear()
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -55,22 +55,28 @@
 		l.acceptReport(r, known, done)
 		return
 	}
-	if sessions := l.contradicted(r.GetWorker()); len(sessions) > 0 {
-		l.verify(r.GetWorker(), sessions, func(verdict claimVerdict, err error) {
-			switch {
-			case err != nil:
-				done(err)
-			case verdict == claimTrue:
-				l.acceptReport(r, l.knownWorker(incarnation.ID), done)
-			default:
-				l.ignoreReport(r, "not-verified", done)
-			}
-		})
+	if sessions := l.contradicted(r.GetWorker()); l.isClaim(r.GetWorker(), known, sessions) {
+		l.verify(r.GetWorker(), sessions, func(verdict claimVerdict, err error) { l.onVerified(r, verdict, err, done) })
 		return
 	}
 	l.acceptReport(r, known, done)
 }
 
+// onVerified handles a report that was verified.
+func (l *Leader) onVerified(r *pb.PoolReport, verdict claimVerdict, err error, done func(error)) {
+	switch {
+	case err != nil:
+		done(err)
+	case verdict == claimTrue:
+		l.acceptReport(r, l.knownWorker(r.GetWorker().GetId()), done)
+	default:
+		if verdict == claimOpen {
+			l.pursueClaim(r)
+		}
+		l.ignoreReport(r, "not-verified", done)
+	}
+}
+
 // ignoreReport acknowledges a report without effect.
 func (l *Leader) ignoreReport(r *pb.PoolReport, reason string, done func(error)) {
 	unbelievedReports(reason).Inc()
