A submission that failed for another cause is not logged as given up

What callers saw: nothing.

Cause: the log takes the state of the submission for the reason. An attempt that was running when its submission failed becomes suspect, without effect, when its worker crashes afterwards.

Evidence: TestFailedSubmissionIsNotCountedAsGivenUp before: "crash_test.go:416: 32 != 31" (lentilyard_dispatch_given_up_total).

Change: the task must have reached the limit. Measured: the test passes; tests named Crash or GivenUp in dispatch and submission pass.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -252,11 +252,12 @@
 			ref := submission.RefOf(suspect.GetTask())
 			event := l.log.Warn().Str("decision", "suspect").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
 				Uint32("attempt", suspect.GetAttempt()).Str("worker", worker).Int("suspects", len(suspects))
-			if t := state.Task(ref); t != nil {
+			t := state.Task(ref)
+			if t != nil {
 				event = event.Uint32("suspicions", t.Suspicions).Uint32("crashes", t.Crashes).Uint32("unproven", t.Unproven)
 			}
 			event.Msg("the worker crashed, or fell silent if that is unproven, when the attempt had only just started there")
-			if sub := state.Submission(ref.Submission); sub != nil && sub.State == pb.SubmissionState_SUBMISSION_STATE_FAILED {
+			if sub := state.Submission(ref.Submission); t != nil && t.CrashedTooMany() && sub.State == pb.SubmissionState_SUBMISSION_STATE_FAILED {
 				givenUpTotal.Inc()
 				l.log.Warn().Str("decision", "given-up").Str("request", ref.Submission).Uint32("step", ref.Step).Uint32("task", ref.Index).
 					Msg("the task crashes the workers that start it; its submission fails")
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -387,12 +387,35 @@
 // Guards against a task that crashes its workers and is started without end because others crash as well.
 func TestTaskThatCrashesItsWorkersInStormIsGivenUp(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+		before := givenUpTotal.Get()
 		further, _ := r.furtherStarts(r.storm(is, time.Minute, 30*time.Second))
 		is.True(further < maxFurtherStarts)
 		is.Equal(r.describe("s"), "failed")
+		is.Equal(givenUpTotal.Get(), before+1)
 	})
 }
 
+// Guards against a submission that failed for another cause and is logged and counted as given up for crashes.
+func TestFailedSubmissionIsNotCountedAsGivenUp(t *testing.T) {
+	is := is.New(t)
+	state, before := submission.New(time.Minute.Milliseconds(), nil), givenUpTotal.Get()
+	l := &Leader{cfg: Config{State: state}, log: testLogger()}
+	makeSuspect(is, state, "s")
+	task := submission.Ref{Submission: "s"}.Proto()
+	fail := &pb.SubmissionEntry{Changes: []*pb.SubmissionChange{
+		{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2, Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 1}}}}},
+		{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: "w", BornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_Start{Start: &pb.TaskStart{Task: task, Attempt: 2, Worker: "w", WorkerBornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: task, Attempt: 2, Worker: "w", WorkerBornUnixMs: 1, Kind: pb.TaskEndKind_TASK_END_KIND_FAILED}}},
+	}}
+	entry, err := proto.Marshal(fail)
+	is.NoErr(err)
+	state.Apply(2, 1, entry)
+	is.Equal(state.Submission("s").Describe(), "failed")
+	l.logSuspects("w", []*pb.SuspectAttempt{{Task: task, Attempt: 2}})
+	is.Equal(givenUpTotal.Get(), before)
+}
+
 // makeSuspect accepts a submission and lets a worker crash under its task.
 func makeSuspect(is *is.I, state *submission.State, id string) {
 	ref := submission.Ref{Submission: id}
--- a/internal/submission/suspect.go
+++ b/internal/submission/suspect.go
@@ -18,6 +18,9 @@
 // Suspect reports whether the task may have crashed a worker, so that it should start where nothing else starts.
 func (t *Task) Suspect() bool { return t.Suspicions > 0 || t.Unproven > 0 }
 
+// CrashedTooMany reports whether the task has crashed so many workers that its submission fails.
+func (t *Task) CrashedTooMany() bool { return t.Crashes >= maxCrashes || t.Suspicions >= maxSuspicions }
+
 // MayReachLimit reports whether the submission would fail if the given number of unproven suspicions proved true.
 func (t *Task) MayReachLimit(unproven int) bool { return int(t.Suspicions)+unproven >= maxSuspicions }
 
@@ -43,7 +46,7 @@
 	if a.GetOnly() {
 		t.Crashes++
 	}
-	if t.Crashes >= maxCrashes || t.Suspicions >= maxSuspicions {
+	if t.CrashedTooMany() {
 		s.finish(sub, pb.SubmissionState_SUBMISSION_STATE_FAILED)
 	}
 }
