--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -11,12 +11,44 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-// A report may come from another writer. One that says that a worker with a session has ended, since its id or its address now belongs to
-// another incarnation, would end all attempts on that worker. It is believed only if the incarnation in the report answers at its
-// address, or the worker is shown to have ended.
+// A report may come from another writer. One that says that a known worker has ended or moved, since its id or its address now belongs to
+// another incarnation, would end all attempts on that worker and turn its own later reports away. It is believed only if the incarnation in
+// the report answers at its address. That the known worker has ended does not make it true.
 
-// claimProbeTimeout bounds each call that verifies a claim. Two calls leave time to acknowledge the report within a second.
-const claimProbeTimeout = 250 * time.Millisecond
+const (
+	// claimProbeTimeout bounds each call that verifies a claim. Two calls leave time to acknowledge the report within a second.
+	claimProbeTimeout = 250 * time.Millisecond
+	// claimAttempts is the number of further calls, of holdSlack at most, to a claimed incarnation that may only be slow.
+	claimAttempts = 5
+	// maxOpenClaims bounds the number of claims that are verified by further calls at a time.
+	maxOpenClaims = 32
+)
+
+// claim identifies a claimed incarnation and its address.
+type claim struct {
+	submission.Incarnation
+	address string
+}
+
+// isClaim reports whether a record of a worker has to be verified, because it contradicts sessions or the replicated state. known is the
+// present record of the worker, or nil.
+func (l *Leader) isClaim(w, known *pb.PoolWorker) bool {
+	return known != nil && (known.GetBornUnixMs() != w.GetBornUnixMs() || known.GetAddress() != w.GetAddress()) ||
+		len(l.contradicted(w)) > 0 || len(l.othersAt(w)) > 0
+}
+
+// othersAt returns the other workers that are recorded at the address of a worker and not as gone.
+func (l *Leader) othersAt(w *pb.PoolWorker) []submission.Incarnation {
+	var list []submission.Incarnation
+	l.cfg.State.View(func(state *submission.State) {
+		for id, other := range state.Workers() {
+			if id != w.GetId() && !other.GetGone() && other.GetAddress() == w.GetAddress() {
+				list = append(list, other.Incarnation())
+			}
+		}
+	})
+	return list
+}
 
 // unbelievedReports counts the reports that were acknowledged without effect, by reason.
 func unbelievedReports(reason string) *metrics.Counter {
@@ -48,17 +80,17 @@
 type claimVerdict int
 
 const (
-	claimOpen    claimVerdict = iota // neither the claimed incarnation nor all the others have answered
-	claimTrue                        // the claimed incarnation answers, or all the others have ended
-	claimRefuted                     // one of the others answers
+	claimOpen    claimVerdict = iota // nobody has answered
+	claimTrue                        // the claimed incarnation answers
+	claimRefuted                     // nothing listens at its address, or a worker answers that it would replace
 )
 
-// verify finds out whether a record that contradicts the given sessions is true. It calls then on the event loop, with errResigned if the
-// term has ended.
-func (l *Leader) verify(w *pb.PoolWorker, sessions []*session, then func(claimVerdict, error)) {
+// verify finds out whether a record is true that contradicts what is known. It calls then on the event loop, with errResigned if the term
+// has ended.
+func (l *Leader) verify(w *pb.PoolWorker, then func(claimVerdict, error)) {
+	sessions := l.contradicted(w)
 	ctx, began := l.ctx, l.cfg.Clock()
-	claimed := Target{Incarnation: submission.Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}, Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
+	claimed := l.claimedTarget(w)
 	targets := make([]Target, len(sessions))
 	for i, s := range sessions {
 		targets[i] = s.target()
@@ -73,34 +105,72 @@
 			l.log.Info().Str("event", "claim-checked").Str("worker", w.GetId()).Int64("born", w.GetBornUnixMs()).Int("verdict", int(verdict)).
 				Dur("after_ms", l.cfg.Clock()-began).Msg("")
 			if verdict == claimOpen {
-				l.expectSuccessor(w.GetId())
+				l.expectSuccessor(claimed.Incarnation)
 			}
 			then(verdict, nil)
 		})
 	})
 }
 
+// claimedTarget returns the target of calls that ask the incarnation in a report.
+func (l *Leader) claimedTarget(w *pb.PoolWorker) Target {
+	return Target{Incarnation: submission.Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}, Address: w.GetAddress(),
+		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
+}
+
 // judgeClaim asks the claimed incarnation, and if it does not answer those that it would replace.
 func (l *Leader) judgeClaim(ctx context.Context, claimed Target, others []Target) claimVerdict {
-	if answer, err := l.probeTarget(ctx, claimed); err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs {
+	answer, err := l.probeTarget(ctx, claimed)
+	switch {
+	case err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs:
 		return claimTrue
+	case errors.Is(err, ErrNotListening):
+		return claimRefuted
 	}
-	ended := 0
 	for _, t := range others {
-		answer, err := l.probeTarget(ctx, t)
-		switch {
-		case err == nil && answer.BornUnixMs == t.Incarnation.BornUnixMs:
+		if answer, err := l.probeTarget(ctx, t); err == nil && answer.BornUnixMs == t.Incarnation.BornUnixMs {
 			return claimRefuted
-		case err == nil, errors.Is(err, ErrNotListening), errors.Is(err, ErrOtherIncarnation):
-			ended++
 		}
 	}
-	if ended == len(others) {
-		return claimTrue
-	}
 	return claimOpen
 }
 
+// pursueClaim goes on to ask the incarnation in a report that nobody has confirmed or refuted, and accepts the report if it answers. known is
+// the present record of the worker, or nil.
+func (l *Leader) pursueClaim(r *pb.PoolReport, known *pb.PoolWorker) {
+	ctx, target := l.ctx, l.claimedTarget(r.GetWorker())
+	c := claim{target.Incarnation, target.Address}
+	if l.openClaims[c] || len(l.openClaims) >= maxOpenClaims {
+		return
+	}
+	l.openClaims[c] = true
+	l.pool.Submit(func() {
+		answers := l.answersSlowly(ctx, target)
+		l.post(func() {
+			if l.ctx != ctx {
+				return
+			}
+			delete(l.openClaims, c)
+			if answers {
+				l.acceptAnswered(r, known, func(error) {})
+			}
+		})
+	})
+}
+
+// answersSlowly reports whether a worker incarnation answers one of claimAttempts calls.
+func (l *Leader) answersSlowly(ctx context.Context, t Target) bool {
+	for range claimAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
+		answer, err := l.cfg.Caller.Hold(callCtx, HoldCall{Target: t})
+		cancel()
+		if err == nil {
+			return answer.BornUnixMs == t.Incarnation.BornUnixMs
+		}
+	}
+	return false
+}
+
 func (l *Leader) probeTarget(ctx context.Context, t Target) (HoldAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
 	defer cancel()
@@ -109,9 +179,9 @@
 
 // expectSuccessor notes that a later incarnation of a worker may exist, though neither it nor the known one answers. It may carry out
 // starts that were meant for the known one.
-func (l *Leader) expectSuccessor(id string) {
-	s := l.sessions[id]
-	if s == nil {
+func (l *Leader) expectSuccessor(claimed submission.Incarnation) {
+	s := l.sessions[claimed.ID]
+	if s == nil || s.incarnation.BornUnixMs >= claimed.BornUnixMs {
 		return
 	}
 	l.recordReplacement(s)
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -112,3 +112,183 @@
 		is.True(holds()-before < 5)
 	})
 }
+
+// falseReport reports a later incarnation of worker a as another writer would.
+func (r *harness) falseReport(is *is.I, address string) {
+	is.Helper()
+	odd := usualReport(2)
+	odd.Worker.BornUnixMs, odd.Worker.Address = 1<<40, address
+	is.NoErr(r.leader.Report(context.Background(), odd))
+}
+
+// worksAsBorn checks that worker a is known with a birth time and gets tasks.
+func (r *harness) worksAsBorn(is *is.I, born int64) {
+	is.Helper()
+	r.submit("after", 2, nil)
+	time.Sleep(maxOutage)
+	is.Equal(r.describe("after"), "done")
+	r.state.View(func(s *submission.State) { is.Equal(s.Workers()["a"].GetBornUnixMs(), born) })
+}
+
+// Guards against a worker that is never used again because a false report was believed while it was down.
+func TestFalseReportOfWorkerThatIsDownIsNotBelieved(t *testing.T) {
+	for name, down := range map[string]func(r *harness, f *fakeWorker){
+		"connections refused": func(r *harness, f *fakeWorker) { r.workers.crash(f) },
+		"dark": func(r *harness, f *fakeWorker) {
+			r.workers.crashDark = true
+			r.workers.crash(f)
+		},
+		"for long": func(r *harness, f *fakeWorker) {
+			r.workers.crash(f)
+			time.Sleep(silenceTimeout + 5*time.Second)
+		},
+		"left": func(r *harness, f *fakeWorker) {
+			r.leaves("a")
+			r.workers.crash(f)
+			time.Sleep(time.Second)
+		},
+	} {
+		for _, address := range []string{"a", "nowhere"} {
+			t.Run(name+"/"+address, func(t *testing.T) {
+				withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+					down(r, r.workers.byID["a"])
+					for range 20 {
+						r.falseReport(is, address)
+						time.Sleep(100 * time.Millisecond)
+					}
+					r.restart("a", 77, func(*fakeWorker) {})
+					r.report("a", 1)
+					r.worksAsBorn(is, 77)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a worker that stays unused because its true report came before calls reached it, or because it answers slowly.
+func TestTrueReportIsBelievedOnceWorkerAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		change  func(f *fakeWorker)
+		reports uint64
+	}{
+		"reached later":      {func(f *fakeWorker) { f.unreachable = true }, 5},
+		"slow":               {func(f *fakeWorker) { f.holdDelay = 2 * claimProbeTimeout }, 5},
+		"slow, reports lost": {func(f *fakeWorker) { f.holdDelay = 2 * claimProbeTimeout }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+				r.workers.crash(r.workers.byID["a"])
+				next := r.restart("a", 77, func(f *fakeWorker) { f.address = "elsewhere" })
+				r.workers.update(func() { c.change(next) })
+				for sequence := range c.reports {
+					r.report("a", sequence+1)
+					time.Sleep(time.Second)
+					r.workers.update(func() { next.unreachable = false })
+				}
+				r.worksAsBorn(is, 77)
+			})
+		})
+	}
+}
+
+// throughSnapshot replaces the leader by one whose state comes from a snapshot.
+func (r *harness) throughSnapshot() {
+	r.leader.Close()
+	snapshot, err := r.state.Snapshot()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := r.state.Restore(snapshot); err != nil {
+		r.t.Fatal(err)
+	}
+	r.replaceLeader(7)
+}
+
+// falseRecords are records of another writer that the replicated state holds before worker a, born at 1, is heard again.
+var falseRecords = map[string]func(w *pb.PoolWorker){
+	"later incarnation":                  func(w *pb.PoolWorker) { w.BornUnixMs = 1 << 40 },
+	"later incarnation at other address": func(w *pb.PoolWorker) { w.BornUnixMs, w.Address = 1<<40, "nowhere" },
+	"later incarnation that is gone":     func(w *pb.PoolWorker) { w.BornUnixMs, w.Gone = 1<<40, true },
+	"other id at the address":            func(w *pb.PoolWorker) { w.Id, w.BornUnixMs = "odd", 1<<40 },
+}
+
+// Guards against a worker that is turned away for ever because its id or its address is in a record of another writer.
+func TestFalseRecordDoesNotShutWorkerOut(t *testing.T) {
+	for name, change := range falseRecords {
+		for _, known := range []bool{false, true} {
+			for _, later := range []func(r *harness){
+				func(*harness) {},
+				func(*harness) { time.Sleep(silenceTimeout + 5*time.Second) },
+				func(r *harness) { r.replaceLeader(7) },
+				(*harness).throughSnapshot,
+			} {
+				t.Run(name, func(t *testing.T) {
+					withHarness(t, time.Second, nil, func(is *is.I, r *harness) {
+						worker := newFakeWorker("a", 1)
+						worker.unreachable, worker.ignoreIncarnation = true, true
+						r.workers.update(func() { r.workers.byID["a"] = worker })
+						if known {
+							r.report("a", 1)
+						}
+						odd := usualReport(0).GetWorker()
+						change(odd)
+						r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Worker{Worker: odd}})
+						r.replaceLeader(6)
+						time.Sleep(time.Second)
+						later(r)
+						r.workers.update(func() { worker.unreachable = false })
+						for sequence := range uint64(4) {
+							r.report("a", sequence+2)
+							time.Sleep(time.Second)
+						}
+						r.worksAsBorn(is, 1)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against a delayed report of a former incarnation that replaces the present one while that is cut off from a new leader.
+func TestDelayedReportDoesNotReplaceWorkerThatIsCutOff(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		next := r.restart("a", 77, func(*fakeWorker) {})
+		r.report("a", 1)
+		for _, unreachable := range []bool{true, false} {
+			r.workers.update(func() { next.unreachable = unreachable })
+			r.replaceLeader(6)
+			is.NoErr(r.leader.Report(context.Background(), usualReport(9)))
+			time.Sleep(5 * time.Second)
+			r.state.View(func(s *submission.State) { is.Equal(s.Workers()["a"].GetBornUnixMs(), int64(77)) })
+		}
+	})
+}
+
+// Guards against a worker that is turned away for ever because its clock was set back before it restarted under its id, and against a task
+// of its former incarnation that runs twice.
+func TestWorkerThatRestartsWithEarlierClockIsUsed(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		withHarness(t, 3*time.Second, []string{"b"}, func(is *is.I, r *harness) {
+			r.workers.update(func() {
+				r.workers.byID["a"], r.workers.byID["b"].noRoom = newFakeWorker("a", 77), true
+				r.workers.byID["a"].startsReset = true
+			})
+			r.report("a", 1)
+			time.Sleep(time.Second)
+			r.submit("s", 1, nil)
+			time.Sleep(300 * time.Millisecond)
+			if newLeader {
+				r.workers.update(func() { r.workers.byID["a"].unreachable = true })
+				r.replaceLeader(6)
+			}
+			r.restart("a", 50, func(*fakeWorker) {})
+			r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+			for sequence := range uint64(10) {
+				r.report("a", sequence+1)
+				time.Sleep(time.Second)
+			}
+			is.Equal(r.describe("s"), "done")
+			r.worksAsBorn(is, 50)
+		})
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -352,6 +352,70 @@
 	is.True(crashOf("w")[0].GetOnly())
 }
 
+// storm submits a task and lets each worker crash that starts it, for one time, and a worker without room by itself, for another.
+func (r *harness) storm(is *is.I, deadly, all time.Duration) submission.Ref {
+	task := submission.Ref{Submission: "s"}
+	r.restartCrashed(crashCase{downtime: 500 * time.Millisecond})
+	r.workers.update(func() { r.workers.byID["idle"], r.workers.deadly[task] = newFakeWorker("idle", 1), true })
+	time.AfterFunc(3*time.Second, func() { r.submit("s", 1, nil) })
+	time.AfterFunc(deadly, func() { r.workers.update(func() { r.workers.deadly[task] = false }) })
+	for end := time.Now().Add(all); time.Now().Before(end); {
+		is.NoErr(r.reportCapacity("idle", 2, 0))
+		time.Sleep(2 * time.Second)
+		var idle *fakeWorker
+		r.workers.update(func() { idle = r.workers.byID["idle"] })
+		r.workers.crash(idle)
+	}
+	time.Sleep(2 * time.Second) // it is back
+	return task
+}
+
+// Guards against a submission that is given up because its workers crashed several times just after it had started there, while others
+// crashed by themselves, and against one that waits for ever since they do not stop.
+func TestWorkersThatCrashByThemselvesDoNotFailSubmissions(t *testing.T) {
+	for _, all := range []time.Duration{10 * time.Second, 20 * time.Second} {
+		withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+			task := r.storm(is, 10*time.Second, all)
+			time.Sleep(20*time.Second - all)
+			_, crashes := r.furtherStarts(task)
+			is.Equal(crashes, 3)
+			is.Equal(r.describe("s"), "done")
+		})
+	}
+}
+
+// Guards against a task that crashes its workers and is started without end because others crash as well.
+func TestTaskThatCrashesItsWorkersInStormIsGivenUp(t *testing.T) {
+	withHarness(t, time.Second, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+		before := givenUpTotal.Get()
+		further, _ := r.furtherStarts(r.storm(is, time.Minute, 30*time.Second))
+		is.True(further < maxFurtherStarts)
+		is.Equal(r.describe("s"), "failed")
+		is.Equal(givenUpTotal.Get(), before+1)
+	})
+}
+
+// Guards against a submission that failed for another cause and is logged and counted as given up for crashes.
+func TestFailedSubmissionIsNotCountedAsGivenUp(t *testing.T) {
+	is := is.New(t)
+	state, before := submission.New(time.Minute.Milliseconds(), nil), givenUpTotal.Get()
+	l := &Leader{cfg: Config{State: state}, log: testLogger()}
+	makeSuspect(is, state, "s")
+	task := submission.Ref{Submission: "s"}.Proto()
+	fail := &pb.SubmissionEntry{Changes: []*pb.SubmissionChange{
+		{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 2, Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 1}}}}},
+		{Change: &pb.SubmissionChange_Worker{Worker: &pb.PoolWorker{Id: "w", BornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_Start{Start: &pb.TaskStart{Task: task, Attempt: 2, Worker: "w", WorkerBornUnixMs: 1}}},
+		{Change: &pb.SubmissionChange_End{End: &pb.TaskEnd{Task: task, Attempt: 2, Worker: "w", WorkerBornUnixMs: 1, Kind: pb.TaskEndKind_TASK_END_KIND_FAILED}}},
+	}}
+	entry, err := proto.Marshal(fail)
+	is.NoErr(err)
+	state.Apply(2, 1, entry)
+	is.Equal(state.Submission("s").Describe(), "failed")
+	l.logSuspects("w", []*pb.SuspectAttempt{{Task: task, Attempt: 2}})
+	is.Equal(givenUpTotal.Get(), before)
+}
+
 // makeSuspect accepts a submission and lets a worker crash under its task.
 func makeSuspect(is *is.I, state *submission.State, id string) {
 	ref := submission.Ref{Submission: id}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -312,8 +312,8 @@
 			continue
 		}
 		ref := submission.Ref{Submission: r.Submission, Occurrence: r.Occurrence, Step: r.Step, Index: uint32(i)}
-		only, ok := l.mayStart(ref, now)
-		if !ok || only != "" && t.Suspect() || l.awaitsProof(state, ref, t) {
+		only, ok := l.mayPlace(state, ref, t, now)
+		if !ok {
 			if r.Spec.GetGang() { // the members of a gang start together or not at all
 				r.Waiting = nil
 				return
@@ -325,6 +325,15 @@
 	}
 }
 
+// mayPlace reports whether a waiting task may be placed now. only is the id of the only worker on which it may start, "" if it may on any.
+// A suspect may not start on one worker only, which may be the one that crashes.
+func (l *Leader) mayPlace(state *submission.State, ref submission.Ref, t *submission.Task, now time.Duration) (only string, ok bool) {
+	if only, ok = l.mayStart(ref, now); !ok || only != "" && t.Suspect() {
+		return "", false
+	}
+	return only, !l.awaitsProof(state, ref, t) && !l.awaitsCalm(ref, t, now)
+}
+
 // workerHealth records the recent task failures on a worker.
 type workerHealth struct {
 	// failures maps the ids of submissions to the times at which a task of theirs last failed on the worker.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -37,6 +37,10 @@
 		l.onLeaving(incarnation, known, done)
 		return
 	}
+	if known != nil && l.mayBeRefuted(known, r.GetWorker()) {
+		l.verifyReport(r, known, done)
+		return
+	}
 	if known != nil && isLate(known, r) {
 		l.log.Info().Str("event", "late-report").Str("worker", incarnation.ID).Int64("born", incarnation.BornUnixMs).Int64("known", known.GetBornUnixMs()).Msg("")
 		done(nil)
@@ -55,22 +59,30 @@
 		l.acceptReport(r, known, done)
 		return
 	}
-	if sessions := l.contradicted(r.GetWorker()); len(sessions) > 0 {
-		l.verify(r.GetWorker(), sessions, func(verdict claimVerdict, err error) {
-			switch {
-			case err != nil:
-				done(err)
-			case verdict == claimTrue:
-				l.acceptReport(r, l.knownWorker(incarnation.ID), done)
-			default:
-				l.ignoreReport(r, "not-verified", done)
-			}
-		})
+	if l.isClaim(r.GetWorker(), known) {
+		l.verifyReport(r, known, done)
 		return
 	}
 	l.acceptReport(r, known, done)
 }
 
+// verifyReport accepts a report once the incarnation in it has answered. known is the present record of the worker, or nil.
+func (l *Leader) verifyReport(r *pb.PoolReport, known *pb.PoolWorker, done func(error)) {
+	l.verify(r.GetWorker(), func(verdict claimVerdict, err error) {
+		switch {
+		case err != nil:
+			done(err)
+		case verdict == claimTrue:
+			l.acceptAnswered(r, known, done)
+		default:
+			if verdict == claimOpen {
+				l.pursueClaim(r, known)
+			}
+			l.ignoreReport(r, "not-verified", done)
+		}
+	})
+}
+
 // ignoreReport acknowledges a report without effect.
 func (l *Leader) ignoreReport(r *pb.PoolReport, reason string, done func(error)) {
 	unbelievedReports(reason).Inc()
