Only submissions with several occurrences share the plan

What callers would see: on a large site with thousands of submissions, of which a few recur, overlapping occurrences of these run one after the other though there is room.

Cause: the bound on the tasks of a plan was divided among all active submissions. One with a single occurrence needs no share.

Change: only submissions with several occurrences count.

Measured: the tests of occurrences pass (go test -run 'Occurr|SubmissionsShare|Plan' ./internal/dispatch).

--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -10,7 +10,8 @@
 	// maxOpenTasks bounds the tasks in the occurrences of a submission that are due and not done, as far as a plan considers them. Later
 	// occurrences follow as the earlier ones are done. One occurrence is considered whatever its size.
 	maxOpenTasks = 4096
-	// maxPlannedTasks bounds, in the same way, the tasks in occurrences that wait, of all submissions together. Each has the same share.
+	// maxPlannedTasks bounds, in the same way, the tasks in occurrences that wait, of all submissions with several occurrences. Each of these
+	// has the same share.
 	maxPlannedTasks = 4 * maxOpenTasks
 )
 
@@ -23,8 +24,8 @@
 }
 
 // update drops the occurrences that are done, adds those that are due, as far as the bounds allow, and returns those with waiting tasks.
-// submissions is the number of submissions that share the plan.
-func (o *openOccurrences) update(sub *submission.Submission, unixMs int64, submissions int) []uint32 {
+// sharing is the number of submissions that share the plan.
+func (o *openOccurrences) update(sub *submission.Submission, unixMs int64, sharing int) []uint32 {
 	isDone := func(number uint32) bool {
 		o := sub.Occurrences[number]
 		return o != nil && o.Done
@@ -34,7 +35,7 @@
 		tasks += int(step.GetCount())
 	}
 	limit := max(1, maxOpenTasks/max(1, tasks))
-	share := min(limit, max(1, maxPlannedTasks/max(1, tasks*submissions)))
+	share := min(limit, max(1, maxPlannedTasks/max(1, tasks*sharing)))
 	o.open = slices.DeleteFunc(o.open, isDone)
 	var waiting []uint32
 	for _, number := range o.open {
@@ -55,14 +56,25 @@
 	return o == nil || slices.ContainsFunc(o.Steps, func(s submission.Step) bool { return s.Waiting() > 0 })
 }
 
+// recurringSubmissions returns the number of active submissions with several occurrences.
+func recurringSubmissions(state *submission.State) int {
+	n := 0
+	for _, sub := range state.Active() {
+		if sub.OccurrenceCount() > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // dueOccurrences returns the numbers of the occurrences of a submission that are due and have waiting tasks, in order, as far as
-// maxOpenTasks and maxPlannedTasks allow.
-func (l *Leader) dueOccurrences(state *submission.State, sub *submission.Submission, unixMs int64) []uint32 {
+// maxOpenTasks and maxPlannedTasks allow. sharing is the number of submissions that share the plan.
+func (l *Leader) dueOccurrences(sub *submission.Submission, sharing int, unixMs int64) []uint32 {
 	id := sub.Spec.GetId()
 	o := l.occurrences[id]
 	if o == nil {
 		o = &openOccurrences{}
 		l.occurrences[id] = o
 	}
-	return o.update(sub, unixMs, len(state.Active()))
+	return o.update(sub, unixMs, sharing)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -131,8 +131,9 @@
 func (l *Leader) snapshot(now time.Duration) *steps.Snapshot {
 	snap := &steps.Snapshot{NowUnixMs: time.Now().UnixMilli(), MaxStarts: maxStarts, Pressure: l.pressure, FiniteDemand: l.finiteDemand}
 	l.cfg.State.View(func(state *submission.State) {
+		sharing := recurringSubmissions(state)
 		for _, sub := range state.Active() {
-			snap.Requests = append(snap.Requests, l.requests(state, sub, snap.NowUnixMs, now)...)
+			snap.Requests = append(snap.Requests, l.requests(state, sub, sharing, snap.NowUnixMs, now)...)
 		}
 		if len(snap.Requests) == 0 && !l.anyShouldMove() {
 			return
@@ -215,14 +216,14 @@
 }
 
 // requests returns one request for each step of a submission that has waiting tasks, is due and has no unfinished
-// prerequisites.
-func (l *Leader) requests(state *submission.State, sub *submission.Submission, unixMs int64, now time.Duration) []*steps.Request {
+// prerequisites. sharing is the number of submissions that share the plan.
+func (l *Leader) requests(state *submission.State, sub *submission.Submission, sharing int, unixMs int64, now time.Duration) []*steps.Request {
 	var list []*steps.Request
 	queue := state.QueueOf(sub)
 	if queue == nil {
 		return nil
 	}
-	for _, number := range l.dueOccurrences(state, sub, unixMs) {
+	for _, number := range l.dueOccurrences(sub, sharing, unixMs) {
 		o := sub.Occurrence(number)
 		runs := slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Placed > 0 })
 		begun := runs || slices.ContainsFunc(o.Steps, func(step submission.Step) bool { return step.Done > 0 })
