Failing tests: late calls that reach the next incarnation of a worker

Cause: the class of the calls for former incarnations. A call that is carried out seconds after it was sent reaches an incarnation that knows neither the stop nor the end of the attempt, and that the leader has not reached.

--- a/internal/dispatch/latehold_test.go
+++ b/internal/dispatch/latehold_test.go
@@ -47,3 +47,19 @@
 		is.Equal(r.running("b"), 1)
 	})
 }
+
+// Guards against a task that runs twice because a late hold for the former incarnation of its worker extended the lease of the new one.
+func TestLeaseFromLateHoldForFormerIncarnationCounts(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		time.Sleep(20*time.Second + 200*time.Millisecond) // a hold has just begun
+		r.workers.update(func() { r.workers.byID["a"].holdLate = 3 * time.Second })
+		time.Sleep(300 * time.Millisecond)
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+		time.Sleep(2800 * time.Millisecond)
+		r.submit("s", 1, nil)
+		r.registerSuccessor(is, successor)
+		r.cutOff(successor)
+		is.Equal(r.running("b"), 1)
+	})
+}
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -148,6 +148,53 @@
 	})
 }
 
+// Guards against the same for a start that is carried out 2.5 s after it was sent, of which the leader learns nothing.
+func TestLateStartOnUnknownSuccessorIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(300 * time.Millisecond)
+		successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.stopUnanswered = true, true })
+		time.Sleep(2400 * time.Millisecond)
+		is.Equal(r.running("a"), 1)
+		r.cutOff(successor)
+		is.Equal(r.running("b"), 1)
+	})
+}
+
+// Guards against a task that runs twice because its worker, which has stopped an attempt, restarts, and a late copy of the start is
+// carried out by the next incarnation, while the task runs on another worker.
+func TestLateStartOfStoppedAttemptIsWaitedFor(t *testing.T) {
+	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 3500*time.Millisecond, true })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(time.Second)
+		r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+		time.Sleep(3700 * time.Millisecond) // a has stopped the attempt and lists none
+		is.Equal(r.running("b"), 1)
+		r.restart("a", 77, func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against a task that is started again after it was done, because its worker restarts and a late copy of the start is carried out by
+// the next incarnation.
+func TestLateStartOfTaskThatIsDoneHasNoEffect(t *testing.T) {
+	withHarness(t, 500*time.Millisecond, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 3 * time.Second })
+		time.Sleep(20 * time.Second)
+		r.submit("s", 1, nil)
+		time.Sleep(100 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["a"].startDelay = 0 })
+		time.Sleep(2 * time.Second) // the start was sent again
+		is.Equal(r.describe("s"), "done")
+		r.restart("a", 77, func(f *fakeWorker) { f.unreachable = true })
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against an endless task that stays away for too long because its worker, which had restarted a moment ago, is lost for good.
 func TestEndlessTaskOfRestartedWorkerRunsAgainInTime(t *testing.T) {
 	for _, after := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second} {
