Dispatch: silence alone does not end a worker that has reported its leave

Cause: two unanswered calls of 0.2 s counted as the end of a worker that had certainly reported its leave. Silence is also what a cut looks like.

Change: the end is proved by a refused connection, another incarnation, or now: the worker closed the connection of the hold that waited (an orderly end, no reset; ErrConnectionClosed), from 1 s before its report on, and has answered no call since, two at least. The leave that is recorded tells that it closed, so that the next leader knows. Only the hold after an answered one counts: its connection was in use a moment ago, so that no idle time can have closed it. Otherwise the lease decides.

The other new tests guard what does not count as closed.

What is left: a worker whose waiting hold is closed though it runs on, and that is cut off from then on.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -152,6 +152,8 @@
 	ErrNotListening = fmt.Errorf("%w: nothing listens at its address", ErrNoAnswer)
 	// ErrConnectionBroken means that the connection ended before the answer, for instance since the worker's process has ended.
 	ErrConnectionBroken = fmt.Errorf("%w: its connection broke", ErrNoAnswer)
+	// ErrConnectionClosed means that the worker itself closed the connection before the answer, as a process does that ends.
+	ErrConnectionClosed = fmt.Errorf("%w: the worker closed it", ErrConnectionBroken)
 	// ErrAgentSilent means that nothing is heard from the VM that was to make the call. It tells nothing about the worker.
 	ErrAgentSilent = fmt.Errorf("%w: nothing is heard from the VM that makes the call", ErrNoAnswer)
 	// ErrFenced means that a newer leader has called the worker.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -45,8 +45,15 @@
 		result.err = nil // the worker lives and refuses the call
 	}
 	s.refused = errors.Is(result.err, ErrNotListening)
+	if errors.Is(result.err, ErrConnectionClosed) && !s.unanswered && s.aliveAt > 0 {
+		s.closedAt = result.ended
+		if s.leave != nil {
+			s.leave.closed = true
+		}
+	}
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
+		s.forgetClosed()
 	} else if !s.unanswered {
 		s.endKnown, s.endedBy = !result.timedOut, result.ended
 		if s.endKnown && result.ended-result.sent > refusalTime {
@@ -58,6 +65,7 @@
 
 // recordAnswered records that the worker has answered a call. After a hold without an answer it may have been the next incarnation.
 func (s *session) recordAnswered(now time.Duration) {
+	s.forgetClosed()
 	if !s.unanswered {
 		s.aliveAt = max(s.aliveAt, now)
 	}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -50,6 +50,7 @@
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
+	closes            bool                      // it has ended and closed its connections: holds that wait get ErrConnectionClosed
 	endsListed        int                       // ends in an answer to a hold at most, 0 if there is no limit
 	waitsFully        bool                      // a hold takes its whole wait, whatever it lists
 }
@@ -326,6 +327,9 @@
 			w.mu.Unlock()
 			return HoldAnswer{}, ErrNoAnswer
 		}
+		if err != nil && waitsAt != nil && waitsAt.closes {
+			err = ErrConnectionClosed
+		}
 		if err != nil {
 			w.mu.Unlock()
 			return HoldAnswer{}, w.awaitTimeout(ctx, err)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -205,7 +205,7 @@
 
 func (l *Leader) holdFailed(s *session, err error) {
 	switch {
-	case s.leave != nil && errors.Is(err, ErrNotListening) && l.onLeaveEvidence(s, l.cfg.Clock(), err):
+	case s.leave != nil && (errors.Is(err, ErrNotListening) || errors.Is(err, ErrConnectionClosed)) && l.onLeaveEvidence(s, l.cfg.Clock(), err):
 	case errors.Is(err, ErrFenced):
 		l.log.Warn().Str("event", "fenced").Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("a newer leader has called the worker; this VM stops leading")
 		l.endTerm()
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -11,7 +11,8 @@
 
 // The report with which a worker leaves names the worker by its id. A partition may hold it up until a later incarnation runs under
 // that id, so it proves nothing about the incarnation that is known. The leader records it, asks the worker, and gives up the
-// attempts on it only once its process is known to have ended.
+// attempts on it only once its process is known to have ended. Silence alone is no proof: a worker that gets no confirmation works on for
+// a while, and may be cut off. Then its lease decides.
 
 const (
 	// leaveProbeTimeout bounds a call that asks a worker which has reported its leave whether it still runs.
@@ -21,8 +22,11 @@
 	leaveProbeInterval = 100 * time.Millisecond
 	// leaveGrace is how long after its report a worker may still answer before it is taken to stay for now.
 	leaveGrace = time.Second
-	// leaveMisses is the number of unanswered probes in a row after which a worker that has certainly reported its leave has ended.
+	// leaveMisses is the number of unanswered calls in a row after which a worker has ended that has certainly reported its leave and closed a
+	// connection.
 	leaveMisses = 2
+	// leaveClosedBefore is how long before its report arrives a worker that ends may have closed its connections.
+	leaveClosedBefore = time.Second
 )
 
 // leaveWatch is what a leader knows about a worker that has reported its leave. The event loop owns it.
@@ -32,7 +36,9 @@
 	certain  bool
 	probing  bool // a probe is in progress
 	probedAt time.Duration
-	misses   int // probes in a row that got no answer
+	misses   int // calls in a row that got no answer
+	// closed is true if the worker closed the connection of a hold at about the time of the report, or later, and has answered none since.
+	closed bool
 	// stays is true once the worker has answered a probe sent leaveGrace after the report. It gets new tasks again.
 	stays bool
 }
@@ -54,11 +60,11 @@
 		return leaveReplaced
 	case errors.Is(err, ErrAgentSilent): // the worker was not asked
 	case errors.Is(err, ErrNoAnswer):
-		if w.misses++; w.certain && w.misses >= leaveMisses {
+		if w.misses++; w.certain && w.closed && w.misses >= leaveMisses {
 			return leaveEnded
 		}
 	default: // the worker runs, whatever it answers
-		w.misses = 0
+		w.misses, w.closed = 0, false
 		w.stays = w.stays || sent-w.since >= leaveGrace
 	}
 	return leaveOpen
@@ -71,7 +77,8 @@
 		done(nil)
 		return
 	}
-	leave := &pb.WorkerLeave{Id: incarnation.ID, BornUnixMs: known.GetBornUnixMs(), Certain: incarnation.BornUnixMs != 0}
+	leave := &pb.WorkerLeave{Id: incarnation.ID, BornUnixMs: known.GetBornUnixMs(), Certain: incarnation.BornUnixMs != 0,
+		Closed: l.sessions[incarnation.ID].hasClosed(l.cfg.Clock())}
 	l.queueChange(&pb.SubmissionChange{Change: &pb.SubmissionChange_Leave{Leave: leave}}, func(_ submission.Result, err error) {
 		l.logCommitFailure("worker-leaving", leave.GetId(), err)
 		if err == nil {
@@ -82,6 +89,20 @@
 	})
 }
 
+// hasClosed reports whether the worker of a session, if there is one, closed the connection of a hold at about the time of its leave, which
+// is now if none was reported before, and has answered none since.
+func (s *session) hasClosed(now time.Duration) bool {
+	return s != nil && (s.leave != nil && s.leave.closed || s.closedAt > 0 && now-s.closedAt < leaveClosedBefore)
+}
+
+// forgetClosed records that the worker of a session answers.
+func (s *session) forgetClosed() {
+	s.closedAt = 0
+	if s.leave != nil {
+		s.leave.closed = false
+	}
+}
+
 // watchLeave begins to watch a worker for which a leave is recorded.
 func (l *Leader) watchLeave(id string) {
 	s := l.sessions[id]
@@ -90,8 +111,11 @@
 	}
 	l.cfg.State.View(func(state *submission.State) {
 		if w := state.Workers()[id]; w != nil && w.Incarnation() == s.incarnation && w.Leave != nil {
-			s.leave = newLeaveWatch(w, l.cfg.Clock())
-			l.log.Info().Str("event", "leave-reported").Str("worker", id).Bool("certain", s.leave.certain).Msg("")
+			now := l.cfg.Clock()
+			closed := s.hasClosed(now)
+			s.leave = newLeaveWatch(w, now)
+			s.leave.closed = closed
+			l.log.Info().Str("event", "leave-reported").Str("worker", id).Bool("certain", s.leave.certain).Bool("closed", closed).Msg("")
 		}
 	})
 }
@@ -101,7 +125,7 @@
 	if w.Leave == nil {
 		return nil
 	}
-	return &leaveWatch{since: now, probedAt: now, certain: w.Leave.GetCertain()}
+	return &leaveWatch{since: now, probedAt: now, certain: w.Leave.GetCertain(), closed: w.Leave.GetClosed()}
 }
 
 // mayLeave reports whether the worker of a session has reported its leave and has not shown since that it stays for now.
@@ -137,6 +161,9 @@
 
 // onLeaveEvidence handles the result of a call to a worker that has reported its leave. It returns true if the incarnation has ended.
 func (l *Leader) onLeaveEvidence(s *session, sent time.Duration, err error) bool {
+	if !errors.Is(err, ErrNoAnswer) {
+		s.forgetClosed()
+	}
 	switch s.leave.judge(sent, err) {
 	case leaveEnded:
 		l.log.Info().Str("event", "worker-left").Str("worker", s.incarnation.ID).Dur("after_ms", l.cfg.Clock()-s.leave.since).AnErr("evidence", err).Msg("")
@@ -149,7 +176,7 @@
 		l.onWorkerReplaced(s, "leave")
 		return true
 	}
-	if s.leave.misses == 1 {
+	if s.leave.misses == 1 && !s.leave.probing {
 		l.probe(s)
 	}
 	return false
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,10 +73,13 @@
 		change    func(*fakeWorker)
 		restarted bool
 		within    time.Duration
+		reached   bool // a new leader has a hold in progress when the worker ends
+		before    bool // the worker ends before its report arrives
 	}{
-		"ended":            {func(f *fakeWorker) { f.refusing = true }, false, 500 * time.Millisecond},
-		"ended, restarted": {func(f *fakeWorker) { f.refusing = true }, true, 500 * time.Millisecond},
-		"silent":           {func(f *fakeWorker) { f.unreachable = true }, false, 800 * time.Millisecond},
+		"ended":                  {func(f *fakeWorker) { f.refusing = true }, false, 500 * time.Millisecond, false, false},
+		"ended, restarted":       {func(f *fakeWorker) { f.refusing = true }, true, 500 * time.Millisecond, false, false},
+		"silent":                 {func(f *fakeWorker) { f.unreachable, f.closes = true, true }, false, 800 * time.Millisecond, true, false},
+		"silent, report follows": {func(f *fakeWorker) { f.unreachable, f.closes = true, true }, false, 800 * time.Millisecond, false, true},
 	} {
 		for _, newLeader := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
@@ -85,16 +89,26 @@
 					} else {
 						r.startAtA(is)
 					}
+					ends := func() {
+						end.change(r.workers.byID["a"])
+						clear(r.workers.byID["a"].running)
+					}
+					if end.before {
+						r.workers.update(ends)
+						time.Sleep(20 * time.Millisecond)
+					}
 					r.leaves("a")
 					within := end.within
 					if newLeader { // a start of the previous leader may be on its way to the next incarnation
 						within += lateCallTimeout + leaveProbeTimeout
 						r.replaceLeader(6)
+						if end.reached {
+							time.Sleep(50 * time.Millisecond)
+						}
+					}
+					if !end.before {
+						r.workers.update(ends)
 					}
-					r.workers.update(func() {
-						end.change(r.workers.byID["a"])
-						clear(r.workers.byID["a"].running)
-					})
 					time.Sleep(within)
 					is.Equal(r.running("b"), 1)
 				})
@@ -103,6 +117,79 @@
 	}
 }
 
+// Guards against tasks of a worker that has left that wait for longer than its lease, where nothing proves its end, and against ones that
+// start before.
+func TestTasksOfSilentWorkerThatLeftStartOnceItsLeaseIsOver(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %t", newLeader), func(t *testing.T) {
+			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+				r.startAtA(is)
+				r.leaves("a")
+				within := maxOutage
+				if newLeader { // the previous one may have granted leases until it noticed the end of its term
+					within += previousLeaderTimeout
+					r.replaceLeader(6)
+				}
+				r.lose("a")
+				began := time.Now()
+				for r.running("b") == 0 && time.Since(began) < 2*within {
+					is.True(r.running("a") == 1 || r.running("b") == 0)
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("the task starts %v after its worker fell silent", time.Since(began))
+				is.Equal(r.running("a"), 0)
+				is.True(time.Since(began) < within)
+			})
+		})
+	}
+}
+
+// Guards against a task that runs twice because its worker closed a connection, answered a call after that, left and was cut off.
+func TestWorkerThatAnswersAfterItClosedConnectionKeepsItsLease(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.workers.update(func() { r.workers.byID["a"].unreachable, r.workers.byID["a"].closes = true, true })
+		time.Sleep(50 * time.Millisecond)
+		r.workers.update(func() { r.workers.byID["a"].unreachable, r.workers.byID["a"].closes = false, false })
+		time.Sleep(700 * time.Millisecond)
+		r.leaves("a")
+		r.lose("a")
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("b"), 0)
+	})
+}
+
+// Guards against the same where it did not answer after that, but left only some seconds later.
+func TestWorkerThatLeavesLongAfterItClosedConnectionKeepsItsLease(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.workers.update(func() { r.workers.byID["a"].unreachable, r.workers.byID["a"].closes = true, true })
+		time.Sleep(2 * time.Second)
+		r.leaves("a")
+		time.Sleep(3 * time.Second)
+		is.Equal(r.running("b"), 0)
+	})
+}
+
+// Guards against a worker that counts as ended because a connection was closed on which it had not received the call.
+func TestOnlyHoldAfterAnAnswerShowsThatItsWorkerClosed(t *testing.T) {
+	is := is.New(t)
+	answered, silent, closed := holdResult{ended: 1}, holdResult{ended: 2, err: ErrNoAnswer}, holdResult{ended: 3, err: ErrConnectionClosed}
+	for _, c := range []struct {
+		results []holdResult
+		want    time.Duration
+	}{
+		{[]holdResult{closed}, 0}, {[]holdResult{answered, silent, closed}, 0}, {[]holdResult{answered, closed, answered}, 0},
+		{[]holdResult{answered, {ended: 3, err: ErrConnectionBroken}}, 0}, {[]holdResult{answered, closed}, 3}, {[]holdResult{answered, closed, silent}, 3},
+	} {
+		s := &session{}
+		for _, result := range c.results {
+			s.recordHold(result)
+		}
+		is.Equal(s.closedAt, c.want)
+	}
+}
+
 // Guards against a worker that is never suspected of being crashed by a task because an earlier incarnation has left.
 func TestCrashAfterLateLeaveCounts(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
@@ -129,7 +216,7 @@
 // Guards against a worker that counts as ended because the VM that was to ask it could not be reached.
 func TestUnaskedWorkerHasNotLeft(t *testing.T) {
 	is := is.New(t)
-	watch := &leaveWatch{certain: true}
+	watch := &leaveWatch{certain: true, closed: true}
 	for range 2 * leaveMisses {
 		is.Equal(watch.judge(0, ErrAgentSilent), leaveOpen)
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,9 +35,10 @@
 	aliveAt          time.Duration                    // when the worker was last known to be alive
 	endKnown         bool                             // the worker ended between aliveAt and endedBy: its connection broke or was refused
 	endedBy          time.Duration
-	unanswered       bool // the last hold got no answer
-	lossesPending    int  // number of attempts whose loss is being committed
-	refused          bool // the last hold found that nothing listens at the worker's address
+	closedAt         time.Duration // when the worker closed the connection of the hold after an answered one, 0 if it has answered since
+	unanswered       bool          // the last hold got no answer
+	lossesPending    int           // number of attempts whose loss is being committed
+	refused          bool          // the last hold found that nothing listens at the worker's address
 	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
 	mayHaveCrashed bool
 	leave          *leaveWatch // nil unless the worker has reported its leave
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -22,6 +22,7 @@
 	pb.RelayOutcome_RELAY_OUTCOME_MALFORMED:         dispatch.ErrMalformed,
 	pb.RelayOutcome_RELAY_OUTCOME_NOT_LISTENING:     dispatch.ErrNotListening,
 	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_BROKEN: dispatch.ErrConnectionBroken,
+	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_CLOSED: dispatch.ErrConnectionClosed,
 }
 
 // answerForError returns an answer with the outcome for an error of a dispatch.Caller. Any other error becomes
@@ -32,7 +33,7 @@
 	}
 	a := &pb.RelayAnswer{Outcome: pb.RelayOutcome_RELAY_OUTCOME_NO_ANSWER, Message: err.Error()}
 	for outcome, known := range outcomeErrors {
-		if errors.Is(err, known) && known != dispatch.ErrNoAnswer { // which others wrap
+		if errors.Is(err, known) && !errors.Is(outcomeErrors[a.Outcome], known) { // some wrap others
 			a.Outcome = outcome
 		}
 	}
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -281,7 +281,7 @@
 		return false
 	}
 	certain := c.GetCertain() || !w.reused || w.Leave.GetCertain()
-	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain}
+	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain, Closed: c.GetClosed()}
 	return true
 }
 
