Whether a hold reaches the same incarnation counts from when the worker answered; acknowledging holds wait again

Cause: a hold that acknowledges ends had to ask at once. What guards against needs a worker that is back under its id before that hold arrives, which is sent within 100 ms of the last answer (identityWindow); later, a hold that acknowledges nothing goes first. That time counted from the arrival of the answer, though the answer may have been on its way for long.

Change: it counts from when the worker answered, as far as the clock in the answer tells, and acknowledging holds wait as before.

--- a/internal/dispatch/clock.go
+++ b/internal/dispatch/clock.go
@@ -50,3 +50,12 @@
 		c.clockMs, c.clockAt = clockMs, at
 	}
 }
+
+// delayOf returns for how long an answer that arrived at the given time was on its way at least: the time since the last reading by which the
+// clock did not advance. It is 0 if there is no last reading.
+func (c leaseState) delayOf(clockMs int64, at time.Duration) time.Duration {
+	if c.clockMs == 0 {
+		return 0
+	}
+	return max(0, at-c.clockAt-time.Duration(clockMs-c.clockMs)*time.Millisecond)
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -35,6 +35,8 @@
 	leased bool
 	// timedOut is true if the call was given up. Otherwise the worker answered, or its connection broke when the call ended.
 	timedOut bool
+	// delay is for how long the answer was on its way at least.
+	delay time.Duration
 }
 
 // holdLoop polls a worker until ctx ends, which renews its lease and collects the ends of attempts. The event loop handles
@@ -50,7 +52,7 @@
 		} else {
 			result = l.identifiedHold(ctx, s)
 		}
-		s.setIdentity(result.err == nil && !s.answeredByOther(result.answer), l.cfg.Clock())
+		s.setIdentity(result.err == nil && !s.answeredByOther(result.answer), l.cfg.Clock()-result.delay)
 		handled := make(chan struct{})
 		l.post(func() { l.onHold(s, result, func() { close(handled) }) })
 		select {
@@ -91,10 +93,9 @@
 		c.LeaseUntilMs = s.grantLease(l.lease, l.cfg.Clock())
 	}
 	switch {
+	case lease.mayLackEnds: // the next ones are needed at once
 	case lease.silent && lease.confirmed && !lease.identityUncertain:
 		c.WaitMs = recordWait.Milliseconds()
-	case c.SeenEnd > 0:
-		// Do not wait: while a hold that acknowledges ends waits at another incarnation, that one may forget its own.
 	case c.LeaseUntilMs == 0:
 		// Do not wait: without a lease, for example at first contact or after a partition, the state is needed at once.
 	case lease.fastPolling:
@@ -114,13 +115,15 @@
 	deadline, _ := ctx.Deadline()
 	timedOut := ctx.Err() != nil || time.Until(deadline) < relayMargin
 	holdSeconds.UpdateDuration(began)
+	delay := time.Duration(0)
 	if err == nil && !s.answeredByOther(answer) {
 		s.mu.Lock()
+		delay = s.delayOf(answer.ClockMs, l.cfg.Clock())
 		s.recordClock(answer.ClockMs, l.cfg.Clock())
 		s.acknowledged = max(s.acknowledged, c.SeenEnd)
 		s.mu.Unlock()
 	}
-	return holdResult{sent, l.cfg.Clock(), answer, err, c.LeaseUntilMs > 0, timedOut}
+	return holdResult{sent: sent, ended: l.cfg.Clock(), answer: answer, err: err, leased: c.LeaseUntilMs > 0, timedOut: timedOut, delay: delay}
 }
 
 // reconnect repeats the hold after a failed one at reconnectInterval, without waiting for the calls before it, until a call
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -20,6 +20,8 @@
 	grantedUntil int64         // latest end of a granted lease, on the worker's clock; 0 if none was granted in this term
 	grantedAt    time.Duration // when a call with a lease was last sent, 0 if none was in this session
 	seenEnd      uint64        // number of the last committed end
+	// mayLackEnds is true if the last answer to a hold of the session may have lacked ends.
+	mayLackEnds bool
 	// acknowledged is the highest number up to which this incarnation has taken an acknowledgement of ends.
 	acknowledged uint64
 	// identityUncertain is true after a hold has failed: the next one may be answered by another incarnation with the same id.
@@ -35,7 +37,7 @@
 	// lateOver is when all leases are over that calls for a former incarnation, holds as well, may have granted to this one however late they
 	// were carried out; 0 if there was none. Finite tasks wait for it.
 	lateOver time.Duration
-	// identifiedAt is when an answer of this incarnation last arrived.
+	// identifiedAt is when this incarnation last answered a hold.
 	identifiedAt time.Duration
 	// fastPolling is true while filling tasks run next to services, whose latency must be read more often then.
 	fastPolling bool
@@ -47,13 +49,13 @@
 	s.fastPolling = fast
 }
 
-// setIdentity records whether this incarnation has answered a hold.
-func (s *session) setIdentity(answered bool, now time.Duration) {
+// setIdentity records whether this incarnation has answered a hold, and if so when.
+func (s *session) setIdentity(answered bool, at time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.identityUncertain = !answered
 	if answered {
-		s.identifiedAt = now
+		s.identifiedAt = at
 	}
 }
 
@@ -108,7 +110,7 @@
 		s.grantedUntil = max(s.grantedUntil, s.clockMs+granted.Milliseconds())
 		s.lateOver = min(s.lateOver, result.ended+l.longestLease())
 	}
-	s.confirmed, s.expired, s.answeredAt, s.inheritedOver = true, false, result.sent, 0
+	s.confirmed, s.expired, s.answeredAt, s.inheritedOver, s.mayLackEnds = true, false, result.sent, 0, result.answer.MayLackEnds
 	return fresh
 }
 
