A finite task waits for 13.4 s instead of 23.4 s for a start that may be carried out late

Any worker that is lost without a trace while a start is on its way shows this; a start that is carried out after more than 2.9 s needs a late call, a restart under the same id and a cut.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -122,9 +122,10 @@
 func (l *Leader) longestLease() time.Duration { return slowest(l.cfg.Bounds.LeaseMax) + leaseMargin }
 
 const (
-	// maxCallDelay is how long after the leader has made it a call may be carried out, at the latest.
-	maxCallDelay = 12*time.Second + callTimeout
-	// lateCallTimeout takes its place for endless tasks, which may not be away for as long.
+	// maxCallDelay is how long after the leader has made it a call counts as one that may still be carried out, for finite tasks. The platform
+	// may take 12 s, but a submission may not stand still for that and the longest lease.
+	maxCallDelay = 2*time.Second + callTimeout
+	// lateCallTimeout takes its place for endless tasks where the next incarnation is known.
 	lateCallTimeout = 4 * time.Second
 )
 
