--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -116,10 +116,7 @@
 // been told to refuse it. A refused start extends the lease all the same.
 func TestLateStartForFormerIncarnationExtendsNoLease(t *testing.T) {
 	withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
-		time.Sleep(20 * time.Second)
-		r.submit("s", 1, nil)
-		time.Sleep(300 * time.Millisecond)
+		r.startLate(2500*time.Millisecond, 300*time.Millisecond)
 		successor := r.restart("a", 77, func(*fakeWorker) {})
 		r.registerSuccessor(is, successor)
 		time.Sleep(2200 * time.Millisecond)
--- a/internal/dispatch/uncertain_test.go
+++ b/internal/dispatch/uncertain_test.go
@@ -53,10 +53,7 @@
 // been asked, carries the start out.
 func TestRefusalHoldsForOneIncarnation(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
-		r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].noRoom = 2500*time.Millisecond, true })
-		time.Sleep(20 * time.Second)
-		r.submit("s", 1, nil)
-		time.Sleep(300 * time.Millisecond)
+		r.startLate(2500*time.Millisecond, 300*time.Millisecond)
 		first := r.restart("a", 77, func(f *fakeWorker) { f.noRoom = true })
 		r.report("a", 1)
 		time.Sleep(300 * time.Millisecond)
