Property test: no task runs twice under restarts, cuts, changes of the leader and late calls

A task counts as done once the end of its run is acknowledged and the lease has not lapsed between, as the platform judges it. Each submission has to end.

Two findings of the test itself were faults of the test (ends timed when they were looked at; two incarnations with one time of birth) and are mended.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -50,6 +50,9 @@
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
+	slow              bool                      // its clock runs 2 % slow
+	lapsedAt          time.Time                 // when the lease last lapsed
+	endedAt           map[uint64]time.Time      // when the ends with these numbers came
 	holdLate          time.Duration             // if set, holds get no answer and are carried out after this delay
 }
 
@@ -65,12 +68,16 @@
 // fakeWorkers is a set of simulated workers. It records violations of invariants, such as a task that runs twice at the same
 // time.
 type fakeWorkers struct {
-	mu         sync.Mutex
-	t          *testing.T
-	work       time.Duration // run time of a task
-	byID       map[string]*fakeWorker
-	done       map[submission.Ref]bool
-	violations []string
+	mu   sync.Mutex
+	t    *testing.T
+	work time.Duration // run time of a task
+	byID map[string]*fakeWorker
+	done map[submission.Ref]bool
+	// doneOnceNoted is true if a task counts as done once the end of its run is acknowledged, unless the lease lapsed between the two, as
+	// the platform judges it. Otherwise it counts as done at once.
+	doneOnceNoted bool
+	lastStarts    map[submission.Ref]time.Time // when the workers last started each task
+	violations    []string
 	// deadly lists the tasks that crash each worker that starts them.
 	deadly map[submission.Ref]bool
 	// crashDark is true if calls to a crashed worker hang. Otherwise its connections break.
@@ -90,7 +97,7 @@
 
 func newFakeWorkers(t *testing.T, work time.Duration, ids ...string) *fakeWorkers {
 	w := &fakeWorkers{t: t, work: work, byID: map[string]*fakeWorker{}, done: map[submission.Ref]bool{}, deadly: map[submission.Ref]bool{},
-		crashes: map[submission.Ref]int{}, startsByTask: map[submission.Ref]int{}}
+		crashes: map[submission.Ref]int{}, lastStarts: map[submission.Ref]time.Time{}, startsByTask: map[submission.Ref]int{}}
 	for i, id := range ids {
 		w.byID[id] = newFakeWorker(id, int64(i+1))
 	}
@@ -99,7 +106,7 @@
 
 func newFakeWorker(id string, bornUnixMs int64) *fakeWorker {
 	return &fakeWorker{incarnation: submission.Incarnation{ID: id, BornUnixMs: bornUnixMs}, born: time.Now(), running: map[submission.Ref]*fakeRun{},
-		revoked: map[submission.Ref]uint32{}, throttle: map[submission.Ref]int{}}
+		revoked: map[submission.Ref]uint32{}, endedAt: map[uint64]time.Time{}, throttle: map[submission.Ref]int{}}
 }
 
 // crash ends an incarnation of a worker and all that runs on it, without notice.
@@ -120,7 +127,17 @@
 	}
 }
 
-func (f *fakeWorker) clockMs(at time.Time) int64 { return at.Sub(f.born).Milliseconds() + 1000 }
+func (f *fakeWorker) clockMs(at time.Time) int64 {
+	return int64(float64(at.Sub(f.born).Milliseconds())*f.speed()) + 1000
+}
+
+// speed returns how fast the clock of the worker runs.
+func (f *fakeWorker) speed() float64 {
+	if f.slow {
+		return 1 - clockDrift
+	}
+	return 1
+}
 
 // advance brings a worker up to the present time: it ends tasks whose lease has expired and tasks that have finished, failed
 // or stopped.
@@ -136,7 +153,8 @@
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_FAILED)
 		case !f.stalled && ref.Submission != f.serving && now.Sub(run.began) >= w.work:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_DONE)
-			w.done[ref] = true
+			f.endedAt[f.ends] = run.began.Add(w.work)
+			w.done[ref] = w.done[ref] || !w.doneOnceNoted
 		}
 	}
 }
@@ -145,6 +163,7 @@
 	delete(f.running, ref)
 	f.revoked[ref] = max(f.revoked[ref], run.attempt)
 	f.ends++
+	f.endedAt[f.ends] = time.Now()
 	f.ended = append(f.ended, Ended{Number: f.ends, Task: ref, Attempt: run.attempt, Kind: kind})
 }
 
@@ -249,6 +268,7 @@
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
 	w.startsByTask[c.Task]++
+	w.lastStarts[c.Task] = time.Now()
 	if w.deadly[c.Task] || f.unsound {
 		time.AfterFunc(crashDelay, func() { w.crash(f) })
 	}
@@ -273,15 +293,36 @@
 
 // extend extends the lease of a worker to a time on its clock, but to the longest lease at most.
 func (w *fakeWorkers) extend(f *fakeWorker, untilMs int64) {
-	until := f.born.Add(time.Duration(untilMs-1000) * time.Millisecond)
+	until := f.born.Add(time.Duration(float64(untilMs-1000)/f.speed()) * time.Millisecond)
 	if longest := time.Now().Add(fakeLeaseMax); until.After(longest) {
 		until = longest
 	}
+	f.recordLapse()
 	if until.After(f.lease) {
 		f.lease = until
 	}
 }
 
+// recordLapse records that the lease has lapsed if it has.
+func (f *fakeWorker) recordLapse() {
+	if !f.lease.IsZero() && time.Now().After(f.lease) {
+		f.lapsedAt = f.lease
+	}
+}
+
+// forget removes the first end that the worker lists, which was acknowledged.
+func (w *fakeWorkers) forget(f *fakeWorker) {
+	e := f.ended[0]
+	f.ended = f.ended[1:]
+	f.recordLapse()
+	if at := f.endedAt[e.Number]; w.doneOnceNoted && e.Kind == pb.TaskEndKind_TASK_END_KIND_DONE && !f.lapsedAt.After(at) {
+		w.done[e.Task] = true
+		if w.lastStarts[e.Task].After(at) {
+			w.violations = append(w.violations, fmt.Sprintf("%v was started again after it was done on %s", e.Task, f.incarnation.ID))
+		}
+	}
+}
+
 func (w *fakeWorkers) Stop(ctx context.Context, c StopCall) (int64, error) {
 	w.mu.Lock()
 	f, err := w.receive(c.Target)
@@ -378,7 +419,7 @@
 		w.extend(f, c.LeaseUntilMs)
 	}
 	for len(f.ended) > 0 && f.ended[0].Number <= c.SeenEnd {
-		f.ended = f.ended[1:]
+		w.forget(f)
 	}
 	answer := HoldAnswer{ClockMs: f.clockMs(time.Now()), BornUnixMs: f.incarnation.BornUnixMs, Ended: append([]Ended(nil), f.ended...)}
 	for ref, run := range f.running {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -154,12 +154,16 @@
 
 // reportCapacity reports a worker with room for the given millicores.
 func (r *harness) reportCapacity(id string, sequence uint64, millicores int64) error {
+	return r.leader.Report(context.Background(), r.reportOf(id, sequence, millicores))
+}
+
+func (r *harness) reportOf(id string, sequence uint64, millicores int64) *pb.PoolReport {
 	var f *fakeWorker
 	r.workers.update(func() { f = r.workers.byID[id] })
 	w := &pb.PoolWorker{Id: id, BornUnixMs: f.incarnation.BornUnixMs, Pool: "pool", Address: cmp.Or(f.address, id), FailureDomain: "d", Rack: "r",
 		Vm:       "vm-" + id,
 		Capacity: &pb.Resources{Millicores: millicores, MemoryBytes: 100}}
-	return r.leader.Report(context.Background(), &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())})
+	return &pb.PoolReport{Worker: w, Sequence: sequence, ClockMs: f.clockMs(time.Now())}
 }
 
 // capacity returns the millicores of a worker in the replicated state.
