Dispatch: an endless task does not wait until it is known whether it crashed its workers

Cause: with four unproven suspicions a task waits until its silent workers answer, are known to have ended, or have been silent for a minute (awaitsProof).

Finite tasks wait as before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -274,9 +274,10 @@
 }
 
 // awaitsProof reports whether a task waits until it is known whether it crashed its workers: with those that are silent, it would have
-// reached the limit. A worker that is silent for silenceTimeout is waited for no longer.
+// reached the limit. A worker that is silent for silenceTimeout is waited for no longer. An endless task does not wait: it has to run again
+// in time however its attempts ended.
 func (l *Leader) awaitsProof(state *submission.State, task submission.Ref, t *submission.Task) bool {
-	if !t.MayReachLimit(int(t.Unproven)) {
+	if !t.MayReachLimit(int(t.Unproven)) || stepOf(state, task).GetEndless() {
 		return false
 	}
 	open := 0
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -165,6 +165,24 @@
 	}
 }
 
+// Guards against an endless task that is never given up, since it does not wait until it is known whether its workers have crashed.
+func TestEndlessTaskThatKeepsItsWorkersAwayIsGivenUp(t *testing.T) {
+	for _, downtime := range longDowntimes {
+		for _, c := range crashCases {
+			c.downtime = downtime
+			t.Run(c.String(), func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e", "f"}, func(is *is.I, r *harness) {
+					r.restartCrashed(c)
+					r.workers.update(func() { r.workers.deadly[submission.Ref{Submission: "deadly"}] = true })
+					r.submit("deadly", 1, endless)
+					time.Sleep(3 * time.Minute)
+					is.Equal(r.describe("deadly"), "failed")
+				})
+			})
+		}
+	}
+}
+
 // Guards against a submission that fails because its tasks were lost several times beside one that crashes its workers.
 func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
 	for _, c := range crashCases {
