An endless task that has been away for 5 s does not wait for calm

What callers would see: an endless task away for longer than 9 s (LOST) while workers go on to crash by themselves: after a suspect waits for up to 10 s between two starts, whatever it is.

Change: an endless task waits for calm only until it has been away for 5 s, which leaves the time that its start takes.

Evidence: TestEndlessTaskThatIsAwayDoesNotWaitForCalm; it needs the new argument, the former code waited in all three of its cases.

--- a/internal/dispatch/calm.go
+++ b/internal/dispatch/calm.go
@@ -23,11 +23,15 @@
 	since   time.Duration
 }
 
-// awaitsCalm reports whether a task that one more crash would give up waits since workers have crashed without a suspect.
-func (l *Leader) awaitsCalm(task submission.Ref, t *submission.Task, now time.Duration) bool {
+// awaitsCalm reports whether a task that one more crash would give up waits since workers have crashed without a suspect. An endless task does
+// not wait once it has been away for calmTime.
+func (l *Leader) awaitsCalm(task submission.Ref, t *submission.Task, endless bool, now time.Duration) bool {
 	if l.unexplainedAt == 0 || now >= l.unexplainedAt+calmTime || !t.MayReachLimit(int(t.Unproven)+1) {
 		return false
 	}
+	if endless && l.outage(task, now) >= calmTime {
+		return false
+	}
 	wait, ok := l.calmWaits[task]
 	if !ok || wait.attempt != t.Attempt {
 		wait = calmWait{t.Attempt, now}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -462,3 +462,15 @@
 		is.True(!s.endKnown)
 	})
 }
+
+// Guards against an endless task that is away for longer than it may be, because workers go on to crash by themselves.
+func TestEndlessTaskThatIsAwayDoesNotWaitForCalm(t *testing.T) {
+	is := is.New(t)
+	task, now := submission.Ref{Submission: "s"}, time.Minute
+	suspect := &submission.Task{Suspicions: 3}
+	l := &Leader{unexplainedAt: now - time.Second, calmWaits: map[submission.Ref]calmWait{}, lastRuns: map[submission.Ref]time.Duration{task: now - time.Second}}
+	is.True(l.awaitsCalm(task, suspect, true, now))
+	l.lastRuns[task] = now - calmTime
+	is.True(!l.awaitsCalm(task, suspect, true, now))
+	is.True(l.awaitsCalm(task, suspect, false, now))
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -332,7 +332,7 @@
 	if only, ok = l.mayStart(ref, now); !ok || only != "" && t.Suspect() {
 		return "", false
 	}
-	return only, !l.awaitsProof(state, ref, t) && !l.awaitsCalm(ref, t, now)
+	return only, !l.awaitsProof(state, ref, t) && !l.awaitsCalm(ref, t, stepOf(state, ref).GetEndless(), now)
 }
 
 // workerHealth records the recent task failures on a worker.
