Soak: the emulator looks a socket up in one search of the kernel's table

In the logs the control VMs change their leader every 2 s without slow syncs: no process gets its turn.

Cause: for each new connection to a worker the emulator takes /proc/net/tcp apart line by line.

Profile of that: socketInode and the detector's bookkeeping, over 90 %.

Change: the pair of addresses is searched in the table as a whole, and one line is taken apart. No check is changed; TestConnectionsOfIntakeVMsAreTold passes.

--- a/internal/emulator/cut.go
+++ b/internal/emulator/cut.go
@@ -1,12 +1,12 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/netfault"
@@ -115,15 +115,17 @@
 // socketLookups is how often the table of sockets is read for one that must be there: a table that changes meanwhile may lack it.
 const socketLookups = 3
 
-// socketInode returns the inode of the local socket with the given addresses, or "" if there is none.
+// socketInode returns the inode of the local socket with the given addresses, or "" if there is none. The table also holds thousands of
+// sockets that were closed within the last minute, so that its lines are not taken apart one by one.
 func socketInode(local, remote netip.AddrPort) string {
-	const localField, remoteField, inodeField = 1, 2, 9
+	const inodeField = 8 // from the local address on
+	addresses := []byte(" " + tableAddress(local) + " " + tableAddress(remote) + " ")
 	for range socketLookups {
 		table, _ := os.ReadFile("/proc/net/tcp") // empty on errors
-		for line := range strings.Lines(string(table)) {
-			fields := strings.Fields(line)
-			if len(fields) > inodeField && fields[localField] == tableAddress(local) && fields[remoteField] == tableAddress(remote) {
-				return fields[inodeField]
+		if i := bytes.Index(table, addresses); i >= 0 {
+			line, _, _ := bytes.Cut(table[i:], []byte("\n"))
+			if fields := bytes.Fields(line); len(fields) > inodeField {
+				return string(fields[inodeField])
 			}
 		}
 		time.Sleep(time.Millisecond)
