--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -22,6 +22,23 @@
 	})
 }
 
+// crashUnderRepeatedStart crashes worker a while a start is sent to it again and again. Its successor, which nobody hears of, may carry that
+// out, and is cut off; the next leader leads in the given term.
+func (r *harness) crashUnderRepeatedStart(term uint64) {
+	r.lose("a") // calls to it hang
+	time.Sleep(600 * time.Millisecond)
+	successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
+	for range 150 {
+		if time.Sleep(10 * time.Millisecond); r.running("a") == 1 {
+			break
+		}
+	}
+	r.workers.update(func() { successor.unreachable = true })
+	time.Sleep(2 * time.Second) // the worker is recorded as silent
+	r.lead(term)
+	r.cutOff(successor)
+}
+
 // Guards against a task that runs twice because a new leader takes a start for carried out that its predecessor repeated in vain
 // until the worker restarted.
 func TestRepeatedStartOfFormerLeaderIsWaitedFor(t *testing.T) {
@@ -33,18 +50,7 @@
 				r.workers.update(func() { r.workers.byID["a"].startsReset = true })
 				r.submit("s", 1, nil)
 				time.Sleep(time.Second)
-				r.lose("a") // it crashes, and calls to it hang
-				time.Sleep(600 * time.Millisecond)
-				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
-				for range 150 {
-					if time.Sleep(10 * time.Millisecond); r.running("a") == 1 {
-						break
-					}
-				}
-				r.workers.update(func() { successor.unreachable = true })
-				time.Sleep(2 * time.Second) // the worker is recorded as silent
-				r.lead(6)
-				r.cutOff(successor)
+				r.crashUnderRepeatedStart(6)
 				is.Equal(r.running("b"), 1)
 			})
 		})
@@ -64,18 +70,7 @@
 				time.Sleep(2200 * time.Millisecond)
 				r.lead(6)
 				time.Sleep(time.Second + phase/2)
-				r.lose("a") // it crashes, and calls to it hang
-				time.Sleep(600 * time.Millisecond)
-				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.dropAnswers = true, true })
-				for range 150 {
-					if time.Sleep(10 * time.Millisecond); r.running("a") == 1 {
-						break
-					}
-				}
-				r.workers.update(func() { successor.unreachable = true })
-				time.Sleep(2 * time.Second) // the worker is recorded as silent
-				r.lead(7)
-				r.cutOff(successor)
+				r.crashUnderRepeatedStart(7)
 				is.Equal(r.running("b"), 1)
 			})
 		})
