A change that one host may have made is not reported as not run by the next

What callers of an entry VM would see: a task, cancellation, note or registration that is answered with an error whose outcome is "not-run" and that was carried out.

Cause: callLeader repeats a call at the next host of the group after one that did not answer, and returned the next host's refusal as it was. A new leader refuses, for instance, a task whose contract its own view lacks, before it looks in the log for the first attempt.

Change: after an attempt without an answer, a refusal of a change keeps its code and status and has the outcome "unknown", as the gateway does for repeats of callers; the two share errs.WithUnknownOutcome. Reads are answered as before, for which the kind of a call is stated by name instead of by true and false.

--- a/internal/cluster/leader_call.go
+++ b/internal/cluster/leader_call.go
@@ -29,13 +29,21 @@
 var errUnreachable = &errs.Error{Code: "owner-unreachable", Status: http.StatusServiceUnavailable, Outcome: errs.OutcomeNotRun,
 	Message: "no entry VM of the group can be reached", Remedy: "retry with the same idempotency key when the failure domain is reachable again"}
 
-// retryable is true if a call may be made again after its first outcome is unknown.
-type retryable bool
+// callKind tells when a call may be made again and what its errors mean.
+type callKind int
 
-// callLeader calls the leader of a group. It tries the hosts of the group until
-// one executes the call or leaderSearchTimeout has passed. A call that is not
-// retryable is made again only after an error that means it was not executed.
-func (c *Cluster) callLeader(ctx context.Context, group, method string, req, resp proto.Message, retry retryable) error {
+const (
+	// callOnlyOnce changes state and is made again only after an error that means it was not executed.
+	callOnlyOnce callKind = iota
+	// callRepeatable changes state and may be made again after its first outcome is unknown.
+	callRepeatable
+	// callReadOnly changes nothing.
+	callReadOnly
+)
+
+// callLeader calls the leader of a group. It tries the hosts of the group until one executes the call or leaderSearchTimeout has passed. An error
+// says that a change was not made only if no attempt may have made it.
+func (c *Cluster) callLeader(ctx context.Context, group, method string, req, resp proto.Message, kind callKind) error {
 	bounded, cancel := context.WithTimeout(ctx, leaderSearchTimeout)
 	defer cancel()
 	var search searchResult
@@ -46,10 +54,10 @@
 				return nil
 			}
 			if !mayTryNextHost(err) {
-				return err
+				return search.refusal(err, kind)
 			}
 			search.add(err)
-			if search.outcomeUnknown && !bool(retry) {
+			if search.outcomeUnknown && kind == callOnlyOnce {
 				return err
 			}
 		}
@@ -110,6 +118,17 @@
 	r.answered = r.answered || errors.Is(err, errNotLeader)
 }
 
+// refusal returns the error of a host that has not executed the call, for the caller. An earlier host may have executed a change.
+func (r *searchResult) refusal(err error, kind callKind) error {
+	typed := errs.From(err)
+	if kind == callReadOnly || !r.outcomeUnknown || typed.Outcome != errs.OutcomeNotRun {
+		return err
+	}
+	refusal := typed.WithUnknownOutcome()
+	refusal.Message += "; this attempt was not run, an earlier one may have been"
+	return refusal
+}
+
 func (r *searchResult) err(group string) error {
 	switch {
 	case r.outcomeUnknown:
--- a/internal/cluster/notes.go
+++ b/internal/cluster/notes.go
@@ -19,7 +19,7 @@
 // tasks, without applying it.
 func (c *Cluster) CheckNote(ctx context.Context, note *pb.ReleaseNote) (*pb.NoteCheck, error) {
 	check := new(pb.NoteCheck)
-	if err := c.callLeader(ctx, ConfigGroup, methodCheckNote, note, check, true); err != nil {
+	if err := c.callLeader(ctx, ConfigGroup, methodCheckNote, note, check, callReadOnly); err != nil {
 		return nil, err
 	}
 	if err := c.addEvictedTasks(ctx, check); err != nil {
@@ -35,7 +35,7 @@
 	answers := callAll(c.pool, c.domainNames(), func(name string) (*pb.NotePreviewAnswer, error) {
 		answer := new(pb.NotePreviewAnswer)
 		request := &pb.NotePreview{FailureDomain: name, Effects: check.Effects}
-		return answer, c.callLeader(ctx, DomainGroup(name), methodPreview, request, answer, true)
+		return answer, c.callLeader(ctx, DomainGroup(name), methodPreview, request, answer, callReadOnly)
 	})
 	for _, result := range answers {
 		if result.err != nil {
@@ -96,8 +96,8 @@
 // ApplyNote applies a note entirely or not at all.
 func (c *Cluster) ApplyNote(ctx context.Context, note *pb.ReleaseNote) (*pb.AcceptedNote, error) {
 	accepted := new(pb.AcceptedNote)
-	// Retryable: a note that is sent again gets the answer to its first submission.
-	return accepted, c.callLeader(ctx, ConfigGroup, methodApplyNote, note, accepted, true)
+	// Repeatable: a note that is sent again gets the answer to its first submission.
+	return accepted, c.callLeader(ctx, ConfigGroup, methodApplyNote, note, accepted, callRepeatable)
 }
 
 func (c *Cluster) handleApplyNote(ctx context.Context, note *pb.ReleaseNote) (proto.Message, error) {
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -16,9 +16,9 @@
 func (c *Cluster) Begin(ctx context.Context, record *pb.RequestRecord) (*pb.RequestRecord, bool, error) {
 	request := &pb.IntentRequest{FailureDomain: c.domain, Record: record}
 	answer := new(pb.IntentAnswer)
-	// Not retryable: after an unknown outcome, a second call could find the record
+	// Not repeatable: after an unknown outcome, a second call could find the record
 	// of the first one and report it as not created by this call.
-	if err := c.callLeader(ctx, DomainGroup(c.domain), methodIntent, request, answer, false); err != nil {
+	if err := c.callLeader(ctx, DomainGroup(c.domain), methodIntent, request, answer, callOnlyOnce); err != nil {
 		return nil, false, err
 	}
 	return answer.Record, answer.Created, nil
@@ -27,7 +27,7 @@
 // Finish commits the outcome of a non-idempotent request that Begin has recorded.
 func (c *Cluster) Finish(ctx context.Context, outcome *pb.CommitOutcome) error {
 	request := &pb.OutcomeRequest{FailureDomain: c.domain, Outcome: outcome}
-	return c.callLeader(ctx, DomainGroup(c.domain), methodOutcome, request, new(pb.Empty), true)
+	return c.callLeader(ctx, DomainGroup(c.domain), methodOutcome, request, new(pb.Empty), callRepeatable)
 }
 
 func (c *Cluster) handleIntent(ctx context.Context, req *pb.IntentRequest) (proto.Message, error) {
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -147,5 +147,5 @@
 	if err := c.checkDomain(request.FailureDomain); err != nil {
 		return err
 	}
-	return c.callLeader(ctx, DomainGroup(request.FailureDomain), methodDrain, request, new(pb.Empty), true)
+	return c.callLeader(ctx, DomainGroup(request.FailureDomain), methodDrain, request, new(pb.Empty), callRepeatable)
 }
--- a/internal/cluster/tasks.go
+++ b/internal/cluster/tasks.go
@@ -38,7 +38,7 @@
 	}
 	task := new(pb.Task)
 	request := &pb.SubmitRequest{FailureDomain: home, Spec: spec, MinNote: view.LastNote()}
-	return task, c.callLeader(ctx, DomainGroup(home), methodSubmit, request, task, true)
+	return task, c.callLeader(ctx, DomainGroup(home), methodSubmit, request, task, callRepeatable)
 }
 
 // checkTaskContract returns an error if the contract of a task does not exist,
@@ -66,28 +66,28 @@
 
 // Task returns a task in the state that the leader of its home domain has applied.
 func (c *Cluster) Task(ctx context.Context, id string) (*pb.Task, error) {
-	return c.taskCall(ctx, methodTask, id, "", true)
+	return c.taskCall(ctx, methodTask, id, "", callReadOnly)
 }
 
 // CancelTask cancels a task in its home domain.
 func (c *Cluster) CancelTask(ctx context.Context, id, reason string) (*pb.Task, error) {
-	return c.taskCall(ctx, methodCancel, id, reason, true)
+	return c.taskCall(ctx, methodCancel, id, reason, callRepeatable)
 }
 
-// EvictTask ends the current attempt of a task. The call is not retried after an
+// EvictTask ends the current attempt of a task. The call is not repeated after an
 // unknown outcome, since a second eviction could end the next attempt.
 func (c *Cluster) EvictTask(ctx context.Context, id, reason string) (*pb.Task, error) {
-	return c.taskCall(ctx, methodEvict, id, reason, false)
+	return c.taskCall(ctx, methodEvict, id, reason, callOnlyOnce)
 }
 
 // taskCall calls a method for one task on the leader of its home domain.
-func (c *Cluster) taskCall(ctx context.Context, method, id, reason string, retry retryable) (*pb.Task, error) {
+func (c *Cluster) taskCall(ctx context.Context, method, id, reason string, kind callKind) (*pb.Task, error) {
 	home := domainOfTask(id)
 	if err := c.checkDomain(home); err != nil {
 		return nil, err
 	}
 	task := new(pb.Task)
-	return task, c.callLeader(ctx, DomainGroup(home), method, &pb.TaskRequest{Id: id, Reason: reason}, task, retry)
+	return task, c.callLeader(ctx, DomainGroup(home), method, &pb.TaskRequest{Id: id, Reason: reason}, task, kind)
 }
 
 // Tasks lists the tasks of all failure domains that can be reached, and the names
@@ -98,7 +98,7 @@
 		ofDomain := proto.Clone(query).(*pb.TaskQuery)
 		ofDomain.FailureDomain = name
 		answer := new(pb.TaskList)
-		return answer, c.callLeader(ctx, DomainGroup(name), methodTasks, ofDomain, answer, true)
+		return answer, c.callLeader(ctx, DomainGroup(name), methodTasks, ofDomain, answer, callReadOnly)
 	})
 	for _, result := range answers {
 		if result.err != nil {
@@ -130,14 +130,14 @@
 	}
 	answer := new(pb.RegisterWorkerAnswer)
 	registration := &pb.WorkerRegistration{FailureDomain: failureDomain, Request: request}
-	return answer, c.callLeader(ctx, DomainGroup(failureDomain), methodRegister, registration, answer, true)
+	return answer, c.callLeader(ctx, DomainGroup(failureDomain), methodRegister, registration, answer, callRepeatable)
 }
 
 // Heartbeat forwards the heartbeat of a worker to the leader of the failure domain of this entry VM.
 func (c *Cluster) Heartbeat(ctx context.Context, heartbeat *pb.WorkerHeartbeat) (*pb.WorkerHeartbeatAnswer, error) {
 	answer := new(pb.WorkerHeartbeatAnswer)
 	report := &pb.WorkerReport{FailureDomain: c.domain, Heartbeat: heartbeat}
-	return answer, c.callLeader(ctx, DomainGroup(c.domain), methodHeartbeat, report, answer, true)
+	return answer, c.callLeader(ctx, DomainGroup(c.domain), methodHeartbeat, report, answer, callRepeatable)
 }
 
 // Announce passes the announcement of an executor to the routing table. An
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -63,6 +63,13 @@
 	return &copied
 }
 
+// WithUnknownOutcome returns a copy of e that says that the operation may have been carried out.
+func (e *Error) WithUnknownOutcome() *Error {
+	copied := *e
+	copied.Outcome = OutcomeUnknown
+	return &copied
+}
+
 // Proto converts e to its wire form.
 func (e *Error) Proto() *pb.Error {
 	return &pb.Error{Code: e.Code, Outcome: string(e.Outcome), Message: e.Message, Remedy: e.Remedy}
--- a/internal/gateway/atmostonce.go
+++ b/internal/gateway/atmostonce.go
@@ -212,7 +212,7 @@
 	if _, invalid := idempotency.Parse(c.key); invalid != nil {
 		return err
 	}
-	refusal := withUnknownOutcome(errs.From(err))
+	refusal := errs.From(err).WithUnknownOutcome()
 	refusal.Message += "; this attempt was not run, an earlier one with the same key may have been"
 	refusal.Remedy = "ask again with the same idempotency key; " + headerAttempt + ": 1 on a first attempt makes its refusal definite"
 	return refusal
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -6,13 +6,6 @@
 	"github.com/lentilyard/lentilyard/internal/errs"
 )
 
-// withUnknownOutcome returns a copy of an error that says that the outcome of the request is unknown.
-func withUnknownOutcome(err *errs.Error) *errs.Error {
-	copied := *err
-	copied.Outcome = errs.OutcomeUnknown
-	return &copied
-}
-
 // Errors of the gateway that are sent to callers.
 var (
 	ErrKeyRequired = &errs.Error{Code: "key-required", Status: http.StatusBadRequest, Outcome: errs.OutcomeNotRun,
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -71,7 +71,7 @@
 	switch {
 	case errors.As(err, &typed):
 		// Reading the caller's body failed. A part of the request may have been sent before.
-		return withUnknownOutcome(typed)
+		return typed.WithUnknownOutcome()
 	case errors.Is(err, ErrNotSent):
 		return ErrExecutorUnreachable.With("entry VM %s could not be reached: %w", vm, err)
 	case ctx.Err() != nil:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -149,7 +149,7 @@
 		if unsent {
 			return routing.Unused, typed
 		}
-		return routing.Abandoned, withUnknownOutcome(typed)
+		return routing.Abandoned, typed.WithUnknownOutcome()
 	case ctx.Err() != nil && unsent:
 		return routing.Unused, contextError(ctx.Err(), errs.OutcomeNotRun)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
