Dispatch: an attempt does not take over the speed limit of the one before it

Cause: the leader kept the speed limits of filling tasks by task. A worker that is reached again after a cut lists the attempts whose lease has lapsed; the next ones may start there within milliseconds, before the next hold drops the limits. They run at full speed, and the leader takes the former limit for theirs: where that was 0 and 0 is wanted, no call is ever made.

Evidence: TestNextAttemptOfThrottledTaskIsThrottledAgain failed before with attempts that lapsed or were stopped (not with failed ones, which wait before they start again).

The tests' workers let each attempt start at full speed, as the platform does.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -265,6 +265,7 @@
 	if run := f.running[c.Task]; run != nil {
 		w.violations = append(w.violations, fmt.Sprintf("%v attempt %d is started on %s while attempt %d runs there", c.Task, c.Attempt, f.incarnation.ID, run.attempt))
 	}
+	delete(f.throttle, c.Task) // each attempt starts at full speed
 	f.running[c.Task] = &fakeRun{attempt: c.Attempt, began: time.Now()}
 	f.starts++
 	w.startsByTask[c.Task]++
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -180,7 +180,7 @@
 		}
 		resident := steps.Resident{Task: ref, Attempt: attempt, Step: sub.Spec.GetSteps()[ref.Step], Priority: state.QueueOf(sub).GetPriority(), TailRatio: -1}
 		if s != nil && resident.Step.GetFills() {
-			resident.ThrottledBy = 1 - float64(s.speedLimit(ref))/fullSpeed
+			resident.ThrottledBy = 1 - float64(s.speedLimit(ref, attempt))/fullSpeed
 		}
 		if s != nil {
 			if reported, ok := s.running[ref]; ok && reported.Attempt == attempt {
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -75,7 +75,7 @@
 	r := l.runs[task]
 	if r == nil || r.attempt < attempt {
 		if s := l.sessions[on.ID]; s != nil && s.incarnation == on {
-			s.speedLimits[task] = assumedSpeedLimit
+			s.setSpeedLimit(task, attempt, assumedSpeedLimit)
 		}
 		r = &run{on: on, attempt: attempt, trackedSince: l.cfg.Clock(), outcomeUnknown: true, takenOver: true}
 		l.runs[task] = r
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -26,7 +26,7 @@
 	// reportedCapacity is the capacity in the last report, nil if none has come since the session was opened.
 	reportedCapacity *pb.Resources
 	running          map[submission.Ref]Running       // running attempts in the last answer to a hold
-	speedLimits      map[submission.Ref]int           // speed limits of filling tasks, in percent
+	speedLimits      map[submission.Ref]speedLimit    // speed limits of filling tasks
 	fill             steps.CPUShares                  // moving average of the processor time that filling tasks use, by image
 	readAt           time.Duration                    // when fill was last updated
 	overLimitSince   map[submission.Ref]time.Duration // since when services have exceeded their latency limits without a break
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{incarnation: w.Incarnation(), address: w.GetAddress(), domain: w.GetFailureDomain(), vm: w.GetVm(), fence: l.nextFence(),
-		cancel: cancel, running: map[submission.Ref]Running{}, speedLimits: map[submission.Ref]int{}, fill: steps.CPUShares{}}
+		cancel: cancel, running: map[submission.Ref]Running{}, speedLimits: map[submission.Ref]speedLimit{}, fill: steps.CPUShares{}}
 	s.reportedAt = l.cfg.Clock()
 	if over, silent := w.LeaseOver(); silent {
 		s.silent, s.recordedLeaseOver = true, over
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -53,7 +53,7 @@
 			}
 			// Lack of progress is no fault in a filling task without processor time, a throttled task, or a gang waiting for members.
 			starved := step.GetFills() && running.Figure < minCPUUse*float64(step.GetSize().GetMillicores())
-			if running.Percent != r.progress.percent || r.progress.changedAt == 0 || starved || step.GetGang() || s.speedLimit(ref) < 100 {
+			if running.Percent != r.progress.percent || r.progress.changedAt == 0 || starved || step.GetGang() || s.speedLimit(ref, running.Attempt) < fullSpeed {
 				r.progress = progress{percent: running.Percent, changedAt: now}
 				continue
 			}
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -105,7 +105,7 @@
 // fillingTask describes a filling task on a worker with the given capacity in millicores. Share is 0 if the worker has not listed
 // the attempt yet.
 func (s *session) fillingTask(ref submission.Ref, attempt uint32, step *pb.Step, capacity float64) steps.FillingTask {
-	task := steps.FillingTask{Task: ref, Attempt: attempt, Step: step, Declared: float64(step.GetSize().GetMillicores()) / capacity, Percent: s.speedLimit(ref)}
+	task := steps.FillingTask{Task: ref, Attempt: attempt, Step: step, Declared: float64(step.GetSize().GetMillicores()) / capacity, Percent: s.speedLimit(ref, attempt)}
 	if running, ok := s.running[ref]; ok && running.Attempt == attempt {
 		task.Share = running.Figure / capacity
 	}
@@ -127,40 +127,15 @@
 	}
 }
 
-// fullSpeed is the speed limit, in percent, of a task that is not throttled.
-const fullSpeed = 100
-
-// speedLimit returns the speed limit of a task in percent.
-func (s *session) speedLimit(ref submission.Ref) int {
-	if limit, ok := s.speedLimits[ref]; ok {
-		return limit
-	}
-	return fullSpeed
-}
-
-// forgetSpeedLimits drops the speed limits of tasks that the worker neither lists nor is to run.
-func (l *Leader) forgetSpeedLimits(s *session) {
-	for ref := range s.speedLimits {
-		_, listed := s.running[ref]
-		if r := l.runs[ref]; !listed && (r == nil || r.on != s.incarnation) {
-			delete(s.speedLimits, ref)
-		}
-	}
-}
-
-// assumedSpeedLimit is the assumed speed limit, in percent, of a task that may have been throttled by a failed call or by a
-// previous leader.
-const assumedSpeedLimit = 50
-
 func (l *Leader) throttle(s *session, share steps.Throttle) {
 	l.log.Info().Str("decision", "throttle").Str("request", share.Task.Submission).Uint32("step", share.Task.Step).Uint32("task", share.Task.Index).
 		Uint32("attempt", share.Attempt).Str("worker", s.incarnation.ID).Int("percent", share.Percent).Str("image", share.Image).Str("serving", share.ServiceImage).Bool("move", share.Move).Msg("")
 	throttlesTotal.Inc()
-	s.speedLimits[share.Task] = share.Percent
+	s.setSpeedLimit(share.Task, share.Attempt, share.Percent)
 	c := ThrottleCall{Target: s.target(), Task: share.Task, Attempt: share.Attempt, Percent: share.Percent}
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Throttle(ctx, c) }, func(err error, _ reading) {
 		if err != nil {
-			s.speedLimits[share.Task] = assumedSpeedLimit // the worker may have carried out the call
+			s.setSpeedLimit(share.Task, share.Attempt, assumedSpeedLimit) // the worker may have carried out the call
 			l.log.Warn().Str("event", "throttle-failed").Str("request", share.Task.Submission).Str("worker", s.incarnation.ID).Err(err).Msg("")
 		}
 	})
