Dispatch: a speed limit that is not in force is set again

What callers would see: HARM: a service stays over its target until the filling task beside it ends.

The leader believed its last call for good and never repeated what it took to be in force. After a change of the leader it assumed half speed, and asked for nothing as long as it wanted about that.

Evidence: TestThrottleThatIsNotInForceIsRepeated failed before.

Change: a reading taken after the last change of a speed shows whether a limit is in force: a task that uses over 1.1 times what it may, and 10 % more, gets the limit that it uses. New: event=speed-limit-exceeded and a counter.

Not mended: a late call that slows a task down leaves it slow; it may be one that finds no free processor time.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -46,6 +46,8 @@
 	refusals          int                       // number of starts refused for lack of room
 	throttle          map[submission.Ref]int    // last speed limit of each task, in percent
 	serving           string                    // submission whose tasks serve requests and never end
+	tailMs            float64                   // tail latency of the tasks that serve; 1000 if it is 0
+	filling           string                    // submission whose tasks fill; they use 400 millicores at full speed
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
 	refusing          bool                      // connections are refused, and open ones break
@@ -454,14 +456,29 @@
 		if !f.stalled {
 			percent = 100 * float64(time.Since(run.began)) / float64(w.work)
 		}
-		if ref.Submission == f.serving {
-			percent = servingPercent
+		figure := 1000.0
+		switch ref.Submission {
+		case f.serving:
+			percent, figure = servingPercent, cmp.Or(f.tailMs, figure)
+		case f.filling:
+			figure = fakeFillingUse * float64(f.speedOf(ref)) / fullSpeed
 		}
-		answer.Running = append(answer.Running, Running{Task: ref, Attempt: run.attempt, Percent: percent, Figure: 1000})
+		answer.Running = append(answer.Running, Running{Task: ref, Attempt: run.attempt, Percent: percent, Figure: figure})
 	}
 	return answer, len(answer.Ended) > 0 && !f.waitsFully
 }
 
+// fakeFillingUse is what a filling task uses at full speed, in millicores.
+const fakeFillingUse = 400
+
+// speedOf returns the speed, in percent, at which a task may run.
+func (f *fakeWorker) speedOf(ref submission.Ref) int {
+	if percent, ok := f.throttle[ref]; ok {
+		return percent
+	}
+	return fullSpeed
+}
+
 // update runs f while no call is being processed.
 func (w *fakeWorkers) update(f func()) {
 	w.mu.Lock()
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -9,15 +9,17 @@
 )
 
 var (
-	startsTotal     = metrics.NewCounter("lentilyard_dispatch_starts_total")
-	stopsTotal      = metrics.NewCounter("lentilyard_dispatch_stops_total")
-	throttlesTotal  = metrics.NewCounter("lentilyard_dispatch_throttles_total")
-	evictionsTotal  = metrics.NewCounter("lentilyard_dispatch_evictions_total")
-	movesTotal      = metrics.NewCounter("lentilyard_dispatch_moves_total")
-	leasesOverTotal = metrics.NewCounter("lentilyard_dispatch_leases_over_total")
-	suspectsTotal   = metrics.NewCounter("lentilyard_dispatch_suspects_total")
-	givenUpTotal    = metrics.NewCounter("lentilyard_dispatch_given_up_total")
-	stalledTotal    = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
+	startsTotal = metrics.NewCounter("lentilyard_dispatch_starts_total")
+	stopsTotal  = metrics.NewCounter("lentilyard_dispatch_stops_total")
+	// exceededLimitsTotal counts the readings in which a filling task uses more than its speed limit allows.
+	exceededLimitsTotal = metrics.NewCounter("lentilyard_dispatch_exceeded_speed_limits_total")
+	throttlesTotal      = metrics.NewCounter("lentilyard_dispatch_throttles_total")
+	evictionsTotal      = metrics.NewCounter("lentilyard_dispatch_evictions_total")
+	movesTotal          = metrics.NewCounter("lentilyard_dispatch_moves_total")
+	leasesOverTotal     = metrics.NewCounter("lentilyard_dispatch_leases_over_total")
+	suspectsTotal       = metrics.NewCounter("lentilyard_dispatch_suspects_total")
+	givenUpTotal        = metrics.NewCounter("lentilyard_dispatch_given_up_total")
+	stalledTotal        = metrics.NewCounter("lentilyard_dispatch_stalled_tasks_total")
 	// otherClocksTotal counts the answers whose clock is not that of the incarnation that the call was meant for.
 	otherClocksTotal = metrics.NewCounter("lentilyard_dispatch_other_clocks_total")
 	commitSeconds    = metrics.NewHistogram("lentilyard_dispatch_commit_seconds")
--- a/internal/dispatch/speedlimit.go
+++ b/internal/dispatch/speedlimit.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "github.com/lentilyard/lentilyard/internal/submission"
+import (
+	"github.com/lentilyard/lentilyard/internal/placement/steps"
+	"github.com/lentilyard/lentilyard/internal/submission"
+)
 
 const (
 	// fullSpeed is the speed limit, in percent, of an attempt that is not throttled.
@@ -40,3 +43,19 @@
 		}
 	}
 }
+
+// correctSpeedLimits replaces the speed limits that are not in force on a worker by what its filling tasks use: a throttle call may be carried out
+// after a newer one. filling holds readings since the last change of a speed and gets the same limits.
+func (l *Leader) correctSpeedLimits(s *session, filling []steps.FillingTask) {
+	for i := range filling {
+		f := &filling[i]
+		if !f.ExceedsLimit() {
+			continue
+		}
+		exceededLimitsTotal.Inc()
+		l.log.Info().Str("event", "speed-limit-exceeded").Str("request", f.Task.Submission).Uint32("step", f.Task.Step).Uint32("task", f.Task.Index).
+			Uint32("attempt", f.Attempt).Str("worker", s.incarnation.ID).Int("percent", f.Percent).Int("used", f.UsedPercent()).Msg("")
+		f.Percent = min(fullSpeed, f.UsedPercent())
+		s.setSpeedLimit(f.Task, f.Attempt, f.Percent)
+	}
+}
--- a/internal/dispatch/throttle.go
+++ b/internal/dispatch/throttle.go
@@ -33,6 +33,7 @@
 	if now-s.throttledAt < l.cfg.Bounds.ThrottleDelay+readingSpan {
 		return // the reading includes time before the last speed change took effect
 	}
+	l.correctSpeedLimits(s, filling)
 	l.throttleAll(s, steps.ComputeThrottles(l.pressure, serving, filling, s.overLimitFor(serving, now), l.cfg.Bounds.MaxOverLimit/overLimitDivisor))
 }
 
--- a/internal/dispatch/throttle_test.go
+++ b/internal/dispatch/throttle_test.go
@@ -43,6 +43,23 @@
 	})
 }
 
+// Guards against a service that is slowed down for good since a throttle call was carried out after a newer one.
+func TestThrottleThatIsNotInForceIsRepeated(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		startServiceWithFillingTask(r)
+		r.awaitAttempt(fillingTask, 1)
+		f := r.workers.byID["a"]
+		r.workers.update(func() { f.tailMs = 2500 }) // above the limit
+		time.Sleep(3 * time.Second)
+		r.workers.update(func() {
+			is.Equal(f.speedOf(fillingTask), 0)
+			f.throttle[fillingTask] = 83 // an older call arrives
+		})
+		time.Sleep(2 * time.Second)
+		r.workers.update(func() { is.Equal(f.speedOf(fillingTask), 0) })
+	})
+}
+
 // fillingTask is the task that startServiceWithFillingTask starts.
 var fillingTask = submission.Ref{Submission: "f"}
 
@@ -66,12 +83,12 @@
 	r.leader.Resign()
 	r.leader.SetPressureModel(&pb.PressureModel{Pairs: []*pb.PressurePair{{Service: "service", Filling: "filling", Weight: 4, Variance: 1e-6}}})
 	r.lead(6)
-	r.workers.update(func() { r.workers.byID["a"].serving = "s" })
+	r.workers.update(func() { r.workers.byID["a"].serving, r.workers.byID["a"].filling = "s", "f" })
 	// The fake workers report a tail latency of 1000 ms: half the limit, which is a utilization of 0.6.
 	r.submit("s", 1, func(step *pb.Step) { step.Endless, step.TailLimitMs, step.Image = true, 2000, "service" })
 	time.Sleep(3 * time.Second)
 	r.submit("f", 1, func(step *pb.Step) {
-		step.Fills, step.Image, step.Size.Millicores = true, "filling", 400
+		step.Fills, step.Image, step.Size.Millicores = true, "filling", fakeFillingUse
 	})
 }
 
--- a/internal/placement/steps/throttle.go
+++ b/internal/placement/steps/throttle.go
@@ -52,6 +52,10 @@
 	// initialShare is the least share of a worker's CPU time that a filling task is assumed to use at full speed as long as
 	// there is no usable reading of its use.
 	initialShare = 0.05
+	// usageTolerance is the relative error of a reading of the use of a filling task.
+	usageTolerance = 0.10
+	// usageNoise is what a filling task may use, in percent of what its step declares, while its speed limit is 0.
+	usageNoise = 10
 )
 
 // ComputeThrottles returns the changes of the speeds at which the filling tasks of a worker may run, given readings of its
@@ -147,6 +151,19 @@
 // fullSpeed is the speed, in percent, of a filling task that is not throttled.
 const fullSpeed = 100
 
+// UsedPercent is the processor time that a filling task uses, in percent of what its step declares.
+func (f FillingTask) UsedPercent() int {
+	if f.Declared == 0 {
+		return 0
+	}
+	return int(math.Ceil(f.Share / f.Declared * 100))
+}
+
+// ExceedsLimit reports whether a filling task uses more processor time than its speed limit allows, so that the limit is not in force.
+func (f FillingTask) ExceedsLimit() bool {
+	return float64(f.UsedPercent()) > float64(f.Percent)*(1+usageTolerance)+usageNoise
+}
+
 // fullSpeedShare is the share of the worker's CPU time that a filling task would use at full speed.
 func (f FillingTask) fullSpeedShare() float64 {
 	if f.Percent < minChange || f.Share == 0 {
