Control: the cancellation of an ended submission needs no log entry

Cause (by reading): each cancellation is committed, which waits for the disks of a majority, also where it changes nothing.

Change: behind the read barrier that each request has anyway, the cancellation of a submission that is done, failed or cancelled is acknowledged from the state. One that is unknown is committed as before: an accepted submission may be on its way.

--- a/internal/control/operations.go
+++ b/internal/control/operations.go
@@ -134,6 +134,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if c.hasEnded(id) { // nothing is left to cancel, and no disk has to be waited for
+		return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_OK}
+	}
 	change := &pb.SubmissionChange{Change: &pb.SubmissionChange_Cancel{Cancel: &pb.CancelSubmission{Id: id}}}
 	results, err := dispatch.Commit(ctx, c.group, change)
 	if err != nil {
@@ -147,6 +150,16 @@
 	return &pb.IntakeAnswer{Result: pb.IntakeResult_INTAKE_RESULT_OK}
 }
 
+// hasEnded reports whether a submission is known and is done, failed or cancelled.
+func (c *Control) hasEnded(id string) bool {
+	ended := false
+	c.state.View(func(s *submission.State) {
+		sub := s.Submission(id)
+		ended = sub != nil && !sub.Active()
+	})
+	return ended
+}
+
 // applyReport passes a worker's report to the leader. The answer names the VM to which the worker sends its next report:
 // the agent that calls the worker if calls are relayed, otherwise this VM.
 func (c *Control) applyReport(ctx context.Context, r *pb.PoolReport) *pb.IntakeAnswer {
