A machine whose entry cannot be read is not one that is gone

Cause: an entry of the platform's list that cannot be decoded was left out, and a machine that one list lacks counted as removed, for good.

Evidence: TestWaveIsNotDoneWithoutVMThatIsNotListed fails in its three cases if a machine that a list lacks counts as removed at once, as before.

Change: the list names the machines whose entries cannot be read, and says whether some entries name none.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -121,12 +121,21 @@
 // Platform lists the VMs on which workers run and orders their maintenance.
 type Platform interface {
 	// VMs returns the VMs of all pools.
-	VMs(ctx context.Context) ([]VM, error)
+	VMs(ctx context.Context) (VMList, error)
 	// Upkeep orders the maintenance of a VM as part of a wave. All tasks on the VM end. Repeating an order is not an error.
 	// It returns ErrFenced if the platform has seen a higher fencing token, and ErrBusy if it cannot carry out the order now.
 	Upkeep(ctx context.Context, vm string, wave uint64, holder string, fence uint64) error
 }
 
+// VMList is the platform's list of VMs.
+type VMList struct {
+	VMs []VM
+	// Unreadable names the VMs whose entries could not be decoded.
+	Unreadable []string
+	// Incomplete is true if the list has entries whose VMs are not known.
+	Incomplete bool
+}
+
 // VM is a VM of a pool.
 type VM struct {
 	ID, Pool string
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -71,6 +71,9 @@
 	// firstAnswerAfter is how long the first order is under way until its answer arrives.
 	firstAnswerAfter time.Duration
 	upkeepTime       time.Duration
+	// absent is a VM that is missing in the list, and list what else the list says.
+	absent string
+	list   VMList
 	// onOrder, if set, is called with the worker id before the first order for a VM is carried out.
 	onOrder func(worker string)
 }
@@ -79,14 +82,16 @@
 	return &fakePlatform{harness: r, down: map[string]bool{}, fences: map[uint64]bool{}}
 }
 
-func (f *fakePlatform) VMs(context.Context) ([]VM, error) {
+func (f *fakePlatform) VMs(context.Context) (VMList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var vms []VM
+	list := f.list
 	for _, id := range []string{"a", "b", "c"} {
-		vms = append(vms, VM{ID: "vm-" + id, Pool: "pool", Up: !f.down[id], Worker: id})
+		if vm := "vm-" + id; vm != f.absent && !slices.Contains(f.list.Unreadable, vm) {
+			list.VMs = append(list.VMs, VM{ID: vm, Pool: "pool", Up: !f.down[id], Worker: id})
+		}
 	}
-	return vms, nil
+	return list, nil
 }
 
 // Upkeep carries out the first order for a VM. Repeated ones are recorded and change nothing.
@@ -157,6 +162,49 @@
 	})
 }
 
+// Guards against a wave that is said to be done although a VM of it had no maintenance, since its entry in the platform's list could not be read for a
+// while, or was missing.
+func TestWaveIsNotDoneWithoutVMThatIsNotListed(t *testing.T) {
+	for name, hide := range map[string]func(*fakePlatform){
+		"unreadable entry":                func(f *fakePlatform) { f.list.Unreadable = []string{"vm-c"} },
+		"unreadable entry without a name": func(f *fakePlatform) { f.absent, f.list.Incomplete = "vm-c", true },
+		"entry left out":                  func(f *fakePlatform) { f.absent = "vm-c" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+				platform := newFakePlatform(r)
+				r.platform = platform
+				hide(platform)
+				r.replaceLeader(6)
+				r.submitWave(1, "vm-a", "vm-b", "vm-c")
+				time.Sleep(15 * time.Second)
+				is.True(!r.waveDone())
+				platform.mu.Lock()
+				platform.absent, platform.list = "", VMList{}
+				platform.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				is.True(r.waveDone())
+				ordered, _, _ := platform.history()
+				is.Equal(ordered, []string{"vm-a", "vm-b", "vm-c"})
+			})
+		})
+	}
+}
+
+// Guards against a wave that is never done since one of its VMs was removed while the list holds an entry without a name.
+func TestWaveWithRemovedVMIsDone(t *testing.T) {
+	withHarness(t, time.Second, []string{"a", "b", "c"}, func(is *is.I, r *harness) {
+		platform := newFakePlatform(r)
+		r.platform = platform
+		platform.absent, platform.list.Incomplete = "vm-c", true
+		r.workers.update(func() { r.workers.byID["c"].unreachable = true })
+		r.replaceLeader(6)
+		r.submitWave(1, "vm-a", "vm-b", "vm-c")
+		time.Sleep(25 * time.Second)
+		is.True(r.waveDone())
+	})
+}
+
 // Guards against a wave that is never done since the order for a VM whose maintenance is over is repeated, after an answer that came
 // too late or a change of the leader: the VM then counts as down until its worker restarts.
 func TestWaveWithLateAnswerIsDone(t *testing.T) {
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -127,8 +127,8 @@
 	}
 	search.next = now + search.pause
 	search.pause = min(2*search.pause, searchPauseMax)
-	l.listVMs(&search.calling, func(vms []VM) {
-		for _, vm := range vms {
+	l.listVMs(&search.calling, func(list VMList) {
+		for _, vm := range list.VMs {
 			l.askSuccessor(vm)
 		}
 	})
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -65,11 +65,11 @@
 	calls int
 }
 
-func (p *listing) VMs(context.Context) ([]VM, error) {
+func (p *listing) VMs(context.Context) (VMList, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
-	return p.vms, nil
+	return VMList{VMs: p.vms}, nil
 }
 
 func (p *listing) called() int {
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -31,6 +31,8 @@
 	mayOrderAt time.Duration
 	// orders holds the last order for each VM, until it was refused or the maintenance is known to be over.
 	orders map[string]upkeep
+	// absentSince is when each VM of the wave was first missing in the lists, which have lacked it ever since.
+	absentSince map[string]time.Duration
 }
 
 // upkeep is an order to maintain a VM.
@@ -75,20 +77,21 @@
 		}
 	})
 	if wave == nil {
+		l.waves.absentSince = nil
 		return
 	}
-	l.listVMs(&l.waves.calling, func(vms []VM) { l.orderNextUpkeep(wave, vms) })
+	l.listVMs(&l.waves.calling, func(list VMList) { l.orderNextUpkeep(wave, list) })
 }
 
 // listVMs asks the platform for the VMs of all pools and calls then on the event loop, unless the platform fails or the term has ended.
 // calling is true meanwhile.
-func (l *Leader) listVMs(calling *bool, then func([]VM)) {
+func (l *Leader) listVMs(calling *bool, then func(VMList)) {
 	*calling = true
 	ctx := l.ctx
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		vms, err := l.cfg.Platform.VMs(callCtx)
+		list, err := l.cfg.Platform.VMs(callCtx)
 		l.post(func() {
 			if l.ctx != ctx {
 				return
@@ -98,7 +101,7 @@
 				l.log.Warn().Str("event", "platform-unreachable").Err(err).Msg("")
 				return
 			}
-			then(vms)
+			then(list)
 		})
 	}()
 }
@@ -114,16 +117,19 @@
 
 // orderNextUpkeep orders the maintenance of the next VM of a wave, unless as many of its VMs as allowed are down already or
 // the steps with tasks on that VM cannot do without them.
-func (l *Leader) orderNextUpkeep(wave *pb.Wave, vms []VM) {
+func (l *Leader) orderNextUpkeep(wave *pb.Wave, list VMList) {
+	l.recordAbsent(wave, list)
 	down := 0
 	next := ""
 	for _, name := range wave.GetVms() {
-		i := slices.IndexFunc(vms, func(vm VM) bool { return vm.ID == name })
+		i := slices.IndexFunc(list.VMs, func(vm VM) bool { return vm.ID == name })
 		switch {
 		case i < 0 && !slices.Contains(wave.GetBegun(), name):
-			l.commitUpkeepBegun(wave, name, "gone") // the VM no longer exists
+			if l.hasLeft(name, list) {
+				l.commitUpkeepBegun(wave, name, "gone")
+			}
 		case i < 0:
-		case !vms[i].Up || l.stillDown(name):
+		case !list.VMs[i].Up || l.stillDown(name):
 			down++
 		case !slices.Contains(wave.GetBegun(), name) && next == "":
 			next = name
@@ -135,6 +141,51 @@
 	l.orderUpkeep(wave, next)
 }
 
+const (
+	// leftAfter is how long the lists must lack a VM until it counts as removed, and leftAfterIncomplete if some of their entries name no VM. A
+	// worker that lives answers a hold that was sent in that time.
+	leftAfter           = 2*holdWait + holdSlack
+	leftAfterIncomplete = 10 * time.Second
+)
+
+// recordAbsent records which VMs of a wave a list lacks. One whose entry could not be decoded is there.
+func (l *Leader) recordAbsent(wave *pb.Wave, list VMList) {
+	absent := map[string]time.Duration{}
+	for _, name := range wave.GetVms() {
+		listed := slices.ContainsFunc(list.VMs, func(vm VM) bool { return vm.ID == name }) || slices.Contains(list.Unreadable, name)
+		since, known := l.waves.absentSince[name]
+		switch {
+		case listed:
+		case known:
+			absent[name] = since
+		default:
+			absent[name] = l.cfg.Clock()
+		}
+	}
+	l.waves.absentSince = absent
+}
+
+// hasLeft reports whether a VM no longer exists, by the last list and those before it: an entry may be unreadable for a while. It does exist as
+// long as a worker on it answers.
+func (l *Leader) hasLeft(vm string, list VMList) bool {
+	since, absent := l.waves.absentSince[vm]
+	wait := leftAfter
+	if list.Incomplete {
+		wait = leftAfterIncomplete
+	}
+	return absent && l.cfg.Clock()-since >= wait && !l.answersOn(vm, since)
+}
+
+// answersOn reports whether a worker on a VM has answered since a time.
+func (l *Leader) answersOn(vm string, since time.Duration) bool {
+	for _, s := range l.sessions {
+		if s.vm == vm && s.leaseSnapshot().answeredAt > since {
+			return true
+		}
+	}
+	return false
+}
+
 // stillDown reports whether maintenance of the VM was ordered, and neither has a new worker incarnation registered there since nor the
 // known one lived on. An order that is repeated once the maintenance is over is confirmed as well.
 func (l *Leader) stillDown(vm string) bool {
