A list of attempts with a row that cannot be decoded proves nothing about what it lacks

What callers would see: TWICE: a task that runs is told to stop and starts again elsewhere, or again and again.

Cause: rows of `running` and `finished` that cannot be decoded are left out, and an attempt in neither list counts as one that is not there.

Evidence: TestTaskWhoseRowCannotBeDecodedRunsOnce failed before (10 starts instead of 1).

Change: an answer says whether it has such rows, also by way of another VM; then it proves nothing, like one that may lack ends, but the next hold waits as usual.

--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -100,8 +100,13 @@
 	// MayLackEnds is true if attempts may have ended that are not in Ended, since a worker lists a limited number at a time. It lists the next
 	// ones once these are acknowledged. An attempt that is in neither list may have ended in any way then.
 	MayLackEnds bool
+	// HasUnreadable is true if elements of the lists could not be decoded. An attempt that is in neither list may then run, or may have ended in any way.
+	HasUnreadable bool
 }
 
+// isComplete reports whether an attempt that is in neither list neither runs nor has an end that is not acknowledged.
+func (a HoldAnswer) isComplete() bool { return !a.MayLackEnds && !a.HasUnreadable }
+
 // Caller makes calls to workers. After ErrNoAnswer the worker may have carried out the call already, may still do so
 // later, or may never have received it. Start, Stop and Throttle return the worker's clock in ms.
 type Caller interface {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -57,6 +57,7 @@
 	holdDelay         time.Duration             // how long the answer to a hold is on its way
 	closes            bool                      // it has ended and closed its connections: holds that wait get ErrConnectionClosed
 	endsListed        int                       // ends in an answer to a hold at most, 0 if there is no limit
+	unreadable        map[submission.Ref]bool   // tasks whose rows in the list of running attempts cannot be decoded
 	waitsFully        bool                      // a hold takes its whole wait, whatever it lists
 	slow              bool                      // its clock runs 2 % slow
 	lapsedAt          time.Time                 // when the lease last lapsed
@@ -451,7 +452,11 @@
 	if f.endsListed > 0 && len(answer.Ended) >= f.endsListed {
 		answer.Ended, answer.MayLackEnds = answer.Ended[:f.endsListed], true
 	}
+	answer.HasUnreadable = len(f.unreadable) > 0
 	for ref, run := range f.running {
+		if f.unreadable[ref] {
+			continue
+		}
 		percent := 0.0
 		if !f.stalled {
 			percent = 100 * float64(time.Since(run.began)) / float64(w.work)
--- a/internal/dispatch/partial_test.go
+++ b/internal/dispatch/partial_test.go
@@ -96,3 +96,20 @@
 		is.True(time.Since(began) < reconnectInterval+(manyEnds/endsListed+1)*partTime)
 	})
 }
+
+// Guards against a task that is started a second time because its row in the list of its worker could not be decoded.
+func TestTaskWhoseRowCannotBeDecodedRunsOnce(t *testing.T) {
+	withHarness(t, 20*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+		task := submission.Ref{Submission: "s"}
+		r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+		r.submit("s", 1, nil)
+		time.Sleep(2 * time.Second)
+		r.workers.update(func() {
+			is.True(r.workers.byID["a"].running[task] != nil)
+			r.workers.byID["a"].unreadable, r.workers.byID["b"].noRoom = map[submission.Ref]bool{task: true}, false
+		})
+		time.Sleep(25 * time.Second)
+		r.workers.update(func() { is.Equal(r.workers.startsByTask[task], 1) })
+		is.Equal(r.describe("s"), "done")
+	})
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -55,12 +55,12 @@
 	for _, running := range unexpected {
 		l.stopUnexpected(s, running, sent)
 	}
-	if !answer.MayLackEnds {
+	if answer.isComplete() {
 		for _, ref := range missing {
 			l.handleMissing(s, ref, sent, answer.ClockMs)
 		}
 	}
-	l.resolveUncertainStarts(s, sent, !answer.MayLackEnds)
+	l.resolveUncertainStarts(s, sent, answer.isComplete())
 }
 
 // isExpected reports whether the state has placed a running attempt on this worker incarnation and its submission is active.
@@ -91,7 +91,7 @@
 	}
 }
 
-// handleMissing handles a placed attempt that a worker lists neither as running nor as ended, in an answer that lacks no ends. clockMs is the worker's clock at
+// handleMissing handles a placed attempt that a worker lists neither as running nor as ended, in a complete answer. clockMs is the worker's clock at
 // that time.
 func (l *Leader) handleMissing(s *session, task submission.Ref, sent time.Duration, clockMs int64) {
 	r := l.runs[task]
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -54,7 +54,7 @@
 
 func encodeHoldAnswer(answer dispatch.HoldAnswer, err error) *pb.RelayAnswer {
 	a := answerForError(err)
-	a.ClockMs, a.WorkerBornUnixMs, a.MayLackEnds = answer.ClockMs, answer.BornUnixMs, answer.MayLackEnds
+	a.ClockMs, a.WorkerBornUnixMs, a.MayLackEnds, a.HasUnreadable = answer.ClockMs, answer.BornUnixMs, answer.MayLackEnds, answer.HasUnreadable
 	for _, running := range answer.Running {
 		a.Running = append(a.Running, &pb.RelayRunning{Task: running.Task.Proto(), Attempt: running.Attempt, Checkpoint: running.Checkpoint,
 			Percent: running.Percent, Figure: running.Figure})
@@ -66,7 +66,7 @@
 }
 
 func decodeHoldAnswer(a *pb.RelayAnswer) dispatch.HoldAnswer {
-	answer := dispatch.HoldAnswer{ClockMs: a.GetClockMs(), BornUnixMs: a.GetWorkerBornUnixMs(), MayLackEnds: a.GetMayLackEnds()}
+	answer := dispatch.HoldAnswer{ClockMs: a.GetClockMs(), BornUnixMs: a.GetWorkerBornUnixMs(), MayLackEnds: a.GetMayLackEnds(), HasUnreadable: a.GetHasUnreadable()}
 	for _, running := range a.GetRunning() {
 		answer.Running = append(answer.Running, dispatch.Running{Task: submission.RefOf(running.GetTask()), Attempt: running.GetAttempt(),
 			Checkpoint: running.GetCheckpoint(), Percent: running.GetPercent(), Figure: running.GetFigure()})
--- a/internal/relay/convert_test.go
+++ b/internal/relay/convert_test.go
@@ -39,10 +39,10 @@
 	is.Equal(len(leaderCaller.recorded()), 0)
 }
 
-// Guards against a part of the ends of a worker that counts as all of them because another VM made the hold.
-func TestRelayedAnswerTellsThatEndsMayLack(t *testing.T) {
+// Guards against an incomplete list of a worker that counts as complete because another VM made the hold.
+func TestRelayedAnswerTellsThatItIsIncomplete(t *testing.T) {
 	is := is.New(t)
-	for _, mayLackEnds := range []bool{false, true} {
-		is.Equal(decodeHoldAnswer(encodeHoldAnswer(dispatch.HoldAnswer{MayLackEnds: mayLackEnds}, nil)).MayLackEnds, mayLackEnds)
+	for _, answer := range []dispatch.HoldAnswer{{}, {MayLackEnds: true}, {HasUnreadable: true}} {
+		is.Equal(decodeHoldAnswer(encodeHoldAnswer(answer, nil)), answer)
 	}
 }
