Moves of filling tasks keep to the limit of their step on unavailable tasks

What callers would see: AVAIL: of a step of filling tasks that last, with max_unavailable 1, two are told to stop in the same moment to restart elsewhere.

Cause: moves did not look at whether a task may be stopped, as evictions do.

Evidence: TestMovesRespectMaxUnavailable and the case "may not stop" of TestMovesRequireFreeWorker failed before.

Change: only tasks that may stop now are moved; others move with later plans.

Measured: go test ./internal/placement/steps passes, and of ./internal/dispatch the tests of limits and moves.

--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -359,6 +359,41 @@
 	})
 }
 
+// Guards against moves of filling tasks that make more tasks of a step unavailable than the step allows.
+func TestMovesRespectMaxUnavailable(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a", "b"}, func(is *is.I, r *harness) {
+		for _, id := range []string{"a", "b"} {
+			r.workers.update(func() { r.workers.byID[id].serving, r.workers.byID[id].stopTime = "f", time.Second })
+		}
+		r.submit("f", 4, func(s *pb.Step) { s.Endless, s.Fills, s.Checkpoints, s.MaxUnavailable = true, true, true, 1 })
+		time.Sleep(minEndlessRun + 2*time.Second)
+		is.Equal(r.running("a")+r.running("b"), 4)
+		moved := false
+		for range 60 {
+			r.leader.post(func() {
+				for _, run := range r.leader.runs {
+					run.shouldMove = true
+				}
+				r.leader.dirty = true
+			})
+			time.Sleep(50 * time.Millisecond)
+			stopped := 0
+			r.workers.update(func() {
+				for _, f := range r.workers.byID {
+					for _, run := range f.running {
+						if !run.stopped.IsZero() {
+							stopped++
+						}
+					}
+				}
+			})
+			moved = moved || stopped > 0
+			is.True(stopped <= 1)
+		}
+		is.True(moved)
+	})
+}
+
 // Guards against evictions for urgent work that make more tasks of a step unavailable than the step allows, in one plan or in two
 // while the first stop is in progress.
 func TestEvictionsRespectMaxUnavailable(t *testing.T) {
--- a/internal/placement/steps/move.go
+++ b/internal/placement/steps/move.go
@@ -4,7 +4,7 @@
 const maxMoves = 32
 
 // proposeMoves proposes to move filling tasks away from services that they slow down, but only if another worker can take
-// them now. It is meant for a full pool: a task that is stopped without such a worker waits in the queue, or slows down
+// them now and their steps allow it. It is meant for a full pool: a task that is stopped without such a worker waits in the queue, or slows down
 // another service and is stopped again, while a throttled task goes on whenever the load of the service falls.
 func (p *planner) proposeMoves() {
 	for _, w := range p.Workers {
@@ -12,7 +12,7 @@
 			if len(p.plan.Moves) >= maxMoves {
 				return
 			}
-			if v := &w.Residents[i]; v.ShouldMove && !v.Stopping {
+			if v := &w.Residents[i]; v.ShouldMove && v.MayStop && !v.Stopping {
 				p.proposeMove(w, v)
 			}
 		}
--- a/internal/placement/steps/steps_test.go
+++ b/internal/placement/steps/steps_test.go
@@ -312,7 +312,7 @@
 
 // Guards against filling tasks that are stopped while no other worker can take them: in a full pool they would wait in the
 // queue or slow down another service. The task runs next to a service that it slows down; the other worker can take it in
-// one case only.
+// one case only, if the limits of its step allow it.
 func TestMovesRequireFreeWorker(t *testing.T) {
 	service := newStep(4, func(s *pb.Step) { s.Endless, s.TailLimitMs, s.Image = true, 50, "service" })
 	filling := newStep(4, func(s *pb.Step) { s.Fills, s.Checkpoints, s.Image = true, true, "filling" })
@@ -322,22 +322,25 @@
 	for _, c := range []struct {
 		name  string
 		other func(*Worker)
+		kept  bool // its step does not allow it to be stopped
 		moves int
 	}{
-		{"no services", func(*Worker) {}, 1},
+		{"no services", func(*Worker) {}, false, 1},
+		{"may not stop", func(*Worker) {}, true, 0},
 		{"another service over its limit", func(w *Worker) {
 			over := resident("other", service)
 			over.TailRatio = 1.1
 			w.Residents = append(w.Residents, over)
-		}, 0},
-		{"no memory left", func(w *Worker) { w.Capacity.Memory = 0 }, 0},
-		{"not usable", func(w *Worker) { w.Usable = false }, 0},
+		}, false, 0},
+		{"no memory left", func(w *Worker) { w.Capacity.Memory = 0 }, false, 0},
+		{"not usable", func(w *Worker) { w.Usable = false }, false, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			loaded, other := newWorker("loaded", 32), newWorker("other", 32)
 			moving := resident("f", filling)
 			moving.ShouldMove, moving.ThrottledBy = true, 1
+			moving.MayStop = !c.kept
 			loaded.Residents = append(loaded.Residents, resident("s", service), moving)
 			c.other(other)
 			p := plan([]*Worker{loaded, other})
@@ -355,7 +358,7 @@
 	filling := newStep(16, func(s *pb.Step) { s.Fills, s.Checkpoints, s.Image = true, true, "filling" })
 	loaded, other := newWorker("loaded", 64), newWorker("other", 32)
 	for i := range 4 {
-		loaded.Residents = append(loaded.Residents, Resident{Task: submission.Ref{Submission: fmt.Sprint("f", i)}, Attempt: 1, Step: filling, ShouldMove: true, TailRatio: noReading})
+		loaded.Residents = append(loaded.Residents, Resident{Task: submission.Ref{Submission: fmt.Sprint("f", i)}, Attempt: 1, Step: filling, ShouldMove: true, MayStop: true, TailRatio: noReading})
 	}
 	is.Equal(len(plan([]*Worker{loaded, other}).Moves), 2)
 }
