A client whose answer was late on our side does not count as one that does not take it

Cause: a client counts as stalled if the first write of a piece of its answer passes its deadline of one second. In a process that waits for the processor that deadline is over before the attempt. Where the budget is short, the client is disconnected at once.

Change: after the deadline the rest is offered to the operating system without waiting; only if it takes less than all of it the client counts as stalled. Writing has a file of its own.

--- a/internal/httplimit/server.go
+++ b/internal/httplimit/server.go
@@ -16,10 +16,6 @@
 const (
 	// bodyTime bounds the time for a request body. Handlers may set another deadline.
 	bodyTime = 30 * time.Second
-	// writeTime bounds the time in which a client must take a piece of an answer. After stallTime it is disconnected if others need room.
-	writeTime  = 30 * time.Second
-	stallTime  = time.Second
-	writeBytes = 64 << 10
 	// admitTime is how long a new connection waits while all others have whole requests that are worked on.
 	admitTime = time.Second
 	// unreadBytes is how much of what a client sends the operating system keeps until it is read.
@@ -173,34 +169,6 @@
 	return n, err
 }
 
-// Write writes in pieces, each of which a client must take in time.
-func (c *connection) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		n, err := c.writePiece(p[written:min(len(p), written+writeBytes)])
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
-}
-
-func (c *connection) writePiece(p []byte) (int, error) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(stallTime))
-	n, err := c.Conn.Write(p)
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return n, err
-	}
-	c.account.setStalled(true)
-	defer c.account.setStalled(false)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTime - stallTime))
-	rest, err := c.Conn.Write(p[n:])
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.account.budget.observer.disconnected(limitTime)
-	}
-	return n + rest, err
-}
-
 func (c *connection) Close() error {
 	defer c.account.end()
 	return c.Conn.Close()
