An intake VM that reaches no leader forwards requests through another one

What callers saw: 503 from intake VMs that are cut off from the control VMs, where the platform goes on sending them requests since few others are ready in their failure domain.

An answer of that VM counts as one of the leader; no answer leaves the outcome unknown; a refusal by all is a refusal as before.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -13,13 +13,20 @@
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
+// maxForwarders is the number of intake VMs that an intake VM is told of. Half a failure domain may be cut off with it.
+const maxForwarders = 6
+
 // registerHandlers registers the methods that other VMs call on this one.
 func (c *Control) registerHandlers() {
 	registerHandlerFrom(c, fleet.MethodMembers, func(_ context.Context, from string, r *pb.MembersRequest) proto.Message {
 		if r.GetFailureDomain() != "" {
 			c.relay.RecordIntake(from, r.GetFailureDomain(), r.GetClockMs())
 		}
-		return c.membersAnswer()
+		answer := c.membersAnswer()
+		if r.GetWantsForwarders() {
+			answer.Forwarders = c.relay.IntakesNear(from, maxForwarders)
+		}
+		return answer
 	})
 	registerHandler(c, fleet.MethodSubmit, func(ctx context.Context, r *pb.IntakeSubmit) proto.Message { return c.submit(ctx, r) })
 	registerHandler(c, fleet.MethodState, func(ctx context.Context, r *pb.IntakeLookup) proto.Message { return c.lookup(ctx, r) })
--- a/internal/intake/call.go
+++ b/internal/intake/call.go
@@ -41,10 +41,20 @@
 
 var unknownRefusalsTotal = metrics.NewCounter("lentilyard_intake_unknown_refusals_total")
 
-// call calls a method of the leader and retries it until ctx ends or a timeout above expires. All methods are idempotent, so
+// call calls a method of the leader and, as long as this VM reaches none, of the leader by way of another intake VM.
+func (i *Intake) call(ctx context.Context, method string, request callerRequest) (*pb.IntakeAnswer, error) {
+	if !i.Ready() {
+		if answer, err := i.forward(ctx, method, request); !errors.Is(err, ErrNotRun) {
+			return answer, err
+		}
+	}
+	return i.callLeader(ctx, method, request)
+}
+
+// callLeader calls a method of the leader and retries it until ctx ends or a timeout above expires. All methods are idempotent, so
 // a call without an answer can be retried. A refusal is returned only if no earlier attempt may have been executed; otherwise the error is
 // ErrOutcomeUnknown.
-func (i *Intake) call(ctx context.Context, method string, request callerRequest) (*pb.IntakeAnswer, error) {
+func (i *Intake) callLeader(ctx context.Context, method string, request callerRequest) (*pb.IntakeAnswer, error) {
 	began := time.Now()
 	maybeExecuted := false
 	for round := 0; ; round++ {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,9 +38,10 @@
 	large         *fleet.LargeCalls
 	seeds         []string
 
-	mu      sync.Mutex
-	members []string
-	leader  string
+	mu         sync.Mutex
+	members    []string
+	leader     string
+	forwarders []string // intake VMs that may reach the leader while this one does not, nearest first
 
 	limits       atomic.Pointer[pb.IntakeLimits]
 	leaderSeenAt atomic.Int64 // nanoseconds after start at which a control VM last named a leader that this VM reaches; -1 if none has
@@ -62,6 +64,7 @@
 	i := &Intake{log: log, transport: transport, failureDomain: s.GetFailureDomain(), seeds: fleet.SeedVMs(s), start: time.Now(), large: fleet.NewLargeCalls()}
 	i.relay = relay.New(relay.Config{ID: s.GetId(), FailureDomain: s.GetFailureDomain(), Intake: true, Local: caller, Messenger: transport, Logger: log})
 	transport.Handle(relay.Channel, i.relay.Handle)
+	transport.HandleCall(fleet.MethodForward, i.handleForward)
 	i.leaderSeenAt.Store(-1)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.members = i.seeds
@@ -123,6 +126,9 @@
 // refreshMembers queries the leader for the members of the control group, or the connected control VMs in turn while the
 // leader is unknown or not connected.
 func (i *Intake) refreshMembers(round int) {
+	if !i.Ready() {
+		i.connectForwarders()
+	}
 	vm := i.knownLeader()
 	if vm == "" || !i.transport.Reachable(vm) {
 		vm = i.reachable(round)
@@ -132,7 +138,7 @@
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, membersTimeout)
 	defer cancel()
-	request, answer := &pb.MembersRequest{}, &pb.MembersAnswer{}
+	request, answer := &pb.MembersRequest{WantsForwarders: round%forwardersRounds == 0}, &pb.MembersAnswer{}
 	if !i.draining.Load() {
 		request.FailureDomain, request.ClockMs = i.failureDomain, i.relay.ClockMs()
 	}
@@ -160,8 +166,14 @@
 	if len(answer.GetMembers()) > 0 {
 		i.members = answer.GetMembers()
 	}
-	known := append([]string(nil), i.members...)
-	kept := append(append([]string(nil), known...), i.seeds...)
+	if len(answer.GetForwarders()) > 0 {
+		i.forwarders = answer.GetForwarders()
+	}
+	known := slices.Clone(i.members)
+	kept := slices.Concat(known, i.seeds)
+	if !i.Ready() {
+		kept = append(kept, i.forwarders...)
+	}
 	i.mu.Unlock()
 	for _, vm := range known {
 		if err := i.transport.Connect(vm); err != nil {
@@ -173,10 +185,10 @@
 
 // reachable returns a connected control VM, the next one with each round, or "" if there is none.
 func (i *Intake) reachable(round int) string {
-	vms := i.transport.Peers()
+	vms, forwarders := i.transport.Peers(), i.knownForwarders()
 	var found []string
 	for _, vm := range vms {
-		if i.transport.Reachable(vm) {
+		if i.transport.Reachable(vm) && !slices.Contains(forwarders, vm) {
 			found = append(found, vm)
 		}
 	}
@@ -209,6 +221,14 @@
 
 // Submit forwards a submission. A submission whose id was accepted before is acknowledged again.
 func (i *Intake) Submit(ctx context.Context, r *pb.IntakeSubmit) (*pb.IntakeAnswer, error) {
+	return i.submit(ctx, r, i.call)
+}
+
+// callFunc calls a method of the leader, directly or by way of another VM.
+type callFunc func(ctx context.Context, method string, request callerRequest) (*pb.IntakeAnswer, error)
+
+// submit makes the call of a submission once its size allows it.
+func (i *Intake) submit(ctx context.Context, r *pb.IntakeSubmit, call callFunc) (*pb.IntakeAnswer, error) {
 	waitCtx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
 	defer cancel()
 	end, err := i.large.Begin(waitCtx, proto.Size(r))
@@ -216,7 +236,7 @@
 		return nil, callError(false, fleet.MethodSubmit, 0)
 	}
 	defer end()
-	return i.call(ctx, fleet.MethodSubmit, r)
+	return call(ctx, fleet.MethodSubmit, r)
 }
 
 // Lookup returns the state of a submission, or the number of pending submissions of a queue.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -241,6 +242,19 @@
 	return vms
 }
 
+// IntakesNear returns up to n intake VMs that have offered to make calls of late, without vm and with those in its failure domain first.
+func (r *Relay) IntakesNear(vm string, n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failureDomain := ""
+	if a := r.intakes[vm]; a != nil {
+		failureDomain = a.failureDomain
+	}
+	near, far := nearAndFar(alive(r.intakes, r.cfg.Clock(), intakeTimeout), vm, failureDomain)
+	vms := slices.DeleteFunc(slices.Concat(near, far), func(id string) bool { return id == vm })
+	return vms[:min(n, len(vms))]
+}
+
 // AgentFor returns the control VM that calls a worker unless calls through it fail, or "" for this VM.
 func (r *Relay) AgentFor(worker, failureDomain string) string {
 	r.mu.Lock()
