Dispatch: workers to avoid and the health of workers have files of their own

Moved without change out of plan.go and run.go; recordEnd, quarantine and penalty are now in health.go, avoidWorker and its kin in avoid.go.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -19,8 +18,6 @@
 	planPauseFactor = 3
 	// maxStarts bounds the starts of one plan, and thereby the size of the log entry.
 	maxStarts = 256
-	// avoidFor is how long a task is not placed again on a worker that refused it or on which it failed or stalled.
-	avoidFor = 3 * time.Second
 )
 
 const (
@@ -32,39 +29,6 @@
 	minEndlessRun = 4 * time.Second
 )
 
-// avoidedWorkers lists the workers on which a task is not to be placed for a while.
-type avoidedWorkers struct {
-	workers map[string]time.Duration // when avoidWorker was last called for each
-}
-
-func (l *Leader) avoidWorker(task submission.Ref, worker string) {
-	a := l.avoid[task]
-	if a == nil {
-		a = &avoidedWorkers{workers: map[string]time.Duration{}}
-		l.avoid[task] = a
-	}
-	a.workers[worker] = l.cfg.Clock()
-}
-
-func (l *Leader) avoided(task submission.Ref, now time.Duration) []string {
-	a := l.avoid[task]
-	if a == nil {
-		return nil
-	}
-	var list []string
-	for worker, at := range a.workers {
-		if now-at < avoidFor {
-			list = append(list, worker)
-			continue
-		}
-		delete(a.workers, worker)
-	}
-	if len(list) == 0 {
-		delete(l.avoid, task)
-	}
-	return list
-}
-
 // plan makes a plan if one is due. It queues the starts for the next entry and stops the attempts that are to be evicted or
 // moved.
 func (l *Leader) plan() {
@@ -334,109 +298,3 @@
 	}
 	return only, !l.awaitsProof(state, ref, t) && !l.awaitsCalm(ref, t, stepOf(state, ref).GetEndless(), now)
 }
-
-// workerHealth records the recent task failures on a worker.
-type workerHealth struct {
-	// failures maps the ids of submissions to the times at which a task of theirs last failed on the worker.
-	failures         map[string]time.Duration
-	quarantinedUntil time.Duration // until when the worker gets no tasks
-}
-
-const (
-	// failureWindow is how long a failure counts against a worker.
-	failureWindow = 6 * time.Second
-	// quarantineAfter is the number of distinct submissions with a failed task, and no successful task in between, after
-	// which a worker is quarantined.
-	quarantineAfter = 3
-	// quarantineFor is the length of a quarantine. It is shorter than failureWindow, so that afterwards a single failure can
-	// suffice to quarantine the worker again.
-	quarantineFor = 4 * time.Second
-	// maxQuarantinedShare bounds the share of a pool in such a quarantine. If tasks fail on most workers, the tasks are at fault.
-	maxQuarantinedShare = 0.5
-	// unavailableQuarantine is the length of the quarantine after ErrUnavailable.
-	unavailableQuarantine = time.Second
-)
-
-func (l *Leader) healthOf(worker string) *workerHealth {
-	health := l.health[worker]
-	if health == nil {
-		health = &workerHealth{failures: map[string]time.Duration{}}
-		l.health[worker] = health
-	}
-	return health
-}
-
-// recordEnd records how a task ended on a worker, and quarantines the worker if tasks of several submissions have failed
-// in a row. Failures of one submission alone do not count against the worker, since the submission may be the cause.
-func (l *Leader) recordEnd(worker string, e Ended) {
-	health, now := l.healthOf(worker), l.cfg.Clock()
-	switch e.Kind {
-	case pb.TaskEndKind_TASK_END_KIND_DONE:
-		clear(health.failures)
-	case pb.TaskEndKind_TASK_END_KIND_FAILED:
-		l.avoidWorker(e.Task, worker)
-		health.failures[e.Task.Submission] = now
-		for id, at := range health.failures {
-			if now-at > failureWindow {
-				delete(health.failures, id)
-			}
-		}
-		if len(health.failures) >= quarantineAfter && health.quarantinedUntil <= now && l.mayQuarantine(worker, now) {
-			health.quarantinedUntil = now + quarantineFor
-			l.log.Warn().Str("decision", "quarantine").Str("worker", worker).Int("failures", len(health.failures)).Msg("tasks of several submissions failed on the worker")
-		}
-	}
-}
-
-// mayQuarantine reports whether enough workers of the pool of a worker stay in use if that worker is quarantined.
-func (l *Leader) mayQuarantine(worker string, now time.Duration) bool {
-	size, quarantined := 0, 1
-	l.cfg.State.View(func(state *submission.State) {
-		known := state.Workers()[worker]
-		if known == nil {
-			return
-		}
-		pool := known.GetPool()
-		for id, w := range state.Workers() {
-			if w.GetPool() != pool || !w.Usable() {
-				continue
-			}
-			size++
-			if id != worker && l.quarantined(id, now) {
-				quarantined++
-			}
-		}
-	})
-	return float64(quarantined) <= maxQuarantinedShare*float64(size)
-}
-
-func (l *Leader) recordRefusal(worker string, err error) {
-	health, now := l.healthOf(worker), l.cfg.Clock()
-	if errors.Is(err, ErrUnavailable) {
-		health.quarantinedUntil = max(health.quarantinedUntil, now+unavailableQuarantine)
-	}
-}
-
-func (l *Leader) quarantined(worker string, now time.Duration) bool {
-	health := l.health[worker]
-	return health != nil && health.quarantinedUntil > now
-}
-
-// penalty returns how strongly the planner should prefer other workers: 0 unless tasks have failed on the worker recently.
-func (l *Leader) penalty(worker string, now time.Duration) float64 {
-	health := l.health[worker]
-	if health == nil {
-		return 0
-	}
-	recent := 0
-	for _, at := range health.failures {
-		if now-at < failureWindow {
-			recent++
-		}
-	}
-	return float64(recent) * failurePenalty
-}
-
-// failurePenalty is the penalty for each submission that recently failed on a worker, as a fraction of the worker's
-// processor time.
-const failurePenalty = 0.1
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -296,21 +296,6 @@
 	return fills
 }
 
-// avoidWorkerTogether avoids a worker for a task and, since the members of a gang cannot work without each other, for its whole gang.
-func (l *Leader) avoidWorkerTogether(task submission.Ref, worker string) {
-	l.avoidWorker(task, worker)
-	members := uint32(0)
-	l.cfg.State.View(func(state *submission.State) {
-		if step := stepOf(state, task); step.GetGang() {
-			members = step.GetCount()
-		}
-	})
-	for member := task; members > 0; members-- {
-		member.Index = members - 1
-		l.avoidWorker(member, worker)
-	}
-}
-
 // stopGang stops the other members of a gang if one member did not start, because they cannot work without it.
 func (l *Leader) stopGang(task submission.Ref, attempt uint32) {
 	if !l.isGang(task) {
