Dispatch: a worker is not alive until its hold is refused

Cause: only attempts that had just started when their worker was last known to be alive are suspect. A hold that failed after more than 50 ms was taken to have waited at a living worker until then. Where calls go by way of other VMs a refusal takes longer than that.

TestWorkerIsNotAliveUntilItsHoldIsRefused failed before.

Change: a refused hold says only that the worker has ended since it last answered. The tests' workers break the connections of holds that wait when they crash, as processes do; they answered these with "nothing listens".

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,12 +31,12 @@
 	}
 }
 
-// refusalTime is how long a hold takes at most that reaches a worker which has ended before.
+// refusalTime is how long a hold takes at most that breaks though it reaches a worker which has ended before.
 const refusalTime = 50 * time.Millisecond
 
-// recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. A hold that fails
-// at once may have been refused, so that the worker ended at any time since it was last known to be alive. Refused holds after that,
-// and answers of the next incarnation, tell nothing more.
+// recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. If the hold is refused, or
+// breaks at once, the worker ended at any time since it was last known to be alive, however long the refusal was on its way. Refused holds
+// after that, and answers of the next incarnation, tell nothing more.
 func (s *session) recordHold(result holdResult) {
 	if s.answeredByOther(result.answer) {
 		return
@@ -56,7 +56,7 @@
 		s.forgetClosed()
 	} else if !s.unanswered {
 		s.endKnown, s.endedBy = !result.timedOut, result.ended
-		if s.endKnown && result.ended-result.sent > refusalTime {
+		if s.endKnown && !s.refused && result.ended-result.sent > refusalTime {
 			s.aliveAt = result.ended
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// Guards against a task that is started without end since its crashes do not count where the first hold after them is refused and takes long, as by way of
+// another VM: the worker was taken to have lived until then.
+func TestWorkerIsNotAliveUntilItsHoldIsRefused(t *testing.T) {
+	is := is.New(t)
+	answered, failed := time.Hour, time.Hour+170*time.Millisecond
+	r := &run{startedAt: answered - 20*time.Millisecond}
+	for _, c := range []struct {
+		err        error
+		mayCrashed bool
+	}{
+		{ErrNotListening, true},
+		{ErrConnectionBroken, false}, // it lived until its connection broke
+	} {
+		s := &session{}
+		s.recordHold(holdResult{sent: answered - time.Second, ended: answered})
+		s.recordHold(holdResult{sent: answered, ended: failed, err: c.err})
+		is.Equal(r.mayHaveCrashed(s), c.mayCrashed)
+	}
+}
+
 // Guards against the same if the leader changes right after each crash: the next one does not know which attempts had only just started.
 func TestTaskThatCrashesItsWorkersAroundLeaderChangesIsGivenUp(t *testing.T) {
 	for _, c := range crashCases {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -402,6 +402,9 @@
 			w.mu.Unlock()
 			return HoldAnswer{}, ErrNoAnswer
 		}
+		if err == ErrNotListening && waitsAt != nil {
+			err = ErrConnectionBroken
+		}
 		if err != nil && waitsAt != nil && waitsAt.closes {
 			err = ErrConnectionClosed
 		}
