Dispatch: a long task with progress in whole percents is not stuck

Cause: a task whose percent stays the same for 1.3 s counts as stuck, whatever time it takes for one percent.

Evidence: TestLongTaskWithWholePercentsIsNotStuck (a task of 400 s, estimated at 200 s) failed before: still running after 410 s.

TestStuckTaskStartsElsewhere passes as before.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,7 @@
 	startsReset       bool                      // the connections of starts break before they arrive
 	startsRefused     bool                      // the connections of starts are refused
 	stalled           bool                      // tasks make no progress
+	wholePercents     bool                      // progress is stated in whole percents
 	failing           bool                      // every task fails at once
 	noRoom            bool                      // starts are refused with ErrNoRoom
 	unavailable       bool                      // starts are refused with ErrUnavailable
@@ -464,6 +466,9 @@
 		if !f.stalled {
 			percent = 100 * float64(time.Since(run.began)) / float64(w.work)
 		}
+		if f.wholePercents {
+			percent = math.Floor(percent)
+		}
 		figure := 1000.0
 		switch ref.Submission {
 		case f.serving:
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -204,6 +204,17 @@
 	})
 }
 
+// Guards against a long task that is restarted as stalled again and again, and never ends, since its worker states whole percents.
+func TestLongTaskWithWholePercentsIsNotStuck(t *testing.T) {
+	withHarness(t, 400*time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].wholePercents, r.workers.byID["b"].wholePercents = true, true })
+		r.submit("s", 1, func(step *pb.Step) { step.EstimateMs = 200_000 })
+		time.Sleep(410 * time.Second)
+		is.Equal(r.describe("s"), "done")
+		r.workers.update(func() { is.Equal(r.workers.startsByTask[submission.Ref{Submission: "s"}], 1) })
+	})
+}
+
 // Guards against members of a gang that wait until their worker gives up because another member does not start.
 func TestIncompleteGangIsStopped(t *testing.T) {
 	withHarness(t, time.Second, []string{"a", "b"}, func(is *is.I, r *harness) {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -13,6 +14,9 @@
 	stallTimeout = 1300 * time.Millisecond
 	// stallQuarantineThreshold is the number of tasks that must stall on a worker at the same time for it to be quarantined.
 	stallQuarantineThreshold = 2
+	// percentSlack is how many times longer than expected a task may take for one percent where its worker states whole percents only. The
+	// estimate of a task's time is rough, and a task may be far from its data.
+	percentSlack = 8
 	// minCPUUse is the fraction of its declared processor time that a filling task must use to be expected to make progress.
 	minCPUUse = 0.2
 )
@@ -21,6 +25,16 @@
 type progress struct {
 	percent   float64
 	changedAt time.Duration // when percent last changed or the attempt had a reason not to progress
+	// fine is true once the worker has stated a part of a percent.
+	fine bool
+}
+
+// stalledAfter returns for how long the percent of a task at full speed may stay the same, given the estimate of its time.
+func (p progress) stalledAfter(estimate time.Duration) time.Duration {
+	if p.fine {
+		return stallTimeout
+	}
+	return stallTimeout + percentSlack*estimate/100
 }
 
 // restartStalled restarts stalled tasks on other workers. It detects workers on which tasks hang although the workers report
@@ -54,10 +68,10 @@
 			// Lack of progress is no fault in a filling task without processor time, a throttled task, or a gang waiting for members.
 			starved := step.GetFills() && running.Figure < minCPUUse*float64(step.GetSize().GetMillicores())
 			if running.Percent != r.progress.percent || r.progress.changedAt == 0 || starved || step.GetGang() || s.speedLimit(ref, running.Attempt) < fullSpeed {
-				r.progress = progress{percent: running.Percent, changedAt: now}
+				r.progress = progress{percent: running.Percent, changedAt: now, fine: r.progress.fine || running.Percent != math.Trunc(running.Percent)}
 				continue
 			}
-			if now-r.progress.changedAt > stallTimeout {
+			if now-r.progress.changedAt > r.progress.stalledAfter(time.Duration(step.GetEstimateMs())*time.Millisecond) {
 				stalled = append(stalled, ref)
 			}
 		}
