--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -34,7 +34,7 @@
 	if p.fine {
 		return stallTimeout
 	}
-	return stallTimeout + percentSlack*estimate/100
+	return max(stallTimeout, percentSlack*estimate/100)
 }
 
 // restartStalled restarts stalled tasks on other workers. It detects workers on which tasks hang although the workers report
