--- a/internal/control/operations_test.go
+++ b/internal/control/operations_test.go
@@ -10,17 +10,21 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
+// applyTo applies a change to a state like a committed entry.
+func applyTo(t *testing.T, state *submission.State, change *pb.SubmissionChange) {
+	t.Helper()
+	entry, err := proto.Marshal(&pb.SubmissionEntry{Changes: []*pb.SubmissionChange{change}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	state.Apply(1, 1, entry)
+}
+
 // Guards against a cancellation that times out on slow disks though its submission has ended, and against one that is acknowledged without effect.
 func TestOnlyCancellationsOfEndedSubmissionsNeedNoLogEntry(t *testing.T) {
 	is := is.New(t)
 	c := &Control{state: submission.New(1000, nil)}
-	index := uint64(0)
-	apply := func(change *pb.SubmissionChange) {
-		entry, err := proto.Marshal(&pb.SubmissionEntry{Changes: []*pb.SubmissionChange{change}})
-		is.NoErr(err)
-		index++
-		c.state.Apply(index, 1, entry)
-	}
+	apply := func(change *pb.SubmissionChange) { applyTo(t, c.state, change) }
 	apply(&pb.SubmissionChange{Change: &pb.SubmissionChange_Config{Config: &pb.ServiceConfig{Version: 1,
 		Queues: []*pb.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "pool", Attempts: 1, Stretch: 1, TimeoutMs: 1}}, Pools: []*pb.Pool{{Name: "pool"}}}}})
 	is.True(!c.hasEnded("s")) // unknown
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -16,11 +16,7 @@
 	is := is.New(t)
 	c := &Control{state: submission.New(1000, nil)}
 	worker := &pb.PoolWorker{Id: "w", BornUnixMs: 5, Pool: "p", Address: "10.0.0.9:80", FailureDomain: "d", Vm: "m", Capacity: &pb.Resources{Millicores: 1000}}
-	apply := func(change *pb.SubmissionChange) {
-		entry, err := proto.Marshal(&pb.SubmissionEntry{Changes: []*pb.SubmissionChange{change}})
-		is.NoErr(err)
-		c.state.Apply(1, 1, entry)
-	}
+	apply := func(change *pb.SubmissionChange) { applyTo(t, c.state, change) }
 	report := func(change func(*pb.PoolReport)) *pb.PoolReport {
 		r := &pb.PoolReport{Worker: proto.CloneOf(worker), Sequence: 3}
 		change(r)
--- a/internal/intake/call_test.go
+++ b/internal/intake/call_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -56,8 +55,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = i.Close() })
-	for began := time.Now(); !i.Ready() && time.Since(began) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
-	}
+	eventually(t, i.Ready)
 	return i, leader
 }
 
