Test of odd ends of connections judges one sample, after the server has accepted the connection

The test allows 10 s.

Cause, in the test: it waited until nothing was held, then read the account a second time and judged that. A client that closes at once can be gone before the server has accepted its connection: nothing is held yet, the wait ends, and the second reading may fall after the connection was accepted.

Change: the test counts the connections that were accepted, and judges one sample: all of them accepted, and nothing held. That is stricter: no client is judged before its connection is known. The bound of 10 s, the clients and the ends are the same.

--- a/internal/httplimit/server_test.go
+++ b/internal/httplimit/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,10 +208,13 @@
 	}
 	protected := Protect(server, listener, "odd", plenty, zerolog.Nop())
 	budget := protected.(*protectedListener).budget
-	go func() { _ = server.Serve(protected) }()
+	var accepted atomic.Int64
+	go func() { _ = server.Serve(countingListener{protected, &accepted}) }()
 	defer server.Close()
+	opened := int64(0)
 	for name, sent := range sends {
 		for _, end := range []string{"closes", "resets", "half closes"} {
+			opened++
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -225,19 +229,32 @@
 				_, _ = io.Copy(io.Discard, conn)
 			}
 			conn.Close()
-			held := func() (int64, int) {
+			held := func() (bytes int64, open int, known int64) {
 				budget.mu.Lock()
 				defer budget.mu.Unlock()
-				return budget.used, budget.connections + budget.disconnecting
+				return budget.used, budget.connections + budget.disconnecting, accepted.Load()
 			}
-			for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(time.Millisecond) {
-				if bytes, open := held(); bytes == 0 && open == 0 {
-					break
-				}
+			bytes, open, known := held()
+			for began := time.Now(); (bytes != 0 || open != 0 || known != opened) && time.Since(began) < 10*time.Second; bytes, open, known = held() {
+				time.Sleep(time.Millisecond)
 			}
-			if bytes, open := held(); bytes != 0 || open != 0 {
-				t.Fatalf("a client that sends %q and %s leaves %d bytes and %d connections", name, end, bytes, open)
+			if bytes != 0 || open != 0 || known != opened {
+				t.Fatalf("a client that sends %q and %s leaves %d bytes and %d connections; %d of %d connections were accepted", name, end, bytes, open, known, opened)
 			}
 		}
 	}
 }
+
+// countingListener counts the connections that it has accepted.
+type countingListener struct {
+	net.Listener
+	accepted *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
+}
