An intake VM that restarts behind a partition is found by others, which forward its requests

Callers saw: 503 from intake VMs that were cut off from the control VMs, from a restart of all processes until the end, so that the state of submissions could not be read there (LOST, 'no answer came in time about job').

Cause: a restarted intake VM knows the seeds only. What it knew of other intake VMs, and what these and the control VMs knew of it, was in memory.

Change: the replicated state holds the intake VMs. An entry is committed when one is new or has moved; one that is silent for 10 min is removed. The leader names those that it has not heard from for 2 s to three others each, which connect to them and offer to forward. The list of forwarders is asked for every 2 s instead of every 4 s, also right after the first answer.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -24,7 +24,7 @@
 		}
 		answer := c.membersAnswer()
 		if r.GetWantsForwarders() {
-			answer.Forwarders = c.relay.IntakesNear(from, maxForwarders)
+			answer.Forwarders, answer.SilentIntakes = c.relay.IntakesNear(from, maxForwarders), c.silentIntakes(from)
 		}
 		return answer
 	})
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,6 +59,8 @@
 	forwarded forwardedReports
 	admission admission
 	large     *fleet.LargeCalls
+	// offers holds, by intake VM, the silent ones to which it offers to forward requests. It is nil unless this VM leads.
+	offers atomic.Pointer[map[string][]string]
 
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -150,6 +153,7 @@
 	c.goroutines.Go(c.followRole)
 	c.goroutines.Go(c.followMembers)
 	c.goroutines.Go(c.announce)
+	c.goroutines.Go(c.followIntakes)
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,8 +33,11 @@
 	MethodWaveOutcome = "wave.outcome"
 )
 
-// MethodForward is the method that intake VMs call on each other.
-const MethodForward = "intake.forward"
+// Methods that intake VMs call on each other.
+const (
+	MethodForward = "intake.forward"
+	MethodOffer   = "intake.offer"
+)
 
 // Transport carries calls and messages between the VMs of a deployment that has no static list of VMs. The id of a VM is
 // its IP address, and all VMs use the same port.
--- a/internal/intake/call.go
+++ b/internal/intake/call.go
@@ -125,9 +125,7 @@
 		return
 	}
 	i.setLeader(leader)
-	if err := i.transport.Connect(leader); err != nil {
-		i.log.Warn().Str("event", "connect-failed").Str("vm", leader).Err(err).Msg("")
-	}
+	i.connect(leader)
 }
 
 // callOnce makes a single call to a control VM, bounded by attemptTimeout.
--- a/internal/intake/forward_test.go
+++ b/internal/intake/forward_test.go
@@ -24,6 +24,7 @@
 	cutOff, allCutOff   atomic.Bool
 	submitted, bySecond atomic.Int32
 	result              pb.IntakeResult
+	port                int
 }
 
 func newCutOffFleet(t *testing.T, result pb.IntakeResult) *cutOffFleet {
@@ -33,7 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = leader.Close() })
-	f := &cutOffFleet{result: result}
+	f := &cutOffFleet{result: result, port: port}
 	answer := func(method string, answer func(from string) proto.Message) {
 		leader.HandleCall(method, func(ctx context.Context, from string, _ []byte) (proto.Message, error) {
 			if f.allCutOff.Load() || f.cutOff.Load() && from == intakeIP {
@@ -44,7 +45,11 @@
 		})
 	}
 	answer(fleet.MethodMembers, func(from string) proto.Message {
-		return &pb.MembersAnswer{Members: []string{followerIP}, Leader: followerIP, Forwarders: []string{map[string]string{intakeIP: secondIP, secondIP: intakeIP}[from]}}
+		answer := &pb.MembersAnswer{Members: []string{followerIP}, Leader: followerIP, Forwarders: []string{map[string]string{intakeIP: secondIP, secondIP: intakeIP}[from]}}
+		if from == secondIP && f.cutOff.Load() {
+			answer.SilentIntakes = []string{intakeIP}
+		}
+		return answer
 	})
 	for _, method := range []string{fleet.MethodSubmit, fleet.MethodState, fleet.MethodCancel} {
 		answer(method, func(from string) proto.Message {
@@ -104,6 +109,24 @@
 	eventually(t, func() bool { return f.first.Ready() && !f.first.transport.Reachable(secondIP) })
 }
 
+// Guards against an intake VM that refuses all requests after a restart behind a partition, as it then knows no other that could serve them.
+func TestIntakeVMThatRestartsWhileItIsCutOffForwardsRequests(t *testing.T) {
+	is := is.New(t)
+	f := newCutOffFleet(t, pb.IntakeResult_INTAKE_RESULT_OK)
+	f.cut(t)
+	is.NoErr(f.first.Close())
+	restarted := f.open(t, intakeIP, f.port)
+	eventually(t, func() bool {
+		answer, err := restarted.Submit(t.Context(), &pb.IntakeSubmit{Path: "/q/1"})
+		return err == nil && answer.GetResult() == pb.IntakeResult_INTAKE_RESULT_OK
+	})
+	is.True(!restarted.Ready()) // callers should still come to others first
+	f.cutOff.Store(false)
+	eventually(t, func() bool {
+		return restarted.Ready() && !restarted.transport.Reachable(secondIP) && !f.second.transport.Reachable(intakeIP)
+	})
+}
+
 // Guards against a forwarded request that is reported as not run although it may have been.
 func TestForwardedRequestWithoutAnswerHasUnknownOutcome(t *testing.T) {
 	is := is.New(t)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -42,6 +42,9 @@
 	members    []string
 	leader     string
 	forwarders []string // intake VMs that may reach the leader while this one does not, nearest first
+	silent     []string // intake VMs that the leader does not hear from, to which this one offers to forward
+	unoffered  []string // those of them that have not got an offer since they were listed
+	listedAt   time.Time
 
 	limits       atomic.Pointer[pb.IntakeLimits]
 	leaderSeenAt atomic.Int64 // nanoseconds after start at which a control VM last named a leader that this VM reaches; -1 if none has
@@ -65,6 +68,7 @@
 	i.relay = relay.New(relay.Config{ID: s.GetId(), FailureDomain: s.GetFailureDomain(), Intake: true, Local: caller, Messenger: transport, Logger: log})
 	transport.Handle(relay.Channel, i.relay.Handle)
 	transport.HandleCall(fleet.MethodForward, i.handleForward)
+	transport.HandleCall(fleet.MethodOffer, i.handleOffer)
 	i.leaderSeenAt.Store(-1)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.members = i.seeds
@@ -94,9 +98,14 @@
 	i.seeds = append([]string(nil), vms...)
 	i.mu.Unlock()
 	for _, vm := range vms {
-		if err := i.transport.Connect(vm); err != nil {
-			i.log.Warn().Str("event", "connect-failed").Str("vm", vm).Err(err).Msg("")
-		}
+		i.connect(vm)
+	}
+}
+
+// connect starts to connect to a VM unless it is connected.
+func (i *Intake) connect(vm string) {
+	if err := i.transport.Connect(vm); err != nil {
+		i.log.Warn().Str("event", "connect-failed").Str("vm", vm).Err(err).Msg("")
 	}
 }
 
@@ -115,6 +124,7 @@
 	defer ticker.Stop()
 	for next := 0; ; next++ {
 		i.refreshMembers(next)
+		i.offerForward()
 		select {
 		case <-ticker.C:
 		case <-i.ctx.Done():
@@ -138,7 +148,9 @@
 	}
 	ctx, cancel := context.WithTimeout(i.ctx, membersTimeout)
 	defer cancel()
-	request, answer := &pb.MembersRequest{WantsForwarders: round%forwardersRounds == 0}, &pb.MembersAnswer{}
+	i.mu.Lock()
+	request, answer := &pb.MembersRequest{WantsForwarders: time.Since(i.listedAt) > forwardersInterval}, &pb.MembersAnswer{}
+	i.mu.Unlock()
 	if !i.draining.Load() {
 		request.FailureDomain, request.ClockMs = i.failureDomain, i.relay.ClockMs()
 	}
@@ -146,6 +158,9 @@
 		i.forgetLeader(vm)
 		return
 	}
+	if request.GetWantsForwarders() {
+		i.setForwarders(answer)
+	}
 	i.updateMembers(answer)
 }
 
@@ -166,29 +181,26 @@
 	if len(answer.GetMembers()) > 0 {
 		i.members = answer.GetMembers()
 	}
-	if len(answer.GetForwarders()) > 0 {
-		i.forwarders = answer.GetForwarders()
-	}
 	known := slices.Clone(i.members)
-	kept := slices.Concat(known, i.seeds)
+	kept := slices.Concat(known, i.seeds, i.silent)
 	if !i.Ready() {
 		kept = append(kept, i.forwarders...)
 	}
 	i.mu.Unlock()
 	for _, vm := range known {
-		if err := i.transport.Connect(vm); err != nil {
-			i.log.Warn().Str("event", "connect-failed").Str("vm", vm).Err(err).Msg("")
-		}
+		i.connect(vm)
 	}
 	i.transport.KeepOnly(kept)
 }
 
 // reachable returns a connected control VM, the next one with each round, or "" if there is none.
 func (i *Intake) reachable(round int) string {
-	vms, forwarders := i.transport.Peers(), i.knownForwarders()
+	i.mu.Lock()
+	intakes := slices.Concat(i.forwarders, i.silent)
+	i.mu.Unlock()
 	var found []string
-	for _, vm := range vms {
-		if i.transport.Reachable(vm) && !slices.Contains(forwarders, vm) {
+	for _, vm := range i.transport.Peers() {
+		if i.transport.Reachable(vm) && !slices.Contains(intakes, vm) {
 			found = append(found, vm)
 		}
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -64,6 +64,13 @@
 	return order[failedRoutes%len(order)]
 }
 
+// Nearest returns the ids of up to n of the agents, without vm and with those in its failure domain first.
+func Nearest(agents []Agent, vm, failureDomain string, n int) []string {
+	sameDomain, otherDomains := nearAndFar(agents, vm, failureDomain)
+	vms := slices.DeleteFunc(slices.Concat(sameDomain, otherDomains), func(id string) bool { return id == vm })
+	return vms[:min(n, len(vms))]
+}
+
 // nearAndFar returns the ids of the agents in the worker's failure domain and of the others, each list in an order that differs by
 // worker and depends on nothing else.
 func nearAndFar(agents []Agent, worker, failureDomain string) (sameDomain, otherDomains []string) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,7 +14,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"slices"
 	"sync"
 	"time"
 
@@ -242,6 +241,13 @@
 	return vms
 }
 
+// Intakes returns the intake VMs that have offered to make calls of late.
+func (r *Relay) Intakes() []Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return alive(r.intakes, r.cfg.Clock(), intakeTimeout)
+}
+
 // IntakesNear returns up to n intake VMs that have offered to make calls of late, without vm and with those in its failure domain first.
 func (r *Relay) IntakesNear(vm string, n int) []string {
 	r.mu.Lock()
@@ -250,9 +256,7 @@
 	if a := r.intakes[vm]; a != nil {
 		failureDomain = a.failureDomain
 	}
-	near, far := nearAndFar(alive(r.intakes, r.cfg.Clock(), intakeTimeout), vm, failureDomain)
-	vms := slices.DeleteFunc(slices.Concat(near, far), func(id string) bool { return id == vm })
-	return vms[:min(n, len(vms))]
+	return Nearest(alive(r.intakes, r.cfg.Clock(), intakeTimeout), vm, failureDomain, n)
 }
 
 // AgentFor returns the control VM that calls a worker unless calls through it fail, or "" for this VM.
--- a/internal/submission/change.go
+++ b/internal/submission/change.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lentilyard/lentilyard/internal/pb"
 )
 
@@ -348,6 +350,15 @@
 	return true
 }
 
+// setIntake adds, replaces or removes an intake VM.
+func (s *State) setIntake(c *pb.IntakeVM) bool {
+	known := s.intakes[c.GetId()]
+	if s.intakes[c.GetId()] = c; c.GetGone() {
+		delete(s.intakes, c.GetId())
+	}
+	return !proto.Equal(known, s.intakes[c.GetId()])
+}
+
 // expireInterval is the number of entries between two removals of old records.
 const expireInterval = 256
 
--- a/internal/submission/snapshot.go
+++ b/internal/submission/snapshot.go
@@ -36,6 +36,9 @@
 	for _, number := range slices.Sorted(maps.Keys(s.waves)) {
 		out.Waves = append(out.Waves, s.waves[number])
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.intakes)) {
+		out.Intakes = append(out.Intakes, s.intakes[id])
+	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
@@ -119,6 +122,9 @@
 	for _, wave := range in.GetWaves() {
 		s.addWave(wave)
 	}
+	for _, intake := range in.GetIntakes() {
+		s.setIntake(intake)
+	}
 	for _, r := range in.GetSubmissions() {
 		s.restoreSubmission(r)
 	}
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -244,6 +244,7 @@
 	active      map[string]*Submission
 	workers     map[string]*Worker
 	waves       map[uint64]*pb.Wave
+	intakes     map[string]*pb.IntakeVM
 	unixMs      int64 // latest time of an applied entry
 	version     uint64
 	weight      int64 // the sum for submissions, see Weight
@@ -269,6 +270,7 @@
 	s.queues, s.pools = map[string]*pb.Queue{}, map[string]*pb.Pool{}
 	s.submissions, s.active = map[string]*Submission{}, map[string]*Submission{}
 	s.workers, s.waves = map[string]*Worker{}, map[uint64]*pb.Wave{}
+	s.intakes = map[string]*pb.IntakeVM{}
 	s.unixMs, s.weight = 0, 0
 }
 
@@ -340,6 +342,8 @@
 		return Result{Applied: s.setLeave(c.Leave)}
 	case *pb.SubmissionChange_Silence:
 		return Result{Applied: s.setSilence(c.Silence)}
+	case *pb.SubmissionChange_Intake:
+		return Result{Applied: s.setIntake(c.Intake)}
 	}
 	return Result{}
 }
@@ -368,6 +372,9 @@
 // Workers returns the latest known incarnation of each worker, by worker id.
 func (s *State) Workers() map[string]*Worker { return s.workers }
 
+// Intakes returns the intake VMs that are known, by id.
+func (s *State) Intakes() map[string]*pb.IntakeVM { return s.intakes }
+
 // Waves returns the maintenance waves by number.
 func (s *State) Waves() map[uint64]*pb.Wave { return s.waves }
 
