A worker that has left and is back behind a cut is called, and used

It stayed unknown until they did.

Causes: the answer of a later incarnation to the call that follows a leave was taken as proof of the end only, and the incarnation in it was dropped; a worker that had left was not called again, unlike one that was silent; and the search for another worker on its VM left those out that had reported their leave.

Change: such an answer registers the incarnation, as an answer to a hold does. A worker that has ended is called 1, 3, 7, 15 and 31 s later, also by a new leader, unless another one is known at its address; if another worker refuses the call, the platform is asked for it.

TestReplacementOfWorkerThatHasLeftIsUsedWithoutReport fails without the change ('0 != 2').

--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -10,54 +11,99 @@
 )
 
 // A worker that has been silent for so long that its session was closed is called again from time to time: it may be reached again while
-// its reports do not arrive.
+// its reports do not arrive. One that has ended is called for a while, too: it may have restarted under its id.
 
 const (
-	// formerInterval is the interval between two calls to a worker without a session.
+	// formerInterval is the interval between two calls to a silent worker without a session.
 	formerInterval = 5 * time.Second
 	// formerTimeout is how long such a worker is called.
 	formerTimeout = 10 * time.Minute
+	// endedPause is the time until the first call to a worker that has ended. It doubles with each call.
+	endedPause = time.Second
+	// endedTimeout is how long a worker that has ended is called.
+	endedTimeout = time.Minute
 	// maxFormerCalls bounds the number of such calls at a time.
 	maxFormerCalls = 32
 )
 
-// formerWorker is a worker whose session was closed because the worker was silent.
+// formerWorker is a worker without a session, which was silent or, if ended is true, has ended.
 type formerWorker struct {
 	id                 string
+	ended              bool
 	closedAt, calledAt time.Duration
+	pause              time.Duration // from one call to the next
 }
 
+// addFormer adds a worker whose session was closed because it was silent.
 func (l *Leader) addFormer(id string, now time.Duration) {
-	l.former[id] = &formerWorker{id: id, closedAt: now, calledAt: now}
+	l.former[id] = &formerWorker{id: id, closedAt: now, calledAt: now, pause: formerInterval}
+}
+
+// addEnded adds a worker that has ended.
+func (l *Leader) addEnded(id string, now time.Duration) {
+	l.former[id] = &formerWorker{id: id, ended: true, closedAt: now, calledAt: now, pause: endedPause}
+}
+
+// takeOverEnded adds the workers that have ended and whose addresses no other one is known to have. The previous leader may not have found
+// those that have restarted.
+func (l *Leader) takeOverEnded(state *submission.State) {
+	occupied := map[string]bool{}
+	for _, w := range state.Workers() {
+		occupied[w.GetAddress()] = occupied[w.GetAddress()] || !w.GetGone()
+	}
+	for id, w := range state.Workers() {
+		if w.GetGone() && !occupied[w.GetAddress()] {
+			l.addEnded(id, l.termStart)
+		}
+	}
+}
+
+// outdated reports whether a worker has been called for long enough.
+func (f *formerWorker) outdated(now time.Duration) bool {
+	if f.ended {
+		return now-f.closedAt > endedTimeout
+	}
+	return now-f.closedAt > formerTimeout
+}
+
+// call records that a worker is called now.
+func (f *formerWorker) call(now time.Duration) {
+	if f.calledAt = now; f.ended {
+		f.pause *= 2
+	}
 }
 
 // callFormerWorkers calls the workers without a session whose turn has come, those first that were called longest ago.
 func (l *Leader) callFormerWorkers(now time.Duration) {
-	maps.DeleteFunc(l.former, func(id string, f *formerWorker) bool { return l.sessions[id] != nil || now-f.closedAt > formerTimeout })
-	due := slices.DeleteFunc(slices.Collect(maps.Values(l.former)), func(f *formerWorker) bool { return now-f.calledAt < formerInterval })
+	maps.DeleteFunc(l.former, func(id string, f *formerWorker) bool { return l.sessions[id] != nil || f.outdated(now) })
+	due := slices.DeleteFunc(slices.Collect(maps.Values(l.former)), func(f *formerWorker) bool { return now-f.calledAt < f.pause })
 	slices.SortFunc(due, func(a, b *formerWorker) int {
 		return cmp.Or(cmp.Compare(a.calledAt, b.calledAt), cmp.Compare(a.id, b.id))
 	})
 	for _, f := range due[:min(len(due), maxFormerCalls)] {
-		f.calledAt = now
-		l.callFormer(f.id)
+		f.call(now)
+		l.callFormer(f.id, f.ended)
 	}
 }
 
-// callFormer opens a session with a worker, or with its next incarnation, if it answers.
-func (l *Leader) callFormer(id string) {
+// callFormer opens a session with a worker, or with its next incarnation, if it answers. If another worker does, it is searched for.
+func (l *Leader) callFormer(id string, ended bool) {
 	known, ctx := l.knownWorker(id), l.ctx
-	if known == nil || known.GetGone() {
+	if known == nil || known.GetGone() && !ended {
 		delete(l.former, id)
 		return
 	}
 	target := Target{Incarnation: submission.Incarnation{ID: id, BornUnixMs: known.GetBornUnixMs()}, Address: known.GetAddress(),
 		FailureDomain: known.GetFailureDomain(), Fence: l.fenceFor(id)}
 	l.pool.Submit(func() {
-		answer, ok := l.askRepeatedly(ctx, target)
+		answer, err := l.askRepeatedly(ctx, target)
 		l.post(func() {
 			switch {
-			case !ok || l.ctx != ctx || l.sessions[id] != nil:
+			case l.ctx != ctx || l.sessions[id] != nil:
+			case errors.Is(err, ErrOtherIncarnation):
+				delete(l.former, id)
+				l.addMissing(known)
+			case err != nil:
 			case answer.BornUnixMs == known.GetBornUnixMs():
 				l.syncSession(id)
 			default:
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -285,6 +285,7 @@
 		}
 		l.takeOverUncertainStarts(s)
 		l.takeOverMissing(s)
+		l.takeOverEnded(s)
 		l.waves.mayOrderAt = l.firstOrderAt(len(s.Waves()) > 0)
 	})
 }
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -147,12 +147,13 @@
 		callCtx, cancel := context.WithTimeout(ctx, leaveProbeTimeout)
 		defer cancel()
 		answer, err := l.cfg.Caller.Hold(callCtx, HoldCall{Target: target})
-		if err == nil && s.answeredByOther(answer) {
-			err = ErrOtherIncarnation
-		}
 		l.post(func() {
 			watch.probing = false
-			if l.ctx == ctx && l.sessions[s.incarnation.ID] == s && s.leave == watch {
+			switch {
+			case l.ctx != ctx || l.sessions[s.incarnation.ID] != s || s.leave != watch:
+			case err == nil && s.answeredByOther(answer):
+				l.onSuccessorAnswer(s, answer)
+			default:
 				l.onLeaveEvidence(s, now, err)
 			}
 		})
@@ -170,6 +171,7 @@
 		l.recordReplacement(s)
 		l.commitWorkerGone(&pb.WorkerGone{Id: s.incarnation.ID, BornUnixMs: s.incarnation.BornUnixMs, Saved: s.savedProgress()})
 		l.closeSession(s)
+		l.addEnded(s.incarnation.ID, l.cfg.Clock())
 		return true
 	case leaveReplaced:
 		l.recordReplacement(s)
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -164,9 +165,9 @@
 	ctx := l.ctx
 	target := Target{Incarnation: submission.Incarnation{ID: w.GetId()}, Address: w.GetAddress(), FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
 	l.pool.Submit(func() {
-		answer, ok := l.askRepeatedly(ctx, target)
+		answer, err := l.askRepeatedly(ctx, target)
 		l.post(func() {
-			if !ok || l.ctx != ctx || l.knownWorker(w.GetId()) != nil {
+			if err != nil || l.ctx != ctx || l.knownWorker(w.GetId()) != nil {
 				return
 			}
 			w.BornUnixMs = answer.BornUnixMs
@@ -175,15 +176,20 @@
 	})
 }
 
-// askRepeatedly asks a worker that another VM may reach although this one does not.
-func (l *Leader) askRepeatedly(ctx context.Context, t Target) (HoldAnswer, bool) {
+// askRepeatedly asks a worker that another VM may reach although this one does not. Without an answer it returns the error of the last call.
+func (l *Leader) askRepeatedly(ctx context.Context, t Target) (HoldAnswer, error) {
+	var err error
 	for range successorAttempts {
-		answer, err := l.probeTarget(ctx, t)
-		if err == nil && answer.BornUnixMs > 0 {
-			return answer, true
+		var answer HoldAnswer
+		answer, err = l.probeTarget(ctx, t)
+		switch {
+		case err == nil && answer.BornUnixMs > 0 || errors.Is(err, ErrOtherIncarnation):
+			return answer, err
+		case err == nil:
+			err = ErrNoAnswer // of a worker that is not known
 		}
 	}
-	return HoldAnswer{}, false
+	return HoldAnswer{}, err
 }
 
 // isInferred reports whether the record of a worker incarnation was not taken from a report. The platform numbers reports from 1 on.
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -173,15 +173,43 @@
 func TestWorkerThatRestartsAfterItsLeaveIsUsed(t *testing.T) {
 	for _, downtime := range []time.Duration{0, 150 * time.Millisecond, 2 * time.Second} {
 		t.Run(downtime.String(), func(t *testing.T) {
-			withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
-				r.leaves("a")
-				r.workers.update(func() { r.workers.byID["a"].refusing = downtime > 0 })
-				time.Sleep(downtime)
-				r.restart("a", 77, func(*fakeWorker) {})
-				r.submit("after", 2, nil)
-				time.Sleep(maxOutage)
-				is.Equal(r.describe("after"), "done")
-			})
+			for _, newLeader := range []bool{false, true} {
+				withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+					r.leaves("a")
+					r.workers.update(func() { r.workers.byID["a"].refusing = downtime > 0 })
+					time.Sleep(downtime)
+					if newLeader {
+						r.replaceLeader(6)
+					}
+					r.restart("a", 77, func(*fakeWorker) {})
+					r.submit("after", 2, nil)
+					time.Sleep(maxOutage)
+					is.Equal(r.describe("after"), "done")
+				})
+			}
+		})
+	}
+}
+
+// Guards against a VM that stays unused because its worker had reported its leave before one under another id took its place without a report.
+func TestReplacementOfWorkerThatHasLeftIsUsedWithoutReport(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+			platform := &listing{}
+			r.platform = platform
+			r.replaceLeader(6)
+			time.Sleep(time.Second)
+			r.leaves("a")
+			r.workers.update(func() { r.workers.byID["a"].refusing = true })
+			time.Sleep(time.Second)
+			if newLeader {
+				r.replaceLeader(7)
+			}
+			r.workers.update(func() { r.workers.byID["a"].refusing = false })
+			r.replaceUnreported(platform)
+			r.submit("s", 2, endless)
+			time.Sleep(maxOutage)
+			is.Equal(r.running("b"), 2)
 		})
 	}
 }
