--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -68,5 +68,6 @@
 // The initial voter with the lowest VM id asks all other initial voters whether
 // they hold any state, and writes the first membership if none of them does. The
 // membership contains a random group id. Messages with another group id are
-// rejected.
+// rejected. A member that restarts without entries is a new incarnation with the same list of
+// initial voters, which is kept on its disk.
 package raft
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -80,7 +80,7 @@
 	Machine  StateMachine
 	// Open lets VMs join that are not listed. Voters are then the VMs that
 	// bootstrap the group at its first start; at every later start Voters is
-	// empty.
+	// empty, and a VM without entries takes those of its first start from its disk.
 	Open bool
 	// Contacts are ids of VMs, other than known members, through which this VM
 	// tries to find the group.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -67,6 +67,8 @@
 	openFS   map[string]func(string) (wal.FS, error)
 	every    uint64              // SnapshotEvery of all hosts
 	newState func() StateMachine // replaces listMachine
+	open     bool
+	contacts []string
 	nodes    map[string]*node
 }
 
@@ -112,7 +114,7 @@
 	if c.newState != nil {
 		machine = c.newState()
 	}
-	n.group, err = host.AddGroup(GroupConfig{Name: "g", Voters: c.voters, Learners: c.learners, Machine: machine})
+	n.group, err = host.AddGroup(GroupConfig{Name: "g", Voters: c.voters, Learners: c.learners, Machine: machine, Open: c.open, Contacts: c.contacts})
 	if err = errors.Join(err, host.Start()); err != nil {
 		c.t.Fatalf("start %s: %v", vm, err)
 	}
--- /dev/null
+++ b/internal/replica/first_start_test.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// firstStart starts three VMs of an open group for the first time, all but vm-a, which has ended right after its start.
+func firstStart(t *testing.T) *cluster {
+	vms := []string{"vm-a", "vm-b", "vm-c"}
+	c := newCluster(t, vms, nil, vms)
+	c.open, c.contacts = true, vms
+	c.start("vm-a")
+	c.stop("vm-a")
+	c.start("vm-b")
+	c.start("vm-c")
+	c.voters = nil // at every later start
+	return c
+}
+
+// Guards against a group that never forms because the VM that has to write the first membership restarts before it has.
+func TestGroupFormsThoughItsFirstVMRestarts(t *testing.T) {
+	is := is.New(t)
+	c := firstStart(t)
+	c.start("vm-a")
+	c.propose("1")
+	c.eventually("all applied", func() bool { return c.allApplied(1) })
+	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
+		c.stop(vm)
+		c.start(vm)
+	}
+	c.propose("2")
+	c.eventually("all applied after restarts", func() bool { return c.allApplied(2) })
+	is.Equal(c.nodes["vm-a"].machine.list(), []string{"1", "2"})
+}
+
+// Guards against a second group, formed by a VM that keeps the initial voters on its disk and has lost the rest, beside one that has state.
+func TestVMWithInitialVotersFormsNoSecondGroup(t *testing.T) {
+	is := is.New(t)
+	c := firstStart(t)
+	is.NoErr(os.CopyFS(c.folders["vm-a"]+"-copy", os.DirFS(c.folders["vm-a"])))
+	c.start("vm-a")
+	c.propose("1")
+	c.eventually("all applied", func() bool { return c.allApplied(1) })
+	c.stop("vm-a")
+	is.NoErr(os.RemoveAll(c.folders["vm-a"]))
+	is.NoErr(os.Rename(c.folders["vm-a"]+"-copy", c.folders["vm-a"]))
+	c.network.Isolate("vm-a", true)
+	c.start("vm-a")
+	time.Sleep(time.Second)
+	is.Equal(c.nodes["vm-a"].group.Status().Commit, uint64(0))
+	c.network.Isolate("vm-a", false)
+	c.eventually("all applied", func() bool { return c.allApplied(1) })
+}
--- a/internal/replica/full.go
+++ b/internal/replica/full.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		disk, state, err := openDisk(fs, g.cfg.Open)
+		disk, state, err := openDisk(fs, g.cfg.Open, g.cfg.Voters)
 		if !errors.Is(err, wal.ErrDiskFull) || time.Since(began) > startRoomTimeout {
 			return disk, state, err
 		}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -115,12 +115,16 @@
 }
 
 func (g *Group) startNode(state *recoveredState) error {
+	voters := g.cfg.Voters
+	if len(voters) == 0 {
+		voters = state.initialVoters
+	}
 	node, err := raft.New(raft.Config{
 		Self:           raft.ID{VM: g.host.cfg.ID, Incarnation: state.identity.GetIncarnation()},
 		Boot:           state.identity.GetBoot(),
 		Start:          state.identity.GetStart(),
 		Restarted:      state.restarted,
-		Voters:         g.cfg.Voters,
+		Voters:         voters,
 		Learners:       g.cfg.Learners,
 		Open:           g.cfg.Open,
 		Contacts:       g.cfg.Contacts,
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	disk, state, err := openDisk(fs, false)
+	disk, state, err := openDisk(fs, false, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -22,6 +22,8 @@
 	hardState *pb.RaftHardState
 	snapshot  *pb.RaftSnapshot
 	entries   []*pb.RaftEntry
+	// initialVoters is set for a member of an open group without entries that was started with them.
+	initialVoters []string
 }
 
 // storage persists the state of one member. Each operation reports its result
@@ -89,8 +91,9 @@
 const storageQueueLength = 4
 
 // openDisk recovers the state in a folder and persists the identity of this start. A member of an open group that holds
-// neither a snapshot nor entries starts as a new incarnation, since no voter could confirm its boot counter.
-func openDisk(fs wal.FS, open bool) (*diskStorage, *recoveredState, error) {
+// neither a snapshot nor entries starts as a new incarnation, since no voter could confirm its boot counter. It keeps the initial voters that
+// its first start was given, since it may be the one that has to write the first membership.
+func openDisk(fs wal.FS, open bool, initialVoters []string) (*diskStorage, *recoveredState, error) {
 	log, found, err := wal.Open(fs, wal.Options{})
 	if err != nil {
 		return nil, nil, err
@@ -99,7 +102,10 @@
 		onDiskFull: func(error) {}, closing: make(chan struct{})}
 	state, err := s.recover(found)
 	if err == nil && open && state.snapshot == nil && len(state.entries) == 0 {
-		state = &recoveredState{}
+		if len(initialVoters) == 0 {
+			initialVoters = state.identity.GetInitialVoters()
+		}
+		state = &recoveredState{initialVoters: initialVoters}
 	}
 	if err == nil {
 		err = s.beginBoot(state)
@@ -159,6 +165,7 @@
 	switch {
 	case previous == nil:
 		state.identity = newIdentity()
+		state.identity.InitialVoters = state.initialVoters
 	case previous.GetBoot() <= state.hardState.GetConfirmedBoot():
 		state.identity = &pb.RaftIdentity{Incarnation: previous.GetIncarnation(), Boot: previous.GetBoot() + 1, Start: randomNonZero()}
 	}
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, state, err := openDisk(fs, false)
+	s, state, err := openDisk(fs, false, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
