Submission and dispatch: workers and commits in files of their own

Worker, its record and the changes of it move from state.go and change.go to worker.go; the queue of changes, its bounds and Commit move from leader.go to commit.go. No line of code changes.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lentilyard/lentilyard/internal/boottime"
 	"github.com/lentilyard/lentilyard/internal/pb"
@@ -18,12 +16,6 @@
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
-// Log appends entries to the replicated log of the submissions group. replica.Group implements it.
-type Log interface {
-	Propose(ctx context.Context, entry []byte) (any, error)
-	ReadBarrier(ctx context.Context) error
-}
-
 // Config configures a Leader.
 type Config struct {
 	State  *submission.State
@@ -72,16 +64,12 @@
 	tickInterval = 100 * time.Millisecond
 	// callTimeout bounds a start, stop or throttle call.
 	callTimeout = 900 * time.Millisecond
-	// commitTimeout bounds the wait for a commit. A leader without a quorum steps down sooner.
-	commitTimeout = 5 * time.Second
 	// handoverInterval is the interval at which the leader sends its pressure model to the other control VMs.
 	handoverInterval = 2 * time.Second
 	// cleanupInterval is the interval at which records of ended submissions and workers are removed from memory.
 	cleanupInterval = 5 * time.Second
 	// maxConcurrentCalls bounds the number of concurrent calls in the pool. The long polls of the sessions run outside it.
 	maxConcurrentCalls = 256
-	// maxEntryChanges bounds the number of changes in one log entry.
-	maxEntryChanges = 512
 )
 
 // Leader schedules tasks and calls the workers while this VM leads. The event loop owns all fields, except those whose
@@ -349,68 +337,6 @@
 	}
 }
 
-// queueChange queues a change for the next entry. after is called on the loop with its result.
-func (l *Leader) queueChange(c *pb.SubmissionChange, after func(submission.Result, error)) {
-	l.pendingChanges = append(l.pendingChanges, c)
-	l.callbacks = append(l.callbacks, after)
-}
-
-// commit proposes the queued changes as one entry.
-func (l *Leader) commit() {
-	n := min(len(l.pendingChanges), maxEntryChanges)
-	changes, after := l.pendingChanges[:n:n], l.callbacks[:n:n]
-	l.pendingChanges, l.callbacks = l.pendingChanges[n:], l.callbacks[n:]
-	l.inFlight = true
-	ctx, term := l.ctx, l.term
-	go func() {
-		began := time.Now()
-		results, err := commitEntry(ctx, l.cfg.Log, &pb.SubmissionEntry{Changes: changes, DecidedTerm: term})
-		commitSeconds.UpdateDuration(began)
-		l.post(func() {
-			if l.term != term {
-				return
-			}
-			l.inFlight = false
-			l.dirty = true
-			for i, f := range after {
-				if err != nil {
-					f(submission.Result{}, err)
-					continue
-				}
-				f(results[i], nil)
-			}
-		})
-	}()
-}
-
-// Commit proposes changes as one entry that is valid in any term, and returns one result for each change. Errors of
-// replica.Group.Propose are returned unchanged.
-func Commit(ctx context.Context, log Log, changes ...*pb.SubmissionChange) ([]submission.Result, error) {
-	return commitEntry(ctx, log, &pb.SubmissionEntry{Changes: changes})
-}
-
-func commitEntry(ctx context.Context, log Log, e *pb.SubmissionEntry) ([]submission.Result, error) {
-	e.UnixMs = time.Now().UnixMilli()
-	entry, err := proto.Marshal(e)
-	if err != nil {
-		return nil, fmt.Errorf("encode changes: %w", err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	result, err := log.Propose(ctx, entry)
-	if err != nil {
-		return nil, err
-	}
-	switch r := result.(type) {
-	case []submission.Result:
-		return r, nil
-	case error:
-		return nil, fmt.Errorf("apply changes: %w", r)
-	default:
-		return nil, fmt.Errorf("apply changes: result of type %T", result)
-	}
-}
-
 // tick handles timeouts: it checks leases, repeats calls, continues maintenance waves and removes old records.
 func (l *Leader) tick() {
 	if !l.leads() {
--- a/internal/submission/state.go
+++ b/internal/submission/state.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -186,52 +185,6 @@
 	return true
 }
 
-// Worker is one incarnation of a worker.
-type Worker struct {
-	*pb.PoolWorker
-	// Attempts holds the numbers of the attempts that may be running on the worker.
-	Attempts map[Ref]uint32
-	// Unproven holds the attempts that may have crashed the worker, unless it is only cut off.
-	Unproven map[Ref]*pb.SuspectAttempt
-	// Silence is set while the worker is recorded as silent.
-	Silence *pb.WorkerSilence
-	// Leave is set once the worker has reported that it leaves.
-	Leave *pb.WorkerLeave
-	// reused is true if an earlier incarnation with the same id has been known.
-	reused bool
-	// silenceApplied and registeredApplied are when this VM applied the silence and the first record of the incarnation. They are local to
-	// the VM and decide nothing in the state machine.
-	silenceApplied, registeredApplied time.Duration
-	goneAt                            int64 // in Unix ms
-}
-
-// SilentSince returns when this VM learnt that the worker is silent, by the clock of the state. It returns false if the worker is not
-// recorded as silent.
-func (w *Worker) SilentSince() (time.Duration, bool) { return w.silenceApplied, w.Silence != nil }
-
-// LeaseOver returns when all leases granted to a silent worker are over, by the clock of the state. It returns false if the worker
-// is not recorded as silent.
-func (w *Worker) LeaseOver() (time.Duration, bool) {
-	return w.silenceApplied + time.Duration(w.Silence.GetLeaseRestMs())*time.Millisecond, w.Silence != nil
-}
-
-// SucceededAt returns when this VM learnt of the incarnation, by the clock of the state. It returns false if no earlier incarnation
-// with the same id has been known.
-func (w *Worker) SucceededAt() (time.Duration, bool) { return w.registeredApplied, w.reused }
-
-// Incarnation returns the identity of this incarnation.
-func (w *Worker) Incarnation() Incarnation {
-	return Incarnation{ID: w.GetId(), BornUnixMs: w.GetBornUnixMs()}
-}
-
-// unprovenList returns the unproven suspects in the order of their tasks.
-func (w *Worker) unprovenList() []*pb.SuspectAttempt {
-	return slices.SortedFunc(maps.Values(w.Unproven), func(a, b *pb.SuspectAttempt) int { return RefOf(a.GetTask()).Compare(RefOf(b.GetTask())) })
-}
-
-// Usable reports whether tasks may be placed on the worker.
-func (w *Worker) Usable() bool { return !w.GetGone() && !w.GetDraining() }
-
 // State is the replicated state. Apply, Snapshot and Restore must be called from a single goroutine. Other goroutines read
 // the state through View.
 type State struct {
