Soak: workers that leave and are back behind a cut, and intake VMs that are cut off and restart

Both have random streams of their own, so that the other faults of a seed stay as they are; the kinds with such streams are in one table now.

--- a/internal/emulator/cut_test.go
+++ b/internal/emulator/cut_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -19,6 +20,11 @@
 	}
 }
 
+// Guards against a plan of leaves that says something else than its comment.
+func TestLeaveOfFault(t *testing.T) {
+	is.New(t).Equal(leaveCutOf(leftBehindCut()[0], smallSize), leaveCut{count: 9, untilEnd: true, down: 1491 * time.Millisecond})
+}
+
 // Guards against a cut that separates workers from intake VMs too, or from no VM.
 func TestConnectionsOfIntakeVMsAreTold(t *testing.T) {
 	is := is.New(t)
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -56,8 +56,7 @@
 	return fmt.Sprintf("%s at %.2f s for %.2f s on %d (%d)", f.Kind, f.At.Seconds(), f.Duration.Seconds(), f.Subject, f.Other)
 }
 
-// faultWeights lists the relative frequency of each kind of fault, except FaultShrinkWorker, FaultOddReports, FaultCutWorkers and
-// FaultRestartCut, which planWorkerFaults adds.
+// faultWeights lists the relative frequency of each kind of fault, except those of rareFaults.
 var faultWeights = []struct {
 	kind   FaultKind
 	weight int
@@ -98,10 +97,9 @@
 			}
 		}
 	}
-	faults = append(faults, planWorkerFaults(FaultShrinkWorker, shrinksPerSecond, seed, shrinkStream, size, length)...)
-	faults = append(faults, planWorkerFaults(FaultOddReports, oddReportsPerSecond, seed, oddReportStream, size, length)...)
-	faults = append(faults, planWorkerFaults(FaultCutWorkers, cutsPerSecond, seed, cutStream, size, length)...)
-	faults = append(faults, planWorkerFaults(FaultRestartCut, restartCutsPerSecond, seed, restartCutStream, size, length)...)
+	for _, k := range rareFaults {
+		faults = append(faults, planWorkerFaults(k.kind, k.perSecond, seed, k.stream, size, length)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -148,12 +146,18 @@
 	return size.Controls + size.Intakes
 }
 
-const (
-	// shrinksPerSecond is the mean rate of workers that shrink.
-	shrinksPerSecond = 0.4
-	// shrinkStream, oddReportStream, cutStream and restartCutStream number the random streams of these kinds.
-	shrinkStream, oddReportStream, cutStream, restartCutStream = 6, 9, 10, 11
-)
+// shrinksPerSecond is the mean rate of workers that shrink.
+const shrinksPerSecond = 0.4
+
+// rareFaults lists the kinds of faults that planWorkerFaults adds, with their mean rates and the numbers of their random streams.
+var rareFaults = []struct {
+	kind      FaultKind
+	perSecond float64
+	stream    uint64
+}{
+	{FaultShrinkWorker, shrinksPerSecond, 6}, {FaultOddReports, oddReportsPerSecond, 9}, {FaultCutWorkers, cutsPerSecond, 10},
+	{FaultRestartCut, restartCutsPerSecond, 11}, {FaultLeaveCut, leaveCutsPerSecond, 12}, {FaultCutIntake, intakeCutsPerSecond, 13},
+}
 
 // planWorkerFaults generates faults of one kind on workers, perSecond on average. They come from a random stream of their own, so that
 // the other faults of a seed stay what they were before there was this kind.
@@ -209,6 +213,10 @@
 		return nil
 	case FaultRestartCut:
 		return d.injectRestartCut(ctx, f)
+	case FaultLeaveCut:
+		return d.injectLeaveCut(ctx, f)
+	case FaultCutIntake:
+		return d.injectIntakeCut(ctx, f)
 	case FaultResetFront, FaultSilentFront, FaultSlowFront:
 		d.injectProxyFault(ctx, f, d.vms[f.Subject].clientProxy)
 		return nil
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -76,6 +76,7 @@
 }{
 	{"reuse", "a worker that restarted under the same id carried out a start meant for its former incarnation (once)", 16, frequentReuse()},
 	{"full-disks", "a control VM whose disk was full for a moment exited, again and again (runs)", 1, fullDisksInSeries()},
+	{"left-behind-cut", "workers that had left and were back behind a cut were not called again (kept)", 1, leftBehindCut()},
 	{"stop-without-leader", "an intake VM that was stopped while there was no leader interrupted the requests that waited for one (answered)", 43, faultsWithin(43, 9*time.Second)},
 }
 
@@ -103,6 +104,11 @@
 	return faults
 }
 
+// leftBehindCut returns a plan in which all workers leave, are cut off from the control VMs until the end, and are back under their ids after 1.5 s.
+func leftBehindCut() []Fault {
+	return []Fault{{Kind: FaultLeaveCut, At: 4 * time.Second, Duration: time.Second, Other: 213*9 + 8}}
+}
+
 // Guards against guarantees that break under the faults of short plans.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(4) {
@@ -246,5 +252,5 @@
 		}
 		is.True(wipes <= 1)
 	}
-	is.Equal(len(seen), len(faultWeights)+4) // and FaultShrinkWorker, FaultOddReports, FaultCutWorkers, FaultRestartCut
+	is.Equal(len(seen), len(faultWeights)+len(rareFaults))
 }
