Tasks of lost workers wait for late starts once starts are known to be late

Cause: how late a call may be counted as 2.9 s always, since waiting for all of the platform's 12 s would leave tasks standing still wherever a worker is lost.

Change: three starts within 10 s that timed out on workers which answered a hold meanwhile and another one sent later show that calls are late. From then until 30 s after the last such start finite tasks wait for 12.9 s. A crash or a cut gives no such answers, so that nothing changes there. It is pure but for the log line; the next leader learns it again.

Tests: TestVeryLateStartIsWaitedForOnceStartsAreKnownToBeLate fails without the longer wait ('runs on a and on b', 8s and 12s); TestLateCallsAreForgotten.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -197,6 +197,7 @@
 	if s.leave != nil {
 		s.leave.judge(sent, nil)
 	}
+	l.noteLateCalls(s, sent)
 	l.endSilence(s)
 	if l.recordAnswer(s, result) {
 		l.log.Info().Str("event", "worker-confirmed").Str("worker", s.incarnation.ID).Int("running", len(answer.Running)).Int("ended", len(answer.Ended)).Msg("")
--- a/internal/dispatch/latestart_test.go
+++ b/internal/dispatch/latestart_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lentilyard/lentilyard/internal/pb"
 	"github.com/lentilyard/lentilyard/internal/submission"
 )
 
@@ -98,6 +99,44 @@
 	}
 }
 
+// Guards against a task that runs twice because its worker is lost with an unanswered start, although starts have been carried out late before.
+func TestVeryLateStartIsWaitedForOnceStartsAreKnownToBeLate(t *testing.T) {
+	for _, delay := range []time.Duration{8 * time.Second, 12 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+				r.workers.update(func() { r.workers.byID["a"].startDelay, r.workers.byID["b"].startDelay = delay, delay })
+				r.submit("before", 3, nil)
+				time.Sleep(8 * time.Second)
+				r.commit(&pb.SubmissionChange{Change: &pb.SubmissionChange_Cancel{Cancel: &pb.CancelSubmission{Id: "before"}}})
+				r.startLate(delay, 300*time.Millisecond)
+				successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered, f.stopUnanswered = true, true })
+				r.workers.update(func() { r.workers.byID["b"].startDelay = 0 })
+				r.cutOff(successor)
+				is.Equal(r.running("b"), 1)
+			})
+		})
+	}
+}
+
+// Guards against tasks of lost workers that wait for the longest delay of a call although no call is known to be late.
+func TestLateCallsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := lateCalls{}
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	for i := range 5 {
+		c.note(at(100 * i)) // each by itself
+		is.Equal(c.delay(at(100*i)), maxCallDelay)
+	}
+	for _, s := range []int{1000, 1004, 1008} {
+		is.Equal(c.delay(at(s)), maxCallDelay)
+		c.note(at(s))
+	}
+	is.Equal(c.delay(at(1009)), longestCallDelay)
+	c.note(at(1020)) // the two before it are too old
+	is.Equal(c.delay(at(1037)), longestCallDelay)
+	is.Equal(c.delay(at(1038)), maxCallDelay)
+}
+
 // Guards against a task that runs twice because its worker, which answers holds but no starts, restarts after the start was given up, and
 // a successor of which nobody knows carries it out.
 func TestLateStartThatWasGivenUpIsWaitedFor(t *testing.T) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -131,10 +131,11 @@
 	waves         waveState
 	successors    successorSearch
 	former        map[string]*formerWorker // by worker id
-	openClaims    map[claim]bool           // claims that are verified by further calls
-	workers       atomic.Int64             // number of sessions, for readers outside the loop
-	ended         []string                 // ids of ended submissions whose tasks have to be stopped
-	endedMu       sync.Mutex               // guards ended
+	late          lateCalls
+	openClaims    map[claim]bool // claims that are verified by further calls
+	workers       atomic.Int64   // number of sessions, for readers outside the loop
+	ended         []string       // ids of ended submissions whose tasks have to be stopped
+	endedMu       sync.Mutex     // guards ended
 }
 
 // New returns a Leader and starts its event loop. It schedules nothing until Lead is called.
@@ -211,6 +212,7 @@
 	l.lastRuns, l.calmWaits = map[submission.Ref]time.Duration{}, map[submission.Ref]calmWait{}
 	l.unexplainedUntil, l.unexplainedAt = 0, 0
 	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
+	l.late = lateCalls{}
 	l.openClaims = map[claim]bool{}
 	l.begun.clear()
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -121,14 +121,6 @@
 // the clock of that incarnation, and the worker shortens it to the longest lease.
 func (l *Leader) longestLease() time.Duration { return slowest(l.cfg.Bounds.LeaseMax) + leaseMargin }
 
-const (
-	// maxCallDelay is how long after the leader has made it a call counts as one that may still be carried out, for finite tasks. The platform
-	// may take 12 s, but a submission may not stand still for that and the longest lease.
-	maxCallDelay = 2*time.Second + callTimeout
-	// lateCallTimeout takes its place for endless tasks where the next incarnation is known.
-	lateCallTimeout = 4 * time.Second
-)
-
 func (s *session) leaseSnapshot() leaseState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -122,6 +122,8 @@
 			r.unansweredAt = unansweredBefore
 		case answered == readingOther:
 			s.stray.arrived(number, l.cfg.Clock())
+		case errors.Is(err, ErrNoAnswer):
+			s.recordTimeout(r.calledAt, l.cfg.Clock())
 		}
 		l.onStart(s, task, r, err, answered)
 	})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -39,6 +39,7 @@
 	unanswered       bool          // the last hold got no answer
 	lossesPending    int           // number of attempts whose loss is being committed
 	refused          bool          // the last hold found that nothing listens at the worker's address
+	startTimedOutAt  time.Duration // when a start got no answer though the worker answered a hold meanwhile; 0 once noted
 	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
 	mayHaveCrashed bool
 	leave          *leaveWatch // nil unless the worker has reported its leave
@@ -71,7 +72,7 @@
 	}
 	if learnt, ok := w.SucceededAt(); ok {
 		s.inheritedOver = l.inheritedLease(w.GetId(), learnt)
-		s.lateOver = learnt + maxCallDelay + l.longestLease()
+		s.lateOver = learnt + l.late.delay(l.cfg.Clock()) + l.longestLease()
 	}
 	s.leave, s.mayHaveCrashed = newLeaveWatch(w, l.cfg.Clock()), len(w.Unproven) > 0
 	l.sessions[w.GetId()] = s
--- a/internal/dispatch/uncertain.go
+++ b/internal/dispatch/uncertain.go
@@ -59,11 +59,12 @@
 	if r.takenOver {
 		last = max(last, lastStart(state.Task(task), l.termStart+previousLeaderTimeout))
 	}
-	u := &uncertainStart{previous: r.on, attempt: r.attempt, since: now, arrivesBy: last + maxCallDelay}
+	delay := l.late.delay(now)
+	u := &uncertainStart{previous: r.on, attempt: r.attempt, since: now, arrivesBy: last + delay}
 	received := false // by that incarnation
 	if s := l.sessions[r.on.ID]; s != nil && s.incarnation == r.on {
 		lease := s.leaseSnapshot()
-		received, u.leasesArriveBy = lease.identifiedAt >= u.arrivesBy, lease.grantedAt+maxCallDelay
+		received, u.leasesArriveBy = lease.identifiedAt >= u.arrivesBy, lease.grantedAt+delay
 	}
 	if last == 0 || received || now > l.unseenLeaseOver(u) {
 		return nil
@@ -98,7 +99,7 @@
 	now := l.cfg.Clock()
 	u := &uncertainStart{previous: previous, attempt: attempt, endless: stepOf(state, task).GetEndless(), since: now, arrivesBy: now + lateCallTimeout}
 	if !u.endless {
-		u.arrivesBy = lastStart(state.Task(task), max(now, l.termStart+previousLeaderTimeout)) + maxCallDelay
+		u.arrivesBy = lastStart(state.Task(task), max(now, l.termStart+previousLeaderTimeout)) + l.late.delay(now)
 	}
 	l.addUncertainStart(task, u)
 }
