A worker that has left may take 0.8 s to answer, not 0.25 s

Each call to a worker that has ended had 0.25 s, of which the first of two goes over the cut route, and the other takes a message to the intake VM, a new connection and a message back.

Change: these calls have 0.8 s, as the holds of a session have. The number of workers that are called at a time is bounded as its comment says (it was the number of calls begun in a tick), and no worker is called twice at a time.

Test: TestWorkerThatAnswersSlowlyAfterItsLeaveIsUsed fails with 0.25 s.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -161,10 +161,7 @@
 // answersSlowly reports whether a worker incarnation answers one of claimAttempts calls.
 func (l *Leader) answersSlowly(ctx context.Context, t Target) bool {
 	for range claimAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, holdSlack)
-		answer, err := l.cfg.Caller.Hold(callCtx, HoldCall{Target: t})
-		cancel()
-		if err == nil {
+		if answer, err := l.probeWithin(ctx, t, holdSlack); err == nil {
 			return answer.BornUnixMs == t.Incarnation.BornUnixMs
 		}
 	}
@@ -172,7 +169,12 @@
 }
 
 func (l *Leader) probeTarget(ctx context.Context, t Target) (HoldAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
+	return l.probeWithin(ctx, t, claimProbeTimeout)
+}
+
+// probeWithin makes a hold that grants nothing and acknowledges nothing.
+func (l *Leader) probeWithin(ctx context.Context, t Target, timeout time.Duration) (HoldAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return l.cfg.Caller.Hold(ctx, HoldCall{Target: t})
 }
--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -22,7 +22,7 @@
 	endedPause = time.Second
 	// endedTimeout is how long a worker that has ended is called.
 	endedTimeout = time.Minute
-	// maxFormerCalls bounds the number of such calls at a time.
+	// maxFormerCalls bounds the number of such workers that are called at a time.
 	maxFormerCalls = 32
 )
 
@@ -32,6 +32,7 @@
 	ended              bool
 	closedAt, calledAt time.Duration
 	pause              time.Duration // from one call to the next
+	calling            bool
 }
 
 // addFormer adds a worker whose session was closed because it was silent.
@@ -76,30 +77,38 @@
 // callFormerWorkers calls the workers without a session whose turn has come, those first that were called longest ago.
 func (l *Leader) callFormerWorkers(now time.Duration) {
 	maps.DeleteFunc(l.former, func(id string, f *formerWorker) bool { return l.sessions[id] != nil || f.outdated(now) })
-	due := slices.DeleteFunc(slices.Collect(maps.Values(l.former)), func(f *formerWorker) bool { return now-f.calledAt < f.pause })
+	due := slices.DeleteFunc(slices.Collect(maps.Values(l.former)), func(f *formerWorker) bool { return f.calling || now-f.calledAt < f.pause })
 	slices.SortFunc(due, func(a, b *formerWorker) int {
 		return cmp.Or(cmp.Compare(a.calledAt, b.calledAt), cmp.Compare(a.id, b.id))
 	})
-	for _, f := range due[:min(len(due), maxFormerCalls)] {
+	for _, f := range due[:min(len(due), maxFormerCalls-l.formerCalls)] {
 		f.call(now)
-		l.callFormer(f.id, f.ended)
+		l.callFormer(f)
 	}
 }
 
 // callFormer opens a session with a worker, or with its next incarnation, if it answers. If another worker does, it is searched for.
-func (l *Leader) callFormer(id string, ended bool) {
-	known, ctx := l.knownWorker(id), l.ctx
-	if known == nil || known.GetGone() && !ended {
+func (l *Leader) callFormer(f *formerWorker) {
+	id, ctx := f.id, l.ctx
+	known := l.knownWorker(id)
+	if known == nil || known.GetGone() && !f.ended {
 		delete(l.former, id)
 		return
 	}
 	target := Target{Incarnation: submission.Incarnation{ID: id, BornUnixMs: known.GetBornUnixMs()}, Address: known.GetAddress(),
 		FailureDomain: known.GetFailureDomain(), Fence: l.fenceFor(id)}
+	f.calling = true
+	l.formerCalls++
 	l.pool.Submit(func() {
-		answer, err := l.askRepeatedly(ctx, target)
+		answer, err := l.askRepeatedly(ctx, target, holdSlack)
 		l.post(func() {
+			if l.ctx != ctx {
+				return
+			}
+			f.calling = false
+			l.formerCalls--
 			switch {
-			case l.ctx != ctx || l.sessions[id] != nil:
+			case l.sessions[id] != nil:
 			case errors.Is(err, ErrOtherIncarnation):
 				delete(l.former, id)
 				l.addMissing(known)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -131,6 +131,7 @@
 	waves         waveState
 	successors    successorSearch
 	former        map[string]*formerWorker // by worker id
+	formerCalls   int                      // number of them that are being called
 	late          lateCalls
 	openClaims    map[claim]bool // claims that are verified by further calls
 	workers       atomic.Int64   // number of sessions, for readers outside the loop
@@ -212,7 +213,7 @@
 	l.lastRuns, l.calmWaits = map[submission.Ref]time.Duration{}, map[submission.Ref]calmWait{}
 	l.unexplainedUntil, l.unexplainedAt = 0, 0
 	l.successors, l.former = successorSearch{missing: map[string]missingSuccessor{}}, map[string]*formerWorker{}
-	l.late = lateCalls{}
+	l.formerCalls, l.late = 0, lateCalls{}
 	l.openClaims = map[claim]bool{}
 	l.begun.clear()
 	l.pendingChanges, l.callbacks, l.uncommittedGone, l.inFlight, l.dirty = nil, nil, nil, false, false
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -165,7 +165,7 @@
 	ctx := l.ctx
 	target := Target{Incarnation: submission.Incarnation{ID: w.GetId()}, Address: w.GetAddress(), FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
 	l.pool.Submit(func() {
-		answer, err := l.askRepeatedly(ctx, target)
+		answer, err := l.askRepeatedly(ctx, target, claimProbeTimeout)
 		l.post(func() {
 			if err != nil || l.ctx != ctx || l.knownWorker(w.GetId()) != nil {
 				return
@@ -176,12 +176,13 @@
 	})
 }
 
-// askRepeatedly asks a worker that another VM may reach although this one does not. Without an answer it returns the error of the last call.
-func (l *Leader) askRepeatedly(ctx context.Context, t Target) (HoldAnswer, error) {
+// askRepeatedly asks a worker that another VM may reach although this one does not, with a timeout for each call. Without an answer it returns
+// the error of the last call.
+func (l *Leader) askRepeatedly(ctx context.Context, t Target, timeout time.Duration) (HoldAnswer, error) {
 	var err error
 	for range successorAttempts {
 		var answer HoldAnswer
-		answer, err = l.probeTarget(ctx, t)
+		answer, err = l.probeWithin(ctx, t, timeout)
 		switch {
 		case err == nil && answer.BornUnixMs > 0 || errors.Is(err, ErrOtherIncarnation):
 			return answer, err
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// Guards against a worker that stays unused after its leave because it takes half a second to answer, as over a slow route.
+func TestWorkerThatAnswersSlowlyAfterItsLeaveIsUsed(t *testing.T) {
+	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
+		r.leaves("a")
+		r.workers.update(func() { r.workers.byID["a"].refusing = true })
+		time.Sleep(2 * time.Second)
+		r.restart("a", 77, func(f *fakeWorker) { f.holdDelay = 500 * time.Millisecond })
+		r.submit("after", 2, nil)
+		time.Sleep(maxOutage)
+		is.Equal(r.describe("after"), "done")
+	})
+}
+
 // Guards against a VM that stays unused because its worker had reported its leave before one under another id took its place without a report.
 func TestReplacementOfWorkerThatHasLeftIsUsedWithoutReport(t *testing.T) {
 	for _, newLeader := range []bool{false, true} {
