--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the third review. Run it in the repository, after the build of the deploy file.
+# Builds the stand-ins of the third review. Run it after the build of the deploy file.
 set -e
-cd "$(dirname "$0")/.."
-mkdir -p target
-go build -o target/standin-3 ./review/standin-3
+root=$(cd "$(dirname "$0")/.." && pwd)
+mkdir -p "$root/target"
+cd "$root/review/standin-3"
+GOFLAGS=-buildvcs=false go build -o "$root/target/standin-3" .
--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -70,7 +70,8 @@
 	held           bool // a hold was answered
 	conns          map[net.Conn]bool
 	drainConfirmed bool
-	deaf           bool // answers to what the executor sends are lost
+	deaf           bool      // answers to what the executor sends are lost
+	cutUntil       time.Time // until then nothing passes between the system and the executor
 }
 
 func newExecutor(w *world, id, addr, zone, machine string, labels []string) (*executor, error) {
@@ -125,7 +126,7 @@
 	Percent      int    `json:"percent"`
 }
 
-func (e *executor) guard(f func(http.ResponseWriter, *call)) http.HandlerFunc {
+func (e *executor) guard(f func(http.ResponseWriter, *http.Request, *call)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
 			reply(w, http.StatusMisdirectedRequest, map[string]any{})
@@ -136,21 +137,37 @@
 			reply(w, http.StatusBadRequest, map[string]any{"clock_ms": e.clock()})
 			return
 		}
-		e.mu.Lock()
-		if e.dead {
-			e.mu.Unlock()
-			panic(http.ErrAbortHandler)
-		}
-		if c.FenceToken < e.fence {
-			e.mu.Unlock()
-			reply(w, http.StatusConflict, map[string]any{"clock_ms": e.clock(), "reason": "fence"})
+		if e.isCut() || e.world.holdsBack(e, r.URL.Path, c) {
+			<-r.Context().Done()
 			return
 		}
-		e.fence = c.FenceToken
-		e.endDue(time.Now())
+		e.carryOut(w, r, f, c)
+	}
+}
+
+// isCut reports whether a silent partition lies between the system and the executor.
+func (e *executor) isCut() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.cutUntil)
+}
+
+// carryOut carries out a call that has arrived.
+func (e *executor) carryOut(w http.ResponseWriter, r *http.Request, f func(http.ResponseWriter, *http.Request, *call), c *call) {
+	e.mu.Lock()
+	if e.dead {
 		e.mu.Unlock()
-		f(w, c)
+		panic(http.ErrAbortHandler)
+	}
+	if c.FenceToken < e.fence {
+		e.mu.Unlock()
+		reply(w, http.StatusConflict, map[string]any{"clock_ms": e.clock(), "reason": "fence"})
+		return
 	}
+	e.fence = c.FenceToken
+	e.endDue(time.Now())
+	e.mu.Unlock()
+	f(w, r, c)
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -168,7 +185,7 @@
 	e.until = max(e.until, min(until, e.clock()+holdMax.Milliseconds()))
 }
 
-func (e *executor) start(w http.ResponseWriter, c *call) {
+func (e *executor) start(w http.ResponseWriter, _ *http.Request, c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.UntilMs <= e.clock() {
@@ -201,7 +218,7 @@
 	reply(w, http.StatusOK, map[string]any{"clock_ms": e.clock()})
 }
 
-func (e *executor) stop(w http.ResponseWriter, c *call) {
+func (e *executor) stop(w http.ResponseWriter, _ *http.Request, c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed[c.Task] = max(e.closed[c.Task], c.Attempt)
@@ -212,11 +229,11 @@
 	reply(w, http.StatusOK, map[string]any{"clock_ms": e.clock()})
 }
 
-func (e *executor) pace(w http.ResponseWriter, _ *call) {
+func (e *executor) pace(w http.ResponseWriter, _ *http.Request, _ *call) {
 	reply(w, http.StatusOK, map[string]any{"clock_ms": e.clock()})
 }
 
-func (e *executor) hold(w http.ResponseWriter, c *call) {
+func (e *executor) hold(w http.ResponseWriter, r *http.Request, c *call) {
 	deadline := time.Now().Add(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond)
 	e.mu.Lock()
 	if c.UntilMs > 0 {
@@ -239,6 +256,11 @@
 		e.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if time.Now().Before(e.cutUntil) {
+		e.mu.Unlock()
+		<-r.Context().Done() // the answer does not pass
+		return
+	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range e.running {
 		percent := 0.0
@@ -351,6 +373,9 @@
 			"capacity": map[string]any{"cpu": e.world.cpu, "mem_mb": e.world.mem, "gpu": 0}, "labels": e.labels, "clock_ms": e.clock(), "seq": e.seq, "born": e.born}
 		e.mu.Unlock()
 		for range 2 * len(e.world.controls) {
+			if e.isCut() {
+				break
+			}
 			to := addr
 			if to == "" {
 				to = e.world.controls[next%len(e.world.controls)].api
@@ -463,3 +488,22 @@
 	e.world.event("left", "on", e.id)
 	e.crash()
 }
+
+// reborn ends the executor behind a partition and starts it again under its id and address. It knows nothing of before.
+func (e *executor) reborn(away time.Duration) {
+	e.mu.Lock()
+	for task, r := range e.running {
+		e.world.event("gone", "task", task, "attempt", r.attempt, "on", e.id)
+		e.world.ended(task, r.attempt, e.id, "gone")
+	}
+	e.dead = true
+	e.mu.Unlock()
+	e.world.event("crashed", "on", e.id)
+	time.Sleep(away)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead, e.born, e.began, e.clockBase = false, time.Now().UnixMilli(), time.Now(), rand.Int63n(1000)+1
+	e.fence, e.until, e.seq, e.lastEnd, e.ends = 0, 0, 0, 0, nil
+	e.running, e.closed = map[string]*run{}, map[string]uint32{}
+	e.world.event("reborn", "on", e.id, "born", e.born)
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -70,6 +70,8 @@
 	done   map[string]bool
 	ends   map[string]int
 	broken []string
+
+	late *lateOrder // the order that is carried out late, nil if none is
 }
 
 func (w *world) event(what string, kv ...any) {
