--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{folder: folder, binary: binary, service: "svc-a", host: "queue.example", prefix: "/work/", cpu: 32000, mem: 125000, began: time.Now(), record: record,
+	w := &world{folder: folder, binary: binary, service: "svc-a", host: "queue.example", prefix: "/jobs/", cpu: 32000, mem: 125000, began: time.Now(), record: record,
 		subs: map[string]submission{}, execs: map[string]*executor{}, live: map[string][]liveRun{}, done: map[string]bool{}, ends: map[string]int{}}
 	net1 := fmt.Sprintf("127.%d.%d", 20+rand.Intn(200), 1+rand.Intn(250))
 	w.peerPort, err = freeUDP(net1 + ".1")
