--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -52,7 +52,7 @@
 	filling           string                    // submission whose tasks fill; they use 400 millicores at full speed
 	tickets           []string                  // tickets of the starts, in order
 	address           string                    // address in reports; the id if empty
-	refusing          bool                      // connections are refused, and open ones break
+	refusing          bool                      // connections are refused, and open ones are reset, as by a partition; see exit
 	unsound           bool                      // crashes whatever starts
 	overloaded        bool                      // holds are refused at once with ErrUnavailable
 	holds             int                       // number of holds received
@@ -130,13 +130,16 @@
 		w.crashes[ref]++
 	}
 	clear(f.running)
-	f.unreachable, f.refusing = true, !w.crashDark
+	f.unreachable, f.refusing, f.closes = true, !w.crashDark, !w.crashDark
 	w.mu.Unlock()
 	if w.crashed != nil {
 		w.crashed(f)
 	}
 }
 
+// exit ends the process of the worker, which closes its connections; later ones are refused.
+func (f *fakeWorker) exit() { f.refusing, f.closes = true, true }
+
 func (f *fakeWorker) clockMs(at time.Time) int64 {
 	return int64(float64(at.Sub(f.born).Milliseconds())*f.speed()) + 1000
 }
--- a/internal/dispatch/interrupt_test.go
+++ b/internal/dispatch/interrupt_test.go
@@ -81,7 +81,7 @@
 					r.workers.update(func() {
 						a := r.workers.byID["a"]
 						clear(a.running)
-						a.unreachable, a.refusing = true, name == "crashed"
+						a.unreachable, a.refusing, a.closes = true, name == "crashed", name == "crashed"
 					})
 					time.Sleep(after)
 					r.submitWave(1, "vm-b")
@@ -98,8 +98,8 @@
 	withPair(t, func(is *is.I, r *harness, _ *fakePlatform) {
 		time.Sleep(minEndlessRun)
 		r.workers.update(func() {
-			r.workers.byID["a"].unreachable, r.workers.byID["a"].refusing = true, true
-			r.workers.byID["c"].unreachable, r.workers.byID["c"].refusing = true, true
+			r.workers.byID["a"].exit()
+			r.workers.byID["c"].exit()
 		})
 		time.Sleep(100 * time.Millisecond)
 		r.submit("urgent", 1, func(s *pb.Step) { s.Size.Millicores = 4000 })
--- a/internal/dispatch/latestart_test.go
+++ b/internal/dispatch/latestart_test.go
@@ -66,7 +66,7 @@
 				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
 					r.startLate(delay, 100*time.Millisecond)
 					r.leaves("a")
-					r.workers.update(func() { r.workers.byID["a"].refusing = true })
+					r.workers.update(r.workers.byID["a"].exit)
 					time.Sleep(600 * time.Millisecond)
 					r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
 					if newLeader {
@@ -163,7 +163,8 @@
 				next.address = "a"
 				r.workers.update(func() {
 					clear(r.workers.byID["a"].running)
-					r.workers.byID["a"].refusing, r.workers.byID["c"] = true, next
+					r.workers.byID["a"].exit()
+					r.workers.byID["c"] = next
 				})
 				r.leaves("a")
 				time.Sleep(time.Second)
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -11,8 +11,10 @@
 
 // The report with which a worker leaves names the worker by its id. A partition may hold it up until a later incarnation runs under
 // that id, so it proves nothing about the incarnation that is known. The leader records it, asks the worker, and gives up the
-// attempts on it only once its process is known to have ended. Silence alone is no proof: a worker that gets no confirmation works on for
-// a while, and may be cut off. Then its lease decides.
+// attempts on it only once its process is known to have ended. A worker that gets no confirmation works on for a while, and may be cut off
+// meanwhile: calls that get no answer prove nothing, and neither do refused or reset connections, which a partition can bring about at all VMs
+// at once. What it cannot do is to close a connection in an orderly way. So a worker has ended if its report is certain, it has closed the
+// connection of the hold that it was to answer, and answers nothing after that. Otherwise its lease decides.
 
 const (
 	// leaveProbeTimeout bounds a call that asks a worker which has reported its leave whether it still runs.
@@ -54,8 +56,6 @@
 // judge records the result of a call to the worker and returns what it proves.
 func (w *leaveWatch) judge(sent time.Duration, err error) leaveVerdict {
 	switch {
-	case errors.Is(err, ErrNotListening):
-		return leaveEnded
 	case errors.Is(err, ErrOtherIncarnation):
 		return leaveReplaced
 	case errors.Is(err, ErrAgentSilent): // the worker was not asked
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -76,8 +76,9 @@
 		reached   bool // a new leader has a hold in progress when the worker ends
 		before    bool // the worker ends before its report arrives
 	}{
-		"ended":                  {func(f *fakeWorker) { f.refusing = true }, false, 500 * time.Millisecond, false, false},
-		"ended, restarted":       {func(f *fakeWorker) { f.refusing = true }, true, 500 * time.Millisecond, false, false},
+		"ended":                  {(*fakeWorker).exit, false, 500 * time.Millisecond, true, false},
+		"ended, restarted":       {(*fakeWorker).exit, true, 500 * time.Millisecond, true, false},
+		"ended, report follows":  {(*fakeWorker).exit, false, 500 * time.Millisecond, false, true},
 		"silent":                 {func(f *fakeWorker) { f.unreachable, f.closes = true, true }, false, 800 * time.Millisecond, true, false},
 		"silent, report follows": {func(f *fakeWorker) { f.unreachable, f.closes = true, true }, false, 800 * time.Millisecond, false, true},
 	} {
@@ -86,6 +87,7 @@
 				withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
 					if end.restarted {
 						r.restartAtWork(is)
+						r.reportDraining("a", 2) // only that tells whose report the leave is
 					} else {
 						r.startAtA(is)
 					}
@@ -117,33 +119,104 @@
 	}
 }
 
+// refuseConnections begins a partition between all VMs and a worker, which runs on: connections are refused, and open ones are reset.
+func (r *harness) refuseConnections(id string) {
+	r.workers.update(func() { r.workers.byID[id].refusing = true })
+}
+
 // Guards against tasks of a worker that has left that wait for longer than its lease, where nothing proves its end, and against ones that
 // start before.
-func TestTasksOfSilentWorkerThatLeftStartOnceItsLeaseIsOver(t *testing.T) {
-	for _, newLeader := range []bool{false, true} {
-		t.Run(fmt.Sprintf("new leader %t", newLeader), func(t *testing.T) {
+func TestTasksOfUnreachableWorkerThatLeftStartOnceItsLeaseIsOver(t *testing.T) {
+	for name, cutOff := range map[string]func(r *harness, id string){"silent": (*harness).lose, "refusing": (*harness).refuseConnections} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, new leader %t", name, newLeader), func(t *testing.T) {
+				withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+					r.startAtA(is)
+					r.leaves("a")
+					within := maxOutage
+					if newLeader { // the previous one may have granted leases until it noticed the end of its term
+						within += previousLeaderTimeout
+						r.replaceLeader(6)
+					}
+					cutOff(r, "a")
+					began := time.Now()
+					for r.running("b") == 0 && time.Since(began) < 2*within {
+						is.True(r.running("a") == 1 || r.running("b") == 0)
+						time.Sleep(10 * time.Millisecond)
+					}
+					t.Logf("the task starts %v after its worker was cut off", time.Since(began))
+					is.Equal(r.running("a"), 0)
+					is.True(time.Since(began) < within)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that runs twice because its worker, which has reported its leave and runs on, is behind a partition that refuses
+// connections.
+func TestWorkerThatLeavesBehindRefusingPartitionKeepsItsTasks(t *testing.T) {
+	const cut = 4 * time.Second
+	const ended = time.Second // within which the end of a worker is noticed that is reached
+	for name, c := range map[string]struct {
+		within time.Duration
+		cutOff func(r *harness)
+	}{
+		"reported before the partition": {ended, func(r *harness) {
+			r.leaves("a")
+			time.Sleep(100 * time.Millisecond)
+			r.refuseConnections("a")
+		}},
+		"reported behind the partition": {ended, func(r *harness) {
+			r.refuseConnections("a")
+			time.Sleep(time.Second)
+			r.leaves("a")
+		}},
+		// A start of the previous leader may be on its way to the next incarnation.
+		"leader changes": {ended + lateCallTimeout, func(r *harness) {
+			r.leaves("a")
+			r.refuseConnections("a")
+			time.Sleep(100 * time.Millisecond)
+			r.replaceLeader(6)
+		}},
+		"reported to the next leader": {ended + lateCallTimeout, func(r *harness) {
+			r.refuseConnections("a")
+			r.replaceLeader(6)
+			r.leaves("a")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
 			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
 				r.startAtA(is)
-				r.leaves("a")
-				within := maxOutage
-				if newLeader { // the previous one may have granted leases until it noticed the end of its term
-					within += previousLeaderTimeout
-					r.replaceLeader(6)
-				}
-				r.lose("a")
-				began := time.Now()
-				for r.running("b") == 0 && time.Since(began) < 2*within {
-					is.True(r.running("a") == 1 || r.running("b") == 0)
-					time.Sleep(10 * time.Millisecond)
-				}
-				t.Logf("the task starts %v after its worker fell silent", time.Since(began))
-				is.Equal(r.running("a"), 0)
-				is.True(time.Since(began) < within)
+				c.cutOff(r)
+				time.Sleep(cut)
+				is.Equal(r.running("b"), 0)
+				r.workers.update(func() { r.workers.byID["a"].refusing = false })
+				time.Sleep(3 * time.Second)
+				is.Equal(r.running("a"), 1) // reached again, it keeps its task
+				is.Equal(r.running("b"), 0)
+				r.workers.update(func() {
+					r.workers.byID["a"].exit()
+					clear(r.workers.byID["a"].running)
+				})
+				time.Sleep(c.within)
+				is.Equal(r.running("b"), 1)
 			})
 		})
 	}
 }
 
+// Guards against a task that runs twice because of a late leave of an earlier incarnation of its worker, which closes a connection and is cut off.
+func TestLateLeaveOfEarlierIncarnationProvesNoEnd(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.restartAtWork(is)
+		r.leaves("a")
+		r.workers.update(r.workers.byID["a"].exit)
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("b"), 0)
+	})
+}
+
 // Guards against a task that runs twice because its worker closed a connection, answered a call after that, left and was cut off.
 func TestWorkerThatAnswersAfterItClosedConnectionKeepsItsLease(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
@@ -223,3 +296,12 @@
 	is.Equal(watch.judge(0, ErrNoAnswer), leaveOpen)
 	is.Equal(watch.judge(0, ErrNoAnswer), leaveEnded)
 }
+
+// Guards against a worker that counts as ended because several VMs on the same side of a partition are refused connections to it.
+func TestRefusedConnectionsDoNotProveLeave(t *testing.T) {
+	is := is.New(t)
+	watch := &leaveWatch{certain: true}
+	for range 10 * leaveMisses {
+		is.Equal(watch.judge(0, ErrNotListening), leaveOpen)
+	}
+}
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -141,7 +141,7 @@
 	r.workers.update(func() {
 		f := r.workers.byID[d.worker]
 		clear(f.running)
-		f.unreachable, f.refusing = true, !d.dark
+		f.unreachable, f.refusing, f.closes = true, !d.dark, !d.dark
 	})
 	time.AfterFunc(d.down, func() {
 		born := int64(0)
--- a/internal/dispatch/successor_test.go
+++ b/internal/dispatch/successor_test.go
@@ -176,7 +176,9 @@
 			for _, newLeader := range []bool{false, true} {
 				withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
 					r.leaves("a")
-					r.workers.update(func() { r.workers.byID["a"].refusing = downtime > 0 })
+					if downtime > 0 {
+						r.workers.update(r.workers.byID["a"].exit)
+					}
 					time.Sleep(downtime)
 					if newLeader {
 						r.replaceLeader(6)
@@ -195,7 +197,7 @@
 func TestWorkerThatAnswersSlowlyAfterItsLeaveIsUsed(t *testing.T) {
 	withHarness(t, time.Second, []string{"a"}, func(is *is.I, r *harness) {
 		r.leaves("a")
-		r.workers.update(func() { r.workers.byID["a"].refusing = true })
+		r.workers.update(r.workers.byID["a"].exit)
 		time.Sleep(2 * time.Second)
 		r.restart("a", 77, func(f *fakeWorker) { f.holdDelay = 500 * time.Millisecond })
 		r.submit("after", 2, nil)
@@ -213,12 +215,12 @@
 			r.replaceLeader(6)
 			time.Sleep(time.Second)
 			r.leaves("a")
-			r.workers.update(func() { r.workers.byID["a"].refusing = true })
+			r.workers.update(r.workers.byID["a"].exit)
 			time.Sleep(time.Second)
 			if newLeader {
 				r.replaceLeader(7)
 			}
-			r.workers.update(func() { r.workers.byID["a"].refusing = false })
+			r.workers.update(func() { r.workers.byID["a"].refusing, r.workers.byID["a"].closes = false, false })
 			r.replaceUnreported(platform)
 			r.submit("s", 2, endless)
 			time.Sleep(maxOutage)
--- a/internal/dispatch/unseen_test.go
+++ b/internal/dispatch/unseen_test.go
@@ -101,7 +101,7 @@
 		t.Run(after.String(), func(t *testing.T) {
 			withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
 				time.Sleep(20 * time.Second)
-				r.workers.update(func() { r.workers.byID["a"].refusing = true })
+				r.workers.update(r.workers.byID["a"].exit)
 				time.Sleep(600 * time.Millisecond)
 				r.restart("a", 77, func(f *fakeWorker) { f.serving = "s" })
 				r.report("a", 1)
--- a/internal/submission/state_test.go
+++ b/internal/submission/state_test.go
@@ -378,4 +378,8 @@
 	is.True(!w.state.Workers()["b"].Leave.GetCertain())
 	w.apply(worker("a", 2))
 	is.Equal(w.state.Workers()["a"].Leave, nil) // a new incarnation has reported nothing yet
+	draining := worker("a", 2)
+	draining.GetWorker().Draining = true
+	w.apply(draining, leave("a", 2))
+	is.True(w.state.Workers()["a"].Leave.GetCertain()) // it has announced its leave
 }
--- a/internal/submission/worker.go
+++ b/internal/submission/worker.go
@@ -167,13 +167,13 @@
 }
 
 // setLeave records that an incarnation of a worker has reported its leave. If the report does not tell which incarnation it stems from,
-// it is certain only for the first one that was known under the id.
+// it is certain only for the first one that was known under the id, and for one that has announced its leave by draining.
 func (s *State) setLeave(c *pb.WorkerLeave) bool {
 	w := s.workers[c.GetId()]
 	if w == nil || w.GetBornUnixMs() != c.GetBornUnixMs() || w.GetGone() {
 		return false
 	}
-	certain := c.GetCertain() || !w.reused || w.Leave.GetCertain()
+	certain := c.GetCertain() || !w.reused || w.GetDraining() || w.Leave.GetCertain()
 	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain, Closed: c.GetClosed()}
 	return true
 }
