The next leader knows that a worker which closed a connection has answered since (TWICE)

What callers would see: two runs of a task whose worker closed a connection at about the time of its leave, answered again, and was cut off around a change of the leader.

Cause: that the worker has closed its connection is part of the record of its leave. When it answered, only the leader's own memory was corrected; the next leader read the record and took the first calls without an answer for its end.

Change: the record that a silent worker answers again, which is committed before the worker gets a lease, also takes back that it has closed its connection. Between the answer and that commit the record is still wrong.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -217,6 +217,24 @@
 	})
 }
 
+// Guards against a task that runs twice because its worker closed a connection, reported its leave and answered after that, which the next
+// leader does not know.
+func TestNextLeaderKnowsThatWorkerAnsweredAfterItClosedConnection(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.workers.update(r.workers.byID["a"].exit)
+		time.Sleep(20 * time.Millisecond)
+		r.leaves("a")
+		r.workers.update(func() { r.workers.byID["a"].refusing, r.workers.byID["a"].closes = false, false })
+		time.Sleep(700 * time.Millisecond)
+		is.Equal(r.running("a"), 1)
+		r.refuseConnections("a")
+		r.replaceLeader(6)
+		time.Sleep(lateCallTimeout + 3*time.Second)
+		is.Equal(r.running("b"), 0)
+	})
+}
+
 // Guards against a task that runs twice because its worker closed a connection, answered a call after that, left and was cut off.
 func TestWorkerThatAnswersAfterItClosedConnectionKeepsItsLease(t *testing.T) {
 	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
--- a/internal/submission/worker.go
+++ b/internal/submission/worker.go
@@ -160,8 +160,11 @@
 	}
 	if w.Silence = nil; c.GetSilent() {
 		w.Silence, w.silenceApplied = c, s.clock()
-	} else {
-		s.takeUnproven(w) // it has not crashed
+		return true
+	}
+	s.takeUnproven(w) // it has not crashed
+	if w.Leave != nil {
+		w.Leave.Closed = false
 	}
 	return true
 }
