A refused connection does not prove that a task crashed its worker (LOST)

Cause: attempts that were lost with their lease counted as proven suspects if the last hold had been refused. A suspicion that is proven is not taken back when the worker answers again.

Change: at the end of a lease no suspicion is proven. As where a worker is silent, it counts once another incarnation of the worker, or another worker on its VM, is known, and is forgotten when the worker answers.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -34,9 +34,9 @@
 // refusalTime is how long a hold takes at most that breaks though it reaches a worker which has ended before.
 const refusalTime = 50 * time.Millisecond
 
-// recordHold records from the result of a hold when the worker ended: a connection that breaks does so at that time. If the hold is refused, or
-// breaks at once, the worker ended at any time since it was last known to be alive, however long the refusal was on its way. Refused holds
-// after that, and answers of the next incarnation, tell nothing more.
+// recordHold records from the result of a hold when the worker ended, if it has ended and is not only cut off: a connection that breaks does so
+// at that time. If the hold is refused, or breaks at once, the worker ended at any time since it was last known to be alive, however long the
+// refusal was on its way. Refused holds after that, and answers of the next incarnation, tell nothing more.
 func (s *session) recordHold(result holdResult) {
 	if s.answeredByOther(result.answer) {
 		return
@@ -44,7 +44,6 @@
 	if errors.Is(result.err, ErrUnavailable) || errors.Is(result.err, ErrMalformed) {
 		result.err = nil // the worker lives and refuses the call
 	}
-	s.refused = errors.Is(result.err, ErrNotListening)
 	if errors.Is(result.err, ErrConnectionClosed) && !s.unanswered && s.aliveAt > 0 {
 		s.closedAt = result.ended
 		if s.leave != nil {
@@ -56,7 +55,7 @@
 		s.forgetClosed()
 	} else if !s.unanswered {
 		s.endKnown, s.endedBy = !result.timedOut, result.ended
-		if s.endKnown && !s.refused && result.ended-result.sent > refusalTime {
+		if s.endKnown && !errors.Is(result.err, ErrNotListening) && result.ended-result.sent > refusalTime {
 			s.aliveAt = result.ended
 		}
 	}
--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,6 +50,30 @@
 	}
 }
 
+// Guards against a submission that fails because partitions that refuse connections began several times just after its task had started, though none of
+// its workers crashed.
+func TestWorkersBehindRefusingPartitionsDoNotFailSubmissions(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new leader %t", newLeader), func(t *testing.T) {
+			withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e", "f", "g"}, func(is *is.I, r *harness) {
+				task := submission.Ref{Submission: "s"}
+				r.submit("s", 1, endless)
+				for round := range uint64(6) {
+					r.cutOffWorkerOf(task, func(f *fakeWorker) { f.refusing = true })
+					if newLeader {
+						r.replaceLeader(6 + round)
+					}
+					time.Sleep(targetLease + 4*time.Second)
+					r.setSilent(func(f *fakeWorker, silent bool) { f.refusing = silent }, false)
+				}
+				time.Sleep(3 * time.Second)
+				is.Equal(r.describe("s"), "running")
+				is.True(r.taskRuns(task))
+			})
+		})
+	}
+}
+
 func (r *harness) setSilent(silence func(*fakeWorker, bool), silent bool) {
 	r.workers.update(func() {
 		for _, f := range r.workers.byID {
@@ -74,7 +99,7 @@
 	withHarness(t, time.Hour, []string{"a", "b", "c", "d", "e", "f", "g"}, func(is *is.I, r *harness) {
 		r.submit("s", 1, endless)
 		for range 4 {
-			r.loseWorkerOf(submission.Ref{Submission: "s"})
+			r.cutOffWorkerOf(submission.Ref{Submission: "s"}, func(f *fakeWorker) { f.unreachable = true })
 		}
 		began := time.Now()
 		for !r.reachableRuns(submission.Ref{Submission: "s"}) && time.Since(began) < 2*silenceTimeout {
@@ -85,8 +110,8 @@
 	})
 }
 
-// loseWorkerOf waits until a worker that can be reached runs a task and cuts that worker off right after the start.
-func (r *harness) loseWorkerOf(task submission.Ref) {
+// cutOffWorkerOf waits until a worker that can be reached runs a task and cuts that worker off right after the start.
+func (r *harness) cutOffWorkerOf(task submission.Ref, cutOff func(*fakeWorker)) {
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if r.reachableRuns(task) {
 			break
@@ -94,7 +119,9 @@
 	}
 	r.workers.update(func() {
 		for _, f := range r.workers.byID {
-			f.unreachable = f.unreachable || f.running[task] != nil
+			if f.running[task] != nil {
+				cutOff(f)
+			}
 		}
 	})
 }
@@ -105,7 +132,7 @@
 	r.workers.update(func() {
 		for _, f := range r.workers.byID {
 			r.workers.advance(f)
-			runs = runs || f.running[task] != nil && !f.unreachable
+			runs = runs || f.running[task] != nil && !f.unreachable && !f.refusing
 		}
 	})
 	return runs
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -174,8 +174,8 @@
 	s.lossesPending = len(lost)
 	suspects := l.crashSuspects(s)
 	for _, suspect := range suspects {
-		suspect.Unproven = !s.refused
-		s.mayHaveCrashed = s.mayHaveCrashed || suspect.Unproven
+		suspect.Unproven = true // the worker may only be cut off
+		s.mayHaveCrashed = true
 	}
 	for _, ref := range lost {
 		if r := l.runs[ref]; r.on == s.incarnation {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -38,7 +38,6 @@
 	closedAt         time.Duration // when the worker closed the connection of the hold after an answered one, 0 if it has answered since
 	unanswered       bool          // the last hold got no answer
 	lossesPending    int           // number of attempts whose loss is being committed
-	refused          bool          // the last hold found that nothing listens at the worker's address
 	startTimedOutAt  time.Duration // when a start got no answer though the worker answered a hold meanwhile; 0 once noted
 	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
 	mayHaveCrashed bool
