A refused connection does not refute the report of a new incarnation (TWICE)

What callers would see: an endless task that runs twice. Its worker restarted, the new incarnation carried out the start that was meant for the one before, and a one-way partition refused connections to it, while its report arrived.

Cause: judgeClaim took a refused connection for a proof that no such incarnation lives. The report was ignored, and nothing noted that a successor may run the task.

Change: only an answer of a worker that the claimed incarnation would replace refutes a claim.

The tests of false reports pass unchanged.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -82,7 +81,7 @@
 const (
 	claimOpen    claimVerdict = iota // nobody has answered
 	claimTrue                        // the claimed incarnation answers
-	claimRefuted                     // nothing listens at its address, or a worker answers that it would replace
+	claimRefuted                     // a worker answers that it would replace
 )
 
 // verify finds out whether a record is true that contradicts what is known. It calls then on the event loop, with errResigned if the term
@@ -118,14 +117,11 @@
 		FailureDomain: w.GetFailureDomain(), Fence: l.fenceFor(w.GetId())}
 }
 
-// judgeClaim asks the claimed incarnation, and if it does not answer those that it would replace.
+// judgeClaim asks the claimed incarnation, and if it does not answer those that it would replace. That connections to it are refused does not
+// refute the claim: a partition may refuse them, and let its reports pass.
 func (l *Leader) judgeClaim(ctx context.Context, claimed Target, others []Target) claimVerdict {
-	answer, err := l.probeTarget(ctx, claimed)
-	switch {
-	case err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs:
+	if answer, err := l.probeTarget(ctx, claimed); err == nil && answer.BornUnixMs == claimed.Incarnation.BornUnixMs {
 		return claimTrue
-	case errors.Is(err, ErrNotListening):
-		return claimRefuted
 	}
 	for _, t := range others {
 		if answer, err := l.probeTarget(ctx, t); err == nil && answer.BornUnixMs == t.Incarnation.BornUnixMs {
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -292,3 +293,29 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because the report of a new incarnation, which has carried out its start, is taken for false: a
+// partition refuses connections to it.
+func TestReportFromBehindRefusingPartitionIsNotRefuted(t *testing.T) {
+	for name, change := range map[string]func(*pb.Step){"finite": nil, "endless": endless} {
+		for _, reportAfter := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s, report after %v", name, reportAfter), func(t *testing.T) {
+				withHarness(t, time.Hour, []string{"a", "b"}, func(is *is.I, r *harness) {
+					r.workers.update(func() { r.workers.byID["b"].noRoom = true })
+					time.Sleep(20 * time.Second)
+					r.workers.update(func() { r.workers.byID["a"].startsReset = true })
+					r.submit("s", 1, change)
+					time.Sleep(300 * time.Millisecond)
+					successor := r.restart("a", 77, func(f *fakeWorker) { f.holdUnanswered = true })
+					r.awaitRunning(is, "a")
+					r.workers.update(func() { successor.refusing = true })
+					time.Sleep(reportAfter)
+					r.report("a", 1)
+					r.workers.update(func() { r.workers.byID["b"].noRoom = false })
+					time.Sleep(30 * time.Second)
+					is.Equal(r.running("b"), 1)
+				})
+			})
+		}
+	}
+}
