Soak: workers that leave behind a partition that refuses connections

The fault leave-refused does: workers report their leave and work on, drained before or not, reached again or not, back under their ids or others.

--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -54,6 +54,8 @@
 		return d.injectRestartCut(ctx, f)
 	case FaultLeaveCut:
 		return d.injectLeaveCut(ctx, f)
+	case FaultLeaveRefused:
+		return d.injectLeaveRefused(ctx, f)
 	case FaultCutIntake:
 		return d.injectIntakeCut(ctx, f)
 	case FaultResetFront, FaultSilentFront, FaultSlowFront:
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -199,12 +199,7 @@
 // drainAndStop drains the worker, ends it and reports that it has left, as a planned stop does. Its tasks end first: once the
 // report is acknowledged, they may run elsewhere.
 func (h *host) drainAndStop() {
-	h.mu.Lock()
-	if h.incarnation != nil {
-		h.reportState.Worker.Draining = true
-		h.reportState.RemainingMs = drainGracePeriod.Milliseconds()
-	}
-	h.mu.Unlock()
+	h.beginDrain()
 	select {
 	case <-time.After(drainGracePeriod + reportInterval):
 	case <-h.deployment.ctx.Done():
@@ -217,6 +212,16 @@
 	h.send(h.deployment.ctx, "", &pb.PoolReport{Worker: state.Worker, Leaving: true})
 }
 
+// beginDrain makes the reports of the worker state that it drains.
+func (h *host) beginDrain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.incarnation != nil {
+		h.reportState.Worker.Draining = true
+		h.reportState.RemainingMs = drainGracePeriod.Milliseconds()
+	}
+}
+
 // heartbeat returns the time between two reports of a worker.
 func (d *Deployment) heartbeat() time.Duration { return max(d.options.ReportInterval, reportInterval) }
 
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -150,6 +150,7 @@
 }{
 	{FaultShrinkWorker, shrinksPerSecond, 6}, {FaultOddReports, oddReportsPerSecond, 9}, {FaultCutWorkers, cutsPerSecond, 10},
 	{FaultRestartCut, restartCutsPerSecond, 11}, {FaultLeaveCut, leaveCutsPerSecond, 12}, {FaultCutIntake, intakeCutsPerSecond, 13},
+	{FaultLeaveRefused, refusedLeavesPerSecond, 14},
 }
 
 // planWorkerFaults generates faults of one kind on workers, perSecond on average. They come from a random stream of their own, so that
--- a/internal/emulator/soak_test.go
+++ b/internal/emulator/soak_test.go
@@ -73,11 +73,13 @@
 	name, cause string
 	seed        uint64
 	faults      []Fault
+	lasting     uint32 // Options.LastingTasks
 }{
-	{"reuse", "a worker that restarted under the same id carried out a start meant for its former incarnation (once)", 16, frequentReuse()},
-	{"full-disks", "a control VM whose disk was full for a moment exited, again and again (runs)", 1, fullDisksInSeries()},
-	{"left-behind-cut", "workers that had left and were back behind a cut were not called again (kept)", 1, leftBehindCut()},
-	{"stop-without-leader", "an intake VM that was stopped while there was no leader interrupted the requests that waited for one (answered)", 43, faultsWithin(43, 9*time.Second)},
+	{"reuse", "a worker that restarted under the same id carried out a start meant for its former incarnation (once)", 16, frequentReuse(), 0},
+	{"full-disks", "a control VM whose disk was full for a moment exited, again and again (runs)", 1, fullDisksInSeries(), 0},
+	{"left-behind-cut", "workers that had left and were back behind a cut were not called again (kept)", 1, leftBehindCut(), 0},
+	{"left-behind-refusal", "tasks of workers that had reported their leave and ran on started elsewhere since connections were refused (once)", 1, leftBehindRefusal(), 6},
+	{"stop-without-leader", "an intake VM that was stopped while there was no leader interrupted the requests that waited for one (answered)", 43, faultsWithin(43, 9*time.Second), 0},
 }
 
 // faultsWithin returns the faults of a 25 s plan that start within the given time.
@@ -109,6 +111,16 @@
 	return []Fault{{Kind: FaultLeaveCut, At: 4 * time.Second, Duration: time.Second, Other: 213*9 + 8}}
 }
 
+// leftBehindRefusal returns a plan in which a third of the workers after the other reports its leave behind a partition that refuses connections,
+// and works on for 4 s.
+func leftBehindRefusal() []Fault {
+	var faults []Fault
+	for i := range 3 {
+		faults = append(faults, Fault{Kind: FaultLeaveRefused, At: time.Duration(2+i) * time.Second, Subject: 3 * i, Other: 308*9 + 2})
+	}
+	return faults
+}
+
 // Guards against guarantees that break under the faults of short plans.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(4) {
@@ -121,7 +133,7 @@
 		t.Run(r.name, func(t *testing.T) {
 			t.Parallel()
 			t.Log(r.cause)
-			runAndCheck(t, 120+i, Run{Seed: r.seed, Length: 9 * time.Second, Faults: r.faults})
+			runAndCheck(t, 120+i, Run{Seed: r.seed, Length: 9 * time.Second, Faults: r.faults, Options: Options{LastingTasks: r.lasting}})
 		})
 	}
 }
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -27,6 +27,7 @@
 	mu               sync.Mutex
 	state            State
 	lastFaultAt      time.Time     // end of the last fault, or time of the last Reset
+	refusing         bool          // see Proxy.Refuse
 	changed          chan struct{} // closed and replaced when state changes
 	resetConnections func()
 }
@@ -66,7 +67,7 @@
 func (l *Link) FaultySince(t time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state != (State{}) || l.lastFaultAt.After(t)
+	return l.state != (State{}) || l.refusing || l.lastFaultAt.After(t)
 }
 
 // Forwards reports whether the link forwards data in the given direction.
@@ -86,7 +87,8 @@
 // retransmit it, or until the connection ends.
 type Proxy struct {
 	*Link
-	listener   net.Listener
+	address    string
+	listener   net.Listener // guarded by Link.mu
 	target     string
 	linkOf     func(client netip.AddrPort) *Link // may be nil, see NewClientProxy
 	abortPause atomic.Int64                      // nanoseconds, see AbortAnswers
@@ -106,22 +108,50 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{Link: NewLink(), listener: listener, target: target, linkOf: linkOf, open: map[net.Conn]struct{}{}, done: make(chan struct{})}
+	p := &Proxy{Link: NewLink(), address: listener.Addr().String(), listener: listener, target: target, linkOf: linkOf,
+		open: map[net.Conn]struct{}{}, done: make(chan struct{})}
 	p.resetConnections = p.resetAll
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
 // Addr returns the address on which the proxy listens.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.address }
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	close(p.done)
+	p.Link.mu.Lock()
 	_ = p.listener.Close()
+	p.Link.mu.Unlock()
 	p.resetAll()
 }
 
+// Refuse makes the proxy refuse connections and resets the open ones, as some partitions do, until Accept is called.
+func (p *Proxy) Refuse() {
+	p.Link.mu.Lock()
+	p.refusing = true
+	_ = p.listener.Close()
+	p.Link.mu.Unlock()
+	p.Reset()
+}
+
+// Accept ends Refuse. It returns an error if the proxy cannot listen on its address again.
+func (p *Proxy) Accept() error {
+	p.Link.mu.Lock()
+	defer p.Link.mu.Unlock()
+	if !p.refusing {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	p.listener, p.refusing, p.lastFaultAt = listener, false, time.Now()
+	go p.accept(listener)
+	return nil
+}
+
 // AbortAnswers makes the proxy wait for the pause and then close the connection instead of forwarding an answer.
 // FaultySince does not report this. A pause of 0 turns it off.
 func (p *Proxy) AbortAnswers(pause time.Duration) { p.abortPause.Store(int64(pause)) }
@@ -131,8 +161,10 @@
 	defer p.mu.Unlock()
 	for c := range p.open {
 		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // Close then sends RST instead of FIN
+			_ = tcp.SetLinger(0) // Close then sends RST instead of FIN, also that by the goroutine which forwards to it
 		}
+	}
+	for c := range p.open {
 		_ = c.Close()
 	}
 }
@@ -148,9 +180,9 @@
 	}
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/netfault/netfault_test.go
+++ b/internal/netfault/netfault_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +82,27 @@
 	is.NoErr(roundTrip(c, answerTimeout))
 }
 
+// Guards against refusals without effect, which would let a soak test pass without them.
+func TestProxyRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	p, err := NewProxy("127.0.0.1:0", startEchoServer(t))
+	is.NoErr(err)
+	defer p.Close()
+	c, err := net.Dial("tcp", p.Addr())
+	is.NoErr(err)
+	is.NoErr(roundTrip(c, answerTimeout))
+	p.Refuse()
+	is.True(p.FaultySince(time.Now()))
+	is.True(errors.Is(roundTrip(c, answerTimeout), syscall.ECONNRESET))
+	_, err = net.Dial("tcp", p.Addr())
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.NoErr(p.Accept())
+	is.NoErr(p.Accept())
+	c, err = net.Dial("tcp", p.Addr())
+	is.NoErr(err)
+	is.NoErr(roundTrip(c, answerTimeout))
+}
+
 // Guards against a cut that affects the connections of another client.
 func TestClientProxy(t *testing.T) {
 	is := is.New(t)
