Endless tasks move away from a worker that drains before it goes

Change: endless tasks on a draining worker move like filling tasks that press on a service: as far as another worker has room and the limit of their step on unavailable tasks allows.

--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,65 @@
 		})
 	}
 }
+
+// Guards against endless tasks that are away until the lease of a worker is over which has drained and left behind a partition.
+func TestEndlessTasksLeaveDrainingWorker(t *testing.T) {
+	for name, cutOff := range map[string]func(r *harness, id string){"silent": (*harness).lose, "refusing": (*harness).refuseConnections} {
+		for _, newLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, new leader %t", name, newLeader), func(t *testing.T) {
+				withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+					r.startAtA(is)
+					if newLeader {
+						r.replaceLeader(6)
+					}
+					began := time.Now()
+					r.reportDraining("a", 2)
+					for r.running("b") == 0 && time.Since(began) < maxOutage {
+						time.Sleep(time.Millisecond)
+					}
+					t.Logf("the task runs elsewhere %v after the report", time.Since(began))
+					is.True(time.Since(began) < 1500*time.Millisecond) // the stop takes up to a second
+					cutOff(r, "a")
+					r.leaves("a")
+					time.Sleep(maxOutage)
+					is.Equal(r.running("b"), 1)
+				})
+			})
+		}
+	}
+}
+
+// Guards against endless tasks that are stopped on a draining worker though no other worker has room for them.
+func TestEndlessTaskStaysOnDrainingWorkerWithoutRoomElsewhere(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.submit("fill", 7, nil) // both workers have room for four tasks
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(r.running("a")+r.running("b"), 8)
+		r.reportDraining("a", 2)
+		time.Sleep(4 * time.Second)
+		is.Equal(r.running("a"), 4)
+	})
+}
+
+// Guards against a step of which more tasks are away than it allows because a worker drains.
+func TestTasksLeaveDrainingWorkerWithinLimitOfStep(t *testing.T) {
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.workers.update(func() { r.workers.byID["a"].serving = "s" })
+		r.submit("s", 3, func(s *pb.Step) { s.Endless, s.MaxUnavailable = true, 1 })
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(r.running("a"), 3)
+		r.workers.update(func() {
+			r.workers.byID["b"] = newFakeWorker("b", 1)
+			r.workers.byID["b"].serving = "s"
+		})
+		r.report("b", 1)
+		time.Sleep(2 * time.Second)
+		r.reportDraining("a", 2)
+		for range 600 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(r.running("a")+r.running("b") >= 2)
+		}
+		is.Equal(r.running("b"), 3)
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// moveRun stops a filling task so that it can restart on another worker, which has room for it.
+// moveRun stops a task so that it can restart on another worker, which has room for it.
 func (l *Leader) moveRun(move steps.Move) {
 	r := l.runs[move.Task]
 	if r == nil || r.on != move.On || r.attempt != move.Attempt {
@@ -74,7 +74,11 @@
 	l.log.Info().Str("decision", "move").Str("request", move.Task.Submission).Uint32("step", move.Task.Step).Uint32("task", move.Task.Index).
 		Uint32("attempt", move.Attempt).Str("worker", move.On.ID).Msg("")
 	l.avoidWorker(move.Task, move.On.ID)
-	l.stopRun(move.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, "presses-on-service")
+	reason := "worker-drains"
+	if r.shouldMove {
+		reason = "presses-on-service"
+	}
+	l.stopRun(move.Task, r, pb.TaskEndKind_TASK_END_KIND_STOPPED, reason)
 }
 
 func (l *Leader) queueStart(start steps.Start) {
@@ -99,7 +103,7 @@
 		for _, sub := range state.Active() {
 			snap.Requests = append(snap.Requests, l.requests(state, sub, sharing, snap.NowUnixMs, now)...)
 		}
-		if len(snap.Requests) == 0 && !l.anyShouldMove() {
+		if len(snap.Requests) == 0 && !l.anyShouldMove() && !anyDrains(state) {
 			return
 		}
 		snap.Expected = l.expectedRequests(state, snap.NowUnixMs, now)
@@ -112,9 +116,11 @@
 			spare[key] = left - 1
 			return left > 0
 		}
-		for _, w := range state.Workers() {
-			if !w.GetGone() {
-				snap.Workers = append(snap.Workers, l.workerView(state, w, now, mayStop))
+		for _, draining := range []bool{true, false} { // mayStop allows those first that end in any case
+			for _, w := range state.Workers() {
+				if !w.GetGone() && w.GetDraining() == draining {
+					snap.Workers = append(snap.Workers, l.workerView(state, w, now, mayStop))
+				}
 			}
 		}
 	})
@@ -159,9 +165,10 @@
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Young = r.phase == phaseStarting || r.isYoung(now)
 			resident.Stopping = r.phase == phaseStopping
-			resident.ShouldMove = r.shouldMove && r.phase == phaseRunning
+			leaves := leavesWithWorker(w, resident.Step)
+			resident.ShouldMove = (r.shouldMove || leaves) && r.phase == phaseRunning
 			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() ||
-				now-r.trackedSince >= minEndlessRun && mayStop(stepKey{ref.Submission, ref.Occurrence, ref.Step}))
+				(leaves || now-r.trackedSince >= minEndlessRun) && mayStop(stepKey{ref.Submission, ref.Occurrence, ref.Step}))
 		}
 		view.Residents = append(view.Residents, resident)
 	}
--- a/internal/placement/steps/move.go
+++ b/internal/placement/steps/move.go
@@ -3,9 +3,10 @@
 // maxMoves bounds the moves of one plan. Further tasks move with the next plans.
 const maxMoves = 32
 
-// proposeMoves proposes to move filling tasks away from services that they slow down, but only if another worker can take
-// them now and their steps allow it. It is meant for a full pool: a task that is stopped without such a worker waits in the queue, or slows down
-// another service and is stopped again, while a throttled task goes on whenever the load of the service falls.
+// proposeMoves proposes to move filling tasks away from services that they slow down, and endless tasks away from workers that are about to
+// leave, but only if another worker can take them now and their steps allow it. It is meant for a full pool: a task that is stopped without such
+// a worker waits in the queue, or slows down another service and is stopped again, while a throttled task goes on whenever the load of the
+// service falls, and one on a worker that drains goes on until that leaves.
 func (p *planner) proposeMoves() {
 	for _, w := range p.Workers {
 		for i := range w.Residents {
--- a/internal/placement/steps/steps.go
+++ b/internal/placement/steps/steps.go
@@ -38,7 +38,8 @@
 	// Young is true while the attempt has only just started, or has yet to start. Suspect is true if the task may have crashed a
 	// worker before.
 	Young, Suspect bool
-	// ShouldMove is true for a filling task that slows down a service on the same worker and should run on another worker.
+	// ShouldMove is true for a task that should run on another worker: a filling task that slows down a service on the same worker, or an endless
+	// task whose worker is about to leave.
 	ShouldMove bool
 	// ThrottledBy is the fraction of its full speed that a throttled filling task may not use; 0 at full speed.
 	ThrottledBy float64
@@ -160,7 +161,7 @@
 	For string
 }
 
-// Move is a proposed stop of a filling task that another worker can take.
+// Move is a proposed stop of a task that another worker can take.
 type Move struct {
 	Task    submission.Ref
 	Attempt uint32
