--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -44,18 +44,11 @@
 	if errors.Is(result.err, ErrUnavailable) || errors.Is(result.err, ErrMalformed) {
 		result.err = nil // the worker lives and refuses the call
 	}
-	if errors.Is(result.err, ErrConnectionClosed) && !s.unanswered && s.aliveAt > 0 {
-		s.closedAt = result.ended
-		if s.leave != nil {
-			s.leave.closed = true
-		}
-	}
 	if result.err == nil {
 		s.aliveAt, s.endKnown = result.ended, false
-		s.forgetClosed()
 	} else if !s.unanswered {
 		s.endKnown, s.endedBy = !result.timedOut, result.ended
-		if s.endKnown && !errors.Is(result.err, ErrNotListening) && result.ended-result.sent > refusalTime {
+		if s.endKnown && !errors.Is(result.err, ErrConnectionRefused) && result.ended-result.sent > refusalTime {
 			s.aliveAt = result.ended
 		}
 	}
@@ -64,7 +57,6 @@
 
 // recordAnswered records that the worker has answered a call. After a hold without an answer it may have been the next incarnation.
 func (s *session) recordAnswered(now time.Duration) {
-	s.forgetClosed()
 	if !s.unanswered {
 		s.aliveAt = max(s.aliveAt, now)
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -194,9 +194,7 @@
 		done()
 		return
 	}
-	if s.leave != nil {
-		s.leave.judge(sent, nil)
-	}
+	s.leave.answered(sent)
 	l.noteLateCalls(s, sent)
 	l.endSilence(s)
 	if l.recordAnswer(s, result) {
@@ -216,7 +214,6 @@
 
 func (l *Leader) holdFailed(s *session, err error) {
 	switch {
-	case s.leave != nil && (errors.Is(err, ErrNotListening) || errors.Is(err, ErrConnectionClosed)) && l.onLeaveEvidence(s, l.cfg.Clock(), err):
 	case errors.Is(err, ErrFenced):
 		l.log.Warn().Str("event", "fenced").Str("worker", s.incarnation.ID).Uint64("term", l.term).Msg("a newer leader has called the worker; this VM stops leading")
 		l.endTerm()
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -349,7 +349,8 @@
 	for _, s := range l.sessions {
 		l.checkLease(s, now)
 		l.closeIfSilent(s, now)
-		l.probeLeaving(s, now)
+		l.askLeaving(s, now)
+		l.endLeave(s, now)
 	}
 	for ref, r := range l.runs {
 		l.retryCalls(ref, r, now)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -117,7 +117,7 @@
 	number := s.stray.sent(r.calledAt+lateCallTimeout, r.calledAt-l.longestLease())
 	l.call(s, func(ctx context.Context) (int64, error) { return l.cfg.Caller.Start(ctx, c) }, func(err error, answered reading) {
 		switch {
-		case answered == readingSame, errors.Is(err, ErrNotListening): // no later incarnation receives it
+		case answered == readingSame, errors.Is(err, ErrConnectionRefused): // no later incarnation receives it
 			s.stray.forget(number)
 			r.unansweredAt = unansweredBefore
 		case answered == readingOther:
@@ -368,6 +368,7 @@
 			case s.answeredByOther(answer):
 				l.onSuccessorAnswer(s, answer)
 			default:
+				s.leave.answered(sent)
 				l.commitEnds(s, answer, func() {})
 				l.reconcile(s, sent, answer)
 			}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,7 +35,6 @@
 	aliveAt          time.Duration                    // when the worker was last known to be alive
 	endKnown         bool                             // the worker ended between aliveAt and endedBy: its connection broke or was refused
 	endedBy          time.Duration
-	closedAt         time.Duration // when the worker closed the connection of the hold after an answered one, 0 if it has answered since
 	unanswered       bool          // the last hold got no answer
 	lossesPending    int           // number of attempts whose loss is being committed
 	startTimedOutAt  time.Duration // when a start got no answer though the worker answered a hold meanwhile; 0 once noted
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -49,7 +49,7 @@
 func (r *Relay) Hold(ctx context.Context, c dispatch.HoldCall) (dispatch.HoldAnswer, error) {
 	used := r.route(c.Target)
 	answer, err := r.holdVia(ctx, used.via, c)
-	if errors.Is(err, dispatch.ErrNotListening) {
+	if errors.Is(err, dispatch.ErrConnectionRefused) {
 		return r.confirmRefusal(ctx, c, used, err)
 	}
 	r.recordHold(ctx, c.Target, used, err)
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -11,18 +11,17 @@
 
 // outcomeErrors maps the outcomes in relayed answers to the errors of a dispatch.Caller.
 var outcomeErrors = map[pb.RelayOutcome]error{
-	pb.RelayOutcome_RELAY_OUTCOME_NO_ANSWER:         dispatch.ErrNoAnswer,
-	pb.RelayOutcome_RELAY_OUTCOME_FENCED:            dispatch.ErrFenced,
-	pb.RelayOutcome_RELAY_OUTCOME_OLD_ATTEMPT:       dispatch.ErrOldAttempt,
-	pb.RelayOutcome_RELAY_OUTCOME_LEASE_OVER:        dispatch.ErrLeaseOver,
-	pb.RelayOutcome_RELAY_OUTCOME_NO_ROOM:           dispatch.ErrNoRoom,
-	pb.RelayOutcome_RELAY_OUTCOME_NO_TICKET:         dispatch.ErrNoTicket,
-	pb.RelayOutcome_RELAY_OUTCOME_UNWELL:            dispatch.ErrUnavailable,
-	pb.RelayOutcome_RELAY_OUTCOME_OTHER_LIFE:        dispatch.ErrOtherIncarnation,
-	pb.RelayOutcome_RELAY_OUTCOME_MALFORMED:         dispatch.ErrMalformed,
-	pb.RelayOutcome_RELAY_OUTCOME_NOT_LISTENING:     dispatch.ErrNotListening,
-	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_BROKEN: dispatch.ErrConnectionBroken,
-	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_CLOSED: dispatch.ErrConnectionClosed,
+	pb.RelayOutcome_RELAY_OUTCOME_NO_ANSWER:          dispatch.ErrNoAnswer,
+	pb.RelayOutcome_RELAY_OUTCOME_FENCED:             dispatch.ErrFenced,
+	pb.RelayOutcome_RELAY_OUTCOME_OLD_ATTEMPT:        dispatch.ErrOldAttempt,
+	pb.RelayOutcome_RELAY_OUTCOME_LEASE_OVER:         dispatch.ErrLeaseOver,
+	pb.RelayOutcome_RELAY_OUTCOME_NO_ROOM:            dispatch.ErrNoRoom,
+	pb.RelayOutcome_RELAY_OUTCOME_NO_TICKET:          dispatch.ErrNoTicket,
+	pb.RelayOutcome_RELAY_OUTCOME_UNWELL:             dispatch.ErrUnavailable,
+	pb.RelayOutcome_RELAY_OUTCOME_OTHER_LIFE:         dispatch.ErrOtherIncarnation,
+	pb.RelayOutcome_RELAY_OUTCOME_MALFORMED:          dispatch.ErrMalformed,
+	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_REFUSED: dispatch.ErrConnectionRefused,
+	pb.RelayOutcome_RELAY_OUTCOME_CONNECTION_BROKEN:  dispatch.ErrConnectionBroken,
 }
 
 // answerForError returns an answer with the outcome for an error of a dispatch.Caller. Any other error becomes
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -114,7 +114,7 @@
 	}
 	answer, err := r.holdVia(ctx, other.via, dispatch.HoldCall{Target: c.Target})
 	switch {
-	case errors.Is(err, dispatch.ErrNotListening):
+	case errors.Is(err, dispatch.ErrConnectionRefused):
 		r.recordHold(ctx, c.Target, used, err)
 		return answer, err
 	case !errors.Is(err, dispatch.ErrNoAnswer):
@@ -182,7 +182,7 @@
 		failed.unanswered = true
 	default:
 		r.tryNextRoute(failed)
-		if errors.Is(err, dispatch.ErrNotListening) {
+		if errors.Is(err, dispatch.ErrConnectionRefused) {
 			failed.count %= refusedRoutes
 		}
 	}
--- a/internal/submission/worker.go
+++ b/internal/submission/worker.go
@@ -160,23 +160,20 @@
 	}
 	if w.Silence = nil; c.GetSilent() {
 		w.Silence, w.silenceApplied = c, s.clock()
-		return true
-	}
-	s.takeUnproven(w) // it has not crashed
-	if w.Leave != nil {
-		w.Leave.Closed = false
+	} else {
+		s.takeUnproven(w) // it has not crashed
 	}
 	return true
 }
 
 // setLeave records that an incarnation of a worker has reported its leave. If the report does not tell which incarnation it stems from,
-// it is certain only for the first one that was known under the id, and for one that has announced its leave by draining.
+// it is certain only for the first one that was known under the id.
 func (s *State) setLeave(c *pb.WorkerLeave) bool {
 	w := s.workers[c.GetId()]
 	if w == nil || w.GetBornUnixMs() != c.GetBornUnixMs() || w.GetGone() {
 		return false
 	}
-	certain := c.GetCertain() || !w.reused || w.GetDraining() || w.Leave.GetCertain()
-	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain, Closed: c.GetClosed()}
+	certain := c.GetCertain() || !w.reused || w.Leave.GetCertain()
+	w.Leave = &pb.WorkerLeave{Id: c.GetId(), BornUnixMs: c.GetBornUnixMs(), Certain: certain}
 	return true
 }
