Endless tasks stay on a draining worker until shortly before it goes

Change: where a worker states how long it stays, its endless tasks move once that is the time that a stop takes and 0.7 s more. Without a statement they move at once.

Test: TestEndlessTasksLeaveDrainingWorkerShortlyBeforeItGoes.

--- a/internal/dispatch/drain_test.go
+++ b/internal/dispatch/drain_test.go
@@ -14,9 +14,12 @@
 )
 
 // reportDraining reports that a worker drains, and returns once that is acknowledged.
-func (r *harness) reportDraining(id string, sequence uint64) {
+func (r *harness) reportDraining(id string, sequence uint64) { r.reportDrainingFor(id, sequence, 0) }
+
+// reportDrainingFor does the same with the time until the worker may leave, 0 if the report does not state it.
+func (r *harness) reportDrainingFor(id string, sequence uint64, remaining time.Duration) {
 	r.t.Helper()
-	report := &pb.PoolReport{Worker: &pb.PoolWorker{}, Sequence: sequence}
+	report := &pb.PoolReport{Worker: &pb.PoolWorker{}, Sequence: sequence, RemainingMs: remaining.Milliseconds()}
 	r.state.View(func(s *submission.State) { report.Worker = proto.CloneOf(s.Workers()[id].PoolWorker) })
 	report.Worker.Draining = true
 	if err := r.leader.Report(context.Background(), report); err != nil {
@@ -112,3 +115,18 @@
 		is.Equal(r.running("b"), 3)
 	})
 }
+
+// Guards against endless tasks that take room on other workers long before their worker leaves, and against ones that move too late.
+func TestEndlessTasksLeaveDrainingWorkerShortlyBeforeItGoes(t *testing.T) {
+	const remaining = 8 * time.Second
+	withHarness(t, time.Minute, []string{"a"}, func(is *is.I, r *harness) {
+		r.startAtA(is)
+		r.reportDrainingFor("a", 2, remaining)
+		time.Sleep(remaining - time.Second - 2*drainMoveMargin) // a stop takes up to a second
+		is.Equal(r.running("a"), 1)
+		r.reportDrainingFor("a", 3, time.Second+2*drainMoveMargin)
+		time.Sleep(drainMoveMargin + 100*time.Millisecond)
+		is.Equal(r.running("a"), 0)
+		is.Equal(r.running("b"), 1)
+	})
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -349,6 +349,7 @@
 	for _, s := range l.sessions {
 		l.checkLease(s, now)
 		l.closeIfSilent(s, now)
+		l.checkDrain(s, now)
 		l.askLeaving(s, now)
 		l.endLeave(s, now)
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -103,7 +103,7 @@
 		for _, sub := range state.Active() {
 			snap.Requests = append(snap.Requests, l.requests(state, sub, sharing, snap.NowUnixMs, now)...)
 		}
-		if len(snap.Requests) == 0 && !l.anyShouldMove() && !anyDrains(state) {
+		if len(snap.Requests) == 0 && !l.anyShouldMove() && !l.anyEndsSoon(state) {
 			return
 		}
 		snap.Expected = l.expectedRequests(state, snap.NowUnixMs, now)
@@ -165,7 +165,7 @@
 		if r := l.runs[ref]; r != nil && r.attempt == attempt {
 			resident.Young = r.phase == phaseStarting || r.isYoung(now)
 			resident.Stopping = r.phase == phaseStopping
-			leaves := leavesWithWorker(w, resident.Step)
+			leaves := s.endsSoon(w) && movesFromDraining(resident.Step)
 			resident.ShouldMove = (r.shouldMove || leaves) && r.phase == phaseRunning
 			resident.MayStop = r.phase == phaseRunning && (!resident.Step.GetEndless() ||
 				(leaves || now-r.trackedSince >= minEndlessRun) && mayStop(stepKey{ref.Submission, ref.Occurrence, ref.Step}))
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -131,6 +131,9 @@
 		return
 	}
 	s.sequence, s.reportedAt, s.reportedCapacity = r.GetSequence(), l.cfg.Clock(), r.GetWorker().GetCapacity()
+	if remaining := time.Duration(r.GetRemainingMs()) * time.Millisecond; r.GetWorker().GetDraining() && remaining > 0 {
+		s.drain.leavesAt = s.reportedAt + remaining
+	}
 }
 
 // isLate reports whether a report is of an incarnation that has been replaced or is gone, or was sent before the report that
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -41,6 +41,7 @@
 	// mayHaveCrashed is true while attempts on the worker are recorded as unproven suspects.
 	mayHaveCrashed bool
 	leave          *leaveWatch // nil unless the worker has reported its leave
+	drain          drainState
 	stray          strayCalls
 
 	mu sync.Mutex // guards leaseState, which calls in progress use
