--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -50,7 +50,7 @@
 	used := r.route(c.Target)
 	answer, err := r.holdVia(ctx, used.via, c)
 	if errors.Is(err, dispatch.ErrConnectionRefused) {
-		return r.confirmRefusal(ctx, c, used, err)
+		return r.holdAfterRefusal(ctx, c, used, err)
 	}
 	r.recordHold(ctx, c.Target, used, err)
 	return answer, err
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -17,8 +17,7 @@
 	maxPreferredRetryInterval = 40 * time.Second
 	// preferredRetryTimeout bounds such a trial.
 	preferredRetryTimeout = 800 * time.Millisecond
-	// refusedRoutes is the number of routes that are tried to a worker which refuses connections. Usually its process has ended; some
-	// partitions reject connections, too.
+	// refusedRoutes is the number of routes that are tried in turn to a worker whose address refuses connections. Usually its process has ended.
 	refusedRoutes = 4
 	// routeRetention is how long the failed routes to a worker that is no longer called are remembered.
 	routeRetention = time.Minute
@@ -104,10 +103,10 @@
 	return route{candidates.Choose(t.Incarnation.ID, t.FailureDomain, number), number}
 }
 
-// confirmRefusal repeats a hold by way of another VM after a VM was refused the connection. A partition may refuse connections, too, so that
-// the worker has ended only if both are refused. The repeated hold names neither a lease nor an end to forget: the worker may have restarted
-// under its id meanwhile.
-func (r *Relay) confirmRefusal(ctx context.Context, c dispatch.HoldCall, used route, refusal error) (dispatch.HoldAnswer, error) {
+// holdAfterRefusal repeats a hold by way of another VM after a VM was refused the connection: behind some partitions the worker can still be reached.
+// That both are refused does not prove that it has ended. The repeated hold names neither a lease nor an end to forget: the worker may have
+// restarted under its id meanwhile.
+func (r *Relay) holdAfterRefusal(ctx context.Context, c dispatch.HoldCall, used route, refusal error) (dispatch.HoldAnswer, error) {
 	other := r.otherRoute(c.Target, used)
 	if other.via == used.via {
 		return dispatch.HoldAnswer{}, refusal
--- a/internal/replica/first_start_test.go
+++ b/internal/replica/first_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,41 @@
 	is.Equal(c.nodes["vm-a"].machine.list(), []string{"1", "2"})
 }
 
+// Guards against a group that never forms because all VMs are killed once the first one has stored the membership and before the others have:
+// these are named in it by their incarnations.
+func TestGroupFormsThoughAllVMsRestartMeanwhile(t *testing.T) {
+	is := is.New(t)
+	vms := []string{"vm-a", "vm-b", "vm-c"}
+	c := newCluster(t, vms, nil, vms)
+	c.open, c.contacts = true, vms
+	var first atomic.Pointer[node]
+	c.beforeSyncs("vm-a", func() error {
+		if n := first.Load(); n != nil && len(n.group.Status().Voters) > 0 {
+			c.network.Isolate("vm-a", true) // the others never receive the membership
+		}
+		return nil
+	})
+	first.Store(c.start("vm-a"))
+	c.start("vm-b")
+	c.start("vm-c")
+	c.eventually("the membership is stored", func() bool { return len(c.nodes["vm-a"].group.Status().Voters) == len(vms) })
+	time.Sleep(100 * time.Millisecond)
+	for _, vm := range vms[1:] {
+		is.Equal(len(c.nodes[vm].group.Status().Voters), 0)
+	}
+	for _, vm := range vms {
+		c.stop(vm)
+	}
+	first.Store(nil)
+	c.network.Isolate("vm-a", false)
+	c.voters = nil
+	for _, vm := range vms {
+		c.start(vm)
+	}
+	c.propose("1")
+	c.eventually("all applied", func() bool { return c.allApplied(1) })
+}
+
 // Guards against a second group, formed by a VM that keeps the initial voters on its disk and has lost the rest, beside one that has state.
 func TestVMWithInitialVotersFormsNoSecondGroup(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -91,8 +91,9 @@
 const storageQueueLength = 4
 
 // openDisk recovers the state in a folder and persists the identity of this start. A member of an open group that holds
-// neither a snapshot nor entries starts as a new incarnation, since no voter could confirm its boot counter. It keeps the initial voters that
-// its first start was given, since it may be the one that has to write the first membership.
+// neither a snapshot nor entries starts as a new incarnation, since no voter could confirm its boot counter. An initial voter stays the
+// incarnation that it was, since the first membership may name it by that, and keeps the initial voters that its first start was given, since
+// it may be the one that has to write that membership.
 func openDisk(fs wal.FS, open bool, initialVoters []string) (*diskStorage, *recoveredState, error) {
 	log, found, err := wal.Open(fs, wal.Options{})
 	if err != nil {
@@ -102,10 +103,7 @@
 		onDiskFull: func(error) {}, closing: make(chan struct{})}
 	state, err := s.recover(found)
 	if err == nil && open && state.snapshot == nil && len(state.entries) == 0 {
-		if len(initialVoters) == 0 {
-			initialVoters = state.identity.GetInitialVoters()
-		}
-		state = &recoveredState{initialVoters: initialVoters}
+		state = withoutEntries(state, initialVoters)
 	}
 	if err == nil {
 		err = s.beginBoot(state)
@@ -118,6 +116,15 @@
 	return s, state, nil
 }
 
+// withoutEntries returns the state with which a member of an open group starts whose disk holds neither a snapshot nor entries.
+func withoutEntries(found *recoveredState, initialVoters []string) *recoveredState {
+	if known := found.identity.GetInitialVoters(); len(known) > 0 {
+		found.initialVoters = known
+		return found
+	}
+	return &recoveredState{initialVoters: initialVoters}
+}
+
 // recover decodes the snapshot and the records of a log. Records of an earlier
 // incarnation, and entries that a snapshot of the leader replaced, are skipped.
 func (s *diskStorage) recover(found *wal.Recovered) (*recoveredState, error) {
@@ -167,7 +174,8 @@
 		state.identity = newIdentity()
 		state.identity.InitialVoters = state.initialVoters
 	case previous.GetBoot() <= state.hardState.GetConfirmedBoot():
-		state.identity = &pb.RaftIdentity{Incarnation: previous.GetIncarnation(), Boot: previous.GetBoot() + 1, Start: randomNonZero()}
+		state.identity = &pb.RaftIdentity{Incarnation: previous.GetIncarnation(), Boot: previous.GetBoot() + 1, Start: randomNonZero(),
+			InitialVoters: previous.GetInitialVoters()}
 	}
 	s.identity = state.identity
 	s.hardState = state.hardState
