--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// lasting is the prefix of the ids of submissions whose tasks serve requests and never end, on every worker.
+const lasting = "lasting-"
+
+// serves reports whether a task serves requests and never ends.
+func (f *fakeWorker) serves(ref submission.Ref) bool {
+	return ref.Submission == f.serving || strings.HasPrefix(ref.Submission, lasting)
+}
+
 // exit ends the process of the worker, which closes its connections; later ones are refused.
 func (f *fakeWorker) exit() { f.refusing, f.closes = true, true }
 
@@ -164,7 +172,7 @@
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_STOPPED)
 		case f.failing || strings.HasPrefix(ref.Submission, hopeless):
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_FAILED)
-		case !f.stalled && ref.Submission != f.serving && now.Sub(run.began) >= w.work:
+		case !f.stalled && !f.serves(ref) && now.Sub(run.began) >= w.work:
 			w.finish(f, ref, run, pb.TaskEndKind_TASK_END_KIND_DONE)
 			f.endedAt[f.ends] = run.began.Add(w.work)
 			w.done[ref] = w.done[ref] || !w.doneOnceNoted
@@ -473,10 +481,10 @@
 			percent = math.Floor(percent)
 		}
 		figure := 1000.0
-		switch ref.Submission {
-		case f.serving:
+		switch {
+		case f.serves(ref):
 			percent, figure = servingPercent, cmp.Or(f.tailMs, figure)
-		case f.filling:
+		case ref.Submission == f.filling:
 			figure = fakeFillingUse * float64(f.speedOf(ref)) / fullSpeed
 		}
 		answer.Running = append(answer.Running, Running{Task: ref, Attempt: run.attempt, Percent: percent, Figure: figure})
