Emulator: a worker that restarts at once waits for its listener to be free

Closing the listener at the end of a worker did not cure it: a child process that the emulator is starting holds a copy of it until it executes its program. Such listens are repeated for 2 s at most.

--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -105,7 +105,7 @@
 	if id == "" {
 		id = fmt.Sprintf("i-%d-%d", h.index, h.incarnations)
 	}
-	listener, err := net.Listen("tcp", h.listenAddress)
+	listener, err := netfault.ListenAgain(h.listenAddress)
 	if err != nil {
 		return fmt.Errorf("worker %s: %w", id, err)
 	}
--- a/internal/netfault/netfault.go
+++ b/internal/netfault/netfault.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -83,6 +84,23 @@
 	return l.Forwards(toTarget)
 }
 
+const (
+	// listenTimeout bounds the time for which ListenAgain tries, at listenRetryInterval.
+	listenTimeout       = 2 * time.Second
+	listenRetryInterval = 5 * time.Millisecond
+)
+
+// ListenAgain listens on an address whose previous listener was closed a moment ago. A child process that this one is starting holds a copy of
+// that listener until it executes its program.
+func ListenAgain(address string) (net.Listener, error) {
+	for began := time.Now(); ; time.Sleep(listenRetryInterval) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > listenTimeout {
+			return listener, err
+		}
+	}
+}
+
 // Proxy forwards TCP connections to a target. Data in a cut direction is kept until the cut ends, since TCP would
 // retransmit it, or until the connection ends.
 type Proxy struct {
@@ -143,7 +161,7 @@
 	if !p.refusing {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := ListenAgain(p.address)
 	if err != nil {
 		return fmt.Errorf("proxy: %w", err)
 	}
--- a/internal/netfault/netfault_test.go
+++ b/internal/netfault/netfault_test.go
@@ -103,6 +103,17 @@
 	is.NoErr(roundTrip(c, answerTimeout))
 }
 
+// Guards against a restart that fails because a child process that is being started still holds the previous listener.
+func TestListenAgainWaitsForPreviousListener(t *testing.T) {
+	is := is.New(t)
+	previous, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	time.AfterFunc(200*time.Millisecond, func() { _ = previous.Close() })
+	again, err := ListenAgain(previous.Addr().String())
+	is.NoErr(err)
+	is.NoErr(again.Close())
+}
+
 // Guards against a cut that affects the connections of another client.
 func TestClientProxy(t *testing.T) {
 	is := is.New(t)
