--- a/internal/dispatch/leave_property_test.go
+++ b/internal/dispatch/leave_property_test.go
@@ -53,16 +53,8 @@
 // runLeaveEvents runs a sequence of events, lets all workers restart and returns the rules that were broken.
 func runLeaveEvents(t *testing.T, sequence []leaveEvent) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, 3*time.Second, disturbedWorkers...)
-		r.workers.doneOnceNoted = true
-		r.lead(5)
-		synctest.Wait()
-		ctx, cancel := context.WithCancel(context.Background())
+		r, cancel := reportingHarness(t, 3*time.Second)
 		defer cancel()
-		for _, id := range disturbedWorkers {
-			r.report(id, 1)
-			go r.keepReporting(ctx, id)
-		}
 		time.Sleep(time.Second)
 		submitted := map[string]bool{} // by id, true if the tasks are endless
 		for i, e := range sequence {
@@ -90,9 +82,7 @@
 			}
 		}
 		cancel()
-		r.leader.Close()
-		time.Sleep(commitTimeout)
-		r.workers.update(func() { violations = append(violations, r.workers.violations...) })
+		violations = append(violations, r.closeAndCheck()...)
 	})
 	return violations
 }
@@ -121,15 +111,13 @@
 		report.Worker.Draining = true
 		r.tryReport(report)
 	default:
-		var f *fakeWorker
-		r.workers.update(func() {
-			f = r.workers.byID[e.worker]
-			partitions[e.kind](f, true)
-		})
-		time.AfterFunc(e.lasts, func() { r.workers.update(func() { partitions[e.kind](f, false) }) })
+		r.changeFor(e.worker, e.lasts, partitions[e.kind])
 	}
 }
 
+// minRestart is the time that a worker takes at least to restart.
+const minRestart = 120 * time.Millisecond
+
 // tryReport sends a report that may fail, without waiting for its answer.
 func (r *harness) tryReport(report *pb.PoolReport) {
 	leader := r.leader
@@ -148,9 +136,5 @@
 		f.refusing = !dark
 		clear(f.running)
 	})
-	time.AfterFunc(max(down, 120*time.Millisecond), func() {
-		born := int64(0)
-		r.workers.update(func() { born = max(time.Now().UnixMilli(), r.workers.byID[id].incarnation.BornUnixMs+1) })
-		r.restart(id, born, func(*fakeWorker) {})
-	})
+	r.restartLater(id, max(down, minRestart), func(*fakeWorker) {}, func(*fakeWorker) {})
 }
--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -73,16 +73,8 @@
 // runDisturbances runs a sequence of events and returns the rules that were broken.
 func runDisturbances(t *testing.T, work time.Duration, sequence []disturbance) (violations []string) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newHarness(t, work, disturbedWorkers...)
-		r.workers.doneOnceNoted = true
-		r.lead(5)
-		synctest.Wait()
-		ctx, cancel := context.WithCancel(context.Background())
+		r, cancel := reportingHarness(t, work)
 		defer cancel()
-		for _, id := range disturbedWorkers {
-			r.report(id, 1)
-			go r.keepReporting(ctx, id)
-		}
 		time.Sleep(6 * time.Second)
 		var ids []string
 		for i, d := range sequence {
@@ -100,13 +92,52 @@
 			}
 		}
 		cancel()
-		r.leader.Close()
-		time.Sleep(commitTimeout)
-		r.workers.update(func() { violations = append(violations, r.workers.violations...) })
+		violations = append(violations, r.closeAndCheck()...)
 	})
 	return violations
 }
 
+// reportingHarness returns a harness whose leader leads and whose workers report until cancel is called.
+func reportingHarness(t *testing.T, work time.Duration) (r *harness, cancel func()) {
+	r = newHarness(t, work, disturbedWorkers...)
+	r.workers.doneOnceNoted = true
+	r.lead(5)
+	synctest.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, id := range disturbedWorkers {
+		r.report(id, 1)
+		go r.keepReporting(ctx, id)
+	}
+	return r, cancel
+}
+
+// closeAndCheck closes the leader and returns the rules that were broken.
+func (r *harness) closeAndCheck() (violations []string) {
+	r.leader.Close()
+	time.Sleep(commitTimeout)
+	r.workers.update(func() { violations = r.workers.violations })
+	return violations
+}
+
+// changeFor applies a change to a worker and takes it back after a while, also if another incarnation runs by then.
+func (r *harness) changeFor(id string, lasts time.Duration, change func(f *fakeWorker, on bool)) {
+	var f *fakeWorker
+	r.workers.update(func() {
+		f = r.workers.byID[id]
+		change(f, true)
+	})
+	time.AfterFunc(lasts, func() { r.workers.update(func() { change(f, false) }) })
+}
+
+// restartLater starts the next incarnation of a worker under its id after a while.
+func (r *harness) restartLater(id string, down time.Duration, change func(*fakeWorker), then func(*fakeWorker)) {
+	time.AfterFunc(down, func() {
+		born := int64(0)
+		r.workers.update(func() { born = max(time.Now().UnixMilli(), r.workers.byID[id].incarnation.BornUnixMs+1) })
+		then(r.restart(id, born, change))
+	})
+}
+
 func (r *harness) disturb(term uint64, d disturbance) {
 	switch d.kind {
 	case "restart":
@@ -120,12 +151,7 @@
 	case "log unknown":
 		r.disturbLog(min(d.lasts, time.Second), func(f *fakeLog, on bool) { f.unknown = on })
 	default:
-		var f *fakeWorker
-		r.workers.update(func() {
-			f = r.workers.byID[d.worker]
-			disturbances[d.kind](f, true, d)
-		})
-		time.AfterFunc(d.lasts, func() { r.workers.update(func() { disturbances[d.kind](f, false, d) }) })
+		r.changeFor(d.worker, d.lasts, func(f *fakeWorker, on bool) { disturbances[d.kind](f, on, d) })
 	}
 }
 
@@ -143,12 +169,9 @@
 		clear(f.running)
 		f.unreachable, f.refusing, f.closes = true, !d.dark, !d.dark
 	})
-	time.AfterFunc(d.down, func() {
-		born := int64(0)
-		r.workers.update(func() { born = max(time.Now().UnixMilli(), r.workers.byID[d.worker].incarnation.BornUnixMs+1) })
-		f := r.restart(d.worker, born, func(f *fakeWorker) {
-			f.holdUnanswered, f.slow, f.born = d.mute > 0, d.dark, f.born.Add(-d.cut*1000)
-		})
+	r.restartLater(d.worker, d.down, func(f *fakeWorker) {
+		f.holdUnanswered, f.slow, f.born = d.mute > 0, d.dark, f.born.Add(-d.cut*1000)
+	}, func(f *fakeWorker) {
 		time.AfterFunc(d.mute, func() { r.workers.update(func() { f.holdUnanswered = false }) })
 		time.AfterFunc(d.mute+d.after, func() { r.workers.update(func() { f.unreachable = d.cut > 0 }) })
 		time.AfterFunc(d.mute+d.after+d.cut, func() { r.workers.update(func() { f.unreachable = false }) })
