--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -36,7 +35,6 @@
 	incarnations int    // number of incarnations so far
 	incarnation  *incarnation
 	server       *http.Server
-	listener     net.Listener
 	cancel       context.CancelFunc
 	reportState  *pb.PoolReport
 }
@@ -122,7 +120,7 @@
 		return h.proxy != nil && h.proxy.FaultySince(since) || h.controlLink.FaultySince(since)
 	}
 	h.incarnation, h.cancel = w, end
-	h.server, h.listener = &http.Server{Handler: platform.WorkerHandler(id, w)}, listener
+	h.server = &http.Server{Handler: platform.WorkerHandler(id, w)}
 	h.reportState = &pb.PoolReport{Worker: h.describe(w)}
 	if w.sabotage == SabotageShrink {
 		w.resize(workerSize(0))
@@ -151,7 +149,6 @@
 	}
 	id := h.incarnation.id
 	h.cancel()
-	_ = h.listener.Close() // the server does not know it before it serves, and the next incarnation may start at once
 	_ = h.server.Close()
 	h.incarnation.terminate()
 	h.incarnation = nil
